Prove at most once for calls that may not be repeated

The claim and seal protocol (src/coordination/hometable) stood without a test. Found on the way: the fixture mixed roster versions and kept connections of dead runs alive; both were faults of the fixture.

--- a/src/coordination/entryrequests.cpp
+++ b/src/coordination/entryrequests.cpp
@@ -312,12 +312,21 @@
 	{
 		return;
 	}
+	const bool model = ServiceKind::Model == request->payload->kind;
+	if (model && _event.tokenCount != request->tokens.size())
+	{
+		m_out->push_back(CancelAttempt{_event.attempt});
+		AttemptFailed gap;
+		gap.attempt = _event.attempt;
+		on(gap);
+		return;
+	}
 	m_backends.at(request->backend).failures = 0;
 	detachAttempt(*request);
 	ServiceState& service = stateOf(request->service);
 	service.served += request->cost;
 	const ServiceHandle handle = request->service;
-	if (ServiceKind::Model == request->payload->kind)
+	if (model)
 	{
 		finishModel(*request);
 	}
--- a/src/coordination/events.h
+++ b/src/coordination/events.h
@@ -68,6 +68,7 @@
 	unsigned status = 200;
 	std::string contentType;
 	std::string body;
+	std::uint64_t tokenCount = 0; ///< Model: tokens of the whole answer, so that a lost one is noticed.
 };
 
 /// How an attempt failed.
--- a/src/daemon/backendside.cpp
+++ b/src/daemon/backendside.cpp
@@ -139,8 +139,9 @@
 	if (ended && m_attempts.contains(_id))
 	{
 		// The connection is left to end by itself; nothing after the terminal event counts.
+		const std::uint64_t count = _attempt.next;
 		m_attempts.erase(_id);
-		if (!m_submit(AttemptDone{_id, kOk, {}, {}}))
+		if (!m_submit(AttemptDone{_id, kOk, {}, {}, count}))
 		{
 			fail(_id, AttemptFault::Broken);
 		}
@@ -168,7 +169,7 @@
 	if (!attempt.model)
 	{
 		const std::string type(findHeader(_answer.headers, "Content-Type"));
-		submit(_id, AttemptDone{_id, _answer.status, type, std::move(_answer.body)});
+		submit(_id, AttemptDone{_id, _answer.status, type, std::move(_answer.body), 0});
 		m_attempts.erase(_id);
 		return;
 	}
--- /dev/null
+++ b/tests/fleet.h
@@ -0,0 +1,406 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// Entry cores with a message pool and a pool of attempts, in virtual time. A test picks what
+/// happens next: which message arrives, is lost or comes twice, which attempt ends how, who
+/// freezes or dies. It is no cluster simulator: nothing happens by itself.
+
+#ifndef BEACONGATE_TESTS_FLEET_H
+#define BEACONGATE_TESTS_FLEET_H
+
+#include "coordination/entrycore.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace beacongate::test
+{
+/// How a test lets an attempt end or go on.
+enum class Ending
+{
+	Answer,      ///< It runs and answers.
+	RunThenLose, ///< It runs and the answer is lost.
+	NotSent,     ///< The connection was refused.
+	Fenced,      ///< The backend server did not take it.
+	Token,       ///< Model: one more token.
+};
+
+/// What a caller has got so far.
+struct CallerView
+{
+	std::string key;
+	std::string expected;   ///< Body of the right answer (plain).
+	std::uint64_t next = 0; ///< Next token it expects.
+	bool ordered = true;    ///< Every token was the right one at its place.
+	std::vector<Outcome> finals;
+	std::string body;
+	Failure failure = Failure::Internal;
+	std::uint64_t tokenCount = 0;
+	Micros answeredAt = 0;
+};
+
+class Fleet
+{
+public:
+	/// One entry process.
+	struct Node
+	{
+		std::unique_ptr<EntryCore> core;
+		bool frozen = false;
+		bool dead = false;
+		std::vector<Event> held; ///< Events that wait for a frozen node to wake.
+	};
+
+	/// A call that was sent to a backend server.
+	struct Sent
+	{
+		std::size_t node = 0;
+		EntryRef run; ///< A connection ends with the run that opened it.
+		StartAttempt start;
+		std::uint64_t next = 0;
+		bool cancelled = false;
+	};
+
+	/// A message between entries.
+	struct Mail
+	{
+		EntryRef from;
+		EntryRef to;
+		PeerMessage message;
+	};
+
+	explicit Fleet(std::size_t _nodes, std::size_t _backends = 3, std::uint32_t _slots = 4)
+	{
+		auto config = std::make_shared<Config>();
+		config->version = 1;
+		config->teams.push_back(TeamConfig{"a", "ta", 1.0, 1000});
+		config->teams.push_back(TeamConfig{"b", "tb", 1.0, 1000});
+		config->services.push_back(ServiceConfig{"log", ServiceKind::Plain, false, 0});
+		config->services.push_back(ServiceConfig{"m", ServiceKind::Model, true, 0});
+		for (std::size_t ii = 0; ii < _backends; ++ii)
+		{
+			for (const char* service : {"log", "m"})
+			{
+				BackendConfig backend;
+				backend.id = service + std::to_string(ii);
+				backend.service = service;
+				backend.vm = "vm" + std::to_string(ii);
+				backend.dataCentre = "dc" + std::to_string(ii % 2);
+				backend.slots = _slots;
+				config->backends.push_back(backend);
+			}
+		}
+		m_config = config;
+		auto roster = std::make_shared<Roster>();
+		for (std::size_t ii = 0; ii < _nodes; ++ii)
+		{
+			roster = std::make_shared<Roster>(*withJoined(*roster, member(ii, 1)));
+		}
+		rosters.push_back(roster);
+		for (std::size_t ii = 0; ii < _nodes; ++ii)
+		{
+			nodes.emplace_back();
+			boot(ii, 1);
+			giveRoster(ii, 0);
+		}
+		settle();
+	}
+
+	static EntryRef ref(std::size_t _node, std::uint64_t _incarnation)
+	{
+		return EntryRef{"e" + std::to_string(_node), _incarnation};
+	}
+
+	static RosterMember member(std::size_t _node, std::uint64_t _incarnation)
+	{
+		RosterMember made;
+		made.entry = ref(_node, _incarnation);
+		made.peerAddress = Address{"127.0.0.1", static_cast<std::uint16_t>(1000 + _node)};
+		made.vm = "vm-e" + std::to_string(_node);
+		return made;
+	}
+
+	EntryRef self(std::size_t _node) const
+	{
+		return nodes[_node].core->settings().self;
+	}
+
+	/// Starts a fresh run of an entry.
+	void boot(std::size_t _node, std::uint64_t _incarnation)
+	{
+		EntrySettings settings;
+		settings.self = ref(_node, _incarnation);
+		settings.seed = _node + 1;
+		Node& node = nodes[_node];
+		node.core = std::make_unique<EntryCore>(settings);
+		node.frozen = false;
+		node.dead = false;
+		node.held.clear();
+		Snapshot snapshot;
+		snapshot.config = m_config;
+		send(_node, SnapshotArrived{snapshot});
+	}
+
+	/// Control hands a roster version to an entry.
+	void giveRoster(std::size_t _node, std::size_t _index)
+	{
+		Snapshot snapshot;
+		snapshot.roster = rosters[_index];
+		send(_node, SnapshotArrived{snapshot});
+	}
+
+	/// Puts the next roster version into the store.
+	void changeRoster(const std::optional<Roster>& _next)
+	{
+		if (_next.has_value())
+		{
+			rosters.push_back(std::make_shared<Roster>(*_next));
+		}
+	}
+
+	const Roster& roster() const
+	{
+		return *rosters.back();
+	}
+
+	void send(std::size_t _node, Event _event)
+	{
+		Node& node = nodes[_node];
+		if (node.dead)
+		{
+			return;
+		}
+		if (node.frozen)
+		{
+			node.held.push_back(std::move(_event));
+			return;
+		}
+		Actions actions;
+		node.core->handle(std::move(_event), now, actions);
+		for (Action& action : actions)
+		{
+			take(_node, action);
+		}
+	}
+
+	void freeze(std::size_t _node)
+	{
+		nodes[_node].frozen = true;
+	}
+
+	void wake(std::size_t _node)
+	{
+		Node& node = nodes[_node];
+		node.frozen = false;
+		std::vector<Event> held;
+		held.swap(node.held);
+		for (Event& event : held)
+		{
+			send(_node, std::move(event));
+		}
+	}
+
+	/// The process ends; what it sent may still run.
+	void kill(std::size_t _node)
+	{
+		nodes[_node].dead = true;
+	}
+
+	/// @returns the exchange, to look up in `callers`.
+	ExchangeId call(std::size_t _node, const std::string& _service, const std::string& _key,
+					std::uint64_t _issuedVersion, Micros _deadline = 20 * kSecond, std::uint32_t _maxTokens = 6)
+	{
+		CallerRequest request;
+		request.exchange = m_nextExchange++;
+		request.token = "ta";
+		request.service = _service;
+		CallPayload payload;
+		payload.kind = "m" == _service ? ServiceKind::Model : ServiceKind::Plain;
+		payload.path = "/" + _key;
+		payload.prompt = "prompt " + _key;
+		payload.maxTokens = _maxTokens;
+		payload.idempotencyKey = _key;
+		request.payload = std::make_shared<const CallPayload>(payload);
+		request.key = _key;
+		request.issuedVersion = _issuedVersion;
+		request.deadline = _deadline;
+		CallerView& view = callers[request.exchange];
+		view.key = _key;
+		view.expected = "ran " + _key;
+		const ExchangeId exchange = request.exchange;
+		if (nodes[_node].dead)
+		{
+			view.finals.push_back(Outcome::NotRun); // Connection refused.
+			return exchange;
+		}
+		send(_node, std::move(request));
+		return exchange;
+	}
+
+	void tick(Micros _span)
+	{
+		now += _span;
+		for (std::size_t ii = 0; ii < nodes.size(); ++ii)
+		{
+			if (!nodes[ii].frozen)
+			{
+				send(ii, Tick{});
+			}
+		}
+	}
+
+	/// Delivers a message of the pool.
+	void deliver(std::size_t _index, bool _keep = false)
+	{
+		const Mail mail = mails[_index];
+		if (!_keep)
+		{
+			mails.erase(mails.begin() + static_cast<std::ptrdiff_t>(_index));
+		}
+		for (std::size_t ii = 0; ii < nodes.size(); ++ii)
+		{
+			if (self(ii) == mail.to)
+			{
+				send(ii, PeerArrived{mail.from, mail.message});
+			}
+		}
+	}
+
+	void end(std::size_t _index, Ending _ending)
+	{
+		Sent& sent = attempts[_index];
+		const StartAttempt& start = sent.start;
+		const std::string& key = start.payload->idempotencyKey;
+		const bool model = ServiceKind::Model == start.payload->kind;
+		if (Ending::Token == _ending)
+		{
+			if (model && sent.next < start.payload->maxTokens)
+			{
+				reply(sent, AttemptTokens{start.attempt, sent.next, {token(key, sent.next)}});
+				sent.next += 1;
+			}
+			return;
+		}
+		const Sent ended = sent;
+		attempts.erase(attempts.begin() + static_cast<std::ptrdiff_t>(_index));
+		const bool runs = Ending::Answer == _ending || Ending::RunThenLose == _ending;
+		executions[key] += runs ? 1 : 0;
+		if (Ending::Answer == _ending)
+		{
+			for (std::uint64_t ii = ended.next; model && ii < ended.start.payload->maxTokens; ++ii)
+			{
+				reply(ended, AttemptTokens{ended.start.attempt, ii, {token(key, ii)}});
+			}
+			const std::uint64_t count = model ? ended.start.payload->maxTokens : 0;
+			reply(ended,
+				  AttemptDone{ended.start.attempt, 200, "", "ran " + ended.start.payload->idempotencyKey, count});
+			return;
+		}
+		AttemptFault fault = AttemptFault::Broken;
+		fault = Ending::NotSent == _ending ? AttemptFault::NotSent : fault;
+		fault = Ending::Fenced == _ending ? AttemptFault::Fenced : fault;
+		reply(ended, AttemptFailed{ended.start.attempt, fault, 0, ""});
+	}
+
+	/// Delivers everything and lets every attempt answer, until nothing is left to do.
+	void settle(int _rounds = 60, Micros _span = 100 * kMillisecond)
+	{
+		for (int ii = 0; ii < _rounds; ++ii)
+		{
+			while (!mails.empty())
+			{
+				deliver(0);
+			}
+			while (!attempts.empty())
+			{
+				end(0, Ending::Answer);
+			}
+			tick(_span);
+		}
+	}
+
+	static std::string token(const std::string& _key, std::uint64_t _offset)
+	{
+		return _key + "." + std::to_string(_offset) + " ";
+	}
+
+	Micros now = kSecond;
+	std::vector<Node> nodes;
+	std::vector<std::shared_ptr<const Roster>> rosters;
+	std::vector<Mail> mails;
+	std::vector<Sent> attempts;
+	std::map<std::string, int> executions;
+	std::map<ExchangeId, CallerView> callers;
+
+private:
+	void reply(const Sent& _sent, Event _event)
+	{
+		if (_sent.run == self(_sent.node))
+		{
+			send(_sent.node, std::move(_event));
+		}
+	}
+
+	void take(std::size_t _node, Action& _action)
+	{
+		if (SendPeer* mail = std::get_if<SendPeer>(&_action))
+		{
+			mails.push_back(Mail{self(_node), mail->to, std::move(mail->message)});
+		}
+		else if (StartAttempt* start = std::get_if<StartAttempt>(&_action))
+		{
+			const std::uint64_t next = nullptr == start->delivered ? 0 : start->delivered->size();
+			attempts.push_back(Sent{_node, self(_node), std::move(*start), next, false});
+		}
+		else if (const CancelAttempt* cancel = std::get_if<CancelAttempt>(&_action))
+		{
+			// What was sent may run all the same; it stays in the pool.
+			for (Sent& sent : attempts)
+			{
+				sent.cancelled = sent.cancelled || (sent.node == _node && sent.start.attempt == cancel->attempt);
+			}
+		}
+		else if (const AnswerTokens* tokens = std::get_if<AnswerTokens>(&_action))
+		{
+			CallerView& view = callers[tokens->exchange];
+			view.ordered = view.ordered && tokens->offset == view.next;
+			for (const std::string& text : tokens->tokens)
+			{
+				view.ordered = view.ordered && text == token(view.key, view.next);
+				view.next += 1;
+			}
+		}
+		else if (const AnswerEnd* end = std::get_if<AnswerEnd>(&_action))
+		{
+			callers[end->exchange].tokenCount = end->completionTokens;
+			finish(end->exchange, Outcome::Done);
+		}
+		else if (const AnswerWhole* whole = std::get_if<AnswerWhole>(&_action))
+		{
+			callers[whole->exchange].body = whole->body;
+			finish(whole->exchange, Outcome::Done);
+		}
+		else if (const AnswerFailure* failure = std::get_if<AnswerFailure>(&_action))
+		{
+			callers[failure->exchange].failure = failure->failure;
+			finish(failure->exchange, failure->outcome);
+		}
+	}
+
+	void finish(ExchangeId _exchange, Outcome _outcome)
+	{
+		callers[_exchange].finals.push_back(_outcome);
+		callers[_exchange].answeredAt = now;
+	}
+
+	std::shared_ptr<const Config> m_config;
+	ExchangeId m_nextExchange = 1;
+};
+
+} // namespace beacongate::test
+
+#endif // BEACONGATE_TESTS_FLEET_H
