--- a/src/coordination/entryclaims.cpp
+++ b/src/coordination/entryclaims.cpp
@@ -95,7 +95,9 @@
 		enqueue(_request);
 		return;
 	}
-	fail(_request, _failure, failureInfo(_failure).outcome, "the home of this key did not grant it");
+	const bool suspect = Failure::OutcomeUnknown == _failure;
+	fail(_request, _failure, failureInfo(_failure).outcome,
+		 suspect ? "an entry that was lost may have run this key" : "the home of this key did not grant it");
 }
 
 void EntryCore::onPeer(const EntryRef& _from, ClaimAsk& _message)
@@ -386,7 +388,7 @@
 
 void EntryCore::adoptRoster(const std::shared_ptr<const Roster>& _roster)
 {
-	std::vector<Addressed> seals = m_home.adopt(_roster, executedClaims());
+	std::vector<Addressed> seals = m_home.adopt(_roster, executedClaims(), m_now);
 	sendAll(seals);
 	m_answersHandedOver = false;
 }
--- a/src/coordination/hometable.cpp
+++ b/src/coordination/hometable.cpp
@@ -21,7 +21,8 @@
 {
 }
 
-std::vector<Addressed> HomeTable::adopt(std::shared_ptr<const Roster> _roster, const std::vector<Claim>& _executed)
+std::vector<Addressed> HomeTable::adopt(const std::shared_ptr<const Roster>& _roster,
+										const std::vector<Claim>& _executed, Micros _now)
 {
 	const bool newer = m_epochs.empty() || m_epochs.back().roster->version < _roster->version;
 	if (!newer)
@@ -34,6 +35,13 @@
 		m_epochs.erase(m_epochs.begin());
 	}
 	m_executed = _executed;
+	for (const Claim& claim : _executed)
+	{
+		if (isHome(claim.key, *_roster))
+		{
+			take(claim, _now);
+		}
+	}
 	markShared();
 	m_sealsMissing.clear();
 	m_acksMissing.clear();
--- a/src/coordination/hometable.h
+++ b/src/coordination/hometable.h
@@ -45,7 +45,8 @@
 	/// Takes over a newer roster and seals it to every other living entry.
 	/// @param[in] _executed Claims that this entry holds as an executor, handed over as well.
 	/// @returns the seals to send; none where the roster is not newer.
-	std::vector<Addressed> adopt(std::shared_ptr<const Roster> _roster, const std::vector<Claim>& _executed);
+	std::vector<Addressed> adopt(const std::shared_ptr<const Roster>& _roster, const std::vector<Claim>& _executed,
+								 Micros _now);
 
 	/// Decides an ask.
 	/// @param[in] _now Starts the window after which the key may be forgotten.
--- a/src/daemon/controlapp.cpp
+++ b/src/daemon/controlapp.cpp
@@ -433,7 +433,7 @@
 		}
 	}
 	logEvent(LogLevel::Info, "change", {{"id", change.changeId}, {"statement", change.statement.substr(0, 200)}});
-	const std::string number = std::to_string(change.ask);
+	std::string number = std::to_string(change.ask);
 	if (!submit(std::move(change)))
 	{
 		throw Error(Failure::Overloaded, "the decision thread has too much to do");
--- a/src/daemon/entryapp.cpp
+++ b/src/daemon/entryapp.cpp
@@ -75,7 +75,7 @@
 			 {"explain",
 			  [this](const std::string& _id)
 			  {
-				  const auto [entry, request] = readRequestName(_id);
+				  const RequestId request = readRequestName(_id).second;
 				  return ask([request](const EntryCore& _core, Micros)
 							 { return explainRequest(_core, request).value_or(Json()).dump(); });
 			  }}}),
@@ -330,7 +330,7 @@
 	{
 		arrived.snapshot.vms = readVmView(json["vms"]);
 	}
-	if (json.size() > 0 && !submit(std::move(arrived)))
+	if (!json.empty() && !submit(std::move(arrived)))
 	{
 		throw Error(Failure::Overloaded, "the decision thread has too much to do");
 	}
--- a/src/protocol/configdoc.cpp
+++ b/src/protocol/configdoc.cpp
@@ -30,8 +30,9 @@
 	{
 		reject(_where, "has to be an object");
 	}
-	for (const auto& [name, value] : _object.items())
+	for (const auto& item : _object.items())
 	{
+		const std::string& name = item.key();
 		const auto same = [&](const char* _other)
 		{
 			return name == _other;
--- a/src/transport/httpserver.cpp
+++ b/src/transport/httpserver.cpp
@@ -42,6 +42,11 @@
 /// A caller that takes no bytes for this long is gone.
 constexpr std::chrono::seconds kWriteTimeout{60};
 
+/// After a refused request, so much of what still comes is read and dropped.
+constexpr std::size_t kDiscardBytes = 64u << 20;
+constexpr std::size_t kDiscardBuffer = 64u << 10;
+constexpr std::chrono::seconds kDiscardTimeout{5};
+
 /// A piece of an answer that waits to be written.
 struct Piece
 {
@@ -109,6 +114,7 @@
 	asio::awaitable<void> accept();
 	asio::awaitable<void> serve(SessionPtr _session);
 	asio::awaitable<bool> readRequest(SessionPtr _session, HttpRequest& _request, bool& _keepAlive);
+	asio::awaitable<void> discardRest(SessionPtr _session);
 	asio::awaitable<bool> answer(SessionPtr _session, bool _keepAlive);
 	asio::awaitable<bool> write(SessionPtr _session, Piece _piece, bool _keepAlive);
 	void watch(const SessionPtr& _session);
@@ -172,10 +178,26 @@
 		Piece piece;
 		piece.answer = handlers.onMalformed(failure, error.message());
 		co_await write(_session, std::move(piece), false);
+		co_await discardRest(_session);
 	}
 	co_return false;
 }
 
+asio::awaitable<void> HttpServerImpl::discardRest(SessionPtr _session)
+{
+	// Closing with unread bytes would reset the connection, and the caller would lose the answer.
+	boost::system::error_code error;
+	_session->stream.socket().shutdown(tcp::socket::shutdown_send, error);
+	_session->stream.expires_after(kDiscardTimeout);
+	std::vector<char> scratch(kDiscardBuffer);
+	std::size_t discarded = 0;
+	while (!error && discarded < kDiscardBytes)
+	{
+		discarded += co_await _session->stream.async_read_some(asio::buffer(scratch),
+															   asio::redirect_error(asio::use_awaitable, error));
+	}
+}
+
 asio::awaitable<void> HttpServerImpl::serve(SessionPtr _session)
 {
 	const auto self = shared_from_this();
--- a/tests/atmostoncetest.cpp
+++ b/tests/atmostoncetest.cpp
@@ -81,7 +81,7 @@
 							 fleet.rosters.size() - 1 - _step.b % std::min<std::size_t>(2, fleet.rosters.size()));
 			break;
 		default:
-			fleet.tick((1 + _step.b) * 10 * kMillisecond);
+			fleet.tick(10 * kMillisecond * (1 + _step.b));
 			break;
 		}
 	}
--- a/tests/controltest.cpp
+++ b/tests/controltest.cpp
@@ -332,7 +332,7 @@
 			region.cutFromStore[control] = !region.cutFromStore[control];
 			break;
 		default:
-			region.run(pick * 40 * kMillisecond);
+			region.run(40 * kMillisecond * pick);
 			break;
 		}
 		RC_ASSERT(!region.reverted);
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -239,12 +239,15 @@
 		request.resumeOffset = _offset;
 		request.issuedVersion = _issuedVersion;
 		request.deadline = _deadline;
-		CallerView& view = callers[request.exchange];
+		const ExchangeId exchange = request.exchange;
+		CallerView& view = callers[exchange];
 		view.key = _prompt;
 		view.model = "m" == _service;
 		view.next = _offset;
 		view.expected = "ran " + _prompt;
-		const ExchangeId exchange = request.exchange;
+		note("caller " + std::to_string(exchange) + " -> e" + std::to_string(_node) + ": " + _service + " " +
+			 _prompt + (_key.empty() ? "" : " key " + _key) +
+			 (0 == _offset ? "" : " from token " + std::to_string(_offset)));
 		if (nodes[_node].dead)
 		{
 			view.finals.push_back(Outcome::NotRun); // Connection refused.
@@ -270,6 +273,17 @@
 	void deliver(std::size_t _index, bool _keep = false)
 	{
 		const Mail mail = mails[_index];
+		static constexpr const char* kNames[] = {"claim ask", "claim reply", "claim update",  "seal",
+												 "seal ack",  "attach ask",  "attach tokens", "attach end",
+												 "handover",  "handover ack"};
+		std::string detail;
+		if (const ClaimReply* reply = std::get_if<ClaimReply>(&mail.message))
+		{
+			static constexpr const char* kVerdicts[] = {"granted",   "held", "suspect", "not home",
+														"not ready", "full", "mismatch"};
+			detail = std::string(": ") + kVerdicts[static_cast<std::size_t>(reply->verdict)];
+		}
+		note(mail.from.id + " -> " + mail.to.id + ": " + kNames[mail.message.index()] + detail);
 		if (!_keep)
 		{
 			mails.erase(mails.begin() + static_cast<std::ptrdiff_t>(_index));
@@ -341,6 +355,13 @@
 		return _key + "." + std::to_string(_offset) + " ";
 	}
 
+	/// Adds a line to the transcript.
+	void note(const std::string& _text)
+	{
+		transcript.push_back(std::to_string(now / kMillisecond) + " ms  " + _text);
+	}
+
+	std::vector<std::string> transcript; ///< What happened, for people and golden files.
 	Micros now = kSecond;
 	std::vector<Node> nodes;
 	std::vector<std::shared_ptr<const Roster>> rosters;
@@ -360,6 +381,7 @@
 
 	void take(std::size_t _node, Action& _action)
 	{
+		describe(_node, _action);
 		if (SendPeer* mail = std::get_if<SendPeer>(&_action))
 		{
 			mails.push_back(Mail{self(_node), mail->to, std::move(mail->message)});
@@ -408,6 +430,45 @@
 		}
 	}
 
+	void describe(std::size_t _node, const Action& _action)
+	{
+		const std::string entry = "e" + std::to_string(_node);
+		if (const StartAttempt* start = std::get_if<StartAttempt>(&_action))
+		{
+			const std::size_t resumed = nullptr == start->delivered ? 0 : start->delivered->size();
+			note(entry + " -> " + start->backend + ": attempt " + std::to_string(start->attempt) + " of " +
+				 start->payload->idempotencyKey + (0 == resumed ? "" : " after token " + std::to_string(resumed)));
+		}
+		else if (const CancelAttempt* cancel = std::get_if<CancelAttempt>(&_action))
+		{
+			note(entry + " cancels attempt " + std::to_string(cancel->attempt));
+		}
+		else if (const AnswerTokens* tokens = std::get_if<AnswerTokens>(&_action))
+		{
+			note(entry + " -> caller " + std::to_string(tokens->exchange) + ": tokens " +
+				 std::to_string(tokens->offset) + " to " +
+				 std::to_string(tokens->offset + tokens->tokens.size() - 1));
+		}
+		else if (const AnswerEnd* end = std::get_if<AnswerEnd>(&_action))
+		{
+			note(entry + " -> caller " + std::to_string(end->exchange) + ": done, " +
+				 std::to_string(end->completionTokens) + " tokens");
+		}
+		else if (const AnswerWhole* whole = std::get_if<AnswerWhole>(&_action))
+		{
+			note(entry + " -> caller " + std::to_string(whole->exchange) + ": done, '" + whole->body + "'");
+		}
+		else if (const AnswerMoved* moved = std::get_if<AnswerMoved>(&_action))
+		{
+			note(entry + " -> caller " + std::to_string(moved->exchange) + ": come back with key " + moved->key);
+		}
+		else if (const AnswerFailure* failure = std::get_if<AnswerFailure>(&_action))
+		{
+			note(entry + " -> caller " + std::to_string(failure->exchange) + ": " +
+				 std::string(toString(failure->outcome)) + ", " + failure->detail);
+		}
+	}
+
 	void finish(ExchangeId _exchange, Outcome _outcome)
 	{
 		callers[_exchange].finals.push_back(_outcome);
--- a/tests/hometabletest.cpp
+++ b/tests/hometabletest.cpp
@@ -48,7 +48,7 @@
 {
 	for (int ii = 0; ii < 100'000; ++ii)
 	{
-		const std::string key = "key" + std::to_string(ii);
+		std::string key = "key" + std::to_string(ii);
 		bool all = true;
 		for (const auto& [roster, id] : _homes)
 		{
@@ -88,7 +88,7 @@
 TEST(HomeTable, grantsOnceAndTellsTheHolderToOthers)
 {
 	HomeTable home(entry("a"));
-	home.adopt(shared(rosterOf({"a"})), {});
+	home.adopt(shared(rosterOf({"a"})), {}, 0);
 	EXPECT_EQ(ClaimVerdict::Granted, home.ask(askOf("b", 1, "k"), 0).verdict);
 	EXPECT_EQ(ClaimVerdict::Granted, home.ask(askOf("b", 1, "k"), 0).verdict) << "the same ask again";
 	const ClaimReply other = home.ask(askOf("c", 1, "k"), 0);
@@ -103,11 +103,11 @@
 	const std::string key = keyWithHomes({{one, "a"}, {two, "b"}});
 	HomeTable a(entry("a"));
 	HomeTable b(entry("b"));
-	a.adopt(shared(one), {});
-	b.adopt(shared(two), {});
+	a.adopt(shared(one), {}, 0);
+	b.adopt(shared(two), {}, 0);
 	EXPECT_EQ(ClaimVerdict::Granted, a.ask(askOf("x", 1, key), 0).verdict);
 	EXPECT_EQ(ClaimVerdict::NotReady, b.ask(askOf("y", 1, key), 0).verdict);
-	carry(a.adopt(shared(two), {}), "a", "b", b);
+	carry(a.adopt(shared(two), {}, 0), "a", "b", b);
 	EXPECT_EQ(ClaimVerdict::NotHome, a.ask(askOf("z", 1, key), 0).verdict);
 	const ClaimReply reply = b.ask(askOf("y", 1, key), 0);
 	EXPECT_EQ(ClaimVerdict::Held, reply.verdict);
@@ -124,17 +124,17 @@
 	HomeTable a(entry("a"));
 	HomeTable b(entry("b"));
 	HomeTable c(entry("c"));
-	a.adopt(shared(one), {});
-	b.adopt(shared(two), {});
-	c.adopt(shared(three), {});
+	a.adopt(shared(one), {}, 0);
+	b.adopt(shared(two), {}, 0);
+	c.adopt(shared(three), {}, 0);
 	a.ask(askOf("x", 1, key), 0);
-	carry(a.adopt(shared(two), {}), "a", "b", b);
+	carry(a.adopt(shared(two), {}, 0), "a", "b", b);
 	b.update(ClaimUpdate{key, AskRef{entry("x"), 1}, Fate::NotStarted, {}});
 	ASSERT_EQ(ClaimVerdict::Granted, b.ask(askOf("y", 1, key), 0).verdict) << "given back, so free";
 	// Both orders of the two seals have to end with the newer claim.
 	HomeTable d = c;
-	const std::vector<Addressed> fromA = a.adopt(shared(three), {});
-	const std::vector<Addressed> fromB = b.adopt(shared(three), {});
+	const std::vector<Addressed> fromA = a.adopt(shared(three), {}, 0);
+	const std::vector<Addressed> fromB = b.adopt(shared(three), {}, 0);
 	carry(fromA, "a", "c", c);
 	carry(fromB, "b", "c", c);
 	carry(fromB, "b", "c", d);
@@ -157,10 +157,10 @@
 	const Roster three = *withLost(two, entry("b"));
 	const std::string key = keyWithHomes({{one, "a"}, {two, "b"}, {three, "a"}});
 	HomeTable a(entry("a"));
-	a.adopt(shared(one), {});
+	a.adopt(shared(one), {}, 0);
 	a.ask(askOf("x", 1, key), 0);
-	a.adopt(shared(two), {});
-	a.adopt(shared(three), {});
+	a.adopt(shared(two), {}, 0);
+	a.adopt(shared(three), {}, 0);
 	ClaimAsk ask = askOf("z", 1, key, one.version);
 	ask.released = AskRef{entry("x"), 1};
 	EXPECT_EQ(ClaimVerdict::Suspect, a.ask(ask, 0).verdict);
@@ -174,7 +174,7 @@
 	const Roster three = *withLost(two, entry("b"));
 	const std::string key = keyWithHomes({{two, "b"}});
 	HomeTable a(entry("a"));
-	a.adopt(shared(three), {});
+	a.adopt(shared(three), {}, 0);
 	EXPECT_EQ(ClaimVerdict::Suspect, a.ask(askOf("x", 1, key, two.version), 0).verdict);
 	EXPECT_EQ(ClaimVerdict::Granted, a.ask(askOf("x", 2, key, three.version), 0).verdict);
 }
@@ -182,14 +182,14 @@
 TEST(HomeTable, aHomeBehindTheKeysVersionDoesNotGrantIt)
 {
 	HomeTable woken(entry("b"));
-	woken.adopt(shared(rosterOf({"b"})), {});
+	woken.adopt(shared(rosterOf({"b"})), {}, 0);
 	EXPECT_EQ(ClaimVerdict::NotReady, woken.ask(askOf("x", 1, "k", 7), 0).verdict);
 }
 
 TEST(HomeTable, keysAreForgottenAfterTheClaimWindow)
 {
 	HomeTable home(entry("a"));
-	home.adopt(shared(rosterOf({"a"})), {});
+	home.adopt(shared(rosterOf({"a"})), {}, 0);
 	home.ask(askOf("b", 1, "k"), 0);
 	home.expire(limits::kClaimWindow - 1);
 	EXPECT_EQ(1u, home.size());
--- a/tests/streamtest.cpp
+++ b/tests/streamtest.cpp
@@ -118,7 +118,7 @@
 			fleet.call(0, "m", "s" + std::to_string(calls++), "", 0, 20 * kSecond, kTokens, 0);
 			break;
 		case 1:
-			fleet.tick(step.b * 10 * kMillisecond);
+			fleet.tick(10 * kMillisecond * step.b);
 			break;
 		default:
 			sendFrame(fleet, started, step);
--- a/tools/ctl.cpp
+++ b/tools/ctl.cpp
@@ -102,7 +102,7 @@
 	{
 		if (member["id"] == entry.id)
 		{
-			const Json rows = Json::parse(callRpc(memberAddress(member), "explain", _id));
+			Json rows = Json::parse(callRpc(memberAddress(member), "explain", _id));
 			if (rows.is_null())
 			{
 				break;
--- a/tools/standin/store.cpp
+++ b/tools/standin/store.cpp
@@ -194,7 +194,8 @@
 		m_mode = "down" == mode ? StoreMode::Down : ("lose" == mode ? StoreMode::Lose : StoreMode::Up);
 	}
 	m_delay = _body.value("delayMs", m_delay / kMillisecond) * kMillisecond;
-	for (const auto& [key, value] : _body.value("put", Json::object()).items())
+	const Json puts = _body.value("put", Json::object());
+	for (const auto& [key, value] : puts.items())
 	{
 		put(key, value.is_string() ? value.get<std::string>() : value.dump(), 0);
 	}
