--- a/src/coordination/hometable.cpp
+++ b/src/coordination/hometable.cpp
@@ -223,10 +223,35 @@
 
 std::vector<Addressed> HomeTable::unconfirmedSeals() const
 {
-	std::vector<Addressed> seals;
+	if (m_acksMissing.empty())
+	{
+		return {};
+	}
+	// One pass over the claims: a home costs a hash per member, and there may be many claims.
+	const Roster& roster = *m_epochs.back().roster;
+	std::map<EntryRef, Seal> byHome;
 	for (const EntryRef& entry : m_acksMissing)
 	{
-		seals.push_back(Addressed{entry, sealFor(entry)});
+		byHome[entry].version = roster.version;
+	}
+	const auto add = [&](const Claim& _claim)
+	{
+		const RosterMember* home = homeOf(_claim.key, roster);
+		const auto it = nullptr == home ? byHome.end() : byHome.find(home->entry);
+		if (byHome.end() != it)
+		{
+			it->second.claims.push_back(_claim);
+		}
+	};
+	for (const auto& [key, kept] : m_claims)
+	{
+		add(kept.claim);
+	}
+	std::for_each(m_executed.begin(), m_executed.end(), add);
+	std::vector<Addressed> seals;
+	for (auto& [entry, seal] : byHome)
+	{
+		seals.push_back(Addressed{entry, std::move(seal)});
 	}
 	return seals;
 }
@@ -366,25 +391,4 @@
 	}
 }
 
-Seal HomeTable::sealFor(const EntryRef& _to) const
-{
-	const Roster& roster = *m_epochs.back().roster;
-	Seal seal;
-	seal.version = roster.version;
-	const auto belongsThere = [&](const Claim& _claim)
-	{
-		const RosterMember* home = homeOf(_claim.key, roster);
-		return nullptr != home && home->entry == _to;
-	};
-	for (const auto& [key, kept] : m_claims)
-	{
-		if (belongsThere(kept.claim))
-		{
-			seal.claims.push_back(kept.claim);
-		}
-	}
-	std::copy_if(m_executed.begin(), m_executed.end(), std::back_inserter(seal.claims), belongsThere);
-	return seal;
-}
-
 } // namespace beacongate
--- a/src/coordination/hometable.h
+++ b/src/coordination/hometable.h
@@ -116,7 +116,6 @@
 	static bool isFree(const Claim& _claim, const ClaimAsk& _ask);
 	void take(const Claim& _claim, Micros _now);
 	void checkComplete();
-	Seal sealFor(const EntryRef& _to) const;
 
 	EntryRef m_self;
 	std::vector<Epoch> m_epochs; ///< Rosters adopted, newest last.
--- a/tests/processes.h
+++ b/tests/processes.h
@@ -105,6 +105,7 @@
 		const std::string path = std::string(BEACONGATE_BIN) + "/" + _program;
 		_arguments.insert(_arguments.begin(), path);
 		std::vector<char*> pointers;
+		pointers.reserve(_arguments.size() + 1);
 		for (std::string& argument : _arguments)
 		{
 			pointers.push_back(argument.data());
--- a/tests/processestest.cpp
+++ b/tests/processestest.cpp
@@ -47,7 +47,7 @@
 	const Roster roster = readRoster(_processes.state("ce1")["roster"]);
 	for (int ii = 0;; ++ii)
 	{
-		const std::string key = "k" + std::to_string(ii);
+		std::string key = "k" + std::to_string(ii);
 		if (homeOf("a/log/" + key, roster)->entry.id == _entry)
 		{
 			return key;
