--- a/src/coordination/entrycore.h
+++ b/src/coordination/entrycore.h
@@ -132,10 +132,15 @@
 	void dispatch(Request& _request, const Route& _route);
 	void detachAttempt(Request& _request);
 	Request* requestOfAttempt(AttemptId _attempt);
-	void deliver(Request& _request);
 	void retry(Request& _request, const AttemptFailed& _fault);
 	void noteFailure(BackendHandle _backend);
 	void moveOff(BackendHandle _backend);
+	void sample(ServiceState& _service);
+	void expire();
+	void checkStalls();
+
+	// entryanswers.cpp
+	void deliver(Request& _request);
 	void finishModel(Request& _request);
 	void finishPlain(Request& _request, AttemptDone& _event);
 	void conclude(Request& _request, Fate _fate);
@@ -149,9 +154,6 @@
 				std::uint64_t _value = 0);
 	Micros retryAfter(const ServiceState& _service) const;
 	ServiceState& stateOf(ServiceHandle _service);
-	void sample(ServiceState& _service);
-	void expire();
-	void checkStalls();
 
 	// entryclaims.cpp
 	void askHome(Request& _request);
--- a/src/coordination/entryhandover.cpp
+++ b/src/coordination/entryhandover.cpp
@@ -168,7 +168,7 @@
 		m_out->push_back(CancelAttempt{request.attempt});
 		detachAttempt(request);
 	}
-	stateOf(request.service).queue.remove(request.team, QueueItem{request.id, request.cost, request.priority});
+	stateOf(request.service).queue.remove(request.team, queueItem(request));
 	tellMoved(request);
 	decide(request, DecisionKind::Moved, _from.id, 0, request.tokens.size());
 	m_stats.moves += 1;
--- a/src/coordination/hometable.cpp
+++ b/src/coordination/hometable.cpp
@@ -249,6 +249,7 @@
 	}
 	std::for_each(m_executed.begin(), m_executed.end(), add);
 	std::vector<Addressed> seals;
+	seals.reserve(byHome.size());
 	for (auto& [entry, seal] : byHome)
 	{
 		seals.push_back(Addressed{entry, std::move(seal)});
--- a/src/coordination/request.h
+++ b/src/coordination/request.h
@@ -8,6 +8,7 @@
 #define BEACONGATE_COORDINATION_REQUEST_H
 
 #include "coordination/events.h"
+#include "coordination/fairqueue.h"
 #include "coordination/tokenlog.h"
 #include "state/prefixindex.h"
 
@@ -115,6 +116,18 @@
 	std::vector<Decision> decisions;
 };
 
+/// @returns the request as its service's queue knows it.
+inline QueueItem queueItem(const Request& _request)
+{
+	return QueueItem{_request.id, _request.cost, _request.priority};
+}
+
+/// @returns what its caller has to be told where it is given up now.
+inline Outcome outcomeOf(const Request& _request)
+{
+	return _request.maySent ? Outcome::Unknown : Outcome::NotRun;
+}
+
 } // namespace beacongate
 
 #endif // BEACONGATE_COORDINATION_REQUEST_H
--- a/src/transport/rpcserver.cpp
+++ b/src/transport/rpcserver.cpp
@@ -15,8 +15,8 @@
 {
 namespace
 {
-/// Error codes from here down are the server's own, by JSON-RPC 2.0.
-constexpr int kServerError = -32000;
+/// In the range that JSON-RPC 2.0 leaves to servers, apart from the codes that the library uses itself.
+constexpr int kServerError = -32050;
 } // namespace
 
 struct RpcServerImpl : jsonrpc::IProcedureInvokationHandler
