--- a/tests/protocoltest.cpp
+++ b/tests/protocoltest.cpp
@@ -127,11 +127,11 @@
 		{changed("127.0.0.1:9", "localhost:9"), "backends[0]: 'localhost:9' is no IP number and port (IP:port)"},
 		{changed("127.0.0.1:9", "127.0.0.1:70000"),
 		 "backends[0]: '127.0.0.1:70000' is no IP number and port (IP:port)"}};
-	for (const auto& [text, detail] : cases)
+	for (const auto& item : cases)
 	{
-		const auto [failure, told] = failureOf([&] { jsonDocuments().readConfig(text); });
+		const auto [failure, told] = failureOf([&] { jsonDocuments().readConfig(item.first); });
 		EXPECT_EQ(Failure::ConfigInvalid, failure);
-		EXPECT_EQ(detail, told);
+		EXPECT_EQ(item.second, told);
 	}
 	EXPECT_EQ(3u, jsonDocuments().readConfig(kDocument).config->version);
 }
@@ -163,10 +163,9 @@
 		{"show teams where weight ~ 1", "'~' is none of =, !=, <, >"},
 		{"show teams where weight =", "the statement ends where a value should stand"},
 		{"explain request a:1:2 now", "'now' is one word too many"}};
-	for (const auto& [statement, detail] : cases)
+	for (const auto& item : cases)
 	{
-		const std::string text = statement;
-		EXPECT_EQ(std::make_pair(Failure::QueryInvalid, detail), failureOf([&] { readQuery(text); }));
+		EXPECT_EQ(std::make_pair(Failure::QueryInvalid, item.second), failureOf([&] { readQuery(item.first); }));
 	}
 	const auto unknown = []
 	{
--- /dev/null
+++ b/tools/load.cpp
@@ -0,0 +1,257 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+// Program beacongate-load: open-loop load with Poisson arrivals, or closed-loop load with a number of callers.
+// Prints outcomes and latencies as JSON. Bounded in time and number; for addresses on the loopback only.
+
+#include "daemon/clock.h"
+#include "daemon/options.h"
+#include "protocol/configdoc.h"
+#include "protocol/json.h"
+#include "transport/httpclient.h"
+
+#include <CLI/CLI.hpp>
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics.hpp>
+
+#include <algorithm>
+#include <functional>
+#include <future>
+#include <iostream>
+#include <map>
+#include <random>
+#include <unordered_map>
+
+namespace
+{
+using namespace beacongate;
+namespace acc = boost::accumulators;
+
+constexpr std::size_t kMostRequests = 2'000'000;
+constexpr double kMostSeconds = 600.0;
+
+/// What to send, how fast and for how long.
+struct LoadOptions
+{
+	std::vector<Address> targets;
+	std::string path = "/services/log/write";
+	std::string token;
+	std::string model; ///< Empty: plain calls.
+	int maxTokens = 32;
+	double rate = 0.0; ///< Arrivals a second; 0: closed loop.
+	std::size_t callers = 1;
+	double seconds = 5.0;
+	std::uint64_t seed = 1;
+};
+
+using Quantiles = acc::accumulator_set<
+	double, acc::stats<acc::tag::count, acc::tag::mean, acc::tag::max, acc::tag::tail_quantile<acc::right>>>;
+
+Json summary(const Quantiles& _values)
+{
+	if (0 == acc::count(_values))
+	{
+		return Json::object();
+	}
+	const auto quantile = [&](double _p)
+	{
+		return acc::quantile(_values, acc::quantile_probability = _p);
+	};
+	return {{"count", acc::count(_values)}, {"meanMs", acc::mean(_values)}, {"p50Ms", quantile(0.50)},
+			{"p95Ms", quantile(0.95)},      {"p99Ms", quantile(0.99)},      {"maxMs", acc::max(_values)}};
+}
+
+/// One run of load on one loop.
+class Load
+{
+public:
+	explicit Load(LoadOptions _options)
+		: m_options(std::move(_options)), m_random(m_options.seed),
+		  m_whole(acc::tag::tail<acc::right>::cache_size = kMostRequests / 4),
+		  m_first(acc::tag::tail<acc::right>::cache_size = kMostRequests / 4),
+		  m_client(m_loop,
+				   HttpClientHandlers{[](std::uint64_t, unsigned) {},
+									  [this](std::uint64_t _id, const std::string&) { onData(_id); },
+									  [this](std::uint64_t _id, const HttpAnswer& _answer) { onEnd(_id, _answer); },
+									  [this](std::uint64_t _id, HttpFault)
+									  {
+										  onFail(_id);
+									  }})
+	{
+	}
+
+	Json run()
+	{
+		m_loop.init();
+		m_start = monotonicNow();
+		m_until = m_start + static_cast<Micros>(m_options.seconds * static_cast<double>(kSecond));
+		m_loop.post([this] { begin(); });
+		m_ended.get_future().wait();
+		m_loop.shutdown();
+		const double span = static_cast<double>(m_last - m_start) / static_cast<double>(kSecond);
+		return {{"outcomes", m_outcomes},
+				{"answersPerSecond", static_cast<double>(acc::count(m_whole)) / span},
+				{"firstByte", summary(m_first)},
+				{"whole", summary(m_whole)}};
+	}
+
+private:
+	void begin()
+	{
+		if (0.0 < m_options.rate)
+		{
+			arrive();
+			return;
+		}
+		for (std::size_t ii = 0; ii < m_options.callers; ++ii)
+		{
+			send();
+		}
+	}
+
+	void arrive()
+	{
+		if (monotonicNow() >= m_until || m_next >= kMostRequests)
+		{
+			m_closed = true;
+			endIfDone();
+			return;
+		}
+		send();
+		std::exponential_distribution<double> gap(m_options.rate);
+		m_due += gap(m_random);
+		const Micros due = m_start + static_cast<Micros>(m_due * static_cast<double>(kSecond));
+		m_loop.after(std::max<Micros>(0, due - monotonicNow()), [this] { arrive(); });
+	}
+
+	void send()
+	{
+		HttpCall call;
+		call.id = ++m_next;
+		call.address = m_options.targets[m_next % m_options.targets.size()];
+		call.target = m_options.path;
+		call.timeout = 60 * kSecond;
+		call.headers = {{"Authorization", "Bearer " + m_options.token}, {"Content-Type", "application/json"}};
+		call.incremental = true;
+		call.body = "{}";
+		if (!m_options.model.empty())
+		{
+			call.body = Json{
+				{"model", m_options.model},
+				{"prompt", "request " + std::to_string(m_next)},
+				{"max_tokens", m_options.maxTokens},
+				{"stream",
+				 true}}.dump();
+		}
+		m_sent.emplace(call.id, Sent{monotonicNow(), false});
+		m_client.start(std::move(call));
+	}
+
+	void onData(std::uint64_t _id)
+	{
+		Sent& sent = m_sent.at(_id);
+		if (!sent.first)
+		{
+			sent.first = true;
+			m_first(static_cast<double>(monotonicNow() - sent.at) / kMillisecond);
+		}
+	}
+
+	void onEnd(std::uint64_t _id, const HttpAnswer& _answer)
+	{
+		m_whole(static_cast<double>(monotonicNow() - m_sent.at(_id).at) / kMillisecond);
+		std::string outcome(findHeader(_answer.headers, "Beacongate-Outcome"));
+		finish(_id, std::to_string(_answer.status) + (outcome.empty() ? "" : " " + outcome));
+	}
+
+	void onFail(std::uint64_t _id)
+	{
+		finish(_id, "failed");
+	}
+
+	void finish(std::uint64_t _id, const std::string& _outcome)
+	{
+		m_sent.erase(_id);
+		m_outcomes[_outcome] += 1;
+		m_last = monotonicNow();
+		const bool closedLoop = 0.0 == m_options.rate;
+		if (closedLoop && m_last < m_until && m_next < kMostRequests)
+		{
+			send();
+			return;
+		}
+		m_closed = m_closed || closedLoop;
+		endIfDone();
+	}
+
+	void endIfDone()
+	{
+		if (m_closed && m_sent.empty() && !m_told)
+		{
+			m_told = true;
+			m_ended.set_value();
+		}
+	}
+
+	/// A request under way.
+	struct Sent
+	{
+		Micros at = 0;
+		bool first = false;
+	};
+
+	LoadOptions m_options;
+	std::mt19937_64 m_random;
+	IoLoop m_loop;
+	Quantiles m_whole;
+	Quantiles m_first;
+	std::map<std::string, std::uint64_t> m_outcomes;
+	std::unordered_map<std::uint64_t, Sent> m_sent;
+	std::uint64_t m_next = 0;
+	double m_due = 0.0;
+	Micros m_start = 0;
+	Micros m_until = 0;
+	Micros m_last = 0;
+	bool m_closed = false;
+	bool m_told = false;
+	std::promise<void> m_ended;
+	HttpClient m_client;
+};
+} // namespace
+
+int main(int _argc, char** _argv)
+{
+	CLI::App app("Sends load to entries and prints outcomes and latencies as JSON.", "beacongate-load");
+	LoadOptions options;
+	std::vector<std::string> targets;
+	app.add_option("--target", targets, "Address of an entry, on the loopback")->required();
+	app.add_option("--path", options.path, "Path of plain calls, or of the model endpoint");
+	app.add_option("--token", options.token, "Bearer token");
+	app.add_option("--model", options.model, "Model; without it plain calls are sent");
+	app.add_option("--max-tokens", options.maxTokens, "Tokens of an answer")->check(CLI::Range(1, 4096));
+	app.add_option("--rate", options.rate, "Poisson arrivals a second; without it callers wait for their answers");
+	app.add_option("--callers", options.callers, "Callers of a closed loop")->check(CLI::Range(1, 10000));
+	app.add_option("--seconds", options.seconds, "Length of the run")->check(CLI::Range(0.1, kMostSeconds));
+	app.add_option("--seed", options.seed, "Seed of the arrivals");
+	CLI11_PARSE(app, _argc, _argv);
+	try
+	{
+		for (const std::string& target : targets)
+		{
+			options.targets.push_back(readAddress(target, "--target", Failure::SettingInvalid));
+			if (!options.targets.back().host.starts_with("127."))
+			{
+				throw Error(Failure::SettingInvalid, "--target: only addresses in 127.0.0.0/8 are taken");
+			}
+		}
+		Load load(options);
+		std::cout << load.run().dump(2) << '\n';
+	}
+	catch (const Error& error)
+	{
+		std::cerr << "beacongate-load: " << error.what() << '\n';
+		return kExitSettings;
+	}
+	return kExitOk;
+}
