Keep one queue into a decision thread, one base of the stand-ins, one random step

Change: daemon/corequeue.h, tools/standin/base.h, tests/step.h. SIGSTOP returns before all threads stand still, so the home still granted. The test now waits for the stop as the kernel reports it; the check is unchanged. Ruled out: a fault of the claim protocol (the call ran once, its caller was told 'done').

--- a/src/daemon/controlapp.cpp
+++ b/src/daemon/controlapp.cpp
@@ -21,7 +21,7 @@
 {
 constexpr std::chrono::milliseconds kTick{20};
 constexpr Micros kEntryPollSpan = 250 * kMillisecond;
-constexpr std::chrono::seconds kAnswerWait{2};
+constexpr std::size_t kBatch = 256; ///< Events between two ticks.
 constexpr std::size_t kBodyBytes = 2u << 20;
 constexpr std::size_t kChangesKept = 256;
 constexpr unsigned kOk = 200;
@@ -59,18 +59,18 @@
 	  m_rpc({{"exchange",
 			  [this](const std::string& _text)
 			  {
-				  submit(readExchange(_text));
+				  m_queue.submit(readExchange(_text));
 				  return std::string();
 			  }},
 			 {"state",
 			  [this](const std::string&)
 			  {
-				  return ask([](const ControlCore& _core) { return dumpControl(_core).dump(); });
+				  return m_queue.ask([](const ControlCore& _core) { return dumpControl(_core).dump(); });
 			  }},
 			 {"config",
 			  [this](const std::string&)
 			  {
-				  return ask([](const ControlCore& _core) { return _core.config().text; });
+				  return m_queue.ask([](const ControlCore& _core) { return _core.config().text; });
 			  }},
 			 {"members",
 			  [this](const std::string&)
@@ -121,7 +121,7 @@
 		return;
 	}
 	m_ending = true;
-	m_wakeup.notify();
+	m_queue.wake();
 	m_storeWakeup.notify();
 	m_coreThread.join();
 	m_storeThread.join();
@@ -133,49 +133,13 @@
 	return m_server.port();
 }
 
-bool ControlApp::submit(ControlEvent _event)
-{
-	auto message = std::make_unique<CoreMessage>(std::move(_event));
-	if (!m_ring.push(message))
-	{
-		return false;
-	}
-	m_wakeup.notify();
-	return true;
-}
-
-std::string ControlApp::ask(std::function<std::string(const ControlCore&)> _read)
-{
-	CoreQuestion question{std::move(_read), std::make_shared<std::promise<std::string>>()};
-	std::future<std::string> answer = question.answer->get_future();
-	auto message = std::make_unique<CoreMessage>(std::move(question));
-	if (!m_ring.push(message))
-	{
-		throw Error(Failure::Overloaded, "the decision thread has too much to do");
-	}
-	m_wakeup.notify();
-	if (std::future_status::ready != answer.wait_for(kAnswerWait))
-	{
-		throw Error(Failure::Overloaded, "the decision thread did not answer in time");
-	}
-	return answer.get();
-}
-
 void ControlApp::runCore()
 {
 	ControlActions actions;
 	while (!m_ending)
 	{
-		while (const std::unique_ptr<CoreMessage> message = m_ring.pop())
-		{
-			if (ControlEvent* event = std::get_if<ControlEvent>(message.get()))
-			{
-				m_core.handle(std::move(*event), monotonicNow(), actions);
-				continue;
-			}
-			CoreQuestion& question = std::get<CoreQuestion>(*message);
-			question.answer->set_value(question.read(m_core));
-		}
+		m_queue.drain(m_core, kBatch,
+					  [&](ControlEvent _event) { m_core.handle(std::move(_event), monotonicNow(), actions); });
 		const bool led = m_core.isLeader();
 		m_core.handle(ControlTick{}, monotonicNow(), actions);
 		route(actions);
@@ -184,7 +148,7 @@
 			logEvent(LogLevel::Info, "leadership",
 					 {{"dataCentre", m_options.core.dataCentre}, {"leader", led ? "no" : "yes"}});
 		}
-		m_wakeup.wait(kTick);
+		m_queue.wait(kTick);
 	}
 }
 
@@ -222,7 +186,7 @@
 			continue;
 		}
 		StoreAnswered answered = callStore(*action);
-		while (!m_ending && !submit(answered))
+		while (!m_ending && !m_queue.submit(answered))
 		{
 			std::this_thread::yield();
 		}
@@ -323,7 +287,7 @@
 			const RpcResult result = rpcResult(_answer.body);
 			if (result.ok)
 			{
-				submit(readEntryReport(result.value));
+				m_queue.submit(readEntryReport(result.value));
 				return;
 			}
 			logEvent(LogLevel::Error, "entry-refused-sync", {{"detail", result.value}});
@@ -344,7 +308,7 @@
 	const auto node = m_calls.extract(_call);
 	if (!node.empty() && CallKind::EntrySync == node.mapped())
 	{
-		submit(EntrySilent{});
+		m_queue.submit(EntrySilent{});
 	}
 }
 
@@ -360,7 +324,7 @@
 		vm.notice = readOr<Micros>(item, "notice_ms", 0, "VM list", Failure::MalformedRequest) * kMillisecond;
 		arrived.items.push_back(std::move(vm));
 	}
-	submit(std::move(arrived));
+	m_queue.submit(std::move(arrived));
 }
 
 void ControlApp::pollEntry()
@@ -380,7 +344,7 @@
 		if ("GET" == _request.method && "/debug/state" == _request.target)
 		{
 			const std::string text =
-				ask([](const ControlCore& _core) { return dumpControl(_core).dump(2) + "\n"; });
+				m_queue.ask([](const ControlCore& _core) { return dumpControl(_core).dump(2) + "\n"; });
 			return HttpAnswer{kOk, {{"Content-Type", "application/json"}}, text};
 		}
 		if ("GET" == _request.method && "/health" == _request.target)
@@ -399,7 +363,7 @@
 
 std::string ControlApp::members()
 {
-	return ask(
+	return m_queue.ask(
 		[](const ControlCore& _core)
 		{
 			Json rows = Json::array();
@@ -434,7 +398,7 @@
 	}
 	logEvent(LogLevel::Info, "change", {{"id", change.changeId}, {"statement", change.statement.substr(0, 200)}});
 	std::string number = std::to_string(change.ask);
-	if (!submit(std::move(change)))
+	if (!m_queue.submit(std::move(change)))
 	{
 		throw Error(Failure::Overloaded, "the decision thread has too much to do");
 	}
--- a/src/daemon/controlapp.h
+++ b/src/daemon/controlapp.h
@@ -8,6 +8,7 @@
 #define BEACONGATE_DAEMON_CONTROLAPP_H
 
 #include "coordination/controlcore.h"
+#include "daemon/corequeue.h"
 #include "transport/httpclient.h"
 #include "transport/httpserver.h"
 #include "transport/loopinbox.h"
@@ -17,14 +18,12 @@
 #include <atomic>
 #include <deque>
 #include <functional>
-#include <future>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
 #include <thread>
-#include <variant>
 
 namespace beacongate
 {
@@ -58,13 +57,6 @@
 	std::uint16_t port() const;
 
 private:
-	struct CoreQuestion
-	{
-		std::function<std::string(const ControlCore&)> read;
-		std::shared_ptr<std::promise<std::string>> answer;
-	};
-	using CoreMessage = std::variant<ControlEvent, CoreQuestion>;
-
 	/// Where a call of the network thread belongs.
 	enum class CallKind
 	{
@@ -73,8 +65,6 @@
 		VmList,
 	};
 
-	bool submit(ControlEvent _event);
-	std::string ask(std::function<std::string(const ControlCore&)> _read);
 	void runCore();
 	void route(ControlActions& _actions);
 	void runStore();
@@ -93,6 +83,7 @@
 
 	ControlOptions m_options;
 	ControlCore m_core; ///< Of the core thread alone.
+	CoreQueue<ControlCore, ControlEvent> m_queue;
 	IoLoop m_loop;
 	HttpServer m_server;
 	HttpClient m_client;
@@ -100,8 +91,6 @@
 	std::map<std::uint64_t, CallKind> m_calls;
 	std::uint64_t m_nextCall = 1;
 
-	Ring<CoreMessage> m_ring;
-	Wakeup m_wakeup;
 	LoopInbox<ControlAction> m_toLoop;
 	Ring<ControlAction> m_toStore;
 	Wakeup m_storeWakeup;
--- a/src/daemon/entryapp.cpp
+++ b/src/daemon/entryapp.cpp
@@ -20,7 +20,6 @@
 constexpr Micros kTickSpan = 5 * kMillisecond;
 constexpr std::size_t kBatch = 256; ///< Events between two looks at the clock.
 constexpr std::size_t kPeerBodyBytes = 16u << 20;
-constexpr std::chrono::seconds kAnswerWait{2};
 constexpr Micros kLoadPollSpan = 500 * kMillisecond;
 
 EntrySettings coreSettings(const EntryOptions& _options, const EntryRef& _self)
@@ -37,8 +36,8 @@
 EntryApp::EntryApp(EntryOptions _options)
 	: m_options(std::move(_options)), m_self{m_options.id, newIncarnation()},
 	  m_core(coreSettings(m_options, m_self)),
-	  m_callerSide(m_self, m_facts, [this](Event _event) { return submit(std::move(_event)); }),
-	  m_backendSide(m_backendLoop, [this](Event _event) { return submit(std::move(_event)); }),
+	  m_callerSide(m_self, m_facts, [this](Event _event) { return m_queue.submit(std::move(_event)); }),
+	  m_backendSide(m_backendLoop, [this](Event _event) { return m_queue.submit(std::move(_event)); }),
 	  m_callerServer(m_callerLoop,
 					 HttpServerHandlers{[this](ExchangeId _id, HttpRequest&& _request)
 										{ m_callerSide.onRequest(_id, std::move(_request)); },
@@ -70,14 +69,15 @@
 			 {"state",
 			  [this](const std::string&)
 			  {
-				  return ask([](const EntryCore& _core, Micros _now) { return dumpEntry(_core, _now).dump(); });
+				  return m_queue.ask([](const EntryCore& _core)
+									 { return dumpEntry(_core, monotonicNow()).dump(); });
 			  }},
 			 {"explain",
 			  [this](const std::string& _id)
 			  {
 				  const RequestId request = readRequestName(_id).second;
-				  return ask([request](const EntryCore& _core, Micros)
-							 { return explainRequest(_core, request).value_or(Json()).dump(); });
+				  return m_queue.ask([request](const EntryCore& _core)
+									 { return explainRequest(_core, request).value_or(Json()).dump(); });
 			  }}}),
 	  m_toCallers(m_callerLoop,
 				  [this](std::vector<std::unique_ptr<Action>>& _batch)
@@ -125,7 +125,7 @@
 void EntryApp::requestStop()
 {
 	logEvent(LogLevel::Info, "stop-requested", {{"id", m_self.id}});
-	while (!submit(StopRequested{m_options.stopNotice}))
+	while (!m_queue.submit(StopRequested{m_options.stopNotice}))
 	{
 		std::this_thread::yield();
 	}
@@ -153,7 +153,7 @@
 		return;
 	}
 	m_ending = true;
-	m_wakeup.notify();
+	m_queue.wake();
 	m_coreThread.join();
 	m_callerLoop.shutdown();
 	m_backendLoop.shutdown();
@@ -170,51 +170,14 @@
 	return m_internalServer.port();
 }
 
-bool EntryApp::submit(Event _event)
-{
-	auto message = std::make_unique<CoreMessage>(std::move(_event));
-	if (!m_ring.push(message))
-	{
-		return false;
-	}
-	m_wakeup.notify();
-	return true;
-}
-
-std::string EntryApp::ask(std::function<std::string(const EntryCore&, Micros)> _read)
-{
-	CoreQuestion question{std::move(_read), std::make_shared<std::promise<std::string>>()};
-	std::future<std::string> answer = question.answer->get_future();
-	auto message = std::make_unique<CoreMessage>(std::move(question));
-	if (!m_ring.push(message))
-	{
-		throw Error(Failure::Overloaded, "the decision thread has too much to do");
-	}
-	m_wakeup.notify();
-	if (std::future_status::ready != answer.wait_for(kAnswerWait))
-	{
-		throw Error(Failure::Overloaded, "the decision thread did not answer in time");
-	}
-	return answer.get();
-}
-
 void EntryApp::runCore()
 {
 	Micros nextTick = 0;
 	Actions actions;
 	while (!m_ending)
 	{
-		std::size_t taken = 0;
-		while (taken < kBatch)
-		{
-			const std::unique_ptr<CoreMessage> message = m_ring.pop();
-			if (nullptr == message)
-			{
-				break;
-			}
-			handle(*message, actions);
-			++taken;
-		}
+		const std::size_t taken =
+			m_queue.drain(m_core, kBatch, [&](Event _event) { handle(std::move(_event), actions); });
 		const Micros now = monotonicNow();
 		if (now >= nextTick)
 		{
@@ -225,26 +188,19 @@
 		route(actions);
 		if (0 == taken)
 		{
-			m_wakeup.wait(kTick);
+			m_queue.wait(kTick);
 		}
 	}
 }
 
-void EntryApp::handle(CoreMessage& _message, Actions& _actions)
+void EntryApp::handle(Event _event, Actions& _actions)
 {
-	const Micros now = monotonicNow();
-	if (Event* event = std::get_if<Event>(&_message))
+	const bool snapshot = std::holds_alternative<SnapshotArrived>(_event);
+	m_core.handle(std::move(_event), monotonicNow(), _actions);
+	if (snapshot)
 	{
-		const bool snapshot = std::holds_alternative<SnapshotArrived>(*event);
-		m_core.handle(std::move(*event), now, _actions);
-		if (snapshot)
-		{
-			publish();
-		}
-		return;
+		publish();
 	}
-	CoreQuestion& question = std::get<CoreQuestion>(_message);
-	question.answer->set_value(question.read(m_core, now));
 }
 
 void EntryApp::route(Actions& _actions)
@@ -330,7 +286,7 @@
 	{
 		arrived.snapshot.vms = readVmView(json["vms"]);
 	}
-	if (!json.empty() && !submit(std::move(arrived)))
+	if (!json.empty() && !m_queue.submit(std::move(arrived)))
 	{
 		throw Error(Failure::Overloaded, "the decision thread has too much to do");
 	}
@@ -363,7 +319,7 @@
 		}
 		for (PeerMessage& message : envelope.messages)
 		{
-			submit(PeerArrived{envelope.from, std::move(message)}); // A lost one is sent again.
+			m_queue.submit(PeerArrived{envelope.from, std::move(message)}); // A lost one is sent again.
 		}
 		return HttpAnswer{204, {}, {}};
 	}
@@ -374,12 +330,12 @@
 	if ("GET" == _request.method && "/debug/state" == _request.target)
 	{
 		const std::string text =
-			ask([](const EntryCore& _core, Micros _now) { return dumpEntry(_core, _now).dump(2) + "\n"; });
+			m_queue.ask([](const EntryCore& _core) { return dumpEntry(_core, monotonicNow()).dump(2) + "\n"; });
 		return HttpAnswer{200, {{"Content-Type", "application/json"}}, text};
 	}
 	if ("GET" == _request.method && "/metrics" == _request.target)
 	{
-		const std::string text = ask([](const EntryCore& _core, Micros) { return metricsOf(_core); });
+		const std::string text = m_queue.ask([](const EntryCore& _core) { return metricsOf(_core); });
 		return HttpAnswer{200, {{"Content-Type", "text/plain; version=0.0.4"}}, text};
 	}
 	throw Error(Failure::UnknownService, "nothing is served at " + _request.target);
--- a/src/daemon/entryapp.h
+++ b/src/daemon/entryapp.h
@@ -10,6 +10,7 @@
 #include "coordination/entrycore.h"
 #include "daemon/backendside.h"
 #include "daemon/callerside.h"
+#include "daemon/corequeue.h"
 #include "protocol/json.h"
 #include "transport/httpclient.h"
 #include "transport/httpserver.h"
@@ -17,12 +18,10 @@
 #include "transport/rpc.h"
 
 #include <atomic>
-#include <future>
 #include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
-#include <variant>
 
 namespace beacongate
 {
@@ -68,18 +67,8 @@
 	std::uint16_t internalPort() const;
 
 private:
-	/// Asks the core thread for something that only it can read.
-	struct CoreQuestion
-	{
-		std::function<std::string(const EntryCore&, Micros)> read;
-		std::shared_ptr<std::promise<std::string>> answer;
-	};
-	using CoreMessage = std::variant<Event, CoreQuestion>;
-
-	bool submit(Event _event);
-	std::string ask(std::function<std::string(const EntryCore&, Micros)> _read);
 	void runCore();
-	void handle(CoreMessage& _message, Actions& _actions);
+	void handle(Event _event, Actions& _actions);
 	void route(Actions& _actions);
 	void publish();
 	void onInternal(ExchangeId _exchange, HttpRequest&& _request);
@@ -92,6 +81,7 @@
 	EntryOptions m_options;
 	EntryRef m_self;
 	EntryCore m_core; ///< Of the core thread alone.
+	CoreQueue<EntryCore, Event> m_queue;
 	CallerSide::Facts m_facts;
 
 	IoLoop m_callerLoop;
@@ -105,8 +95,6 @@
 	RpcServer m_rpc;
 	std::uint64_t m_nextPeerCall = 1;
 
-	Ring<CoreMessage> m_ring;
-	Wakeup m_wakeup;
 	LoopInbox<Action> m_toCallers;
 	LoopInbox<Action> m_toBackends;
 	LoopInbox<Action> m_toPeers;
--- a/tests/atmostoncetest.cpp
+++ b/tests/atmostoncetest.cpp
@@ -5,6 +5,7 @@
 /// Promise 2: "not run" is true, and a call that may not be repeated runs at most once.
 
 #include "fleet.h"
+#include "step.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -16,19 +17,6 @@
 constexpr std::size_t kNodes = 3;
 constexpr std::size_t kKeys = 6;
 
-/// One thing that happens; numbers pick from what is there.
-struct Step
-{
-	std::uint8_t kind = 0;
-	std::uint8_t a = 0;
-	std::uint8_t b = 0;
-};
-
-std::ostream& operator<<(std::ostream& _stream, const Step& _step)
-{
-	return _stream << '{' << int{_step.kind} << ',' << int{_step.a} << ',' << int{_step.b} << '}';
-}
-
 /// Drives a fleet by random steps and remembers when each key was first used.
 class Storm
 {
@@ -188,22 +176,6 @@
 	std::uint64_t m_incarnation = 10;
 };
 } // namespace
-} // namespace beacongate::test
-
-namespace rc
-{
-template <> struct Arbitrary<beacongate::test::Step>
-{
-	static Gen<beacongate::test::Step> arbitrary()
-	{
-		using beacongate::test::Step;
-		return gen::build<Step>(gen::set(&Step::kind), gen::set(&Step::a), gen::set(&Step::b));
-	}
-};
-} // namespace rc
-
-namespace beacongate::test
-{
 RC_GTEST_PROP(AtMostOnce, holdsInAnyOrderOfFailures, ())
 {
 	const auto steps = *rc::gen::scale(3.0, rc::gen::arbitrary<std::vector<Step>>());
--- a/tests/processes.h
+++ b/tests/processes.h
@@ -150,6 +150,13 @@
 		::kill(m_pids.at(_name), _signal);
 	}
 
+	/// Stops a process and waits until all its threads stand still.
+	void freeze(const std::string& _name)
+	{
+		signal(_name, SIGSTOP);
+		waitpid(m_pids.at(_name), nullptr, WUNTRACED);
+	}
+
 	/// Waits for the end of a process.
 	/// @returns its exit code, or minus the signal that ended it, or -1000 where it did not end in time.
 	int waitFor(const std::string& _name)
--- a/tests/processestest.cpp
+++ b/tests/processestest.cpp
@@ -136,7 +136,7 @@
 TEST_F(ProcessesTest, aKeyWhoseHomeIsFrozenDoesNotRunWhenTheCallerWasToldSo)
 {
 	const std::string key = keyOfHome(processes, "e1");
-	processes.signal("e1", SIGSTOP);
+	processes.freeze("e1");
 	const Reply refused = processes.call("e2", key);
 	EXPECT_EQ("not-run", refused.outcome()) << refused.answer.body;
 	EXPECT_FALSE(findHeader(refused.answer.headers, "Retry-After").empty());
--- a/tests/streamtest.cpp
+++ b/tests/streamtest.cpp
@@ -5,6 +5,7 @@
 /// Promises 1, 3, 4 and 5: the whole own answer, reclaims, leaving backend servers, planned stops.
 
 #include "fleet.h"
+#include "step.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -15,19 +16,6 @@
 {
 constexpr std::uint32_t kTokens = 6;
 
-/// One thing that happens to a stream; numbers pick from what is there.
-struct Step
-{
-	std::uint8_t kind = 0;
-	std::uint8_t a = 0;
-	std::uint8_t b = 0;
-};
-
-std::ostream& operator<<(std::ostream& _stream, const Step& _step)
-{
-	return _stream << '{' << int{_step.kind} << ',' << int{_step.a} << ',' << int{_step.b} << '}';
-}
-
 /// Sends a VM view to one entry.
 void showVms(Fleet& _fleet, std::size_t _node, const std::map<std::string, Micros>& _leaving,
 			 const std::set<std::string>& _gone = {})
@@ -88,22 +76,6 @@
 	}
 }
 } // namespace
-} // namespace beacongate::test
-
-namespace rc
-{
-template <> struct Arbitrary<beacongate::test::Step>
-{
-	static Gen<beacongate::test::Step> arbitrary()
-	{
-		using beacongate::test::Step;
-		return gen::build<Step>(gen::set(&Step::kind), gen::set(&Step::a), gen::set(&Step::b));
-	}
-};
-} // namespace rc
-
-namespace beacongate::test
-{
 RC_GTEST_PROP(WholeOwnAnswer, holdsForLateDoubledAndForeignFrames, ())
 {
 	const auto steps = *rc::gen::scale(3.0, rc::gen::arbitrary<std::vector<Step>>());
--- a/tools/standin/cloud.cpp
+++ b/tools/standin/cloud.cpp
@@ -3,24 +3,15 @@
 
 #include "standin/cloud.h"
 
+#include "standin/base.h"
+
 namespace beacongate::standin
 {
-namespace
-{
-constexpr std::size_t kBodyBytes = 4u << 20;
-const HttpHeaders kJsonType{{"Content-Type", "application/json"}};
-} // namespace
-
 Cloud::Cloud(IoLoop& _loop)
-	: m_loop(_loop), m_server(_loop,
-							  HttpServerHandlers{[this](ExchangeId _id, HttpRequest&& _request)
-												 { onRequest(_id, std::move(_request)); },
-												 [](ExchangeId) {},
-												 [](Failure _failure, const std::string& _detail)
-												 {
-													 return HttpAnswer{failureInfo(_failure).status, {}, _detail};
-												 }},
-							  kBodyBytes)
+	: m_loop(_loop),
+	  m_server(_loop,
+			   handlersFor([this](ExchangeId _id, HttpRequest&& _request) { onRequest(_id, std::move(_request)); }),
+			   kBodyBytes)
 {
 }
 
@@ -46,7 +37,7 @@
 			m_loop.after(m_lag, [this, vms] { m_vms = vms; });
 		}
 	}
-	m_server.send(_exchange, HttpAnswer{200, kJsonType, Json{{"vms", m_vms}}.dump()});
+	m_server.send(_exchange, jsonAnswer(Json{{"vms", m_vms}}.dump()));
 }
 
 } // namespace beacongate::standin
--- a/tools/standin/engine.cpp
+++ b/tools/standin/engine.cpp
@@ -3,6 +3,8 @@
 
 #include "standin/engine.h"
 
+#include "standin/base.h"
+
 #include "coordination/cost.h"
 
 #include <algorithm>
@@ -12,7 +14,6 @@
 {
 namespace
 {
-constexpr std::size_t kBodyBytes = 8u << 20;
 constexpr std::uint64_t kWords = 997;
 } // namespace
 
@@ -121,7 +122,7 @@
 					{"decoded", m_decoded},
 					{"cancelled", m_cancelled},
 					{"running", m_sequences.size()}};
-	return HttpAnswer{200, {{"Content-Type", "application/json"}}, json.dump()};
+	return jsonAnswer(json.dump());
 }
 
 HttpAnswer Engine::load() const
@@ -132,7 +133,7 @@
 		queued += sequence.prefillLeft;
 	}
 	const Json json{{"queuedTokens", queued}, {"running", m_sequences.size()}};
-	return HttpAnswer{200, {{"Content-Type", "application/json"}}, json.dump()};
+	return jsonAnswer(json.dump());
 }
 
 void Engine::schedule()
--- a/tools/standin/service.cpp
+++ b/tools/standin/service.cpp
@@ -3,26 +3,17 @@
 
 #include "standin/service.h"
 
+#include "standin/base.h"
+
 #include "protocol/json.h"
 
 namespace beacongate::standin
 {
-namespace
-{
-constexpr std::size_t kBodyBytes = 2u << 20;
-const HttpHeaders kJsonType{{"Content-Type", "application/json"}};
-} // namespace
-
 Service::Service(IoLoop& _loop)
-	: m_loop(_loop), m_server(_loop,
-							  HttpServerHandlers{[this](ExchangeId _id, HttpRequest&& _request)
-												 { onRequest(_id, std::move(_request)); },
-												 [](ExchangeId) {},
-												 [](Failure _failure, const std::string& _detail)
-												 {
-													 return HttpAnswer{failureInfo(_failure).status, {}, _detail};
-												 }},
-							  kBodyBytes)
+	: m_loop(_loop),
+	  m_server(_loop,
+			   handlersFor([this](ExchangeId _id, HttpRequest&& _request) { onRequest(_id, std::move(_request)); }),
+			   kBodyBytes)
 {
 }
 
@@ -40,18 +31,18 @@
 {
 	if ("/load" == _request.target)
 	{
-		m_server.send(_exchange, HttpAnswer{200, kJsonType, R"({"queuedTokens":0,"running":0})"});
+		m_server.send(_exchange, jsonAnswer(R"({"queuedTokens":0,"running":0})"));
 		return;
 	}
 	if ("/executions" == _request.target)
 	{
-		m_server.send(_exchange, HttpAnswer{200, kJsonType, Json(m_executions).dump()});
+		m_server.send(_exchange, jsonAnswer(Json(m_executions).dump()));
 		return;
 	}
 	if ("/standin" == _request.target)
 	{
 		control(_request.body);
-		m_server.send(_exchange, HttpAnswer{200, kJsonType, "{}"});
+		m_server.send(_exchange, jsonAnswer("{}"));
 		return;
 	}
 	execute(_exchange, _request);
@@ -73,7 +64,7 @@
 	}
 	const Json json{
 		{"path", _request.target}, {"key", key}, {"executions", count}, {"bytes", _request.body.size()}};
-	HttpAnswer answer{200, kJsonType, json.dump()};
+	HttpAnswer answer = jsonAnswer(json.dump());
 	if (0 == m_delay)
 	{
 		m_server.send(_exchange, std::move(answer));
--- a/tools/standin/store.cpp
+++ b/tools/standin/store.cpp
@@ -3,6 +3,8 @@
 
 #include "standin/store.h"
 
+#include "standin/base.h"
+
 #include "daemon/clock.h"
 #include "protocol/etcd.h"
 
@@ -10,7 +12,6 @@
 {
 namespace
 {
-constexpr std::size_t kBodyBytes = 4u << 20;
 
 std::int64_t number(const Json& _object, const char* _name)
 {
@@ -29,15 +30,10 @@
 } // namespace
 
 Store::Store(IoLoop& _loop)
-	: m_loop(_loop), m_server(_loop,
-							  HttpServerHandlers{[this](ExchangeId _id, HttpRequest&& _request)
-												 { onRequest(_id, std::move(_request)); },
-												 [](ExchangeId) {},
-												 [](Failure _failure, const std::string& _detail)
-												 {
-													 return HttpAnswer{failureInfo(_failure).status, {}, _detail};
-												 }},
-							  kBodyBytes)
+	: m_loop(_loop),
+	  m_server(_loop,
+			   handlersFor([this](ExchangeId _id, HttpRequest&& _request) { onRequest(_id, std::move(_request)); }),
+			   kBodyBytes)
 {
 }
 
