Mend what a second reading found: a check with a hole, two passes too many, one set-up written five times

Cause: the change read once more as a newcomer. - noNewWorkGoesToALeavingBackendServer looked at places in a list that shrinks when an attempt ends: an attempt that started in its place was not looked at. It now goes by attempt numbers, which only grow; stricter, with nothing taken out. - An entry that does not answer got all seals again every 200 ms, each time with a pass over all claims on the decision thread. The span now doubles up to 10 s and starts anew with each roster version. - Lost runs cost a pass over all claims each at every roster change; now it is one pass for all. - controltest set up the same region five times; configure() does it. Ruled out: answering seals late as a fault of the network alone (a frozen entry answers none of them). Seen failing first: SealCases.anEntryThatDoesNotAnswerIsAskedLessAndLess counted 602 seals in a minute of virtual time (at most 32 allowed) before; passes after. The stricter check still fails when the router ignores leaving (after 20 cases). Conclusion: no fault of the product was behind the hole in the check in these cases.

--- a/include/beacongate/limits.h
+++ b/include/beacongate/limits.h
@@ -34,7 +34,9 @@
 inline constexpr Micros kMaxDeadline = kSecond * 3600;        ///< Largest deadline that is taken.
 inline constexpr Micros kPeerCallTimeout = 1 * kSecond;       ///< Deadline of a message between entries.
 inline constexpr Micros kClaimPatience = 3 * kSecond;         ///< How long a key's home is asked again.
-inline constexpr Micros kSealRetry = 200 * kMillisecond;      ///< Between two sends of an unanswered seal.
+inline constexpr Micros kSealRetry =
+	200 * kMillisecond; ///< Until an unanswered seal is sent again, doubled each time.
+inline constexpr Micros kSealRetryMax = 10 * kSecond;         ///< Largest such span.
 inline constexpr Micros kClaimWindow = kSecond * 24 * 3600;   ///< A key may come again for this long.
 inline constexpr Micros kRetryAfterMin = 1 * kSecond;         ///< Smallest Retry-After.
 inline constexpr Micros kRetryAfterMax = 60 * kSecond;        ///< Largest Retry-After.
--- a/src/coordination/entryclaims.cpp
+++ b/src/coordination/entryclaims.cpp
@@ -390,6 +390,8 @@
 {
 	std::vector<Addressed> seals = m_home.adopt(_roster, executedClaims(), m_now);
 	sendAll(seals);
+	m_sealSpan = limits::kSealRetry;
+	m_nextSealTry = m_now + m_sealSpan;
 	m_answersHandedOver = false;
 }
 
--- a/src/coordination/entrycore.cpp
+++ b/src/coordination/entrycore.cpp
@@ -108,7 +108,9 @@
 	}
 	if (m_now >= m_nextSealTry)
 	{
-		m_nextSealTry = m_now + limits::kSealRetry;
+		// A frozen entry does not answer for long, and each seal costs a pass over all claims.
+		m_sealSpan = std::min(2 * m_sealSpan, limits::kSealRetryMax);
+		m_nextSealTry = m_now + m_sealSpan;
 		std::vector<Addressed> seals = m_home.unconfirmedSeals();
 		sendAll(seals);
 	}
--- a/src/coordination/entrycore.h
+++ b/src/coordination/entrycore.h
@@ -216,6 +216,7 @@
 	std::uint64_t m_nextAsk = 1;
 	std::uint64_t m_nextAttach = 1;
 	Micros m_nextSealTry = 0;
+	Micros m_sealSpan = limits::kSealRetry;
 	Micros m_nextStallCheck = 0;
 	bool m_stopping = false;
 	Micros m_acceptUntil = kNever;
--- a/src/coordination/hometable.cpp
+++ b/src/coordination/hometable.cpp
@@ -62,10 +62,7 @@
 		checkComplete();
 	}
 	m_earlySeals.erase(m_earlySeals.begin(), m_earlySeals.upper_bound(_roster->version));
-	for (const LostMember& lost : _roster->lost)
-	{
-		executorLost(lost.entry);
-	}
+	markLostExecutors();
 	return unconfirmedSeals();
 }
 
@@ -257,11 +254,20 @@
 	return seals;
 }
 
-void HomeTable::executorLost(const EntryRef& _entry)
+void HomeTable::markLostExecutors()
 {
+	std::set<EntryRef> lost;
+	for (const LostMember& member : m_epochs.back().roster->lost)
+	{
+		lost.insert(member.entry);
+	}
+	if (lost.empty())
+	{
+		return;
+	}
 	for (auto& [key, kept] : m_claims)
 	{
-		if (kept.claim.executor.entry == _entry && ClaimState::Granted == kept.claim.state)
+		if (ClaimState::Granted == kept.claim.state && lost.contains(kept.claim.executor.entry))
 		{
 			kept.claim.state = ClaimState::Unknown;
 		}
--- a/src/coordination/hometable.h
+++ b/src/coordination/hometable.h
@@ -73,9 +73,6 @@
 	/// @returns whether the claim was the old executor's.
 	bool reassign(const std::string& _key, const AskRef& _old, const AskRef& _new);
 
-	/// Records that claims of an ended run can learn no more: those granted turn unknown.
-	void executorLost(const EntryRef& _entry);
-
 	/// @returns whether all living entries have sealed the version in force to this one.
 	bool complete() const;
 
@@ -109,6 +106,7 @@
 
 	ClaimReply grant(const ClaimAsk& _ask, ClaimReply _reply, std::uint64_t _generation, Micros _now);
 	void markShared();
+	void markLostExecutors(); ///< Claims granted to lost runs can learn no more and turn unknown.
 	bool isHome(std::string_view _key, const Roster& _roster) const;
 	bool isEstablished(std::string_view _key) const;
 	bool isOwnedSinceBefore(std::string_view _key, std::uint64_t _version) const;
--- a/tests/atmostoncetest.cpp
+++ b/tests/atmostoncetest.cpp
@@ -266,4 +266,23 @@
 	EXPECT_EQ(Failure::KeyReused, fleet.callers[99].failure);
 }
 
+TEST(SealCases, anEntryThatDoesNotAnswerIsAskedLessAndLess)
+{
+	Fleet fleet(2);
+	fleet.freeze(1);
+	fleet.changeRoster(withJoined(fleet.roster(), Fleet::member(2, 1)));
+	fleet.giveRoster(0, fleet.rosters.size() - 1);
+	std::size_t seals = fleet.mails.size();
+	fleet.mails.clear();
+	for (int ii = 0; ii < 600; ++ii)
+	{
+		fleet.tick(100 * kMillisecond);
+		seals += fleet.mails.size();
+		fleet.mails.clear();
+	}
+	// Two entries, in a minute: about twelve sends each instead of three hundred.
+	EXPECT_GE(seals, 2u * 8);
+	EXPECT_LE(seals, 2u * 16);
+}
+
 } // namespace beacongate::test
--- a/tests/controltest.cpp
+++ b/tests/controltest.cpp
@@ -291,6 +291,14 @@
 	"services": [{"name": "m", "kind": "model"}],
 	"backends": [{"id": "b1", "service": "m", "address": "127.0.0.1:9", "vm": "v1", "dataCentre": "dc0"}]})";
 
+/// Brings up a region and gives it its first configuration.
+void configure(Region& _region, Micros _span)
+{
+	_region.run(2 * kSecond);
+	_region.change(0, kDocument);
+	_region.run(_span);
+}
+
 double weightOf(const ControlCore& _core, std::size_t _team)
 {
 	return _core.config().config->teams.at(_team).weight;
@@ -365,9 +373,7 @@
 RC_GTEST_PROP(Configuration, isInForceEverywhereWithinSeconds, ())
 {
 	Region region;
-	region.run(2 * kSecond);
-	region.change(0, kDocument);
-	region.run(3 * kSecond);
+	configure(region, 3 * kSecond);
 	// One control is cut off from the store; it gets the change through the others.
 	region.cutFromStore[*rc::gen::inRange<std::size_t>(1, kControls)] = true;
 	const std::uint64_t ask = region.change(0, "set team a weight 7");
@@ -397,9 +403,7 @@
 TEST(ConfigurationCases, ofTwoOperatorsThatRaceOneIsRefusedWithTheVersionThatWon)
 {
 	Region region;
-	region.run(2 * kSecond);
-	region.change(0, kDocument);
-	region.run(2 * kSecond);
+	configure(region, 2 * kSecond);
 	const std::uint64_t one = region.change(0, "set team a weight 2");
 	const std::uint64_t two = region.change(1, "set team a weight 3");
 	region.run(2 * kSecond);
@@ -414,9 +418,7 @@
 TEST(ConfigurationCases, aChangeThatBreaksTheDocumentIsRefusedWithItsPlace)
 {
 	Region region;
-	region.run(2 * kSecond);
-	region.change(0, kDocument);
-	region.run(2 * kSecond);
+	configure(region, 2 * kSecond);
 	const std::uint64_t ask = region.change(1, "set team a weight 0");
 	region.run(kSecond);
 	EXPECT_EQ(Failure::ConfigInvalid, region.answers.at(ask).failure);
@@ -427,9 +429,7 @@
 TEST(ConfigurationCases, aStoreThatLostChangesIsNotFollowedBack)
 {
 	Region region;
-	region.run(2 * kSecond);
-	region.change(0, kDocument);
-	region.run(2 * kSecond);
+	configure(region, 2 * kSecond);
 	const auto old = region.values;
 	region.change(0, "set team a weight 9");
 	region.run(2 * kSecond);
@@ -446,9 +446,7 @@
 {
 	Region region;
 	region.vmList = {{"v1", false, 0}, {"vm-e0", false, 0}, {"vm-e1", false, 0}};
-	region.run(2 * kSecond);
-	region.change(0, kDocument);
-	region.run(5 * kSecond);
+	configure(region, 5 * kSecond);
 	ASSERT_EQ(4u, region.cores[0]->roster().roster->members.size());
 	region.mood = StoreMood::Down;
 	const std::uint64_t refused = region.change(2, "set team a weight 5");
--- a/tests/streamtest.cpp
+++ b/tests/streamtest.cpp
@@ -201,7 +201,7 @@
 	Fleet fleet(1, 4);
 	std::set<std::string> left;
 	int calls = 0;
-	std::size_t seen = 0;
+	AttemptId checked = 0;
 	for (const Step& step : _steps)
 	{
 		switch (step.kind % 5)
@@ -214,7 +214,6 @@
 			if (!fleet.attempts.empty())
 			{
 				fleet.end(step.a % fleet.attempts.size(), static_cast<Ending>(step.b % 5));
-				seen = std::min(seen, fleet.attempts.size());
 			}
 			break;
 		case 3:
@@ -229,11 +228,13 @@
 			fleet.tick(step.b * kMillisecond);
 			break;
 		}
-		for (std::size_t ii = seen; ii < fleet.attempts.size(); ++ii)
+		AttemptId newest = checked;
+		for (const Fleet::Sent& sent : fleet.attempts)
 		{
-			RC_ASSERT(!left.contains(backendOf(fleet, fleet.attempts[ii]).vm));
+			newest = std::max(newest, sent.start.attempt);
+			RC_ASSERT(sent.start.attempt <= checked || !left.contains(backendOf(fleet, sent).vm));
 		}
-		seen = fleet.attempts.size();
+		checked = newest;
 	}
 }
 
