--- a/include/beacongate/errors.h
+++ b/include/beacongate/errors.h
@@ -46,6 +46,11 @@
 	StoreUnavailable,
 	SettingInvalid,
 	QueryInvalid,
+	NoRoute,
+	QuotaExceeded,
+	KeyUnconfirmed,
+	HeaderTooLarge,
+	RequestTimeout,
 	Internal,
 };
 
--- a/include/beacongate/types.h
+++ b/include/beacongate/types.h
@@ -25,6 +25,9 @@
 /// The "no deadline" value.
 inline constexpr Micros kNever = std::numeric_limits<Micros>::max();
 
+/// Before anything that is remembered; differences to it do not overflow.
+inline constexpr Micros kLongAgo = -kNever / 2;
+
 /// Index that no table hands out.
 inline constexpr std::uint32_t kInvalidHandle = std::numeric_limits<std::uint32_t>::max();
 
--- /dev/null
+++ b/src/coordination/attemptpolicy.h
@@ -0,0 +1,77 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// What becomes of a request after an attempt at a backend server ended without an answer for the caller.
+
+#ifndef BEACONGATE_COORDINATION_ATTEMPTPOLICY_H
+#define BEACONGATE_COORDINATION_ATTEMPTPOLICY_H
+
+#include "beacongate/types.h"
+
+namespace beacongate
+{
+/// How an attempt ended.
+enum class AttemptResult
+{
+	NotSent,     ///< No byte left this process.
+	Rejected,    ///< The backend server says that it did not run the request.
+	Misdirected, ///< Another backend server has the address; the request did not run.
+	ServerError, ///< A whole answer of the backend server that reports a failure of its own.
+	Broken,      ///< The connection ended, or the answer makes no sense.
+};
+
+/// What an attempt's end has to be weighed against.
+struct AttemptContext
+{
+	bool repeatable = false;     ///< The request may run more than once.
+	bool mayHaveRun = false;     ///< An earlier attempt may have run.
+	unsigned sent = 0;           ///< Backend servers that the request was sent to.
+	unsigned maxAttempts = 1;    ///< Backend servers that it may be sent to.
+	unsigned unsentTries = 0;    ///< Tries that no byte left for.
+	bool budgetAllows = false;   ///< The shared retry budget has room.
+	bool anotherBackend = false; ///< Another backend server is there.
+	bool timeLeft = false;       ///< The deadline leaves time for another attempt.
+};
+
+/// What to do next.
+enum class AttemptDecision
+{
+	Retry,         ///< Send it to another backend server.
+	PassAnswer,    ///< Give the caller the backend server's own answer.
+	AnswerNotRun,  ///< Say that it did not run and never will.
+	AnswerUnknown, ///< Say that it failed and may have run.
+};
+
+/// Tries for which no connection came up, before the request is given up.
+inline constexpr unsigned kMaxUnsentTries = 4;
+
+/// @returns whether the attempt may have run the request.
+constexpr bool mayHaveRunAfter(AttemptResult result)
+{
+	return result == AttemptResult::ServerError || result == AttemptResult::Broken;
+}
+
+/// Decides after an attempt's end.
+constexpr AttemptDecision decideAfterAttempt(AttemptResult result, const AttemptContext& context)
+{
+	const bool mayHaveRun = context.mayHaveRun || mayHaveRunAfter(result);
+	const bool safeToRepeat = context.repeatable || !mayHaveRun;
+	const bool unsent = result == AttemptResult::NotSent;
+	const bool triesLeft = unsent ? context.unsentTries < kMaxUnsentTries : context.sent < context.maxAttempts;
+	const bool needsBudget = context.sent > 0;
+	const bool allowed = !needsBudget || context.budgetAllows;
+	if (safeToRepeat && triesLeft && allowed && context.anotherBackend && context.timeLeft)
+	{
+		return AttemptDecision::Retry;
+	}
+	if (result == AttemptResult::ServerError)
+	{
+		return AttemptDecision::PassAnswer;
+	}
+	return mayHaveRun ? AttemptDecision::AnswerUnknown : AttemptDecision::AnswerNotRun;
+}
+
+} // namespace beacongate
+
+#endif // BEACONGATE_COORDINATION_ATTEMPTPOLICY_H
--- /dev/null
+++ b/src/coordination/balancer.h
@@ -0,0 +1,119 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// Chooses the backend server for a request from this gateway's own load, that of its peers, and cached prompts.
+
+#ifndef BEACONGATE_COORDINATION_BALANCER_H
+#define BEACONGATE_COORDINATION_BALANCER_H
+
+#include "coordination/directory.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace beacongate
+{
+/// A part of a prompt that other requests may share.
+struct PromptPart
+{
+	std::uint64_t id = 0;
+	std::uint64_t tokens = 0;
+};
+
+/// What a request means for the backend server that runs it.
+struct PlacementRequest
+{
+	std::uint64_t promptTokens = 0; ///< 0 for calls of plain services.
+	std::vector<PromptPart> parts;  ///< In order; the last one belongs to this request alone.
+
+	/// @returns tokens that another request may have left in a cache.
+	std::uint64_t sharedTokens() const;
+};
+
+/// What a gateway has sent to one backend server and not seen the end of.
+struct BackendLoad
+{
+	std::string id;
+	unsigned inFlight = 0;
+	std::uint64_t pendingTokens = 0; ///< Prompt tokens of requests without a first event.
+};
+
+/// A choice.
+struct Placement
+{
+	const KnownBackend* backend = nullptr;
+	double cost = 0.0; ///< Expected milliseconds until the first event, as far as load goes.
+	bool full = false; ///< All its slots are taken, as far as is known.
+};
+
+/// Loads, health and choice.
+class Balancer
+{
+public:
+	/// @param[in] dataCentre Where this gateway runs; it settles ties.
+	explicit Balancer(std::string dataCentre) : m_dataCentre(std::move(dataCentre))
+	{
+	}
+
+	/// Chooses among backend servers.
+	/// @param[in] excluded Ids that the request was sent to before.
+	Placement choose(const std::vector<const KnownBackend*>& candidates, const PlacementRequest& request,
+					 const std::vector<std::string>& excluded, Micros now);
+
+	/// A request was sent.
+	void onSent(const std::string& id, const PlacementRequest& request);
+
+	/// Its first event, or its answer, came.
+	void onFirstEvent(const std::string& id, const PlacementRequest& request);
+
+	/// Its attempt ended.
+	/// @param[in] hadFirstEvent Whether onFirstEvent() was called for it.
+	void onEnded(const std::string& id, const PlacementRequest& request, bool hadFirstEvent);
+
+	/// An attempt succeeded or failed for a reason that lies with the backend server.
+	void onOutcome(const std::string& id, bool succeeded, Micros now);
+
+	/// Replaces what a peer says of its own load.
+	void setPeerLoads(const std::string& peer, std::vector<BackendLoad> loads, Micros now);
+
+	/// @returns this gateway's own load, for its peers.
+	std::vector<BackendLoad> ownLoads() const;
+
+	/// @returns requests of all gateways at a backend server.
+	unsigned totalInFlight(const std::string& id, Micros now) const;
+
+	/// Forgets backend servers that are no longer known.
+	void retain(const std::map<std::string, KnownBackend>& known);
+
+private:
+	struct Health
+	{
+		double failureShare = 0.0;
+		unsigned samples = 0;
+		unsigned consecutive = 0;
+		Micros ejectedUntil = 0;
+		Micros ejectSpan = 0;
+	};
+
+	struct PeerLoads
+	{
+		Micros heard = 0;
+		std::vector<BackendLoad> loads;
+	};
+
+	bool ejected(const std::string& id, Micros now) const;
+	BackendLoad totalLoad(const std::string& id, Micros now) const;
+	double costOf(const KnownBackend& backend, const PlacementRequest& request, bool preferred, Micros now) const;
+
+	std::string m_dataCentre;
+	std::map<std::string, BackendLoad> m_own;
+	std::map<std::string, Health> m_health;
+	std::map<std::string, PeerLoads> m_peers;
+};
+
+} // namespace beacongate
+
+#endif // BEACONGATE_COORDINATION_BALANCER_H
--- /dev/null
+++ b/src/coordination/directory.cpp
@@ -0,0 +1,108 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+#include "coordination/directory.h"
+
+#include <algorithm>
+#include <set>
+
+namespace beacongate
+{
+bool Directory::apply(const StoreSnapshot& snapshot, Micros now)
+{
+	if (snapshot.revision < m_revision)
+	{
+		return false;
+	}
+	m_revision = snapshot.revision;
+	m_confirmed = std::max(m_confirmed, snapshot.confirmed);
+	mergeBackends(snapshot, now);
+	const bool newer = snapshot.config && (!m_config || snapshot.config->version > m_config->version);
+	if (newer)
+	{
+		m_config = snapshot.config;
+	}
+	return newer;
+}
+
+void Directory::mergeBackends(const StoreSnapshot& snapshot, Micros now)
+{
+	std::set<std::string> present;
+	for (const BackendRecord& record : snapshot.backends)
+	{
+		present.insert(record.id);
+		KnownBackend& known = m_backends[record.id];
+		const bool wasDraining = known.record.draining;
+		const bool newlyLeaving = record.leaves && !known.record.leaves;
+		known.record = record;
+		known.record.draining = record.draining || wasDraining;
+		known.vanishedAt = kNever;
+		if (newlyLeaving)
+		{
+			known.leavesAt = now + *record.leaves;
+		}
+		known.coldUntil = record.coldRemaining > 0 ? now + record.coldRemaining : known.coldUntil;
+	}
+	for (auto it = m_backends.begin(); it != m_backends.end();)
+	{
+		KnownBackend& known = it->second;
+		if (!present.count(it->first) && known.vanishedAt == kNever)
+		{
+			known.vanishedAt = now;
+		}
+		const bool forgotten = known.vanishedAt != kNever && now - known.vanishedAt > kVanishedMemory;
+		it = forgotten ? m_backends.erase(it) : std::next(it);
+	}
+}
+
+void Directory::confirm(Micros confirmed)
+{
+	m_confirmed = std::max(m_confirmed, confirmed);
+}
+
+void Directory::markMisdirected(const std::string& id)
+{
+	const auto it = m_backends.find(id);
+	if (it != m_backends.end())
+	{
+		it->second.misdirected = true;
+	}
+}
+
+void Directory::markDraining(const std::string& id)
+{
+	const auto it = m_backends.find(id);
+	if (it != m_backends.end())
+	{
+		it->second.record.draining = true;
+	}
+}
+
+Micros Directory::age(Micros now) const
+{
+	return now - m_confirmed;
+}
+
+std::vector<const KnownBackend*> Directory::usableOf(const std::string& service, Micros now) const
+{
+	std::vector<const KnownBackend*> usable;
+	std::vector<const KnownBackend*> vanished;
+	for (const auto& [id, known] : m_backends)
+	{
+		if (known.record.service != service || known.record.draining || known.misdirected)
+		{
+			continue;
+		}
+		if (known.vanishedAt == kNever)
+		{
+			usable.push_back(&known);
+		}
+		else if (now - known.vanishedAt < kVanishedGrace)
+		{
+			vanished.push_back(&known);
+		}
+	}
+	return usable.empty() ? vanished : usable;
+}
+
+} // namespace beacongate
--- /dev/null
+++ b/src/coordination/directory.h
@@ -0,0 +1,104 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// What a gateway believes of the store: the configuration in force, the backend servers, and how fresh that is.
+
+#ifndef BEACONGATE_COORDINATION_DIRECTORY_H
+#define BEACONGATE_COORDINATION_DIRECTORY_H
+
+#include "beacongate/routing.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace beacongate
+{
+/// The store's content at one revision.
+struct StoreSnapshot
+{
+	std::uint64_t revision = 0;
+	RoutingConfigPtr config; ///< nullptr where there is none, or it could not be read.
+	std::vector<BackendRecord> backends;
+	/// Steady time before which the call that read it had not been sent.
+	Micros confirmed = 0;
+};
+
+/// A backend server as this gateway knows it.
+struct KnownBackend
+{
+	BackendRecord record;
+	Micros leavesAt = kNever;   ///< When it is reclaimed.
+	Micros coldUntil = 0;       ///< It is slow until then.
+	Micros vanishedAt = kNever; ///< When its record was first found missing.
+	bool misdirected = false;   ///< Another server answered at its address.
+
+	/// @returns whether new work may go to it.
+	bool usable() const
+	{
+		return !record.draining && !misdirected && vanishedAt == kNever;
+	}
+};
+
+/// Merges snapshots so that nothing older ever replaces something newer.
+class Directory
+{
+public:
+	/// A record that vanished without notice is still used for this long where no other is left: records
+	/// lapse while the store is down, and a leaving server may be given work for a short while.
+	static constexpr Micros kVanishedGrace = 800 * kMillisecond;
+	/// A vanished record is remembered for this long.
+	static constexpr Micros kVanishedMemory = 10 * kSecond;
+
+	/// Takes in what was read.
+	/// @returns whether the configuration's version rose.
+	bool apply(const StoreSnapshot& snapshot, Micros now);
+
+	/// The present content was confirmed as the newest.
+	/// @param[in] confirmed Steady time at which it certainly was.
+	void confirm(Micros confirmed);
+
+	/// A backend server answered that it is not the one that was meant.
+	void markMisdirected(const std::string& id);
+
+	/// A backend server said of itself that it is leaving.
+	void markDraining(const std::string& id);
+
+	/// @returns the configuration in force, or nullptr.
+	const RoutingConfigPtr& config() const
+	{
+		return m_config;
+	}
+
+	/// @returns the store's revision that is known.
+	std::uint64_t revision() const
+	{
+		return m_revision;
+	}
+
+	/// @returns for how long the configuration has not been confirmed.
+	Micros age(Micros now) const;
+
+	/// @returns all backend servers by id, also those that take no new work.
+	const std::map<std::string, KnownBackend>& backends() const
+	{
+		return m_backends;
+	}
+
+	/// @returns ids of a service's backend servers that take new work.
+	std::vector<const KnownBackend*> usableOf(const std::string& service, Micros now) const;
+
+private:
+	void mergeBackends(const StoreSnapshot& snapshot, Micros now);
+
+	RoutingConfigPtr m_config;
+	std::uint64_t m_revision = 0;
+	Micros m_confirmed = kLongAgo;
+	std::map<std::string, KnownBackend> m_backends;
+};
+
+} // namespace beacongate
+
+#endif // BEACONGATE_COORDINATION_DIRECTORY_H
--- a/src/coordination/entrycore.h
+++ b/src/coordination/entrycore.h
@@ -129,7 +129,7 @@
 	void enqueue(Request& _request);
 	void requeue(Request& _request);
 	void pump(ServiceHandle _service);
-	void dispatch(Request& _request, const Route& _route);
+	void dispatch(Request& _request, const RouterChoice& _route);
 	void detachAttempt(Request& _request);
 	Request* requestOfAttempt(AttemptId _attempt);
 	void retry(Request& _request, const AttemptFailed& _fault);
--- a/src/coordination/entryrequests.cpp
+++ b/src/coordination/entryrequests.cpp
@@ -193,7 +193,7 @@
 	}
 }
 
-void EntryCore::dispatch(Request& _request, const Route& _route)
+void EntryCore::dispatch(Request& _request, const RouterChoice& _route)
 {
 	Backend& backend = m_backends.at(_route.backend);
 	_request.phase = Phase::Running;
--- /dev/null
+++ b/src/coordination/quotaledger.cpp
@@ -0,0 +1,147 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+#include "coordination/quotaledger.h"
+
+#include <algorithm>
+
+namespace beacongate
+{
+namespace
+{
+constexpr double kStartShare = 0.5; ///< Of the burst, at a start: what others have is not known yet.
+constexpr Micros kLongestWait = 5 * kSecond;
+
+double secondsOf(Micros span)
+{
+	return static_cast<double>(span) / static_cast<double>(kSecond);
+}
+} // namespace
+
+void QuotaLedger::configure(const RoutingConfig& config, Micros now)
+{
+	for (const TeamAccess& team : config.teams)
+	{
+		const auto [it, added] = m_buckets.try_emplace(team.name);
+		Bucket& bucket = it->second;
+		if (added || bucket.rate <= 0.0)
+		{
+			bucket.level = team.burst * kStartShare;
+			bucket.filled = now;
+		}
+		refill(bucket, now);
+		bucket.rate = team.ratePerSecond;
+		bucket.burst = team.burst;
+		bucket.level = std::min(bucket.level, bucket.burst);
+	}
+	for (auto& [name, bucket] : m_buckets)
+	{
+		const bool present = std::any_of(config.teams.begin(), config.teams.end(),
+										 [&name = name](const TeamAccess& team) { return team.name == name; });
+		bucket.rate = present ? bucket.rate : 0.0;
+	}
+}
+
+void QuotaLedger::setMembers(std::size_t members)
+{
+	m_members = std::max<std::size_t>(1, members);
+}
+
+double QuotaLedger::fillShare(Micros now) const
+{
+	std::size_t heard = 1;
+	for (const auto& [peer, last] : m_heard)
+	{
+		heard += now - last <= kSilence ? 1 : 0;
+	}
+	const auto members = static_cast<double>(std::max(m_members, heard));
+	return static_cast<double>(heard) / members;
+}
+
+void QuotaLedger::refill(Bucket& bucket, Micros now) const
+{
+	const double added = bucket.rate * fillShare(now) * secondsOf(now - bucket.filled);
+	bucket.level = std::min(bucket.burst, bucket.level + added);
+	bucket.filled = now;
+}
+
+Micros QuotaLedger::take(const std::string& team, double amount, Micros now)
+{
+	const auto it = m_buckets.find(team);
+	if (it == m_buckets.end())
+	{
+		return 0;
+	}
+	Bucket& bucket = it->second;
+	if (bucket.rate <= 0.0)
+	{
+		bucket.takenHere += amount;
+		return 0;
+	}
+	refill(bucket, now);
+	// A request larger than the burst passes once the bucket is full.
+	const double needed = std::min(amount, bucket.burst);
+	if (bucket.level < needed)
+	{
+		const double wait = (needed - bucket.level) / bucket.rate;
+		return std::clamp<Micros>(static_cast<Micros>(wait * static_cast<double>(kSecond)), kMillisecond,
+								  kLongestWait);
+	}
+	bucket.level -= amount;
+	bucket.takenHere += amount;
+	return 0;
+}
+
+void QuotaLedger::giveBack(const std::string& team, double amount)
+{
+	const auto it = m_buckets.find(team);
+	if (it != m_buckets.end())
+	{
+		// Only this copy is filled again: what was said to others stays said.
+		it->second.level = std::min(it->second.burst, it->second.level + amount);
+	}
+}
+
+void QuotaLedger::onReport(const std::string& peer, std::uint64_t incarnation, const QuotaReport& report,
+						   Micros now)
+{
+	PeerCount& count = m_peerCounts[peer][report.team];
+	if (incarnation < count.incarnation)
+	{
+		return;
+	}
+	const auto heard = m_heard.find(peer);
+	const bool wasSilent = heard == m_heard.end() || now - heard->second > kSilence;
+	if (incarnation > count.incarnation || wasSilent)
+	{
+		// What it took while it was not heard came out of the share that was left to it.
+		count = {incarnation, report.taken};
+		return;
+	}
+	const double taken = report.taken - count.taken;
+	if (taken <= 0.0)
+	{
+		return;
+	}
+	count.taken = report.taken;
+	const auto it = m_buckets.find(report.team);
+	if (it != m_buckets.end())
+	{
+		refill(it->second, now);
+		// Late news of old work must not shut a team out for longer than the burst is worth.
+		it->second.level = std::max(it->second.level - taken, -2.0 * it->second.burst);
+	}
+}
+
+void QuotaLedger::onHeard(const std::string& peer, Micros now)
+{
+	m_heard[peer] = now;
+}
+
+double QuotaLedger::takenHere(const std::string& team) const
+{
+	const auto it = m_buckets.find(team);
+	return it == m_buckets.end() ? 0.0 : it->second.takenHere;
+}
+
+} // namespace beacongate
--- a/src/coordination/router.cpp
+++ b/src/coordination/router.cpp
@@ -53,7 +53,7 @@
 {
 }
 
-Route Router::choose(const BackendTable& _backends, const RouteQuery& _query)
+RouterChoice Router::choose(const BackendTable& _backends, const RouteQuery& _query)
 {
 	m_free.clear();
 	BackendHandle fallback;
@@ -75,7 +75,7 @@
 	{
 		m_free.push_back(fallback);
 	}
-	Route route;
+	RouterChoice route;
 	if (m_free.empty())
 	{
 		return route;
--- a/src/coordination/router.h
+++ b/src/coordination/router.h
@@ -36,7 +36,7 @@
 };
 
 /// A choice with what spoke for it.
-struct Route
+struct RouterChoice
 {
 	BackendHandle backend;
 	std::uint64_t expectedTokens = 0; ///< Prompt tokens to compute before the first token.
@@ -53,7 +53,7 @@
 
 	/// Chooses among the service's backend servers that take work and have a free slot.
 	/// @returns the choice; its handle is invalid where none can take the request.
-	Route choose(const BackendTable& _backends, const RouteQuery& _query);
+	RouterChoice choose(const BackendTable& _backends, const RouteQuery& _query);
 
 private:
 	RoutePolicy m_policy;
--- a/src/daemon/logging.cpp
+++ b/src/daemon/logging.cpp
@@ -3,6 +3,8 @@
 
 #include "daemon/logging.h"
 
+#include "daemon/stdoutsink.h"
+
 #include <glog/logging.h>
 
 namespace beacongate
@@ -36,6 +38,23 @@
 	google::InitGoogleLogging(_program);
 }
 
+void initStdoutLogging(const char* program)
+{
+	FLAGS_logtostderr = false;
+	FLAGS_stderrthreshold = google::GLOG_FATAL;
+	for (int severity = google::GLOG_INFO; severity < google::NUM_SEVERITIES; ++severity)
+	{
+		google::SetLogDestination(static_cast<google::LogSeverity>(severity), "");
+	}
+	google::InitGoogleLogging(program);
+	google::AddLogSink(&StdoutSink::instance());
+}
+
+void flushStdoutLogging()
+{
+	StdoutSink::instance().flush();
+}
+
 void logEvent(LogLevel _level, std::string_view _event, std::initializer_list<LogField> _fields)
 {
 	const std::string line = formatEvent(_event, _fields);
--- a/src/daemon/logging.h
+++ b/src/daemon/logging.h
@@ -29,6 +29,13 @@
 /// @param[in] _program Name of the program, for the log's lines.
 void initLogging(const char* _program);
 
+/// Starts logging to standard output without ever waiting for its reader: lines that do not fit a bounded
+/// buffer are left out, and a line says how many.
+void initStdoutLogging(const char* program);
+
+/// Writes what is buffered, as far as the reader takes it.
+void flushStdoutLogging();
+
 /// Writes one line: event=NAME key=value ...; values with spaces are quoted.
 void logEvent(LogLevel _level, std::string_view _event, std::initializer_list<LogField> _fields);
 
--- /dev/null
+++ b/src/gateway/dutyholder.cpp
@@ -0,0 +1,292 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+#include "gateway/dutyholder.h"
+
+#include "daemon/logging.h"
+#include "gateway/memberkeys.h"
+#include "platform/dutycalls.h"
+#include "platform/storecalls.h"
+#include "protocol/json.h"
+
+namespace beacongate
+{
+namespace
+{
+constexpr Micros kTick = 250 * kMillisecond;
+constexpr Micros kRenewInterval = 600 * kMillisecond;
+constexpr Micros kStoreTimeout = 700 * kMillisecond;
+constexpr Micros kDutyTimeout = 1 * kSecond;
+constexpr Micros kSettle = 1200 * kMillisecond; ///< After a window's end, for counts still on their way.
+constexpr std::uint64_t kWindowsBack = 3;
+constexpr std::uint64_t kWindowsKept = 8;
+constexpr std::size_t kAnswerBytes = 1u << 20;
+
+std::uint64_t readFence(const std::string& text)
+{
+	return text.empty() ? 0 : std::strtoull(text.c_str(), nullptr, 10);
+}
+
+std::map<std::string, std::uint64_t> readCounts(const std::string& text)
+{
+	return parseJson(text, Failure::StoreUnavailable).get<std::map<std::string, std::uint64_t>>();
+}
+} // namespace
+
+DutyHolder::DutyHolder(GatewayContext& context)
+	: m_context(context),
+	  m_leaseChannel(std::make_shared<HttpChannel>(context.loop, context.settings.store, kAnswerBytes)),
+	  m_storeChannel(std::make_shared<HttpChannel>(context.loop, context.settings.store, kAnswerBytes)),
+	  m_dutyChannel(std::make_shared<HttpChannel>(context.loop, *context.settings.dutyApi, kAnswerBytes)),
+	  m_timer(context.loop)
+{
+}
+
+void DutyHolder::init()
+{
+	schedule();
+}
+
+void DutyHolder::shutdown()
+{
+	m_closed = true;
+	m_timer.cancel();
+	m_leaseChannel->close();
+	m_storeChannel->close();
+	m_dutyChannel->close();
+}
+
+bool DutyHolder::holds() const
+{
+	return m_lease.held(monotonicNow());
+}
+
+void DutyHolder::schedule()
+{
+	m_timer.expires_after(std::chrono::microseconds(m_context.jittered(kTick)));
+	m_timer.async_wait(
+		[self = shared_from_this()](const boost::system::error_code& error)
+		{
+			if (!error && !self->m_closed)
+			{
+				self->tick();
+				self->schedule();
+			}
+		});
+}
+
+void DutyHolder::tick()
+{
+	const Micros now = monotonicNow();
+	if (m_context.stopping)
+	{
+		return;
+	}
+	if (m_leaseId != 0 && !m_lease.held(now))
+	{
+		logEvent(LogLevel::Warning, "duty-lost", {{"fence", std::to_string(m_lease.fence())}});
+		m_lease.onLost();
+		m_leaseId = 0;
+	}
+	if (m_leaseId == 0)
+	{
+		compete();
+		return;
+	}
+	if (now - m_renewed >= kRenewInterval)
+	{
+		renew();
+	}
+	if (m_context.settings.reportsUsage)
+	{
+		reportUsage(now);
+	}
+}
+
+std::uint64_t DutyHolder::revisionOf(const std::string& key) const
+{
+	const auto it = m_context.content.items.find(key);
+	return it == m_context.content.items.end() ? 0 : it->second.revision;
+}
+
+void DutyHolder::compete()
+{
+	const bool taken = revisionOf(kHolderKey) != 0;
+	const bool known = m_context.content.confirmed + kSecond > monotonicNow();
+	if (m_competing || taken || !known)
+	{
+		return;
+	}
+	m_competing = true;
+	const Micros sent = monotonicNow();
+	const Micros span = std::max(m_context.settings.leaseSpan, m_context.settings.leaseMinimum);
+	m_leaseChannel->call(platform::leaseCall(span), kStoreTimeout,
+						 [self = shared_from_this(), sent](const std::optional<HttpAnswer>& answer)
+						 {
+							 const auto lease = platform::readLease(answer);
+							 if (!lease)
+							 {
+								 self->m_competing = false;
+								 return;
+							 }
+							 self->take(lease->id, lease->span, sent);
+						 });
+}
+
+void DutyHolder::take(std::uint64_t lease, Micros span, Micros sent)
+{
+	const auto fenceItem = m_context.content.items.find(kFenceKey);
+	const std::uint64_t before =
+		fenceItem == m_context.content.items.end() ? 0 : readFence(fenceItem->second.value);
+	const std::uint64_t fence = before + 1;
+	KvTransaction change;
+	change.conditions = {{kHolderKey, 0}, {kFenceKey, revisionOf(kFenceKey)}};
+	change.puts = {{kHolderKey, m_context.settings.name + ' ' + std::to_string(m_context.run.incarnation), lease},
+				   {kFenceKey, std::to_string(fence), 0}};
+	m_leaseChannel->call(
+		platform::transactionCall(change), kStoreTimeout,
+		[self = shared_from_this(), lease, span, sent, fence](const std::optional<HttpAnswer>& answer)
+		{
+			self->m_competing = false;
+			const KvResult result = platform::readTransaction(answer);
+			if (result.outcome != KvOutcome::Done)
+			{
+				// Where it may have been done, nobody acts until that lease has run out.
+				return;
+			}
+			self->m_leaseId = lease;
+			self->m_renewed = sent;
+			self->m_lease.onAcquired(fence, sent, span);
+			logEvent(LogLevel::Info, "duty-taken", {{"fence", std::to_string(fence)}});
+		});
+}
+
+void DutyHolder::renew()
+{
+	if (m_renewing)
+	{
+		return;
+	}
+	m_renewing = true;
+	const Micros sent = monotonicNow();
+	m_leaseChannel->call(
+		platform::renewCall(m_leaseId), kStoreTimeout,
+		[self = shared_from_this(), sent, lease = m_leaseId](const std::optional<HttpAnswer>& answer)
+		{
+			self->m_renewing = false;
+			if (self->m_leaseId != lease)
+			{
+				return;
+			}
+			const platform::RenewedLease renewal = platform::readRenewal(answer);
+			if (renewal.gone)
+			{
+				self->m_lease.onLost();
+			}
+			else if (renewal.renewed)
+			{
+				self->m_renewed = sent;
+				self->m_lease.onRenewed(sent, renewal.span);
+			}
+		});
+}
+
+void DutyHolder::reportUsage(Micros now)
+{
+	if (!m_lease.mayAct(now))
+	{
+		return;
+	}
+	const std::uint64_t current = m_context.currentWindow(now);
+	std::erase_if(m_reported, [current](std::uint64_t window) { return window + kWindowsKept < current; });
+	for (std::uint64_t window = current - kWindowsBack; window < current; ++window)
+	{
+		const Micros windowEnd = static_cast<Micros>(window + 1) * m_context.settings.usageWindow;
+		const bool settled = m_context.clock.trueTime(now) >= windowEnd + kSettle;
+		if (!settled || m_reported.count(window) || m_inWork.count(window))
+		{
+			continue;
+		}
+		const auto fixed = m_context.content.items.find(usageKey(window));
+		if (fixed != m_context.content.items.end())
+		{
+			sendWindow(window, readCounts(fixed->second.value));
+		}
+		else
+		{
+			fixWindow(window);
+		}
+		return;
+	}
+}
+
+void DutyHolder::fixWindow(std::uint64_t window)
+{
+	std::map<std::string, std::uint64_t> counts = m_context.usage.totals(window);
+	if (m_context.directory.config())
+	{
+		for (const TeamAccess& team : m_context.directory.config()->teams)
+		{
+			counts.try_emplace(team.name, 0);
+		}
+	}
+	KvTransaction change;
+	change.conditions = {{usageKey(window), 0}};
+	change.puts = {{usageKey(window), Json(counts).dump(), 0}};
+	for (const auto& [key, item] : m_context.content.items)
+	{
+		const bool isUsage = key.compare(0, kUsagePrefix.size(), kUsagePrefix) == 0;
+		if (isUsage && std::strtoull(key.c_str() + kUsagePrefix.size(), nullptr, 10) + kWindowsKept < window)
+		{
+			change.removes.push_back(key);
+		}
+	}
+	m_inWork.insert(window);
+	m_storeChannel->call(platform::transactionCall(change), kStoreTimeout,
+						 [self = shared_from_this(), window, counts](const std::optional<HttpAnswer>& answer)
+						 {
+							 self->m_inWork.erase(window);
+							 const KvResult result = platform::readTransaction(answer);
+							 if (result.outcome == KvOutcome::Done)
+							 {
+								 self->sendWindow(window, counts);
+								 return;
+							 }
+							 for (const KvItem& item : result.items)
+							 {
+								 if (item.key == usageKey(window) && item.revision != 0)
+								 {
+									 self->sendWindow(window, readCounts(item.value));
+								 }
+							 }
+						 });
+}
+
+void DutyHolder::sendWindow(std::uint64_t window, const std::map<std::string, std::uint64_t>& counts)
+{
+	if (m_inWork.count(window))
+	{
+		return;
+	}
+	m_inWork.insert(window);
+	const platform::DutyHolder holder{m_context.settings.name, m_lease.fence()};
+	m_dutyChannel->call(
+		platform::usageCall(holder, window, counts), kDutyTimeout,
+		[self = shared_from_this(), window, fence = m_lease.fence()](const std::optional<HttpAnswer>& answer)
+		{
+			self->m_inWork.erase(window);
+			const bool taken = answer && answer->status == 200;
+			if (taken)
+			{
+				self->m_reported.insert(window);
+			}
+			logEvent(taken ? LogLevel::Info : LogLevel::Warning, "usage-report",
+					 {{"window", std::to_string(window)},
+					  {"fence", std::to_string(fence)},
+					  {"status", answer ? std::to_string(answer->status) : "none"}});
+		},
+		[self = shared_from_this(), fence = m_lease.fence()]
+		{ return self->m_lease.fence() == fence && self->m_lease.mayAct(monotonicNow()); });
+}
+
+} // namespace beacongate
--- /dev/null
+++ b/src/gateway/dutyholder.h
@@ -0,0 +1,72 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// Competes for the duties towards the platform, and does them while it holds them: usage reports and orders.
+
+#ifndef BEACONGATE_GATEWAY_DUTYHOLDER_H
+#define BEACONGATE_GATEWAY_DUTYHOLDER_H
+
+#include "coordination/dutylease.h"
+#include "gateway/gatewaycontext.h"
+#include "transport/httpchannel.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace beacongate
+{
+/// One holder at a time, by a lease in the store; each has a larger fencing token than the one before.
+class DutyHolder : public std::enable_shared_from_this<DutyHolder>
+{
+public:
+	explicit DutyHolder(GatewayContext& context);
+
+	/// Begins to compete.
+	void init();
+
+	/// Stops acting; the lease runs out by itself, so that nobody acts too early after this holder.
+	void shutdown();
+
+	/// @returns whether this gateway holds the duties.
+	bool holds() const;
+
+	/// @returns the fencing token of the holder that this gateway was last.
+	std::uint64_t fence() const
+	{
+		return m_lease.fence();
+	}
+
+private:
+	void schedule();
+	void tick();
+	void compete();
+	void take(std::uint64_t lease, Micros span, Micros sent);
+	void renew();
+	void reportUsage(Micros now);
+	void fixWindow(std::uint64_t window);
+	void sendWindow(std::uint64_t window, const std::map<std::string, std::uint64_t>& counts);
+	std::uint64_t revisionOf(const std::string& key) const;
+
+	GatewayContext& m_context;
+	std::shared_ptr<HttpChannel> m_leaseChannel;
+	std::shared_ptr<HttpChannel> m_storeChannel;
+	std::shared_ptr<HttpChannel> m_dutyChannel;
+	boost::asio::steady_timer m_timer;
+	DutyLease m_lease;
+	std::uint64_t m_leaseId = 0;
+	Micros m_renewed = 0;
+	bool m_competing = false;
+	bool m_renewing = false;
+	bool m_closed = false;
+	std::set<std::uint64_t> m_reported; ///< Windows that the platform has.
+	std::set<std::uint64_t> m_inWork;
+};
+
+} // namespace beacongate
+
+#endif // BEACONGATE_GATEWAY_DUTYHOLDER_H
--- /dev/null
+++ b/src/gateway/exchange.cpp
@@ -0,0 +1,709 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+#include "gateway/exchange.h"
+
+#include "daemon/logging.h"
+#include "gateway/ownanswers.h"
+#include "platform/headers.h"
+#include "transport/forwarding.h"
+
+#include <algorithm>
+
+namespace beacongate
+{
+namespace
+{
+constexpr Micros kRevocationMargin = 300 * kMillisecond; ///< For what passes between the check and the run.
+constexpr Micros kStaleConfig = 1500 * kMillisecond; ///< An older one is no reason to say that something is absent.
+constexpr Micros kConnectMin = 60 * kMillisecond;
+constexpr Micros kConnectMax = 300 * kMillisecond;
+constexpr Micros kAttemptMin = 20 * kMillisecond; ///< Less time than this is not worth another attempt.
+constexpr Micros kShortRetryAfter = 100 * kMillisecond;
+constexpr Micros kStoreRetryAfter = 500 * kMillisecond;
+constexpr Micros kBackendUserTimeout = 3 * kSecond;
+constexpr Micros kDefaultHold = 30 * kSecond;
+constexpr unsigned kOk = 200;
+constexpr unsigned kMultipleChoices = 300;
+constexpr unsigned kServerErrors = 500;
+
+std::string millisText(Micros span)
+{
+	return std::to_string(span / kMillisecond);
+}
+} // namespace
+
+Exchange::Exchange(GatewayContext& context, Dispatcher& dispatcher, ServerSessionPtr session,
+				   IncomingRequest&& request)
+	: m_context(context), m_dispatcher(dispatcher), m_session(std::move(session)), m_request(std::move(request)),
+	  m_timer(context.loop)
+{
+	++m_context.openExchanges;
+}
+
+Exchange::~Exchange()
+{
+	--m_context.openExchanges;
+}
+
+void Exchange::start()
+{
+	m_session->setGoneHandler(
+		[weak = weak_from_this()]
+		{
+			if (const auto self = weak.lock())
+			{
+				self->onCallerGone();
+			}
+		});
+	if (!resolve() || !takeQuota())
+	{
+		return;
+	}
+	m_timer.expires_after(std::chrono::microseconds(timeLeft(monotonicNow())));
+	m_timer.async_wait(
+		[weak = weak_from_this()](const boost::system::error_code& error)
+		{
+			const auto self = weak.lock();
+			if (!error && self)
+			{
+				self->onTimeout();
+			}
+		});
+	if (!tryDispatch())
+	{
+		m_queued = true;
+		m_dispatcher.enqueue(shared_from_this());
+	}
+}
+
+bool Exchange::resolve()
+{
+	const Micros now = monotonicNow();
+	try
+	{
+		m_info = platform::readRequest(m_request.head);
+	}
+	catch (const Error& error)
+	{
+		refuse(error.failure(), error.what());
+		return false;
+	}
+	m_config = m_context.directory.config();
+	if (!m_config)
+	{
+		refuse(Failure::StoreUnavailable, "no configuration yet", kStoreRetryAfter);
+		return false;
+	}
+	if (m_info.id.empty())
+	{
+		refuse(Failure::MalformedRequest, "the request has no id");
+		return false;
+	}
+	if (!resolveAgain())
+	{
+		return false;
+	}
+	const Micros given = std::min(m_info.deadline.value_or(kDefaultHold), m_route->timeout);
+	m_holdUntil = m_request.received + given;
+	if (timeLeft(now) <= 0)
+	{
+		refuse(Failure::DeadlineTooShort, "the deadline has passed", kShortRetryAfter);
+		return false;
+	}
+	m_placement.promptTokens = m_info.promptTokens.value_or(0);
+	m_placement.parts = m_info.parts;
+	return true;
+}
+
+bool Exchange::resolveAgain()
+{
+	const Micros now = monotonicNow();
+	const bool stale = m_context.directory.age(now) > kStaleConfig;
+	const std::string_view path =
+		std::string_view(m_request.head.target).substr(0, m_request.head.target.find('?'));
+	m_route = m_config->findRoute(m_info.host, path);
+	if (!m_route)
+	{
+		refuse(stale ? Failure::StoreUnavailable : Failure::NoRoute, "no route", kStoreRetryAfter);
+		return false;
+	}
+	m_team = m_info.key.empty() ? nullptr : m_config->findTeamByKey(m_info.key);
+	const bool keyNeeded = !m_config->teams.empty() && !m_route->allowAnonymous;
+	const bool keyUnknown = !m_info.key.empty() && !m_team && !m_config->teams.empty();
+	if (keyUnknown || (keyNeeded && !m_team))
+	{
+		const bool mayBeNewer = stale && keyUnknown;
+		refuse(mayBeNewer ? Failure::StoreUnavailable : Failure::UnknownToken, "no such key", kStoreRetryAfter);
+		return false;
+	}
+	if (keyMayBeRevoked(now))
+	{
+		refuse(Failure::KeyUnconfirmed, "the key cannot be confirmed", kStoreRetryAfter);
+		return false;
+	}
+	m_priority = m_team && m_team->priority ? *m_team->priority : m_route->priority;
+	chooseService();
+	return true;
+}
+
+bool Exchange::keyMayBeRevoked(Micros now) const
+{
+	return m_team && m_context.settings.strictRevocation &&
+		   m_context.directory.age(now) > m_context.settings.revocationSpan - kRevocationMargin;
+}
+
+void Exchange::chooseService()
+{
+	const auto allowed = [this](const WeightedService& part)
+	{
+		return part.service == m_service;
+	};
+	if (std::any_of(m_route->split.begin(), m_route->split.end(), allowed))
+	{
+		return;
+	}
+	std::uint64_t total = 0;
+	for (const WeightedService& part : m_route->split)
+	{
+		total += part.weight;
+	}
+	std::uint64_t drawn = total == 0 ? 0 : m_context.random() % total;
+	m_service = m_route->split.front().service;
+	for (const WeightedService& part : m_route->split)
+	{
+		if (drawn < part.weight)
+		{
+			m_service = part.service;
+			return;
+		}
+		drawn -= part.weight;
+	}
+}
+
+double Exchange::quotaAmount() const
+{
+	if (!m_team->countsTokens)
+	{
+		return 1.0;
+	}
+	return static_cast<double>(m_info.promptTokens ? *m_info.promptTokens + m_info.outputTokens
+												   : m_team->plainTokens);
+}
+
+bool Exchange::takeQuota()
+{
+	if (!m_team)
+	{
+		return true;
+	}
+	const double amount = quotaAmount();
+	const Micros wait = m_context.quotas.take(m_team->name, amount, monotonicNow());
+	if (wait > 0)
+	{
+		refuse(Failure::QuotaExceeded, "over the team's quota", wait);
+		return false;
+	}
+	m_quotaTaken = amount;
+	return true;
+}
+
+Micros Exchange::timeLeft(Micros now) const
+{
+	return m_holdUntil - now;
+}
+
+bool Exchange::tryDispatch()
+{
+	if (m_finished)
+	{
+		return true;
+	}
+	const Micros now = monotonicNow();
+	if (m_context.directory.config() != m_config)
+	{
+		m_config = m_context.directory.config();
+		if (!resolveAgain())
+		{
+			return true;
+		}
+	}
+	if (keyMayBeRevoked(now))
+	{
+		refuse(Failure::KeyUnconfirmed, "the key cannot be confirmed", kStoreRetryAfter);
+		return true;
+	}
+	const auto candidates = m_context.directory.usableOf(m_service, now);
+	const Placement placement = m_context.balancer.choose(candidates, m_placement, m_tried, now);
+	const bool lateAlready = now - m_request.received > m_route->targetLatency;
+	if (!placement.backend || placement.full)
+	{
+		// What cannot be served in time any more makes room for what can.
+		if (lateAlready && m_sent == 0)
+		{
+			refuse(Failure::NoBackend, "no backend server has room", kShortRetryAfter);
+			return true;
+		}
+		return false;
+	}
+	send(*placement.backend);
+	return true;
+}
+
+void Exchange::send(const KnownBackend& backend)
+{
+	const Micros now = monotonicNow();
+	m_queued = false;
+	m_attempt = {};
+	m_attempt.backendId = backend.record.id;
+	m_attempt.sent = now;
+	m_tried.push_back(backend.record.id);
+	m_context.balancer.onSent(backend.record.id, m_placement);
+	CallOptions options;
+	options.address = backend.record.address;
+	options.connectSpan = std::clamp(m_route->targetLatency / 4, kConnectMin, kConnectMax);
+	options.userTimeout = kBackendUserTimeout;
+	options.noBody = m_request.head.method == "HEAD";
+	CallHandlers handlers;
+	const auto self = shared_from_this();
+	handlers.onSent = [self]
+	{
+		self->m_attempt.onTheWire = true;
+		if (self->m_sent == 0)
+		{
+			self->m_context.retryBudget.onRequest(self->m_service, monotonicNow());
+		}
+		else
+		{
+			self->m_context.retryBudget.onRepeat(self->m_service, monotonicNow());
+		}
+		++self->m_sent;
+	};
+	handlers.onHead = [self](const MessageHead& head)
+	{
+		self->onHead(head);
+	};
+	handlers.onBody = [self](std::string_view bytes)
+	{
+		self->onBody(bytes);
+	};
+	handlers.onDone = [self]
+	{
+		self->onDone();
+	};
+	handlers.onFault = [self](CallFault fault)
+	{
+		self->onFault(fault);
+	};
+	m_attempt.call = OutgoingCall::start(m_context.loop, options, formatForward(backend), std::move(handlers));
+}
+
+std::string Exchange::formatForward(const KnownBackend& backend) const
+{
+	ForwardFields fields;
+	fields.timeLeft = timeLeft(monotonicNow());
+	fields.backendId = backend.record.id;
+	fields.team = m_team ? m_team->name : "";
+	fields.lastEventId = m_lastEvent ? std::to_string(*m_lastEvent) : "";
+	const PooledService* service = m_config->findService(m_service);
+	if (service && service->engine)
+	{
+		fields.priority = m_priority;
+	}
+	std::string bytes = m_request.head.method + ' ' + m_request.head.target + " HTTP/1.1\r\n";
+	for (const auto& [name, value] : platform::forwardedHeaders(m_request.head.headers, fields))
+	{
+		bytes += name + ": " + value + "\r\n";
+	}
+	const bool hadBody = m_request.head.chunked || !findHeader(m_request.head.headers, "Content-Length").empty();
+	if (hadBody)
+	{
+		bytes += "Content-Length: " + std::to_string(m_request.body.size()) + "\r\n";
+	}
+	bytes += "Connection: close\r\n\r\n";
+	bytes += m_request.body;
+	return bytes;
+}
+
+void Exchange::onHead(const MessageHead& head)
+{
+	m_attempt.head = head;
+	m_attempt.info = platform::readAnswer(head);
+	const bool ownAnswer = m_attempt.info.id == m_info.id;
+	if (!ownAnswer)
+	{
+		// An answer to some other request stands in this one's place.
+		endAttempt(AttemptResult::Broken);
+		return;
+	}
+	const bool successStatus = head.status >= kOk && head.status < kMultipleChoices;
+	if (successStatus && (!m_attempt.info.stamped || m_attempt.info.encoded))
+	{
+		endAttempt(AttemptResult::Broken);
+		return;
+	}
+	m_attempt.success = successStatus;
+	if (!m_attempt.info.notExecuted && m_route->kind != RouteKind::Stream)
+	{
+		countBegin();
+	}
+}
+
+void Exchange::countBegin()
+{
+	if (m_usageCounted || !m_team)
+	{
+		return;
+	}
+	m_usageCounted = true;
+	const Micros began = m_route->kind == RouteKind::Stream ? monotonicNow() : m_attempt.sent;
+	m_context.usage.onBegan(m_context.currentWindow(began), m_team->name);
+}
+
+void Exchange::onBody(std::string_view bytes)
+{
+	if (m_attempt.success && m_route->kind == RouteKind::Stream)
+	{
+		onEvents(bytes);
+		return;
+	}
+	m_attempt.body += bytes;
+	if (m_attempt.body.size() > limits::kGatewayAnswerBytes)
+	{
+		endAttempt(AttemptResult::Broken);
+	}
+}
+
+void Exchange::onEvents(std::string_view bytes)
+{
+	std::string whole;
+	for (const StreamEvent& event : m_attempt.events.add(bytes))
+	{
+		// A stream that goes on elsewhere may begin with events that the caller has.
+		if (event.id && m_lastEvent && *event.id <= *m_lastEvent)
+		{
+			continue;
+		}
+		m_lastEvent = event.id ? event.id : m_lastEvent;
+		whole += event.bytes;
+	}
+	if (m_attempt.events.pending() > limits::kEventBytes)
+	{
+		endAttempt(AttemptResult::Broken);
+		return;
+	}
+	if (whole.empty())
+	{
+		return;
+	}
+	if (!m_attempt.firstEvent)
+	{
+		m_attempt.firstEvent = true;
+		m_context.balancer.onFirstEvent(m_attempt.backendId, m_placement);
+		countBegin();
+	}
+	if (!m_streaming)
+	{
+		m_streaming = true;
+		m_session->startAnswer(m_attempt.head.status, endToEndHeaders(m_attempt.head.headers), whole);
+	}
+	else
+	{
+		m_session->sendPiece(whole);
+	}
+	if (m_session->unsent() > limits::kUnsentBytes)
+	{
+		m_attempt.call->pause();
+		m_session->setDrainedHandler(
+			[weak = weak_from_this()]
+			{
+				const auto self = weak.lock();
+				if (self && self->m_attempt.call)
+				{
+					self->m_attempt.call->resume();
+				}
+			});
+	}
+}
+
+void Exchange::onDone()
+{
+	if (m_attempt.info.misdirected)
+	{
+		m_context.directory.markMisdirected(m_attempt.backendId);
+		endAttempt(AttemptResult::Misdirected);
+	}
+	else if (m_attempt.info.notExecuted)
+	{
+		endAttempt(AttemptResult::Rejected);
+	}
+	else if (m_attempt.head.status >= kServerErrors)
+	{
+		endAttempt(AttemptResult::ServerError);
+	}
+	else if (m_attempt.success && m_route->kind == RouteKind::Stream)
+	{
+		finishStream();
+	}
+	else
+	{
+		closeAttempt(true);
+		passAnswer();
+	}
+}
+
+void Exchange::finishStream()
+{
+	const bool whole = m_streaming && m_attempt.events.pending() == 0;
+	if (!whole)
+	{
+		endAttempt(AttemptResult::Broken);
+		return;
+	}
+	closeAttempt(true);
+	m_session->finishAnswer();
+	finish("done", m_attempt.head.status);
+}
+
+void Exchange::onFault(CallFault fault)
+{
+	endAttempt(fault == CallFault::NotSent ? AttemptResult::NotSent : AttemptResult::Broken);
+}
+
+void Exchange::closeAttempt(bool succeeded)
+{
+	if (!m_attempt.call)
+	{
+		return;
+	}
+	m_attempt.call->cancel();
+	m_attempt.call = nullptr;
+	m_context.balancer.onEnded(m_attempt.backendId, m_placement, m_attempt.firstEvent);
+	m_context.balancer.onOutcome(m_attempt.backendId, succeeded, monotonicNow());
+	m_dispatcher.wake();
+}
+
+void Exchange::endAttempt(AttemptResult result)
+{
+	if (m_finished)
+	{
+		return;
+	}
+	const Micros now = monotonicNow();
+	const bool innocent = result == AttemptResult::Misdirected;
+	if (result == AttemptResult::Broken && m_attempt.onTheWire && m_route->kind != RouteKind::Stream)
+	{
+		countBegin();
+	}
+	closeAttempt(innocent);
+	m_unsentTries += result == AttemptResult::NotSent ? 1 : 0;
+	AttemptContext attempts;
+	attempts.repeatable = m_route->repeatable();
+	attempts.mayHaveRun = m_mayHaveRun;
+	attempts.sent = m_sent;
+	attempts.maxAttempts = m_route->maxAttempts;
+	attempts.unsentTries = m_unsentTries;
+	attempts.budgetAllows = m_context.retryBudget.allows(m_service, now);
+	attempts.timeLeft = timeLeft(now) > kAttemptMin;
+	const auto candidates = m_context.directory.usableOf(m_service, now);
+	attempts.anotherBackend = m_context.balancer.choose(candidates, m_placement, m_tried, now).backend != nullptr;
+	const AttemptDecision decision = decideAfterAttempt(result, attempts);
+	m_mayHaveRun = m_mayHaveRun || mayHaveRunAfter(result);
+	logEvent(LogLevel::Info, "attempt-failed",
+			 {{"request", m_info.id},
+			  {"backend", m_attempt.backendId},
+			  {"result", std::to_string(static_cast<int>(result))},
+			  {"status", std::to_string(m_attempt.head.status)},
+			  {"sent", std::to_string(m_sent)},
+			  {"ms", millisText(now - m_attempt.sent)},
+			  {"decision", std::to_string(static_cast<int>(decision))}});
+	if (decision == AttemptDecision::Retry)
+	{
+		if (!tryDispatch() && !m_finished)
+		{
+			m_queued = true;
+			m_dispatcher.enqueue(shared_from_this());
+		}
+		return;
+	}
+	if (m_streaming)
+	{
+		streamBroke();
+		return;
+	}
+	if (decision == AttemptDecision::PassAnswer)
+	{
+		passAnswer();
+		return;
+	}
+	if (decision == AttemptDecision::AnswerNotRun)
+	{
+		refuse(Failure::NoBackend, "no backend server took the request", kShortRetryAfter);
+		return;
+	}
+	refuse(Failure::BackendLost, "the backend server gave no answer");
+}
+
+void Exchange::streamBroke()
+{
+	m_session->abort();
+	finish("broken", 0);
+}
+
+void Exchange::passAnswer()
+{
+	HttpAnswer answer;
+	answer.status = m_attempt.head.status;
+	answer.headers = endToEndHeaders(m_attempt.head.headers);
+	answer.body = std::move(m_attempt.body);
+	m_session->answer(answer);
+	finish("passed", answer.status);
+}
+
+void Exchange::refuse(Failure failure, const std::string& detail, Micros retryAfter)
+{
+	unsigned status = failureInfo(failure).status;
+	// Whether it ran is not known: no promise may be made.
+	status = m_mayHaveRun && failureInfo(failure).outcome == Outcome::NotRun ? 502 : status;
+	answerOwn(status, failure, detail, m_mayHaveRun ? 0 : retryAfter);
+}
+
+void Exchange::answerOwn(unsigned status, Failure failure, const std::string& detail, Micros retryAfter)
+{
+	if (m_finished)
+	{
+		return;
+	}
+	if (m_streaming)
+	{
+		streamBroke();
+		return;
+	}
+	if (m_team && m_quotaTaken > 0.0 && !m_mayHaveRun && m_sent == 0)
+	{
+		m_context.quotas.giveBack(m_team->name, m_quotaTaken);
+	}
+	m_session->answer(makeOwnAnswer(status, failure, detail, retryAfter, platform::ownAnswerHeaders(m_info.id)));
+	finish(std::string(failureInfo(failure).type), status);
+}
+
+void Exchange::onCallerGone()
+{
+	if (m_finished)
+	{
+		return;
+	}
+	finish("caller-gone", 0);
+}
+
+void Exchange::onTimeout()
+{
+	if (m_finished)
+	{
+		return;
+	}
+	const bool mayRun = m_attempt.call && m_attempt.onTheWire;
+	m_mayHaveRun = m_mayHaveRun || mayRun;
+	if (m_mayHaveRun)
+	{
+		answerOwn(504, Failure::BackendLost, "no answer in time", 0);
+		return;
+	}
+	refuse(Failure::NoBackend, "no backend server had room in time", kShortRetryAfter);
+}
+
+void Exchange::finish(const std::string& outcome, unsigned status)
+{
+	if (m_finished)
+	{
+		return;
+	}
+	m_finished = true;
+	m_timer.cancel();
+	if (m_attempt.call)
+	{
+		m_attempt.call->cancel();
+		m_attempt.call = nullptr;
+		m_context.balancer.onEnded(m_attempt.backendId, m_placement, m_attempt.firstEvent);
+		m_dispatcher.wake();
+	}
+	if (m_queued)
+	{
+		m_dispatcher.remove(this);
+	}
+	const Micros now = monotonicNow();
+	logEvent(LogLevel::Info, "request",
+			 {{"request", m_info.id},
+			  {"route", m_route ? m_route->name : "-"},
+			  {"team", m_team ? m_team->name : "-"},
+			  {"outcome", outcome},
+			  {"status", std::to_string(status)},
+			  {"backend", m_attempt.backendId.empty() ? "-" : m_attempt.backendId},
+			  {"sent", std::to_string(m_sent)},
+			  {"ms", millisText(now - m_request.received)},
+			  {"config", m_config ? std::to_string(m_config->version) : "-"},
+			  {"config_age_ms", millisText(m_context.directory.age(now))}});
+}
+
+Dispatcher::Dispatcher(GatewayContext& context) : m_context(context), m_timer(context.loop)
+{
+}
+
+void Dispatcher::enqueue(ExchangePtr exchange)
+{
+	const auto later = [&](const ExchangePtr& other)
+	{
+		return other->priority() > exchange->priority() ||
+			   (other->priority() == exchange->priority() && other->received() > exchange->received());
+	};
+	const auto place = std::find_if(m_waiting.begin(), m_waiting.end(), later);
+	m_waiting.insert(place, std::move(exchange));
+	wake();
+}
+
+void Dispatcher::remove(const Exchange* exchange)
+{
+	std::erase_if(m_waiting, [exchange](const ExchangePtr& other) { return other.get() == exchange; });
+}
+
+std::size_t Dispatcher::waitingBefore(const std::string& service, unsigned priority) const
+{
+	return static_cast<std::size_t>(std::count_if(
+		m_waiting.begin(), m_waiting.end(),
+		[&](const ExchangePtr& other) { return other->service() == service && other->priority() <= priority; }));
+}
+
+void Dispatcher::wake()
+{
+	if (m_wakePending || m_waiting.empty())
+	{
+		return;
+	}
+	constexpr Micros kWakeDelay = 10 * kMillisecond;
+	m_wakePending = true;
+	m_timer.expires_after(std::chrono::microseconds(kWakeDelay));
+	m_timer.async_wait(
+		[this](const boost::system::error_code& error)
+		{
+			m_wakePending = false;
+			if (!error)
+			{
+				tryAll();
+			}
+		});
+}
+
+void Dispatcher::tryAll()
+{
+	const std::vector<ExchangePtr> waiting = m_waiting;
+	for (const ExchangePtr& exchange : waiting)
+	{
+		if (exchange->tryDispatch())
+		{
+			remove(exchange.get());
+		}
+	}
+	wake();
+}
+
+} // namespace beacongate
--- /dev/null
+++ b/src/gateway/exchange.h
@@ -0,0 +1,169 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// One caller's request from its arrival to its final answer.
+
+#ifndef BEACONGATE_GATEWAY_EXCHANGE_H
+#define BEACONGATE_GATEWAY_EXCHANGE_H
+
+#include "beacongate/errors.h"
+#include "coordination/attemptpolicy.h"
+#include "gateway/gatewaycontext.h"
+#include "gateway/requestinfo.h"
+#include "protocol/eventstream.h"
+#include "transport/outgoingcall.h"
+#include "transport/serversession.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace beacongate
+{
+class Dispatcher;
+
+/// Admits a request, sends it to backend servers, and hands the answer on.
+class Exchange : public std::enable_shared_from_this<Exchange>
+{
+public:
+	Exchange(GatewayContext& context, Dispatcher& dispatcher, ServerSessionPtr session, IncomingRequest&& request);
+	~Exchange();
+	Exchange(const Exchange&) = delete;
+	Exchange& operator=(const Exchange&) = delete;
+
+	/// Decides whether the request is taken, and sends it on.
+	void start();
+
+	/// Sends the request to a backend server where one has room.
+	/// @returns whether it left the queue: it was sent, or it was answered.
+	bool tryDispatch();
+
+	/// @returns urgency for the queue: smaller goes first.
+	unsigned priority() const
+	{
+		return m_priority;
+	}
+
+	/// @returns the service that the request goes to.
+	const std::string& service() const
+	{
+		return m_service;
+	}
+
+	/// @returns when the request arrived.
+	Micros received() const
+	{
+		return m_request.received;
+	}
+
+private:
+	/// What the present attempt has seen.
+	struct Attempt
+	{
+		std::string backendId;
+		OutgoingCall::Ptr call;
+		Micros sent = 0;
+		MessageHead head;
+		AnswerInfo info;
+		std::string body;
+		EventSplitter events;
+		bool onTheWire = false;
+		bool firstEvent = false;
+		bool success = false;
+		bool counted = false;
+	};
+
+	bool resolve();
+	bool resolveAgain();
+	void chooseService();
+	bool takeQuota();
+	double quotaAmount() const;
+	Micros timeLeft(Micros now) const;
+	bool keyMayBeRevoked(Micros now) const;
+	void send(const KnownBackend& backend);
+	std::string formatForward(const KnownBackend& backend) const;
+	void onHead(const MessageHead& head);
+	void onBody(std::string_view bytes);
+	void onEvents(std::string_view bytes);
+	void onDone();
+	void onFault(CallFault fault);
+	void endAttempt(AttemptResult result);
+	void closeAttempt(bool succeeded);
+	void countBegin();
+	void passAnswer();
+	void finishStream();
+	void streamBroke();
+	void refuse(Failure failure, const std::string& detail, Micros retryAfter = 0);
+	void answerOwn(unsigned status, Failure failure, const std::string& detail, Micros retryAfter);
+	void onCallerGone();
+	void onTimeout();
+	void finish(const std::string& outcome, unsigned status);
+
+	GatewayContext& m_context;
+	Dispatcher& m_dispatcher;
+	ServerSessionPtr m_session;
+	IncomingRequest m_request;
+	RequestInfo m_info;
+	RoutingConfigPtr m_config;
+	const Route* m_route = nullptr;
+	const TeamAccess* m_team = nullptr;
+	std::string m_service;
+	PlacementRequest m_placement;
+	unsigned m_priority = 5;
+	Micros m_holdUntil = kNever;
+	Attempt m_attempt;
+	std::vector<std::string> m_tried;
+	unsigned m_sent = 0;
+	unsigned m_unsentTries = 0;
+	bool m_mayHaveRun = false;
+	bool m_streaming = false;
+	bool m_finished = false;
+	bool m_queued = false;
+	bool m_usageCounted = false;
+	double m_quotaTaken = 0.0;
+	std::optional<std::uint64_t> m_lastEvent;
+	boost::asio::steady_timer m_timer;
+};
+
+using ExchangePtr = std::shared_ptr<Exchange>;
+
+/// Holds requests for which no backend server has room, the most urgent first.
+class Dispatcher
+{
+public:
+	explicit Dispatcher(GatewayContext& context);
+
+	/// Keeps a request until room is found.
+	void enqueue(ExchangePtr exchange);
+
+	/// Forgets a request.
+	void remove(const Exchange* exchange);
+
+	/// Tries the requests that wait; done soon, once for many calls.
+	void wake();
+
+	/// @returns requests that wait.
+	std::size_t waiting() const
+	{
+		return m_waiting.size();
+	}
+
+	/// @returns requests of a service that wait and are at least as urgent.
+	std::size_t waitingBefore(const std::string& service, unsigned priority) const;
+
+private:
+	void tryAll();
+
+	GatewayContext& m_context;
+	std::vector<ExchangePtr> m_waiting;
+	boost::asio::steady_timer m_timer;
+	bool m_wakePending = false;
+};
+
+} // namespace beacongate
+
+#endif // BEACONGATE_GATEWAY_EXCHANGE_H
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,271 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+#include "gateway/gateway.h"
+
+#include "daemon/logging.h"
+#include "gateway/gatewaystate.h"
+#include "gateway/ownanswers.h"
+#include "platform/headers.h"
+
+#include <csignal>
+
+namespace beacongate
+{
+namespace
+{
+constexpr Micros kNoticeSpan = 4 * kSecond; ///< Until the balancer has certainly seen that this gateway stops.
+constexpr Micros kStopStep = 50 * kMillisecond;
+constexpr Micros kKillMargin = 400 * kMillisecond; ///< Left before the process would be killed.
+constexpr Micros kStopRetryAfter = 50 * kMillisecond;
+constexpr const char* kContentPath = "/content";
+constexpr const char* kStatePath = "/state";
+
+HttpAnswer malformedAnswer(ParseFault fault)
+{
+	switch (fault)
+	{
+	case ParseFault::HeaderTooLarge:
+		return makeOwnAnswer(431, Failure::HeaderTooLarge, "the header is too large", 0);
+	case ParseFault::BodyTooLarge:
+		return makeOwnAnswer(413, Failure::BodyTooLarge, "the body is too large", 0);
+	default:
+		return makeOwnAnswer(400, Failure::MalformedRequest, "this is no request", 0);
+	}
+}
+} // namespace
+
+Gateway::Gateway(GatewaySettings settings, std::function<GatewaySettings()> reload)
+	: m_context(std::move(settings)), m_reload(std::move(reload)), m_dispatcher(m_context),
+	  m_signals(m_context.loop, SIGTERM, SIGINT, SIGHUP), m_stopTimer(m_context.loop)
+{
+	m_context.onDirectoryChanged = [this]
+	{
+		m_dispatcher.wake();
+	};
+}
+
+std::shared_ptr<ServerContext> Gateway::makeContext()
+{
+	auto shared = std::make_shared<ServerContext>();
+	shared->onMalformed = malformedAnswer;
+	shared->onTimeout = []
+	{
+		return makeOwnAnswer(408, Failure::RequestTimeout, "the request came too slowly", 0);
+	};
+	shared->limits = [this]
+	{
+		return limitsInForce();
+	};
+	shared->now = monotonicNow;
+	return shared;
+}
+
+void Gateway::init()
+{
+	m_callers = makeContext();
+	m_callers->onRequest = [this](const ServerSessionPtr& session, IncomingRequest&& request)
+	{
+		onCallerRequest(session, std::move(request));
+	};
+	m_questions = makeContext();
+	m_questions->onRequest = [this](const ServerSessionPtr& session, IncomingRequest&& request)
+	{
+		if (platform::asksReadiness(request.head))
+		{
+			onReadinessRequest(session, request);
+			return;
+		}
+		onControlRequest(session, request);
+	};
+	m_callerListener = std::make_unique<ServerListener>(m_context.loop, m_context.settings.callers, m_callers);
+	m_readinessListener =
+		std::make_unique<ServerListener>(m_context.loop, m_context.settings.readiness, m_questions);
+	if (m_context.settings.control)
+	{
+		m_controlListener =
+			std::make_unique<ServerListener>(m_context.loop, *m_context.settings.control, m_questions);
+	}
+	m_gossiper = std::make_unique<Gossiper>(m_context);
+	m_gossiper->init();
+	m_store = std::make_shared<StoreSync>(m_context);
+	m_store->init();
+	m_registration = std::make_shared<Registration>(m_context);
+	m_registration->init();
+	if (m_context.settings.dutyApi)
+	{
+		m_duties = std::make_shared<DutyHolder>(m_context);
+		m_duties->init();
+	}
+	waitForSignal();
+	logEvent(LogLevel::Info, "gateway-started",
+			 {{"name", m_context.settings.name}, {"incarnation", std::to_string(m_context.run.incarnation)}});
+}
+
+void Gateway::run()
+{
+	m_context.loop.run();
+}
+
+RequestLimits Gateway::limitsInForce() const
+{
+	const auto& config = m_context.directory.config();
+	return config ? config->limits : RequestLimits();
+}
+
+void Gateway::onCallerRequest(const ServerSessionPtr& session, IncomingRequest&& request)
+{
+	const bool tooLate =
+		m_context.stopping && monotonicNow() - m_context.stopRequested > m_context.settings.grace * 2 / 3;
+	if (tooLate)
+	{
+		session->answer(makeOwnAnswer(503, Failure::Stopping, "this gateway is stopping", kStopRetryAfter), true);
+		return;
+	}
+	std::make_shared<Exchange>(m_context, m_dispatcher, session, std::move(request))->start();
+}
+
+bool Gateway::ready() const
+{
+	if (m_context.stopping || !m_context.directory.config())
+	{
+		return false;
+	}
+	const bool mayExpire = m_context.settings.strictRevocation && !m_context.directory.config()->teams.empty();
+	return !mayExpire || m_context.directory.age(monotonicNow()) < m_context.settings.revocationSpan * 6 / 10;
+}
+
+void Gateway::onReadinessRequest(const ServerSessionPtr& session, const IncomingRequest& /*request*/)
+{
+	if (ready())
+	{
+		session->answer(HttpAnswer{});
+		return;
+	}
+	const bool stopping = m_context.stopping;
+	session->answer(makeOwnAnswer(503, stopping ? Failure::Stopping : Failure::StoreUnavailable,
+								  stopping ? "this gateway is stopping" : "the configuration is not confirmed", 0));
+}
+
+void Gateway::onControlRequest(const ServerSessionPtr& session, const IncomingRequest& request)
+{
+	if (request.head.target == kContentPath)
+	{
+		HttpAnswer answer;
+		answer.body = m_store->encodeContent();
+		answer.status = answer.body.empty() ? 503 : 200;
+		session->answer(answer);
+		return;
+	}
+	if (request.head.target == kStatePath)
+	{
+		HttpAnswer answer;
+		answer.headers = {{"Content-Type", "application/json"}};
+		answer.body = describeState(m_context, m_dispatcher.waiting(), m_duties && m_duties->holds());
+		session->answer(answer);
+		return;
+	}
+	session->answer(makeOwnAnswer(404, Failure::NoRoute, "no such page", 0));
+}
+
+void Gateway::waitForSignal()
+{
+	m_signals.async_wait(
+		[this](const boost::system::error_code& error, int signal)
+		{
+			if (error)
+			{
+				return;
+			}
+			if (signal == SIGHUP)
+			{
+				reloadSettings();
+			}
+			else
+			{
+				requestStop();
+			}
+			waitForSignal();
+		});
+}
+
+void Gateway::reloadSettings()
+{
+	try
+	{
+		const GatewaySettings settings = m_reload();
+		m_context.settings.seeds = settings.seeds;
+		m_context.settings.retryBudget = settings.retryBudget;
+		m_context.settings.grace = settings.grace;
+		m_context.settings.strictRevocation = settings.strictRevocation;
+		m_context.settings.revocationSpan = settings.revocationSpan;
+		m_context.retryBudget.configure(settings.retryBudget);
+		m_context.peers.setSeeds(settings.seeds);
+		logEvent(LogLevel::Info, "settings-reloaded", {});
+	}
+	catch (const Error& error)
+	{
+		logEvent(LogLevel::Error, "settings-refused", {{"detail", error.what()}});
+	}
+}
+
+void Gateway::requestStop()
+{
+	if (m_context.stopping)
+	{
+		return;
+	}
+	m_context.stopping = true;
+	m_context.stopRequested = monotonicNow();
+	m_callers->stopping = true;
+	logEvent(LogLevel::Info, "stop-requested", {{"open", std::to_string(m_context.openExchanges)}});
+	stopStep();
+}
+
+void Gateway::stopStep()
+{
+	const Micros elapsed = monotonicNow() - m_context.stopRequested;
+	const bool noticed = elapsed >= std::min(kNoticeSpan, m_context.settings.grace / 2);
+	const bool mustEnd = elapsed >= m_context.settings.grace - kKillMargin;
+	if (noticed)
+	{
+		m_callerListener->close();
+		const auto sessions = m_callers->sessions;
+		for (const ServerSessionPtr& session : sessions)
+		{
+			session->closeIfIdle();
+		}
+	}
+	if (mustEnd || (noticed && m_callers->sessions.empty()))
+	{
+		shutdown();
+		return;
+	}
+	m_stopTimer.expires_after(std::chrono::microseconds(kStopStep));
+	m_stopTimer.async_wait(
+		[this](const boost::system::error_code& error)
+		{
+			if (!error)
+			{
+				stopStep();
+			}
+		});
+}
+
+void Gateway::shutdown()
+{
+	logEvent(LogLevel::Info, "gateway-stopped", {{"open", std::to_string(m_context.openExchanges)}});
+	m_signals.cancel();
+	m_gossiper->shutdown();
+	m_store->shutdown();
+	m_registration->shutdown();
+	if (m_duties)
+	{
+		m_duties->shutdown();
+	}
+	// Answers whose last bytes are on their way are given a moment.
+	m_stopTimer.expires_after(std::chrono::microseconds(kStopStep * 2));
+	m_stopTimer.async_wait([this](const boost::system::error_code& /*error*/) { m_context.loop.stop(); });
+}
+
+} // namespace beacongate
--- /dev/null
+++ b/src/gateway/gatewaycontext.h
@@ -0,0 +1,82 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// What the parts of one gateway share. All of it belongs to the event loop's thread.
+
+#ifndef BEACONGATE_GATEWAY_GATEWAYCONTEXT_H
+#define BEACONGATE_GATEWAY_GATEWAYCONTEXT_H
+
+#include "coordination/agreedclock.h"
+#include "coordination/balancer.h"
+#include "coordination/directory.h"
+#include "coordination/kvtypes.h"
+#include "coordination/peertable.h"
+#include "coordination/quotaledger.h"
+#include "coordination/sharedretrybudget.h"
+#include "coordination/usageledger.h"
+#include "daemon/clock.h"
+#include "gateway/gatewaysettings.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <map>
+#include <random>
+#include <string>
+
+namespace beacongate
+{
+/// The whole content of the store as it was last read, by key.
+struct StoreContent
+{
+	std::uint64_t revision = 0;
+	Micros confirmed = kLongAgo;
+	std::map<std::string, KvItem> items;
+};
+
+/// State of one gateway.
+struct GatewayContext
+{
+	explicit GatewayContext(GatewaySettings configured)
+		: settings(std::move(configured)), run{settings.name, newIncarnation()}, balancer(settings.dataCentre),
+		  peers(settings.callers.host), usage(run), random(static_cast<std::mt19937::result_type>(run.incarnation))
+	{
+		retryBudget.configure(settings.retryBudget);
+		peers.setSeeds(settings.seeds);
+	}
+
+	/// @returns a span within a quarter of the given one.
+	Micros jittered(Micros span)
+	{
+		return span * 3 / 4 + static_cast<Micros>(random() % static_cast<std::uint64_t>(span / 2 + 1));
+	}
+
+	/// @returns number of the usage window that is open now.
+	std::uint64_t currentWindow(Micros now) const
+	{
+		return static_cast<std::uint64_t>(clock.trueTime(now) / settings.usageWindow);
+	}
+
+	boost::asio::io_context loop{1};
+	GatewaySettings settings;
+	GatewayRun run;
+	Directory directory;
+	StoreContent content;
+	Balancer balancer;
+	QuotaLedger quotas;
+	SharedRetryBudget retryBudget;
+	PeerTable peers;
+	AgreedClock clock;
+	UsageLedger usage;
+	std::minstd_rand random;
+	bool stopping = false;
+	Micros stopRequested = kNever;
+	std::size_t openExchanges = 0;
+	/// Called when the directory took in a snapshot.
+	std::function<void()> onDirectoryChanged;
+};
+
+} // namespace beacongate
+
+#endif // BEACONGATE_GATEWAY_GATEWAYCONTEXT_H
--- /dev/null
+++ b/src/gateway/gatewaysettings.h
@@ -0,0 +1,46 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// Settings of one gateway process.
+
+#ifndef BEACONGATE_GATEWAY_GATEWAYSETTINGS_H
+#define BEACONGATE_GATEWAY_GATEWAYSETTINGS_H
+
+#include "beacongate/config.h"
+#include "coordination/sharedretrybudget.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace beacongate
+{
+/// Where a gateway runs, whom it talks to, and the bounds that it has to keep.
+struct GatewaySettings
+{
+	std::string name;       ///< Of this VM; the same after a restart.
+	std::string dataCentre; ///< Of this VM.
+	std::vector<std::string> dataCentres;
+	Address callers;                 ///< Listens for callers.
+	Address readiness;               ///< Listens for the balancer's questions.
+	std::optional<Address> control;  ///< Listens for other gateways and operators.
+	std::uint16_t gossipPort = 0;    ///< Datagrams between gateways, the same port on all VMs.
+	std::vector<Address> seeds;      ///< Control addresses of some gateways.
+	Address store;                   ///< The key-value service.
+	Micros leaseMinimum = kSecond;   ///< Shortest lease that the store gives.
+	std::optional<Address> dutyApi;  ///< Takes usage reports and orders for capacity.
+	bool reportsUsage = false;       ///< That duty is there.
+	bool ordersCapacity = false;     ///< That duty is there.
+	Micros grace = 8 * kSecond;      ///< From a request to stop until the process is killed.
+	bool strictRevocation = false;   ///< A key that was taken away must not be served beyond revocationSpan.
+	Micros revocationSpan = kNever;  ///< See strictRevocation.
+	Micros leaseSpan = 3 * kSecond;  ///< Of the duty holder's lease.
+	Micros usageWindow = kSecond;    ///< Length of a usage report's window.
+	Micros usageDue = 10 * kSecond;  ///< From a window's end until its report is late.
+	RetryBudgetSettings retryBudget; ///< Over all gateways together.
+};
+
+} // namespace beacongate
+
+#endif // BEACONGATE_GATEWAY_GATEWAYSETTINGS_H
--- /dev/null
+++ b/src/gateway/gatewaystate.h
@@ -0,0 +1,21 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// The dump of a gateway's state.
+
+#ifndef BEACONGATE_GATEWAY_GATEWAYSTATE_H
+#define BEACONGATE_GATEWAY_GATEWAYSTATE_H
+
+#include "gateway/gatewaycontext.h"
+
+#include <string>
+
+namespace beacongate
+{
+/// @returns the state as JSON; keys of teams are left out.
+std::string describeState(const GatewayContext& context, std::size_t waiting, bool holdsDuties);
+
+} // namespace beacongate
+
+#endif // BEACONGATE_GATEWAY_GATEWAYSTATE_H
--- /dev/null
+++ b/src/gateway/gossiper.cpp
@@ -0,0 +1,180 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+#include "gateway/gossiper.h"
+
+#include "beacongate/errors.h"
+#include "beacongate/limits.h"
+#include "protocol/gossipcodec.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace beacongate
+{
+namespace asio = boost::asio;
+using udp = asio::ip::udp;
+using BoostError = boost::system::error_code;
+
+namespace
+{
+constexpr Micros kInterval = 150 * kMillisecond;
+
+Micros wallClockNow()
+{
+	const auto now = std::chrono::system_clock::now().time_since_epoch();
+	return std::chrono::duration_cast<std::chrono::microseconds>(now).count();
+}
+} // namespace
+
+Gossiper::Gossiper(GatewayContext& context)
+	: m_context(context), m_socket(context.loop), m_timer(context.loop), m_buffer(limits::kGossipBytes)
+{
+	try
+	{
+		const udp::endpoint endpoint(asio::ip::make_address(context.settings.callers.host),
+									 context.settings.gossipPort);
+		m_socket.open(endpoint.protocol());
+		m_socket.bind(endpoint);
+		m_socket.non_blocking(true);
+	}
+	catch (const boost::system::system_error& error)
+	{
+		throw Error(Failure::SettingInvalid, "cannot bind the gossip port " +
+												 std::to_string(context.settings.gossipPort) + ": " + error.what());
+	}
+}
+
+void Gossiper::init()
+{
+	m_context.clock.update(wallClockNow(), monotonicNow());
+	receive();
+	tick();
+}
+
+void Gossiper::shutdown()
+{
+	m_timer.cancel();
+	BoostError ignored;
+	m_socket.close(ignored);
+}
+
+GossipMessage Gossiper::describe(Micros now) const
+{
+	GossipMessage message;
+	message.run = m_context.run;
+	message.host = m_context.settings.callers.host;
+	message.sent = now;
+	message.wallClock = wallClockNow();
+	message.storeRevision = m_context.directory.revision();
+	message.configVersion = m_context.directory.config() ? m_context.directory.config()->version : 0;
+	message.configAge = m_context.directory.age(now);
+	message.leaving = m_context.stopping;
+	message.members = m_context.peers.heardHosts(now);
+	message.loads = m_context.balancer.ownLoads();
+	message.usage = m_context.usage.ownCounts();
+	if (m_context.directory.config())
+	{
+		for (const TeamAccess& team : m_context.directory.config()->teams)
+		{
+			message.quotas.push_back({team.name, m_context.quotas.takenHere(team.name)});
+		}
+	}
+	return message;
+}
+
+void Gossiper::tick()
+{
+	const Micros now = monotonicNow();
+	m_context.clock.update(wallClockNow(), now);
+	m_context.usage.advance(m_context.currentWindow(now));
+	const std::size_t members = m_context.peers.memberCount(now);
+	m_context.quotas.setMembers(members);
+	m_context.retryBudget.setMembers(members);
+	std::vector<std::string> targets = m_context.peers.targets(now);
+	if (targets.size() > limits::kGossipPeers)
+	{
+		std::shuffle(targets.begin(), targets.end(), m_context.random);
+		targets.resize(limits::kGossipPeers);
+	}
+	GossipMessage message = describe(now);
+	for (const std::string& host : targets)
+	{
+		BoostError ignored;
+		message.echo = m_context.peers.echoFor(host);
+		const std::string bytes = encodeGossip(message);
+		const udp::endpoint endpoint(asio::ip::make_address(host, ignored), m_context.settings.gossipPort);
+		m_socket.send_to(asio::buffer(bytes), endpoint, 0, ignored);
+	}
+	m_timer.expires_after(std::chrono::microseconds(m_context.jittered(kInterval)));
+	m_timer.async_wait(
+		[this](const BoostError& error)
+		{
+			if (!error)
+			{
+				tick();
+			}
+		});
+}
+
+void Gossiper::receive()
+{
+	m_socket.async_wait(udp::socket::wait_read,
+						[this](const BoostError& error)
+						{
+							if (error)
+							{
+								return;
+							}
+							readDatagrams();
+							receive();
+						});
+}
+
+void Gossiper::readDatagrams()
+{
+	BoostError error;
+	while (!error)
+	{
+		udp::endpoint sender;
+		const std::size_t count = m_socket.receive_from(asio::buffer(m_buffer), sender, 0, error);
+		if (!error)
+		{
+			onDatagram(std::string_view(m_buffer.data(), count));
+		}
+	}
+}
+
+void Gossiper::onDatagram(std::string_view bytes)
+{
+	const std::optional<GossipMessage> message = decodeGossip(bytes);
+	if (!message)
+	{
+		return;
+	}
+	const Micros now = monotonicNow();
+	const bool fresh = m_context.peers.onMessage(*message, now);
+	// Counts only grow, so they hold however late they come.
+	for (const UsageCount& count : message->usage)
+	{
+		m_context.usage.onReport(message->run, count);
+	}
+	if (!fresh)
+	{
+		return;
+	}
+	for (const QuotaReport& report : message->quotas)
+	{
+		m_context.quotas.onReport(message->host, message->run.incarnation, report, now);
+	}
+	m_context.quotas.onHeard(message->host, now);
+	m_context.clock.onSample(message->host, message->wallClock, now);
+	m_context.balancer.setPeerLoads(message->host, message->loads, now);
+	const auto& config = m_context.directory.config();
+	if (config && config->version == message->configVersion)
+	{
+		m_context.directory.confirm(message->echo - message->configAge);
+	}
+}
+
+} // namespace beacongate
--- /dev/null
+++ b/src/gateway/gossiper.h
@@ -0,0 +1,49 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// Sends this gateway's state to its peers in datagrams, and takes in theirs.
+
+#ifndef BEACONGATE_GATEWAY_GOSSIPER_H
+#define BEACONGATE_GATEWAY_GOSSIPER_H
+
+#include "gateway/gatewaycontext.h"
+
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <memory>
+#include <vector>
+
+namespace beacongate
+{
+/// Talks to peers.
+class Gossiper
+{
+public:
+	/// @throws Error SettingInvalid where the port cannot be bound.
+	explicit Gossiper(GatewayContext& context);
+
+	/// Begins to send and receive.
+	void init();
+
+	/// Stops.
+	void shutdown();
+
+private:
+	void tick();
+	void receive();
+	void readDatagrams();
+	void onDatagram(std::string_view bytes);
+	GossipMessage describe(Micros now) const;
+
+	GatewayContext& m_context;
+	boost::asio::ip::udp::socket m_socket;
+	boost::asio::steady_timer m_timer;
+	std::vector<char> m_buffer;
+};
+
+} // namespace beacongate
+
+#endif // BEACONGATE_GATEWAY_GOSSIPER_H
--- /dev/null
+++ b/src/gateway/memberkeys.h
@@ -0,0 +1,41 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// The keys that gateways keep in the store.
+
+#ifndef BEACONGATE_GATEWAY_MEMBERKEYS_H
+#define BEACONGATE_GATEWAY_MEMBERKEYS_H
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace beacongate
+{
+inline constexpr std::string_view kMemberPrefix = "beacongate/members/"; ///< Then the name; the value is its host.
+inline constexpr std::string_view kUsagePrefix = "beacongate/usage/";    ///< Then the window's number.
+inline constexpr const char* kHolderKey = "beacongate/holder";           ///< Leased to the holder of the duties.
+inline constexpr const char* kFenceKey = "beacongate/fence";             ///< The holder's fencing token.
+
+/// @returns whether a key registers a gateway.
+inline bool isMemberKey(std::string_view key)
+{
+	return key.substr(0, kMemberPrefix.size()) == kMemberPrefix;
+}
+
+/// @returns the key that registers a gateway.
+inline std::string memberKey(const std::string& name)
+{
+	return std::string(kMemberPrefix) + name;
+}
+
+/// @returns the key under which a window's counts are fixed.
+inline std::string usageKey(std::uint64_t window)
+{
+	return std::string(kUsagePrefix) + std::to_string(window);
+}
+
+} // namespace beacongate
+
+#endif // BEACONGATE_GATEWAY_MEMBERKEYS_H
--- /dev/null
+++ b/src/gateway/registration.cpp
@@ -0,0 +1,113 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+#include "gateway/registration.h"
+
+#include "gateway/memberkeys.h"
+#include "platform/storecalls.h"
+
+namespace beacongate
+{
+namespace
+{
+constexpr Micros kLeaseSpan = 12 * kSecond;
+constexpr Micros kRenewInterval = 4 * kSecond;
+constexpr Micros kRetryInterval = 1 * kSecond;
+constexpr Micros kCallTimeout = 1 * kSecond;
+constexpr std::size_t kAnswerBytes = 64u << 10;
+} // namespace
+
+Registration::Registration(GatewayContext& context)
+	: m_context(context),
+	  m_channel(std::make_shared<HttpChannel>(context.loop, context.settings.store, kAnswerBytes)),
+	  m_timer(context.loop)
+{
+}
+
+void Registration::init()
+{
+	openLease();
+}
+
+void Registration::shutdown()
+{
+	m_closed = true;
+	m_timer.cancel();
+	m_channel->close();
+}
+
+void Registration::schedule(Micros span)
+{
+	m_timer.expires_after(std::chrono::microseconds(m_context.jittered(span)));
+	m_timer.async_wait(
+		[self = shared_from_this()](const boost::system::error_code& error)
+		{
+			if (error || self->m_closed)
+			{
+				return;
+			}
+			if (self->m_lease == 0)
+			{
+				self->openLease();
+			}
+			else if (!self->m_written)
+			{
+				self->write();
+			}
+			else
+			{
+				self->renew();
+			}
+		});
+}
+
+void Registration::openLease()
+{
+	m_channel->call(platform::leaseCall(kLeaseSpan), kCallTimeout,
+					[self = shared_from_this()](const std::optional<HttpAnswer>& answer)
+					{
+						const auto lease = platform::readLease(answer);
+						if (!lease)
+						{
+							self->schedule(kRetryInterval);
+							return;
+						}
+						self->m_lease = lease->id;
+						self->write();
+					});
+}
+
+void Registration::write()
+{
+	// A member's entry is its own alone: a put without a condition that is done late changes nothing.
+	KvTransaction change;
+	change.puts.push_back({memberKey(m_context.settings.name), m_context.settings.callers.host, m_lease});
+	m_channel->call(platform::transactionCall(change), kCallTimeout,
+					[self = shared_from_this()](const std::optional<HttpAnswer>& answer)
+					{
+						const KvResult result = platform::readTransaction(answer);
+						self->m_written = result.outcome == KvOutcome::Done;
+						if (result.outcome == KvOutcome::LeaseGone)
+						{
+							self->m_lease = 0;
+						}
+						self->schedule(self->m_written ? kRenewInterval : kRetryInterval);
+					});
+}
+
+void Registration::renew()
+{
+	m_channel->call(platform::renewCall(m_lease), kCallTimeout,
+					[self = shared_from_this()](const std::optional<HttpAnswer>& answer)
+					{
+						const platform::RenewedLease renewal = platform::readRenewal(answer);
+						if (renewal.gone)
+						{
+							self->m_lease = 0;
+							self->m_written = false;
+						}
+						self->schedule(renewal.renewed ? kRenewInterval : kRetryInterval);
+					});
+}
+
+} // namespace beacongate
--- /dev/null
+++ b/src/gateway/registration.h
@@ -0,0 +1,47 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// Keeps this gateway's own entry in the store, so that others find it.
+
+#ifndef BEACONGATE_GATEWAY_REGISTRATION_H
+#define BEACONGATE_GATEWAY_REGISTRATION_H
+
+#include "gateway/gatewaycontext.h"
+#include "transport/httpchannel.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+
+namespace beacongate
+{
+/// Registers under a lease and renews it.
+class Registration : public std::enable_shared_from_this<Registration>
+{
+public:
+	explicit Registration(GatewayContext& context);
+
+	/// Begins to register.
+	void init();
+
+	/// Ends; the entry lapses with its lease.
+	void shutdown();
+
+private:
+	void schedule(Micros span);
+	void openLease();
+	void write();
+	void renew();
+
+	GatewayContext& m_context;
+	std::shared_ptr<HttpChannel> m_channel;
+	boost::asio::steady_timer m_timer;
+	std::uint64_t m_lease = 0;
+	bool m_written = false;
+	bool m_closed = false;
+};
+
+} // namespace beacongate
+
+#endif // BEACONGATE_GATEWAY_REGISTRATION_H
--- a/src/protocol/etcd.cpp
+++ b/src/protocol/etcd.cpp
@@ -3,6 +3,7 @@
 
 #include "protocol/etcd.h"
 
+#include "protocol/base64.h"
 #include "protocol/json.h"
 
 #include <array>
@@ -11,8 +12,6 @@
 {
 namespace
 {
-constexpr std::string_view kAlphabet = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
-constexpr char kPadding = '=';
 
 std::int64_t readNumber(const Json& _object, const char* _name)
 {
@@ -140,51 +139,4 @@
 				   });
 }
 
-std::string toBase64(std::string_view _bytes)
-{
-	std::string text;
-	text.reserve((_bytes.size() + 2) / 3 * 4);
-	for (std::size_t ii = 0; ii < _bytes.size(); ii += 3)
-	{
-		const std::size_t count = std::min<std::size_t>(3, _bytes.size() - ii);
-		std::uint32_t group = 0;
-		for (std::size_t jj = 0; jj < 3; ++jj)
-		{
-			group = group << 8 | (jj < count ? static_cast<unsigned char>(_bytes[ii + jj]) : 0u);
-		}
-		for (std::size_t jj = 0; jj < 4; ++jj)
-		{
-			text += jj <= count ? kAlphabet[group >> (18 - 6 * jj) & 63] : kPadding;
-		}
-	}
-	return text;
-}
-
-std::string fromBase64(std::string_view _text)
-{
-	std::string bytes;
-	std::uint32_t group = 0;
-	unsigned bits = 0;
-	for (const char c : _text)
-	{
-		if (kPadding == c)
-		{
-			break;
-		}
-		const std::size_t digit = kAlphabet.find(c);
-		if (std::string_view::npos == digit)
-		{
-			throw Error(Failure::MalformedRequest, "not base64");
-		}
-		group = group << 6 | static_cast<std::uint32_t>(digit);
-		bits += 6;
-		if (8 <= bits)
-		{
-			bits -= 8;
-			bytes += static_cast<char>(group >> bits & 255);
-		}
-	}
-	return bytes;
-}
-
 } // namespace beacongate::etcd
--- a/src/protocol/etcd.h
+++ b/src/protocol/etcd.h
@@ -37,12 +37,6 @@
 StoreAnswered decode(const StoreLeaseGrant& _grant, std::string_view _body);
 StoreAnswered decode(const StoreLeaseRenew& _renew, std::string_view _body);
 
-/// @returns the bytes as base64 with padding.
-std::string toBase64(std::string_view _bytes);
-
-/// @throws Error MalformedRequest where the text is no base64.
-std::string fromBase64(std::string_view _text);
-
 } // namespace beacongate::etcd
 
 #endif // BEACONGATE_PROTOCOL_ETCD_H
--- /dev/null
+++ b/src/protocol/eventstream.cpp
@@ -0,0 +1,81 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+#include "protocol/eventstream.h"
+
+#include <charconv>
+
+namespace beacongate
+{
+namespace
+{
+/// @returns the length of the first event with its blank line, or 0.
+std::size_t firstEventLength(std::string_view text)
+{
+	std::size_t lineStart = 0;
+	while (lineStart < text.size())
+	{
+		const std::size_t lineEnd = text.find('\n', lineStart);
+		if (lineEnd == std::string_view::npos)
+		{
+			return 0;
+		}
+		const std::string_view line = text.substr(lineStart, lineEnd - lineStart);
+		const bool blank = line.empty() || line == "\r";
+		if (blank)
+		{
+			return lineEnd + 1;
+		}
+		lineStart = lineEnd + 1;
+	}
+	return 0;
+}
+
+std::optional<std::uint64_t> idOf(std::string_view event)
+{
+	constexpr std::string_view kField = "id:";
+	std::size_t start = 0;
+	while (start < event.size())
+	{
+		std::size_t end = event.find('\n', start);
+		end = end == std::string_view::npos ? event.size() : end;
+		std::string_view line = event.substr(start, end - start);
+		start = end + 1;
+		if (line.substr(0, kField.size()) != kField)
+		{
+			continue;
+		}
+		line.remove_prefix(kField.size());
+		while (!line.empty() && line.front() == ' ')
+		{
+			line.remove_prefix(1);
+		}
+		std::uint64_t id = 0;
+		const auto [last, error] = std::from_chars(line.data(), line.data() + line.size(), id);
+		if (error == std::errc{})
+		{
+			return id;
+		}
+	}
+	return std::nullopt;
+}
+} // namespace
+
+std::vector<StreamEvent> EventSplitter::add(std::string_view bytes)
+{
+	m_pending += bytes;
+	std::vector<StreamEvent> events;
+	std::size_t taken = 0;
+	while (const std::size_t length = firstEventLength(std::string_view(m_pending).substr(taken)))
+	{
+		StreamEvent event;
+		event.bytes = m_pending.substr(taken, length);
+		event.id = idOf(event.bytes);
+		events.push_back(std::move(event));
+		taken += length;
+	}
+	m_pending.erase(0, taken);
+	return events;
+}
+
+} // namespace beacongate
--- /dev/null
+++ b/src/protocol/gossipcodec.cpp
@@ -0,0 +1,104 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+#include "protocol/gossipcodec.h"
+
+#include "protocol/json.h"
+
+namespace beacongate
+{
+namespace
+{
+constexpr int kFormat = 1; ///< Raised when the layout changes.
+
+Json encodeQuotas(const std::vector<QuotaReport>& quotas)
+{
+	Json list = Json::array();
+	for (const QuotaReport& quota : quotas)
+	{
+		list.push_back(Json::array({quota.team, quota.taken}));
+	}
+	return list;
+}
+
+Json encodeLoads(const std::vector<BackendLoad>& loads)
+{
+	Json list = Json::array();
+	for (const BackendLoad& load : loads)
+	{
+		list.push_back(Json::array({load.id, load.inFlight, load.pendingTokens}));
+	}
+	return list;
+}
+
+Json encodeUsage(const std::vector<UsageCount>& usage)
+{
+	Json list = Json::array();
+	for (const UsageCount& count : usage)
+	{
+		list.push_back(Json::array({count.window, count.team, count.count}));
+	}
+	return list;
+}
+
+void decodeLists(const Json& quotas, const Json& loads, const Json& usage, GossipMessage& message)
+{
+	for (const Json& quota : quotas)
+	{
+		message.quotas.push_back({quota.at(0).get<std::string>(), quota.at(1).get<double>()});
+	}
+	for (const Json& load : loads)
+	{
+		message.loads.push_back(
+			{load.at(0).get<std::string>(), load.at(1).get<unsigned>(), load.at(2).get<std::uint64_t>()});
+	}
+	for (const Json& count : usage)
+	{
+		message.usage.push_back(
+			{count.at(0).get<std::uint64_t>(), count.at(1).get<std::string>(), count.at(2).get<std::uint64_t>()});
+	}
+}
+} // namespace
+
+std::string encodeGossip(const GossipMessage& message)
+{
+	const Json fields = Json::array(
+		{kFormat, message.run.name, message.run.incarnation, message.host, message.sent, message.echo,
+		 message.wallClock, message.configVersion, message.storeRevision, message.configAge, message.leaving,
+		 message.members, encodeQuotas(message.quotas), encodeLoads(message.loads), encodeUsage(message.usage)});
+	std::string bytes;
+	Json::to_msgpack(fields, bytes);
+	return bytes;
+}
+
+std::optional<GossipMessage> decodeGossip(std::string_view bytes)
+{
+	const Json fields = Json::from_msgpack(bytes.begin(), bytes.end(), true, false);
+	if (!fields.is_array() || fields.size() < 15 || fields[0] != kFormat)
+	{
+		return std::nullopt;
+	}
+	try
+	{
+		GossipMessage message;
+		message.run.name = fields[1].get<std::string>();
+		message.run.incarnation = fields[2].get<std::uint64_t>();
+		message.host = fields[3].get<std::string>();
+		message.sent = fields[4].get<Micros>();
+		message.echo = fields[5].get<Micros>();
+		message.wallClock = fields[6].get<Micros>();
+		message.configVersion = fields[7].get<std::uint64_t>();
+		message.storeRevision = fields[8].get<std::uint64_t>();
+		message.configAge = fields[9].get<Micros>();
+		message.leaving = fields[10].get<bool>();
+		message.members = fields[11].get<std::vector<std::string>>();
+		decodeLists(fields[12], fields[13], fields[14], message);
+		return message;
+	}
+	catch (const Json::exception&)
+	{
+		return std::nullopt;
+	}
+}
+
+} // namespace beacongate
--- a/src/state/errors.cpp
+++ b/src/state/errors.cpp
@@ -65,6 +65,16 @@
 		return {"setting-invalid", 400, Outcome::NotRun};
 	case Failure::QueryInvalid:
 		return {"query-invalid", 400, Outcome::NotRun};
+	case Failure::NoRoute:
+		return {"no-route", 404, Outcome::NotRun};
+	case Failure::QuotaExceeded:
+		return {"quota-exceeded", 429, Outcome::NotRun};
+	case Failure::KeyUnconfirmed:
+		return {"key-unconfirmed", 503, Outcome::NotRun};
+	case Failure::HeaderTooLarge:
+		return {"header-too-large", 431, Outcome::NotRun};
+	case Failure::RequestTimeout:
+		return {"request-timeout", 408, Outcome::NotRun};
 	case Failure::Internal:
 		return {"internal", 500, Outcome::Unknown};
 	}
--- /dev/null
+++ b/src/transport/httpchannel.cpp
@@ -0,0 +1,237 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+#include "transport/httpchannel.h"
+
+#include "beacongate/limits.h"
+
+#include <boost/asio/post.hpp>
+
+namespace beacongate
+{
+namespace asio = boost::asio;
+using BoostError = boost::system::error_code;
+
+namespace
+{
+constexpr std::size_t kAnswerHeaderBytes = 16u << 10;
+} // namespace
+
+std::string formatRequest(const ChannelRequest& request, const Address& address)
+{
+	std::string bytes = request.method + ' ' + request.target + " HTTP/1.1\r\n";
+	bytes += "Host: " + address.host + ':' + std::to_string(address.port) + "\r\n";
+	for (const auto& [name, value] : request.headers)
+	{
+		bytes += name + ": " + value + "\r\n";
+	}
+	if (!request.body.empty() || request.method == "POST")
+	{
+		bytes += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+	}
+	bytes += "\r\n";
+	bytes += request.body;
+	return bytes;
+}
+
+HttpChannel::HttpChannel(asio::io_context& context, Address address, std::size_t answerLimit)
+	: m_context(context), m_address(std::move(address)), m_answerLimit(answerLimit), m_timer(context)
+{
+}
+
+void HttpChannel::call(ChannelRequest request, Micros span, Handler handler, MaySend maySend)
+{
+	if (m_closed || m_queue.size() >= limits::kPendingCalls)
+	{
+		asio::post(m_context, [handler = std::move(handler)] { handler(std::nullopt); });
+		return;
+	}
+	m_queue.push_back({std::move(request), span, std::move(handler), std::move(maySend)});
+	if (!m_busy)
+	{
+		m_busy = true;
+		asio::post(m_context, [self = shared_from_this()] { self->next(); });
+	}
+}
+
+void HttpChannel::close()
+{
+	m_closed = true;
+	m_queue.clear();
+	m_timer.cancel();
+	dropConnection();
+}
+
+void HttpChannel::next()
+{
+	if (m_closed || m_queue.empty())
+	{
+		m_busy = false;
+		return;
+	}
+	++m_turn;
+	m_timer.expires_after(std::chrono::microseconds(m_queue.front().span));
+	m_timer.async_wait(
+		[weak = weak_from_this(), turn = m_turn](const BoostError& error)
+		{
+			const auto self = weak.lock();
+			if (!error && self && self->m_busy && self->m_turn == turn)
+			{
+				self->dropConnection();
+				self->finish(std::nullopt);
+			}
+		});
+	m_reused = m_connection && !m_connection->closed();
+	if (m_reused)
+	{
+		transmit();
+		return;
+	}
+	connect();
+}
+
+void HttpChannel::connect()
+{
+	TcpConnection::open(m_context, m_address, m_queue.front().span, 2 * kSecond,
+						[self = shared_from_this(), turn = m_turn](const TcpConnection::Ptr& connection)
+						{
+							if (self->m_closed || self->m_turn != turn || !self->m_busy)
+							{
+								if (connection)
+								{
+									connection->close();
+								}
+								return;
+							}
+							if (!connection)
+							{
+								self->finish(std::nullopt);
+								return;
+							}
+							self->m_connection = connection;
+							ConnectionHandlers handlers;
+							std::weak_ptr<HttpChannel> weak = self;
+							handlers.onBytes = [weak](std::string_view bytes)
+							{
+								if (const auto channel = weak.lock())
+								{
+									channel->onBytes(bytes);
+								}
+							};
+							handlers.onEnd = [weak](ConnectionEnd how)
+							{
+								if (const auto channel = weak.lock())
+								{
+									channel->onEnd(how);
+								}
+							};
+							connection->start(std::move(handlers));
+							self->transmit();
+						});
+}
+
+void HttpChannel::transmit()
+{
+	const Pending& pending = m_queue.front();
+	if (pending.maySend && !pending.maySend())
+	{
+		finish(std::nullopt);
+		return;
+	}
+	m_input.clear();
+	m_body.clear();
+	m_parser = std::make_unique<MessageParser>(MessageKind::Answer, kAnswerHeaderBytes, m_answerLimit);
+	m_connection->send(formatRequest(pending.request, m_address));
+}
+
+void HttpChannel::onBytes(std::string_view bytes)
+{
+	if (!m_busy || !m_parser)
+	{
+		// Bytes that nobody asked for: the connection cannot be trusted with another call.
+		dropConnection();
+		return;
+	}
+	m_input.append(bytes);
+	const std::size_t consumed = m_parser->consume(m_input, m_body);
+	m_input.erase(0, consumed);
+	if (m_parser->fault() != ParseFault::None)
+	{
+		dropConnection();
+		finish(std::nullopt);
+		return;
+	}
+	if (!m_parser->done())
+	{
+		return;
+	}
+	HttpAnswer answer;
+	answer.status = m_parser->head().status;
+	answer.headers = m_parser->head().headers;
+	answer.body = std::move(m_body);
+	if (!m_parser->head().keepAlive || !m_input.empty())
+	{
+		dropConnection();
+	}
+	finish(std::move(answer));
+}
+
+void HttpChannel::onEnd(ConnectionEnd how)
+{
+	const bool unanswered = m_busy && m_parser;
+	const bool wholeAtEnd = unanswered && how == ConnectionEnd::Closed && m_parser->headDone();
+	m_connection = nullptr;
+	if (!unanswered)
+	{
+		return;
+	}
+	if (wholeAtEnd)
+	{
+		m_parser->finishAtEnd();
+		if (m_parser->done())
+		{
+			HttpAnswer answer;
+			answer.status = m_parser->head().status;
+			answer.headers = m_parser->head().headers;
+			answer.body = std::move(m_body);
+			finish(std::move(answer));
+			return;
+		}
+	}
+	const bool untouched = m_reused && !m_parser->started() && m_queue.front().request.method == "GET";
+	if (untouched)
+	{
+		// The kept connection had been closed by the server; a read is asked again on a new one.
+		m_reused = false;
+		m_parser = nullptr;
+		connect();
+		return;
+	}
+	finish(std::nullopt);
+}
+
+void HttpChannel::finish(std::optional<HttpAnswer> answer)
+{
+	m_timer.cancel();
+	m_parser = nullptr;
+	m_body.clear();
+	m_body.shrink_to_fit();
+	m_input.shrink_to_fit();
+	const Handler handler = std::move(m_queue.front().handler);
+	m_queue.pop_front();
+	++m_turn;
+	const auto self = shared_from_this();
+	handler(std::move(answer));
+	asio::post(m_context, [self] { self->next(); });
+}
+
+void HttpChannel::dropConnection()
+{
+	if (m_connection)
+	{
+		m_connection->close();
+		m_connection = nullptr;
+	}
+}
+
+} // namespace beacongate
--- /dev/null
+++ b/src/transport/httpchannel.h
@@ -0,0 +1,85 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// Calls to one server, one after the other on a kept connection, each with a deadline.
+
+#ifndef BEACONGATE_TRANSPORT_HTTPCHANNEL_H
+#define BEACONGATE_TRANSPORT_HTTPCHANNEL_H
+
+#include "transport/messageparser.h"
+#include "transport/tcpconnection.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace beacongate
+{
+/// A call to a server of the platform or to another gateway.
+struct ChannelRequest
+{
+	std::string method = "GET";
+	std::string target;
+	HttpHeaders headers;
+	std::string body;
+};
+
+/// Formats a request with its Host and Content-Length.
+std::string formatRequest(const ChannelRequest& request, const Address& address);
+
+/// Sends calls in order.
+class HttpChannel : public std::enable_shared_from_this<HttpChannel>
+{
+public:
+	/// Gets the answer, or nothing where none came in time: the call may have been done.
+	using Handler = std::function<void(std::optional<HttpAnswer>)>;
+	/// Asked right before a call is sent; a call that may not go is answered with nothing.
+	using MaySend = std::function<bool()>;
+
+	HttpChannel(boost::asio::io_context& context, Address address, std::size_t answerLimit);
+
+	/// Sends a call once those before it have ended. The handler never runs inside this function.
+	/// @param[in] span Time for the call, from the moment that it is its turn.
+	void call(ChannelRequest request, Micros span, Handler handler, MaySend maySend = nullptr);
+
+	/// Closes the connection; calls that wait get nothing and no handler runs any more.
+	void close();
+
+private:
+	struct Pending
+	{
+		ChannelRequest request;
+		Micros span = 0;
+		Handler handler;
+		MaySend maySend;
+	};
+
+	void next();
+	void connect();
+	void transmit();
+	void onBytes(std::string_view bytes);
+	void onEnd(ConnectionEnd how);
+	void finish(std::optional<HttpAnswer> answer);
+	void dropConnection();
+
+	boost::asio::io_context& m_context;
+	Address m_address;
+	std::size_t m_answerLimit;
+	boost::asio::steady_timer m_timer;
+	std::deque<Pending> m_queue;
+	bool m_busy = false;
+	bool m_closed = false;
+	bool m_reused = false;
+	std::uint64_t m_turn = 0;
+	TcpConnection::Ptr m_connection;
+	std::unique_ptr<MessageParser> m_parser;
+	std::string m_input;
+	std::string m_body;
+};
+
+} // namespace beacongate
+
+#endif // BEACONGATE_TRANSPORT_HTTPCHANNEL_H
--- /dev/null
+++ b/src/transport/serversession.cpp
@@ -0,0 +1,453 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+#include "transport/serversession.h"
+
+#include "beacongate/errors.h"
+#include "beacongate/limits.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include <charconv>
+
+namespace beacongate
+{
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using tcp = asio::ip::tcp;
+using BoostError = boost::system::error_code;
+
+namespace
+{
+constexpr Micros kCallerUserTimeout = 5 * kSecond;
+constexpr Micros kAcceptRetry = 50 * kMillisecond;
+constexpr std::size_t kPipelinedBytes = 64u << 10;
+
+void appendChunk(std::string& out, std::string_view bytes)
+{
+	if (bytes.empty())
+	{
+		return;
+	}
+	char digits[16];
+	const auto written = std::to_chars(digits, digits + sizeof digits, bytes.size(), 16);
+	out.append(digits, written.ptr);
+	out += "\r\n";
+	out += bytes;
+	out += "\r\n";
+}
+
+bool hasNoBody(unsigned status)
+{
+	return status == 204 || status == 304 || (status >= 100 && status < 200);
+}
+} // namespace
+
+ServerSession::ServerSession(std::shared_ptr<ServerContext> context, TcpConnection::Ptr connection)
+	: m_context(std::move(context)), m_connection(std::move(connection)), m_timer(m_connection->executor())
+{
+}
+
+void ServerSession::start()
+{
+	m_context->sessions.insert(shared_from_this());
+	ConnectionHandlers handlers;
+	const auto self = shared_from_this();
+	handlers.onBytes = [self](std::string_view bytes)
+	{
+		self->onBytes(bytes);
+	};
+	handlers.onEnd = [self](ConnectionEnd /*how*/)
+	{
+		self->end();
+	};
+	handlers.onDrained = [self]
+	{
+		if (self->m_onDrained)
+		{
+			self->m_onDrained();
+		}
+	};
+	nextRequest();
+	m_connection->start(std::move(handlers));
+}
+
+void ServerSession::setGoneHandler(std::function<void()> onGone)
+{
+	m_onGone = std::move(onGone);
+}
+
+void ServerSession::setDrainedHandler(std::function<void()> onDrained)
+{
+	m_onDrained = std::move(onDrained);
+}
+
+void ServerSession::nextRequest()
+{
+	const RequestLimits limits = m_context->limits();
+	m_phase = Phase::Reading;
+	m_onGone = nullptr;
+	m_onDrained = nullptr;
+	m_context->bufferedBytes -= m_counted;
+	m_counted = 0;
+	m_body.clear();
+	m_body.shrink_to_fit();
+	m_expectHandled = false;
+	m_parser = std::make_unique<MessageParser>(MessageKind::Request, limits.headerBytes, limits.bodyBytes);
+	armTimer(limits.idleTimeout);
+}
+
+void ServerSession::armTimer(Micros span)
+{
+	m_timer.expires_after(std::chrono::microseconds(span));
+	m_timer.async_wait(
+		[weak = weak_from_this()](const BoostError& error)
+		{
+			const auto self = weak.lock();
+			if (!error && self)
+			{
+				self->onTimer();
+			}
+		});
+}
+
+void ServerSession::onTimer()
+{
+	if (m_phase != Phase::Reading)
+	{
+		return;
+	}
+	if (!m_parser->started())
+	{
+		m_connection->closeAfterSending();
+		end();
+		return;
+	}
+	refuse(m_context->onTimeout());
+}
+
+void ServerSession::onBytes(std::string_view bytes)
+{
+	m_input.append(bytes);
+	if (m_phase == Phase::Reading)
+	{
+		parse();
+		return;
+	}
+	if (m_input.size() > kPipelinedBytes)
+	{
+		m_connection->pauseReading();
+	}
+}
+
+void ServerSession::parse()
+{
+	const bool hadStarted = m_parser->started();
+	const std::size_t consumed = m_parser->consume(m_input, m_body);
+	m_input.erase(0, consumed);
+	if (m_input.empty())
+	{
+		m_input.shrink_to_fit();
+	}
+	if (m_parser->fault() != ParseFault::None)
+	{
+		refuse(m_context->onMalformed(m_parser->fault()));
+		return;
+	}
+	if (!hadStarted && m_parser->started())
+	{
+		armTimer(m_context->limits().headerTimeout);
+	}
+	if (m_parser->headDone())
+	{
+		onHead();
+	}
+	m_context->bufferedBytes += m_body.size() - m_counted;
+	m_counted = m_body.size();
+	if (m_context->bufferedBytes > limits::kBufferedBytes)
+	{
+		refuse(m_context->onTimeout());
+		return;
+	}
+	if (!m_parser->done())
+	{
+		return;
+	}
+	m_timer.cancel();
+	IncomingRequest request;
+	request.head = m_parser->head();
+	request.body = std::move(m_body);
+	request.received = m_context->now();
+	m_phase = Phase::Working;
+	m_version = request.head.version;
+	m_requestKeepsAlive = request.head.keepAlive;
+	m_noBody = request.head.method == "HEAD";
+	m_context->onRequest(shared_from_this(), std::move(request));
+}
+
+void ServerSession::onHead()
+{
+	if (m_expectHandled)
+	{
+		return;
+	}
+	m_expectHandled = true;
+	armTimer(m_context->limits().idleTimeout);
+	const std::string_view expect = findHeader(m_parser->head().headers, "Expect");
+	if (!m_parser->done() && beast::iequals({expect.data(), expect.size()}, "100-continue"))
+	{
+		m_connection->send("HTTP/1.1 100 Continue\r\n\r\n");
+	}
+}
+
+void ServerSession::refuse(const HttpAnswer& answer)
+{
+	m_phase = Phase::Working;
+	m_requestKeepsAlive = false;
+	this->answer(answer, true);
+}
+
+bool ServerSession::mayKeepAlive(bool closeAfter) const
+{
+	return m_requestKeepsAlive && !closeAfter && !m_context->stopping;
+}
+
+std::string ServerSession::formatHead(unsigned status, const HttpHeaders& headers, bool keepAlive) const
+{
+	std::string head = "HTTP/1.1 " + std::to_string(status) + ' ';
+	const auto reason = beast::http::obsolete_reason(static_cast<beast::http::status>(status));
+	head.append(reason.data(), reason.size());
+	head += "\r\n";
+	for (const auto& [name, value] : headers)
+	{
+		head += name;
+		head += ": ";
+		head += value;
+		head += "\r\n";
+	}
+	if (!keepAlive)
+	{
+		head += "Connection: close\r\n";
+	}
+	else if (m_version == 10)
+	{
+		head += "Connection: keep-alive\r\n";
+	}
+	return head;
+}
+
+void ServerSession::answer(const HttpAnswer& answer, bool closeAfter)
+{
+	if (m_phase != Phase::Working)
+	{
+		return;
+	}
+	const bool keepAlive = mayKeepAlive(closeAfter);
+	std::string bytes = formatHead(answer.status, answer.headers, keepAlive);
+	if (!hasNoBody(answer.status))
+	{
+		bytes += "Content-Length: " + std::to_string(answer.body.size()) + "\r\n";
+	}
+	bytes += "\r\n";
+	if (!m_noBody && !hasNoBody(answer.status))
+	{
+		bytes += answer.body;
+	}
+	m_connection->send(std::move(bytes));
+	m_keepAlive = keepAlive;
+	m_phase = Phase::Answering;
+	finishAnswer();
+}
+
+void ServerSession::startAnswer(unsigned status, const HttpHeaders& headers, std::string_view firstBytes)
+{
+	if (m_phase != Phase::Working)
+	{
+		return;
+	}
+	// A caller that speaks 1.0 knows no chunks: its answer ends with the connection.
+	m_keepAlive = mayKeepAlive(false) && m_version == 11;
+	std::string bytes = formatHead(status, headers, m_keepAlive);
+	if (m_version == 11)
+	{
+		bytes += "Transfer-Encoding: chunked\r\n\r\n";
+		appendChunk(bytes, firstBytes);
+	}
+	else
+	{
+		bytes += "\r\n";
+		bytes += firstBytes;
+	}
+	m_phase = Phase::Answering;
+	m_chunked = m_version == 11;
+	m_connection->send(std::move(bytes));
+}
+
+void ServerSession::sendPiece(std::string_view bytes)
+{
+	if (m_phase != Phase::Answering)
+	{
+		return;
+	}
+	std::string framed;
+	if (m_chunked)
+	{
+		appendChunk(framed, bytes);
+	}
+	else
+	{
+		framed = bytes;
+	}
+	m_connection->send(std::move(framed));
+}
+
+void ServerSession::finishAnswer()
+{
+	if (m_phase != Phase::Answering)
+	{
+		return;
+	}
+	m_onGone = nullptr;
+	if (m_chunked)
+	{
+		m_connection->send("0\r\n\r\n");
+		m_chunked = false;
+	}
+	if (!m_keepAlive)
+	{
+		m_connection->closeAfterSending();
+		end();
+		return;
+	}
+	nextRequest();
+	m_connection->resumeReading();
+	if (!m_input.empty())
+	{
+		// Bytes of the next request came early; they are read after the present call has returned.
+		asio::post(m_connection->executor(),
+				   [self = shared_from_this()]
+				   {
+					   if (self->m_phase == Phase::Reading && !self->m_input.empty())
+					   {
+						   self->parse();
+					   }
+				   });
+	}
+}
+
+void ServerSession::abort()
+{
+	if (m_phase == Phase::Ended)
+	{
+		return;
+	}
+	m_onGone = nullptr;
+	m_connection->reset();
+	end();
+}
+
+std::size_t ServerSession::unsent() const
+{
+	return m_connection->unsent();
+}
+
+bool ServerSession::busy() const
+{
+	return m_phase == Phase::Working || m_phase == Phase::Answering ||
+		   (m_phase == Phase::Reading && m_parser->started());
+}
+
+void ServerSession::closeIfIdle()
+{
+	if (!busy() && m_phase == Phase::Reading)
+	{
+		m_connection->closeAfterSending();
+		end();
+	}
+}
+
+void ServerSession::end()
+{
+	if (m_phase == Phase::Ended)
+	{
+		return;
+	}
+	m_phase = Phase::Ended;
+	m_timer.cancel();
+	m_context->bufferedBytes -= m_counted;
+	m_counted = 0;
+	const auto self = shared_from_this();
+	m_context->sessions.erase(self);
+	const auto onGone = std::move(m_onGone);
+	m_onGone = nullptr;
+	m_onDrained = nullptr;
+	if (onGone)
+	{
+		onGone();
+	}
+}
+
+ServerListener::ServerListener(asio::io_context& context, const Address& address,
+							   std::shared_ptr<ServerContext> shared)
+	: m_loop(context), m_acceptor(context), m_shared(std::move(shared)), m_retryTimer(context)
+{
+	try
+	{
+		const tcp::endpoint endpoint(asio::ip::make_address(address.host), address.port);
+		m_acceptor.open(endpoint.protocol());
+		m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+		m_acceptor.bind(endpoint);
+		m_acceptor.listen();
+	}
+	catch (const boost::system::system_error& error)
+	{
+		throw Error(Failure::SettingInvalid,
+					"cannot listen on " + address.host + ":" + std::to_string(address.port) + ": " + error.what());
+	}
+	accept();
+}
+
+void ServerListener::close()
+{
+	BoostError ignored;
+	m_acceptor.close(ignored);
+	m_retryTimer.cancel();
+}
+
+std::uint16_t ServerListener::port() const
+{
+	return m_acceptor.local_endpoint().port();
+}
+
+void ServerListener::accept()
+{
+	m_acceptor.async_accept(
+		[this](const BoostError& error, tcp::socket socket)
+		{
+			if (error == asio::error::operation_aborted || !m_acceptor.is_open())
+			{
+				return;
+			}
+			if (error)
+			{
+				// Most likely out of descriptors: others end meanwhile.
+				m_retryTimer.expires_after(std::chrono::microseconds(kAcceptRetry));
+				m_retryTimer.async_wait(
+					[this](const BoostError& stopped)
+					{
+						if (!stopped)
+						{
+							accept();
+						}
+					});
+				return;
+			}
+			const auto connection = std::make_shared<TcpConnection>(std::move(socket), kCallerUserTimeout);
+			std::make_shared<ServerSession>(m_shared, connection)->start();
+			accept();
+		});
+}
+
+} // namespace beacongate
--- /dev/null
+++ b/src/transport/tcpconnection.cpp
@@ -0,0 +1,290 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+#include "transport/tcpconnection.h"
+
+#include "beacongate/limits.h"
+
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <netinet/tcp.h>
+
+namespace beacongate
+{
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using BoostError = boost::system::error_code;
+
+namespace
+{
+constexpr Micros kLinger = 1 * kSecond;
+
+/// One buffer serves all connections, since a read hands its bytes on before the next one.
+std::array<char, limits::kReadBytes>& readBuffer()
+{
+	thread_local std::array<char, limits::kReadBytes> buffer{};
+	return buffer;
+}
+
+void setSocketOptions(tcp::socket& socket, Micros userTimeout)
+{
+	BoostError ignored;
+	socket.non_blocking(true, ignored);
+	socket.set_option(tcp::no_delay(true), ignored);
+	const int millis = static_cast<int>(userTimeout / kMillisecond);
+	setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &millis, sizeof millis);
+}
+} // namespace
+
+TcpConnection::TcpConnection(Socket socket, Micros userTimeout)
+	: m_socket(std::move(socket)), m_lingerTimer(m_socket.get_executor())
+{
+	setSocketOptions(m_socket, userTimeout);
+}
+
+void TcpConnection::open(asio::io_context& context, const Address& address, Micros span, Micros userTimeout,
+						 ConnectHandler done)
+{
+	struct Opening
+	{
+		explicit Opening(asio::io_context& loop) : socket(loop), timer(loop)
+		{
+		}
+		tcp::socket socket;
+		asio::steady_timer timer;
+		bool ended = false;
+	};
+	const auto opening = std::make_shared<Opening>(context);
+	const auto finish = [opening, done = std::move(done), userTimeout](bool connected)
+	{
+		if (opening->ended)
+		{
+			return;
+		}
+		opening->ended = true;
+		opening->timer.cancel();
+		if (!connected)
+		{
+			BoostError ignored;
+			opening->socket.close(ignored);
+			done(nullptr);
+			return;
+		}
+		done(std::make_shared<TcpConnection>(std::move(opening->socket), userTimeout));
+	};
+	opening->timer.expires_after(std::chrono::microseconds(span));
+	opening->timer.async_wait(
+		[finish](const BoostError& error)
+		{
+			if (!error)
+			{
+				finish(false);
+			}
+		});
+	BoostError failed;
+	const tcp::endpoint endpoint(asio::ip::make_address(address.host, failed), address.port);
+	if (failed)
+	{
+		asio::post(context, [finish] { finish(false); });
+		return;
+	}
+	opening->socket.async_connect(endpoint, [finish](const BoostError& error) { finish(!error); });
+}
+
+void TcpConnection::start(ConnectionHandlers handlers)
+{
+	m_handlers = std::move(handlers);
+	waitForBytes();
+}
+
+void TcpConnection::pauseReading()
+{
+	m_paused = true;
+}
+
+void TcpConnection::resumeReading()
+{
+	m_paused = false;
+	waitForBytes();
+}
+
+void TcpConnection::waitForBytes()
+{
+	if (m_reading || m_paused || m_closed)
+	{
+		return;
+	}
+	m_reading = true;
+	m_socket.async_wait(tcp::socket::wait_read,
+						[self = shared_from_this()](const BoostError& error)
+						{
+							self->m_reading = false;
+							if (error)
+							{
+								self->end(ConnectionEnd::Broken);
+								return;
+							}
+							self->readBytes();
+						});
+}
+
+void TcpConnection::readBytes()
+{
+	if (m_closed || m_paused)
+	{
+		return;
+	}
+	BoostError error;
+	auto& buffer = readBuffer();
+	const std::size_t count = m_socket.read_some(asio::buffer(buffer), error);
+	if (error == asio::error::would_block || error == asio::error::try_again)
+	{
+		waitForBytes();
+		return;
+	}
+	if (error)
+	{
+		end(error == asio::error::eof ? ConnectionEnd::Closed : ConnectionEnd::Broken);
+		return;
+	}
+	const auto self = shared_from_this();
+	if (m_handlers.onBytes)
+	{
+		// A handler may replace the handlers, so the one that runs is kept alive.
+		const auto handler = m_handlers.onBytes;
+		handler(std::string_view(buffer.data(), count));
+	}
+	waitForBytes();
+}
+
+void TcpConnection::send(std::string bytes)
+{
+	if (m_closed || m_lingering)
+	{
+		return;
+	}
+	m_unsent += bytes;
+	if (!m_writing)
+	{
+		writeBytes();
+	}
+}
+
+void TcpConnection::writeBytes()
+{
+	BoostError error;
+	const std::size_t count = m_socket.write_some(asio::buffer(m_unsent), error);
+	if (error && error != asio::error::would_block && error != asio::error::try_again)
+	{
+		// The reading side reports the end, so that a handler is never called from inside send().
+		m_unsent.clear();
+		return;
+	}
+	m_unsent.erase(0, count);
+	if (!m_unsent.empty())
+	{
+		waitForSpace();
+		return;
+	}
+	m_unsent.shrink_to_fit();
+	if (m_lingering)
+	{
+		shutdownSending();
+	}
+}
+
+void TcpConnection::waitForSpace()
+{
+	m_writing = true;
+	m_socket.async_wait(tcp::socket::wait_write,
+						[self = shared_from_this()](const BoostError& error)
+						{
+							self->m_writing = false;
+							if (error || self->m_closed)
+							{
+								return;
+							}
+							self->writeBytes();
+							if (self->m_unsent.empty() && self->m_handlers.onDrained)
+							{
+								const auto handler = self->m_handlers.onDrained;
+								handler();
+							}
+						});
+}
+
+void TcpConnection::close()
+{
+	if (m_closed)
+	{
+		return;
+	}
+	m_closed = true;
+	m_lingerTimer.cancel();
+	BoostError ignored;
+	m_socket.close(ignored);
+	// The handlers own what owns this connection: dropping them later breaks that cycle safely.
+	asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->m_handlers = {}; });
+}
+
+void TcpConnection::reset()
+{
+	if (m_closed)
+	{
+		return;
+	}
+	BoostError ignored;
+	m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+	close();
+}
+
+void TcpConnection::closeAfterSending()
+{
+	if (m_closed || m_lingering)
+	{
+		return;
+	}
+	m_lingering = true;
+	m_handlers.onBytes = nullptr;
+	m_handlers.onEnd = nullptr;
+	m_handlers.onDrained = nullptr;
+	m_paused = false;
+	waitForBytes();
+	m_lingerTimer.expires_after(std::chrono::microseconds(kLinger));
+	m_lingerTimer.async_wait(
+		[self = shared_from_this()](const BoostError& error)
+		{
+			if (!error)
+			{
+				self->close();
+			}
+		});
+	if (m_unsent.empty())
+	{
+		shutdownSending();
+	}
+}
+
+void TcpConnection::shutdownSending()
+{
+	BoostError ignored;
+	m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+void TcpConnection::end(ConnectionEnd how)
+{
+	if (m_closed)
+	{
+		return;
+	}
+	const auto self = shared_from_this();
+	const auto handler = m_handlers.onEnd;
+	close();
+	if (handler)
+	{
+		handler(how);
+	}
+}
+
+} // namespace beacongate
--- a/tests/protocoltest.cpp
+++ b/tests/protocoltest.cpp
@@ -8,6 +8,7 @@
 #include "daemon/options.h"
 #include "protocol/configdoc.h"
 #include "protocol/documents.h"
+#include "protocol/base64.h"
 #include "protocol/etcd.h"
 #include "protocol/openai.h"
 #include "protocol/peercodec.h"
@@ -50,7 +51,7 @@
 
 RC_GTEST_PROP(Etcd, base64GivesBackAnyBytes, (const std::string& _bytes))
 {
-	RC_ASSERT(etcd::fromBase64(etcd::toBase64(_bytes)) == _bytes);
+	RC_ASSERT(fromBase64(toBase64(_bytes)) == _bytes);
 }
 
 RC_GTEST_PROP(PeerCodec, anyHandoverAndAnswerComesThrough,
--- /dev/null
+++ b/tools/gateway.cpp
@@ -0,0 +1,51 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+// Program beacongate-gateway.
+
+#include "gateway/gateway.h"
+#include "daemon/logging.h"
+#include "daemon/options.h"
+#include "platform/settings.h"
+
+#include <CLI/CLI.hpp>
+
+#include <csignal>
+#include <iostream>
+
+int main(int argc, char** argv)
+{
+	using namespace beacongate;
+	CLI::App app("Takes callers' requests and sends them to backend servers, on a VM of the platform.",
+				 "beacongate-gateway");
+	std::string path;
+	bool checkOnly = false;
+	app.add_option("--settings", path, "Settings file; left out, the platform's variable names it");
+	app.add_flag("--check", checkOnly, "Reads the settings and ends");
+	CLI11_PARSE(app, argc, argv);
+	std::signal(SIGPIPE, SIG_IGN);
+	try
+	{
+		const std::string settingsFile = path.empty() ? platform::settingsPath() : path;
+		const auto load = [settingsFile]
+		{
+			return platform::loadSettings(settingsFile);
+		};
+		const GatewaySettings settings = load();
+		if (checkOnly)
+		{
+			return kExitOk;
+		}
+		initStdoutLogging(argv[0]);
+		Gateway gateway(settings, load);
+		gateway.init();
+		gateway.run();
+		flushStdoutLogging();
+	}
+	catch (const Error& error)
+	{
+		std::cerr << "beacongate-gateway: " << error.what() << '\n';
+		return kExitSettings;
+	}
+	return kExitOk;
+}
--- a/tools/standin/store.cpp
+++ b/tools/standin/store.cpp
@@ -6,6 +6,7 @@
 #include "standin/base.h"
 
 #include "daemon/clock.h"
+#include "protocol/base64.h"
 #include "protocol/etcd.h"
 
 namespace beacongate::standin
@@ -25,7 +26,7 @@
 
 std::string keyOf(const Json& _object)
 {
-	return etcd::fromBase64(_object.at("key").get<std::string>());
+	return fromBase64(_object.at("key").get<std::string>());
 }
 } // namespace
 
@@ -111,8 +112,8 @@
 	if (m_values.end() != it)
 	{
 		const Value& value = it->second;
-		answer["kvs"] = Json::array({{{"key", etcd::toBase64(it->first)},
-									  {"value", etcd::toBase64(value.bytes)},
+		answer["kvs"] = Json::array({{{"key", toBase64(it->first)},
+									  {"value", toBase64(value.bytes)},
 									  {"create_revision", std::to_string(value.createRevision)},
 									  {"mod_revision", std::to_string(value.modRevision)}}});
 		answer["count"] = "1";
@@ -135,7 +136,7 @@
 		if (op.contains("request_put"))
 		{
 			const Json& request = op["request_put"];
-			put(keyOf(request), etcd::fromBase64(request.at("value").get<std::string>()), number(request, "lease"));
+			put(keyOf(request), fromBase64(request.at("value").get<std::string>()), number(request, "lease"));
 			responses.push_back({{"response_put", Json::object()}});
 		}
 		else
