--- a/src/coordination/quotaledger.cpp
+++ b/src/coordination/quotaledger.cpp
@@ -24,15 +24,11 @@
 	{
 		const auto [it, added] = m_buckets.try_emplace(team.name);
 		Bucket& bucket = it->second;
-		if (added || bucket.rate <= 0.0)
-		{
-			bucket.level = team.burst * kStartShare;
-			bucket.filled = now;
-		}
+		const bool unlimitedBefore = added || bucket.rate <= 0.0;
 		refill(bucket, now);
 		bucket.rate = team.ratePerSecond;
 		bucket.burst = team.burst;
-		bucket.level = std::min(bucket.level, bucket.burst);
+		bucket.level = unlimitedBefore ? team.burst * kStartShare : std::min(bucket.level, bucket.burst);
 	}
 	for (auto& [name, bucket] : m_buckets)
 	{
--- /dev/null
+++ b/tests/capacitytest.cpp
@@ -0,0 +1,216 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// Orders for capacity, against a small model of a platform that boots, reclaims and refuses.
+
+#include "coordination/capacityplanner.h"
+#include "coordination/demandmeter.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <deque>
+
+namespace beacongate::test
+{
+namespace
+{
+constexpr Micros kTick = 250 * kMillisecond;
+
+/// Backend servers of one kind in one data centre.
+struct Pool
+{
+	unsigned standing = 0;
+	std::deque<Micros> booting; ///< When each will stand.
+};
+
+/// Does what it is ordered to.
+class ModelPlatform
+{
+public:
+	ModelPlatform()
+	{
+		scaling.minimum = 1;
+		scaling.maximum = 6;
+		scaling.bootTime = 4 * kSecond;
+		scaling.spotPrice = 0.2;
+		scaling.zonePrices = {{"a", 1.0}, {"b", 0.8}, {"c", 1.25}, {"d", 0.9}};
+	}
+
+	void step(const CapacityPlanner::Need& need)
+	{
+		now += kTick;
+		for (auto& [key, pool] : pools)
+		{
+			while (!pool.booting.empty() && pool.booting.front() <= now)
+			{
+				pool.booting.pop_front();
+				++pool.standing;
+			}
+		}
+		std::map<std::string, ZoneCapacity> zones;
+		for (const auto& [zone, price] : scaling.zonePrices)
+		{
+			zones[zone].onDemand = pools[{zone, false}].standing;
+			zones[zone].spot = pools[{zone, true}].standing;
+			zones[zone].reclaiming = reclaiming.count(zone) > 0 && now < reclaiming[zone];
+		}
+		for (const CapacityOrder& order : planner.plan(scaling, zones, need, now))
+		{
+			++orders;
+			const bool refused = order.spot && dryUntil > now;
+			planner.onAnswer(order, !refused, refused, now);
+			if (!refused)
+			{
+				fill(order);
+			}
+		}
+	}
+
+	void run(const CapacityPlanner::Need& need, Micros span)
+	{
+		for (const Micros until = now + span; now < until;)
+		{
+			step(need);
+		}
+	}
+
+	void reclaim(const std::string& zone, Micros dry)
+	{
+		pools[{zone, true}] = {};
+		reclaiming[zone] = now + 2 * kSecond;
+		dryUntil = now + dry;
+	}
+
+	unsigned count(bool spot) const
+	{
+		unsigned sum = 0;
+		for (const auto& [key, pool] : pools)
+		{
+			sum += key.second == spot ? pool.standing : 0;
+		}
+		return sum;
+	}
+
+	ScalingSettings scaling;
+	CapacityPlanner planner;
+	std::map<std::pair<std::string, bool>, Pool> pools;
+	std::map<std::string, Micros> reclaiming;
+	Micros dryUntil = 0;
+	Micros now = kSecond;
+	unsigned orders = 0;
+
+private:
+	void fill(const CapacityOrder& order)
+	{
+		Pool& pool = pools[{order.dataCentre, order.spot}];
+		while (pool.standing + pool.booting.size() > order.count && !pool.booting.empty())
+		{
+			pool.booting.pop_back();
+		}
+		pool.standing = std::min(pool.standing, order.count);
+		while (pool.standing + pool.booting.size() < order.count)
+		{
+			pool.booting.push_back(now + scaling.bootTime);
+		}
+	}
+};
+} // namespace
+
+TEST(CapacityPlanner, spotReplacesOnDemandWithoutAGap)
+{
+	ModelPlatform platform;
+	platform.pools[{"a", false}].standing = 3;
+	platform.pools[{"b", false}].standing = 2;
+	platform.pools[{"c", false}].standing = 2;
+	platform.pools[{"d", false}].standing = 2;
+	for (int tick = 0; tick < 100; ++tick)
+	{
+		platform.step({6, 4, true});
+		EXPECT_GE(platform.count(true) + platform.count(false), 4u);
+	}
+	EXPECT_EQ(platform.count(true), 6u);
+	EXPECT_EQ(platform.count(false), 0u);
+	const unsigned settled = platform.orders;
+	platform.run({6, 4, true}, 10 * kSecond);
+	EXPECT_EQ(platform.orders, settled) << "orders that stand were sent again";
+}
+
+TEST(CapacityPlanner, nothingOnDemandIsTouchedBeforeAllOfItIsListed)
+{
+	ModelPlatform platform;
+	platform.pools[{"a", false}].standing = 1;
+	platform.run({4, 4, false}, 3 * kSecond);
+	EXPECT_EQ(platform.count(false), 1u);
+	platform.run({4, 4, false}, 10 * kSecond);
+	EXPECT_EQ(platform.count(true), 4u);
+	EXPECT_EQ(platform.count(false), 1u);
+}
+
+TEST(CapacityPlanner, aReclaimInADrySpellIsMadeUpOnDemandAndGivenBack)
+{
+	ModelPlatform platform;
+	platform.run({8, 5, true}, 10 * kSecond);
+	ASSERT_EQ(platform.count(true), 8u);
+	platform.reclaim("a", 13 * kSecond);
+	platform.reclaim("b", 13 * kSecond);
+	platform.run({8, 5, true}, 6 * kSecond);
+	EXPECT_EQ(platform.count(true), 4u);
+	EXPECT_EQ(platform.count(false), 1u);
+	platform.run({8, 5, true}, 25 * kSecond);
+	EXPECT_EQ(platform.count(true), 8u);
+	EXPECT_EQ(platform.count(false), 0u);
+}
+
+RC_GTEST_PROP(CapacityPlanner, ordersStayWithinTheLimits, (const std::vector<std::uint8_t>& needs))
+{
+	ModelPlatform platform;
+	for (const std::uint8_t need : needs)
+	{
+		platform.step({need % 40u, need % 30u, true});
+		for (const auto& [zone, price] : platform.scaling.zonePrices)
+		{
+			const unsigned spot = platform.pools[{zone, true}].standing;
+			RC_ASSERT(spot <= platform.scaling.maximum);
+		}
+	}
+}
+
+TEST(CapacityPlanner, moreWorkNeverCallsForLess)
+{
+	for (double work = 0.0; work < 50.0; work += 0.1)
+	{
+		EXPECT_LE(CapacityPlanner::serversFor(work), CapacityPlanner::serversFor(work + 0.1));
+		EXPECT_LE(CapacityPlanner::serversRequired(work), CapacityPlanner::serversFor(work));
+		EXPECT_GE(CapacityPlanner::serversRequired(work), work);
+	}
+}
+
+TEST(DemandMeter, countsWhatPeersBringOnceAndForgetsAPeak)
+{
+	DemandMeter meter;
+	Micros now = kSecond;
+	double brought = 0.0;
+	for (int tick = 0; tick < 200; ++tick)
+	{
+		now += 100 * kMillisecond;
+		brought += 0.2; // Two seconds of work a second.
+		meter.onReport("b", 5, {"model", brought});
+		meter.onReport("b", 5, {"model", brought - 0.1}); // Late.
+		meter.advance(now);
+	}
+	EXPECT_NEAR(meter.work("model"), 2.0, 0.2);
+	EXPECT_TRUE(meter.settled("model", now));
+	for (int tick = 0; tick < 400; ++tick)
+	{
+		now += 100 * kMillisecond;
+		meter.advance(now);
+	}
+	EXPECT_LT(meter.work("model"), 0.2);
+	meter.onReport("b", 6, {"model", 100.0}); // Restarted and first heard now: old work is not new work.
+	meter.advance(now + kSecond);
+	EXPECT_LT(meter.work("model"), 0.2);
+}
+
+} // namespace beacongate::test
--- /dev/null
+++ b/tests/gatewaycoretest.cpp
@@ -0,0 +1,382 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// The gateway's decisions: what it believes of the store, attempts, quotas, retries, the duty lease, time and
+/// stops.
+
+#include "coordination/agreedclock.h"
+#include "coordination/attemptpolicy.h"
+#include "coordination/directory.h"
+#include "coordination/dutylease.h"
+#include "coordination/peertable.h"
+#include "coordination/quotaledger.h"
+#include "coordination/sharedretrybudget.h"
+#include "coordination/stoppolicy.h"
+#include "coordination/usageledger.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+
+namespace beacongate::test
+{
+namespace
+{
+RoutingConfigPtr configOf(std::uint64_t version)
+{
+	auto config = std::make_shared<RoutingConfig>();
+	config->version = version;
+	config->buildIndex();
+	return config;
+}
+
+BackendRecord backendOf(const std::string& id, bool draining = false)
+{
+	BackendRecord record;
+	record.id = id;
+	record.service = "model";
+	record.draining = draining;
+	return record;
+}
+
+RoutingConfigPtr limitedConfig(double rate, double burst)
+{
+	auto config = std::make_shared<RoutingConfig>();
+	TeamAccess team;
+	team.name = "team";
+	team.keys = {"key"};
+	team.ratePerSecond = rate;
+	team.burst = burst;
+	config->teams = {team};
+	config->buildIndex();
+	return config;
+}
+} // namespace
+
+RC_GTEST_PROP(Directory, neverGoesBackInAnyOrderOfSnapshots, (const std::vector<std::uint8_t>& order))
+{
+	Directory directory;
+	std::uint64_t newest = 0;
+	Micros now = kSecond;
+	for (const std::uint8_t revision : order)
+	{
+		now += kMillisecond;
+		// The store's revision and the configuration's version rise together; a snapshot may come late.
+		directory.apply({revision, configOf(revision / 3 + 1), {}, now}, now);
+		const std::uint64_t version = directory.config() ? directory.config()->version : 0;
+		RC_ASSERT(version >= newest);
+		newest = version;
+	}
+}
+
+RC_GTEST_PROP(Directory, aBackendThatDrainsNeverGetsNewWorkAgain, (const std::vector<std::uint8_t>& events))
+{
+	Directory directory;
+	bool drained = false;
+	std::uint64_t revision = 0;
+	Micros now = kSecond;
+	for (const std::uint8_t event : events)
+	{
+		++revision;
+		now += kMillisecond;
+		const bool draining = event % 7 == 0;
+		const bool listed = event % 5 != 0;
+		std::vector<BackendRecord> backends;
+		if (listed)
+		{
+			backends.push_back(backendOf("b", draining));
+			drained = drained || draining;
+		}
+		directory.apply({revision, configOf(1), backends, now}, now);
+		const auto usable = directory.usableOf("model", now);
+		RC_ASSERT(!drained || usable.empty());
+	}
+}
+
+TEST(Directory, aVanishedRecordIsOnlyUsedForAShortWhileAndWhereNoOtherIsLeft)
+{
+	Directory directory;
+	directory.apply({1, configOf(1), {backendOf("a"), backendOf("b")}, 0}, kSecond);
+	directory.apply({2, configOf(1), {backendOf("b")}, 0}, 2 * kSecond);
+	ASSERT_EQ(directory.usableOf("model", 2 * kSecond).size(), 1u);
+	EXPECT_EQ(directory.usableOf("model", 2 * kSecond)[0]->record.id, "b");
+	directory.apply({3, configOf(1), {}, 0}, 3 * kSecond);
+	EXPECT_FALSE(directory.usableOf("model", 3 * kSecond).empty());
+	EXPECT_TRUE(directory.usableOf("model", 3 * kSecond + Directory::kVanishedGrace).empty());
+}
+
+TEST(Directory, ageCountsFromTheCallThatConfirmed)
+{
+	Directory directory;
+	EXPECT_GT(directory.age(kSecond), 3600 * kSecond);
+	directory.apply({1, configOf(1), {}, 5 * kSecond}, 6 * kSecond);
+	EXPECT_EQ(directory.age(7 * kSecond), 2 * kSecond);
+	directory.confirm(4 * kSecond);
+	EXPECT_EQ(directory.age(7 * kSecond), 2 * kSecond);
+}
+
+RC_GTEST_PROP(AttemptPolicy, keepsPromisesAndBounds, (const std::vector<std::uint8_t>& results, bool repeatable))
+{
+	AttemptContext context;
+	context.repeatable = repeatable;
+	context.maxAttempts = 1 + static_cast<unsigned>(results.size() % 3);
+	context.anotherBackend = true;
+	context.timeLeft = true;
+	unsigned ran = 0;
+	unsigned tries = 0;
+	for (const std::uint8_t drawn : results)
+	{
+		++tries;
+		const auto result = static_cast<AttemptResult>(drawn % 5);
+		context.budgetAllows = drawn < 200;
+		context.sent += result == AttemptResult::NotSent ? 0 : 1;
+		context.unsentTries += result == AttemptResult::NotSent ? 1 : 0;
+		const AttemptDecision decision = decideAfterAttempt(result, context);
+		ran += mayHaveRunAfter(result) ? 1 : 0;
+		context.mayHaveRun = context.mayHaveRun || mayHaveRunAfter(result);
+		RC_ASSERT(context.sent <= context.maxAttempts);
+		if (decision == AttemptDecision::AnswerNotRun)
+		{
+			RC_ASSERT(ran == 0u);
+		}
+		if (decision != AttemptDecision::Retry)
+		{
+			return;
+		}
+		RC_ASSERT(repeatable || ran == 0u);
+		RC_ASSERT(context.sent == 0u || context.budgetAllows);
+	}
+	RC_ASSERT(tries <= context.maxAttempts + kMaxUnsentTries);
+}
+
+RC_GTEST_PROP(QuotaLedger, gatewaysTogetherStayWithinTheQuota, (const std::vector<std::uint8_t>& steps))
+{
+	constexpr std::size_t kGateways = 4;
+	constexpr double kRate = 1000.0;
+	constexpr double kBurst = 500.0;
+	constexpr Micros kStep = 100 * kMillisecond;
+	const RoutingConfigPtr config = limitedConfig(kRate, kBurst);
+	std::vector<QuotaLedger> ledgers(kGateways);
+	Micros now = kSecond;
+	for (QuotaLedger& ledger : ledgers)
+	{
+		ledger.setMembers(kGateways);
+		ledger.configure(*config, now);
+	}
+	std::vector<bool> cut(kGateways, false);
+	double taken = 0.0;
+	double cuttings = 0.0;
+	for (const std::uint8_t step : steps)
+	{
+		now += kStep;
+		const bool cuts = step >= 192;
+		cuttings += cuts && !cut[step % kGateways] ? 1.0 : 0.0;
+		cut[step % kGateways] = cuts;
+		for (std::size_t index = 0; index < kGateways; ++index)
+		{
+			for (std::size_t peer = 0; peer < kGateways; ++peer)
+			{
+				if (peer != index && !cut[peer] && !cut[index])
+				{
+					const std::string name = std::to_string(peer);
+					ledgers[index].onReport(name, 1, {"team", ledgers[peer].takenHere("team")}, now);
+					ledgers[index].onHeard(name, now);
+				}
+			}
+			// Each asks for as much as the whole quota allows.
+			for (int request = 0; request < 10; ++request)
+			{
+				const double amount = kRate * 0.01;
+				taken += ledgers[index].take("team", amount, now) == 0 ? amount : 0.0;
+			}
+		}
+	}
+	const double seconds = static_cast<double>(now - kSecond) / static_cast<double>(kSecond);
+	// Each gateway may take what is there before it hears of the others: a burst apiece, and, at each cut, the whole
+	// rate until the silence is noticed.
+	const double silence = static_cast<double>(QuotaLedger::kSilence + kStep) / static_cast<double>(kSecond);
+	const double slack = kBurst * static_cast<double>(kGateways) + kRate * silence * cuttings;
+	RC_ASSERT(taken <= kRate * seconds + kBurst + slack);
+}
+
+TEST(QuotaLedger, oneThatHearsNobodyTakesItsEqualShareOnly)
+{
+	QuotaLedger ledger;
+	ledger.setMembers(8);
+	ledger.configure(*limitedConfig(800.0, 100.0), 0);
+	double taken = 0.0;
+	for (Micros now = 0; now < 10 * kSecond; now += 10 * kMillisecond)
+	{
+		taken += ledger.take("team", 10.0, now) == 0 ? 10.0 : 0.0;
+	}
+	EXPECT_LE(taken, 10.0 * 100.0 + 100.0);
+	EXPECT_GE(taken, 10.0 * 100.0 * 0.9);
+}
+
+TEST(QuotaLedger, tellsWhenToComeBack)
+{
+	QuotaLedger ledger;
+	ledger.configure(*limitedConfig(100.0, 100.0), 0);
+	EXPECT_EQ(ledger.take("team", 50.0, 0), 0);
+	const Micros wait = ledger.take("team", 50.0, 0);
+	EXPECT_EQ(wait, 500 * kMillisecond);
+	EXPECT_EQ(ledger.take("team", 50.0, wait), 0);
+}
+
+RC_GTEST_PROP(SharedRetryBudget, allGatewaysTogetherStayWithinIt, (const std::vector<std::uint8_t>& steps))
+{
+	constexpr std::size_t kGateways = 5;
+	RetryBudgetSettings settings;
+	settings.slack = 50.0;
+	std::vector<SharedRetryBudget> budgets(kGateways);
+	for (SharedRetryBudget& budget : budgets)
+	{
+		budget.configure(settings);
+		budget.setMembers(kGateways);
+	}
+	double requests = 0.0;
+	double repeats = 0.0;
+	for (const std::uint8_t step : steps)
+	{
+		SharedRetryBudget& budget = budgets[step % kGateways];
+		budget.onRequest("service", kSecond);
+		requests += 1.0;
+		while (budget.allows("service", kSecond))
+		{
+			budget.onRepeat("service", kSecond);
+			repeats += 1.0;
+		}
+	}
+	RC_ASSERT(repeats <= settings.ratio * requests + settings.slack);
+}
+
+RC_GTEST_PROP(DutyLease, twoHoldersNeverMayActAtOnce, (const std::vector<std::uint8_t>& steps))
+{
+	// A lease in the store runs from when a call arrives; a holder counts from when it was sent, and may be paused
+	// between its look at the clock and its call for less than the margin.
+	constexpr Micros kSpan = 3 * kSecond;
+	DutyLease holders[2];
+	int owner = -1;
+	Micros storeUntil = 0;
+	std::uint64_t fence = 0;
+	Micros now = kSecond;
+	for (const std::uint8_t step : steps)
+	{
+		now += static_cast<Micros>(step % 16) * 100 * kMillisecond;
+		const int who = step / 16 % 2;
+		const Micros travel = static_cast<Micros>(step / 32) * 50 * kMillisecond;
+		const Micros sent = now;
+		now += travel;
+		if (now >= storeUntil)
+		{
+			owner = -1;
+		}
+		if (owner == -1)
+		{
+			owner = who;
+			holders[who].onAcquired(++fence, sent, kSpan);
+			storeUntil = now + kSpan;
+		}
+		else if (owner == who && holders[who].held(sent))
+		{
+			holders[who].onRenewed(sent, kSpan);
+			storeUntil = now + kSpan;
+		}
+		RC_ASSERT(!(holders[0].mayAct(now) && holders[1].mayAct(now)));
+		const int other = 1 - (owner == -1 ? 0 : owner);
+		RC_ASSERT(owner == -1 || !holders[other].mayAct(now));
+	}
+}
+
+TEST(PeerTable, aMessageThatWaitedWhileThisProcessWasFrozenProvesNothing)
+{
+	PeerTable peers("10.0.0.1");
+	GossipMessage message;
+	message.run = {"b", 7};
+	message.host = "10.0.0.2";
+	message.sent = 5 * kSecond;
+	message.echo = 10 * kSecond;
+	message.configAge = 100 * kMillisecond;
+	EXPECT_TRUE(peers.onMessage(message, 10 * kSecond + 200 * kMillisecond));
+	EXPECT_TRUE(peers.freshestAfter(9 * kSecond, 10 * kSecond + 200 * kMillisecond));
+	message.echo = 11 * kSecond;
+	EXPECT_FALSE(peers.onMessage(message, 16 * kSecond));
+	EXPECT_FALSE(peers.freshestAfter(9 * kSecond, 16 * kSecond));
+}
+
+TEST(PeerTable, aPeersWordIsAsOldAsTheStampItEchoes)
+{
+	PeerTable peers("10.0.0.1");
+	GossipMessage message;
+	message.run = {"b", 7};
+	message.host = "10.0.0.2";
+	message.echo = 10 * kSecond;
+	message.configAge = 300 * kMillisecond;
+	ASSERT_TRUE(peers.onMessage(message, 10 * kSecond + 900 * kMillisecond));
+	EXPECT_EQ(peers.peers().at("10.0.0.2").confirmed, 10 * kSecond - 300 * kMillisecond);
+}
+
+TEST(PeerTable, countsMembersThatTheStoreListsOrThatWereHeard)
+{
+	PeerTable peers("10.0.0.1");
+	peers.setSeeds({{"10.0.0.9", 1}, {"10.0.0.1", 1}});
+	peers.setRegistered({"10.0.0.1", "10.0.0.2"});
+	EXPECT_EQ(peers.memberCount(kSecond), 2u);
+	EXPECT_EQ(peers.targets(kSecond), (std::vector<std::string>{"10.0.0.2", "10.0.0.9"}));
+}
+
+RC_GTEST_PROP(AgreedClock, aMinorityThatStepsMovesNothing, (const std::vector<std::int16_t>& steps))
+{
+	AgreedClock clock;
+	const Micros truth = 1000 * kSecond;
+	Micros now = kSecond;
+	for (const std::int16_t step : steps)
+	{
+		now += 100 * kMillisecond;
+		const Micros jump = static_cast<Micros>(step) * kMillisecond;
+		for (int peer = 0; peer < 4; ++peer)
+		{
+			clock.onSample(std::to_string(peer), truth + now + (peer < 2 ? jump : 0), now);
+		}
+		clock.update(truth + now, now);
+		RC_ASSERT(clock.trueTime(now) == truth + now);
+	}
+}
+
+TEST(AgreedClock, keepsWhatWasAgreedWhereFewClocksAreHeard)
+{
+	AgreedClock clock;
+	clock.onSample("a", 500 * kSecond, kSecond);
+	clock.onSample("b", 500 * kSecond, kSecond);
+	clock.update(500 * kSecond, kSecond);
+	EXPECT_EQ(clock.trueTime(kSecond), 500 * kSecond);
+	clock.update(100 * kSecond, 20 * kSecond);
+	EXPECT_EQ(clock.trueTime(20 * kSecond), 519 * kSecond);
+}
+
+TEST(UsageLedger, countsOutliveTheGatewayThatMadeThem)
+{
+	UsageLedger ledger({"a", 1});
+	ledger.onBegan(10, "team");
+	ledger.onReport({"b", 5}, {10, "team", 3});
+	ledger.onReport({"b", 5}, {10, "team", 2}); // Late: counts only grow.
+	ledger.onReport({"b", 6}, {10, "team", 1}); // A later run of the same gateway counts beside it.
+	EXPECT_EQ(ledger.totals(10).at("team"), 5u);
+	ledger.advance(10 + UsageLedger::kRemembered + 1);
+	EXPECT_TRUE(ledger.totals(10).empty());
+}
+
+TEST(StopPolicy, aRequestThatMightNotEndInTimeIsNotTaken)
+{
+	const StopPolicy policy(8 * kSecond);
+	EXPECT_TRUE(policy.takesRequests(2 * kSecond));
+	EXPECT_FALSE(policy.takesRequests(3 * kSecond));
+	EXPECT_FALSE(policy.closesIdle(3 * kSecond));
+	EXPECT_TRUE(policy.closesIdle(4 * kSecond));
+	EXPECT_FALSE(policy.mustEnd(7 * kSecond));
+	EXPECT_TRUE(policy.mustEnd(8 * kSecond - 100 * kMillisecond));
+}
+
+} // namespace beacongate::test
--- /dev/null
+++ b/tests/gatewayprotocoltest.cpp
@@ -0,0 +1,353 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// Framing, events, gossip and the platform's formats.
+
+#include "platform/documents.h"
+#include "platform/headers.h"
+#include "platform/names.h"
+#include "platform/settings.h"
+#include "platform/storecalls.h"
+#include "protocol/base64.h"
+#include "protocol/eventstream.h"
+#include "protocol/gossipcodec.h"
+#include "protocol/json.h"
+#include "transport/forwarding.h"
+#include "transport/messageparser.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace beacongate::test
+{
+namespace
+{
+constexpr std::size_t kHeaderLimit = 4096;
+constexpr std::size_t kBodyLimit = 1u << 20;
+
+struct Parsed
+{
+	ParseFault fault = ParseFault::None;
+	bool done = false;
+	MessageHead head;
+	std::string body;
+	std::string rest;
+};
+
+/// Feeds bytes in pieces of the given sizes, the last one again and again.
+Parsed parse(MessageKind kind, const std::string& bytes, const std::vector<std::uint8_t>& sizes = {},
+			 std::size_t bodyLimit = kBodyLimit)
+{
+	MessageParser parser(kind, kHeaderLimit, bodyLimit);
+	Parsed parsed;
+	std::string input;
+	std::size_t given = 0;
+	std::size_t turn = 0;
+	while (given < bytes.size() && !parser.done() && parser.fault() == ParseFault::None)
+	{
+		const std::size_t size = sizes.empty() ? bytes.size() : 1 + sizes[turn++ % sizes.size()] % 40;
+		const std::size_t count = std::min(size, bytes.size() - given);
+		input += bytes.substr(given, count);
+		given += count;
+		input.erase(0, parser.consume(input, parsed.body));
+	}
+	parsed.fault = parser.fault();
+	parsed.done = parser.done();
+	parsed.head = parser.head();
+	parsed.rest = input + bytes.substr(given);
+	return parsed;
+}
+
+std::string settingsText(const std::string& change = "")
+{
+	Json settings = parseJson(R"({"nodeName": "front-1", "zone": "z1", "zones": {"z1": "r", "z2": "r"},
+		"listen": {"frontend": "10.0.0.1:80", "readiness": "10.0.0.1:81", "control": "10.0.0.1:82"},
+		"internalPortRange": [7600, 7615], "seeds": ["10.0.0.2:82"], "unknown": {"field": 1},
+		"bounds": {"graceS": 8, "strictRevoke": true, "revokeMs": 5000, "usageWindowS": 5},
+		"platform": {"address": "10.0.1.1:90"},
+		"cloudApi": {"address": "10.0.1.2:90", "duties": ["usage_reporting"]}})",
+							  Failure::SettingInvalid);
+	if (!change.empty())
+	{
+		settings.merge_patch(parseJson(change, Failure::SettingInvalid));
+	}
+	return settings.dump();
+}
+} // namespace
+
+RC_GTEST_PROP(MessageParser, readsTheSameInAnyPieces, (const std::vector<std::uint8_t>& sizes))
+{
+	const std::string chunked = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+								"5\r\nhello\r\n6;x=y\r\n world\r\n0\r\nTrailer: t\r\n\r\nGET /next";
+	const Parsed parsed = parse(MessageKind::Request, chunked, sizes);
+	RC_ASSERT(parsed.done);
+	RC_ASSERT(parsed.body == "hello world");
+	RC_ASSERT(parsed.head.headers.size() == 2u);
+	RC_ASSERT(parsed.rest == "GET /next");
+}
+
+TEST(MessageParser, rejectsTwoWaysToTellTheLength)
+{
+	const std::string head = "POST /a HTTP/1.1\r\nHost: h\r\n";
+	for (const char* lengths : {"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n",
+								"Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n",
+								"Content-Length: 5\r\nContent-Length: 6\r\n\r\n", "Content-Length: 5x\r\n\r\n",
+								"Content-Length: -1\r\n\r\n"})
+	{
+		EXPECT_EQ(parse(MessageKind::Request, head + lengths + "hello").fault, ParseFault::Malformed) << lengths;
+	}
+}
+
+TEST(MessageParser, tellsWhichLimitIsPassed)
+{
+	const std::string longHeader = "GET /a HTTP/1.1\r\nX: " + std::string(2 * kHeaderLimit, 'x') + "\r\n\r\n";
+	EXPECT_EQ(parse(MessageKind::Request, longHeader).fault, ParseFault::HeaderTooLarge);
+	const std::string longBody = "POST /a HTTP/1.1\r\nContent-Length: 11\r\n\r\n";
+	EXPECT_EQ(parse(MessageKind::Request, longBody, {}, 10).fault, ParseFault::BodyTooLarge);
+	const std::string longChunks =
+		"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n8\r\n12345678\r\n8\r\n12345678\r\n";
+	EXPECT_EQ(parse(MessageKind::Request, longChunks, {}, 10).fault, ParseFault::BodyTooLarge);
+}
+
+TEST(MessageParser, anAnswerIsWholeOnlyWhereItsFramingSaysSo)
+{
+	for (const auto& [bytes, whole] : std::vector<std::pair<std::string, bool>>{
+			 {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhel", false},
+			 {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", false},
+			 {"HTTP/1.1 200 OK\r\n\r\nhello", true}})
+	{
+		MessageParser parser(MessageKind::Answer, kHeaderLimit, kBodyLimit);
+		std::string body;
+		parser.consume(bytes, body);
+		EXPECT_FALSE(parser.done());
+		parser.finishAtEnd();
+		EXPECT_EQ(parser.done(), whole) << bytes;
+		EXPECT_EQ(parser.fault() == ParseFault::Truncated, !whole) << bytes;
+	}
+}
+
+TEST(MessageParser, bytesAfterAnAnswerAreNotItsBody)
+{
+	const Parsed parsed =
+		parse(MessageKind::Answer, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n");
+	EXPECT_TRUE(parsed.done);
+	EXPECT_EQ(parsed.body, "ok");
+	EXPECT_EQ(parsed.rest, "HTTP/1.1 200 OK\r\n");
+}
+
+TEST(Forwarding, leavesOutWhatConcernsOneConnection)
+{
+	const HttpHeaders kept = endToEndHeaders({{"Host", "h"},
+											  {"Connection", "close, X-Hop"},
+											  {"x-hop", "1"},
+											  {"Keep-Alive", "timeout=5"},
+											  {"transfer-encoding", "chunked"},
+											  {"Content-Length", "5"},
+											  {"X-End", "2"}});
+	EXPECT_EQ(kept, (HttpHeaders{{"Host", "h"}, {"X-End", "2"}}));
+}
+
+RC_GTEST_PROP(EventSplitter, givesTheSameEventsInAnyPieces, (const std::vector<std::uint8_t>& sizes))
+{
+	const std::string stream =
+		"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\n\nid: x\ndata: c\n\nid: 4\ndata: cut";
+	EventSplitter splitter;
+	std::vector<StreamEvent> events;
+	std::size_t given = 0;
+	std::size_t turn = 0;
+	while (given < stream.size())
+	{
+		const std::size_t size = sizes.empty() ? stream.size() : 1 + sizes[turn++ % sizes.size()] % 9;
+		for (StreamEvent& event : splitter.add(std::string_view(stream).substr(given, size)))
+		{
+			events.push_back(std::move(event));
+		}
+		given += size;
+	}
+	RC_ASSERT(events.size() == 4u);
+	RC_ASSERT(events[0].id == std::optional<std::uint64_t>(1));
+	RC_ASSERT(events[1].id == std::optional<std::uint64_t>(2));
+	RC_ASSERT(!events[2].id && !events[3].id);
+	RC_ASSERT(splitter.pending() == std::string("id: 4\ndata: cut").size());
+}
+
+TEST(GossipCodec, givesBackWhatWasSent)
+{
+	GossipMessage message;
+	message.run = {"a", 17};
+	message.host = "10.0.0.1";
+	message.sent = 5;
+	message.echo = 6;
+	message.wallClock = 7;
+	message.configVersion = 8;
+	message.storeRevision = 9;
+	message.configAge = 10;
+	message.leaving = true;
+	message.members = {"10.0.0.2"};
+	message.quotas = {{"team", 11.5}};
+	message.loads = {{"backend", 12, 13}};
+	message.usage = {{14, "team", 15}};
+	message.demand = {{"service", 16.5}};
+	const auto decoded = decodeGossip(encodeGossip(message));
+	ASSERT_TRUE(decoded);
+	EXPECT_EQ(encodeGossip(*decoded), encodeGossip(message));
+	EXPECT_EQ(decoded->run, message.run);
+	EXPECT_EQ(decoded->demand[0].work, 16.5);
+}
+
+RC_GTEST_PROP(GossipCodec, refusesBytesThatAreNoMessage, (const std::string& bytes))
+{
+	decodeGossip(bytes);
+	GossipMessage message;
+	std::string cut = encodeGossip(message);
+	cut.resize(cut.size() - 1 - bytes.size() % cut.size());
+	RC_ASSERT(!decodeGossip(cut));
+}
+
+TEST(PlatformSettings, areReadAndUnknownFieldsPassedOver)
+{
+	const GatewaySettings settings = platform::readSettings(settingsText());
+	EXPECT_EQ(settings.name, "front-1");
+	EXPECT_EQ(settings.callers, (Address{"10.0.0.1", 80}));
+	EXPECT_EQ(settings.gossipPort, 7600);
+	EXPECT_EQ(settings.revocationSpan, 5 * kSecond);
+	EXPECT_EQ(settings.usageWindow, 5 * kSecond);
+	EXPECT_TRUE(settings.reportsUsage);
+	EXPECT_FALSE(settings.ordersCapacity);
+}
+
+TEST(PlatformSettings, whatIsMissingOrContradictsIsNamed)
+{
+	for (const auto& [change, named] : std::vector<std::pair<std::string, std::string>>{
+			 {R"({"nodeName": null})", "nodeName"},
+			 {R"({"listen": {"frontend": null}})", "frontend"},
+			 {R"({"listen": {"readiness": "10.0.0.1:80"}})", "same address"},
+			 {R"({"listen": {"frontend": "nowhere"}})", "nowhere"},
+			 {R"({"internalPortRange": [7615, 7600]})", "internalPortRange"},
+			 {R"({"bounds": {"revokeMs": null}})", "revokeMs"},
+			 {R"({"bounds": {"usageWindowS": 0}})", "usageWindowS"},
+			 {R"({"platform": null})", "platform"},
+			 {R"({"seeds": ["x"]})", "seeds"}})
+	{
+		try
+		{
+			platform::readSettings(settingsText(change));
+			ADD_FAILURE() << change << " was taken";
+		}
+		catch (const Error& error)
+		{
+			EXPECT_EQ(error.failure(), Failure::SettingInvalid);
+			EXPECT_NE(std::string(error.what()).find(named), std::string::npos) << error.what();
+		}
+	}
+	EXPECT_THROW(platform::readSettings("{"), Error);
+}
+
+TEST(PlatformDocuments, aConfigurationIsReadWhole)
+{
+	const RoutingConfigPtr config = platform::readConfig(R"({"version": 7, "routes": [
+		{"name": "r1", "host": "H.example", "pathPrefix": "/a/", "kind": "streaming", "timeoutMs": 15000,
+		 "targetLatencyMs": 600, "priority": 1, "maxAttempts": 2, "streamResume": true,
+		 "trafficSplit": [{"service": "s1", "weight": 90}, {"service": "s2", "weight": 10}]},
+		{"name": "r2", "host": "h.example", "pathPrefix": "/a/b/", "kind": "unsafe", "service": "s2"}],
+		"services": [{"name": "s1", "maxConnections": 5, "engine": {"slots": 64, "moves": true},
+			"autoscaling": {"min": 1, "max": 6, "bootTimeS": 4.0, "spotPrice": 0.18, "zonePrices": {"z1": 1.0}}},
+			{"name": "s2"}],
+		"limits": {"maxHeaderBytes": 100, "idleTimeoutMs": 15000},
+		"tenants": [{"name": "t", "apiKeys": ["k1", "k2"], "unit": "generation", "plainTokens": 200, "ratePerS": 10}]})");
+	ASSERT_EQ(config->routes.size(), 2u);
+	EXPECT_EQ(config->findRoute("h.example:80", "/a/x")->name, "r1");
+	EXPECT_EQ(config->findRoute("H.EXAMPLE", "/a/b/x")->name, "r2");
+	EXPECT_EQ(config->findRoute("h.example", "/a"), nullptr);
+	EXPECT_EQ(config->findRoute("other", "/a/x"), nullptr);
+	EXPECT_EQ(config->findTeamByKey("k2")->name, "t");
+	EXPECT_EQ(config->findTeamByKey("k3"), nullptr);
+	EXPECT_TRUE(config->routes[0].repeatable());
+	EXPECT_FALSE(config->routes[1].repeatable());
+	EXPECT_EQ(config->findService("s1")->scaling->bootTime, 4 * kSecond);
+	EXPECT_EQ(config->limits.headerBytes, 100u);
+}
+
+TEST(PlatformDocuments, aConfigurationThatCannotBeReadIsRefused)
+{
+	for (const char* text : {"", "[]", R"({"routes": [], "services": []})", R"({"version": 1, "services": []})",
+							 R"({"version": 1, "routes": [{"host": "h"}], "services": []})",
+							 R"({"version": 1, "services": [], "routes": [
+								{"host": "h", "pathPrefix": "/", "kind": "odd", "service": "s"}]})"})
+	{
+		EXPECT_THROW(platform::readConfig(text), Error) << text;
+	}
+}
+
+TEST(PlatformHeaders, onlyTheGatewaySpeaksForTheTeamAndTheTarget)
+{
+	const HttpHeaders fromCaller{{"Host", "h"},
+								 {"X-Beacongate-Tenant-Id", "forged"},
+								 {"x-beacongate-target-instance", "forged"},
+								 {"X-Beacongate-Request-Priority", "0"},
+								 {"Kv-From", "forged"},
+								 {"Api-Key", "secret"},
+								 {"X-Beacongate-Deadline-Ms", "9000"},
+								 {"X-Beacongate-Model", "m"}};
+	ForwardFields fields;
+	fields.timeLeft = 1500 * kMillisecond;
+	fields.backendId = "b";
+	fields.team = "t";
+	const HttpHeaders sent = platform::forwardedHeaders(fromCaller, fields);
+	EXPECT_EQ(sent, (HttpHeaders{{"Host", "h"},
+								 {"X-Beacongate-Model", "m"},
+								 {platform::kDeadline, "1500"},
+								 {platform::kTarget, "b"},
+								 {platform::kTenant, "t"}}));
+}
+
+TEST(PlatformHeaders, aRequestsHeadIsReadAndNonsenseRefused)
+{
+	MessageHead head;
+	head.headers = {{"Host", "h"},
+					{"X-Beacongate-Request-Attempt-Id", "9c"},
+					{"X-Beacongate-Token-Counts", "1460,80"},
+					{"X-Beacongate-Prompt-Prefix-Hash", "5c1e07a2:800,91bd3f06:410,e4402b7d:250"},
+					{"X-Beacongate-Deadline-Ms", "15000"},
+					{"Api-Key", "k"}};
+	const RequestInfo info = platform::readRequest(head);
+	EXPECT_EQ(info.promptTokens, 1460u);
+	EXPECT_EQ(info.outputTokens, 80u);
+	ASSERT_EQ(info.parts.size(), 3u);
+	EXPECT_EQ(info.parts[1].id, 0x91bd3f06u);
+	EXPECT_EQ(info.deadline, 15 * kSecond);
+	for (const char* deadline : {"", "x", "-5", "1.5", "99999999999999999999"})
+	{
+		head.headers = {{"X-Beacongate-Deadline-Ms", deadline}};
+		EXPECT_THROW(platform::readRequest(head), Error) << deadline;
+	}
+}
+
+TEST(PlatformStore, anAnswerThatIsLostOrMakesNoSenseIsNeverTakenForNotDone)
+{
+	EXPECT_EQ(platform::readTransaction(std::nullopt).outcome, KvOutcome::Unknown);
+	EXPECT_EQ(platform::readTransaction(HttpAnswer{500, {}, ""}).outcome, KvOutcome::Unknown);
+	EXPECT_EQ(platform::readTransaction(HttpAnswer{412, {}, "{"}).outcome, KvOutcome::Unknown);
+	EXPECT_EQ(platform::readTransaction(HttpAnswer{503, {}, ""}).outcome, KvOutcome::NotDone);
+	EXPECT_EQ(platform::readTransaction(HttpAnswer{429, {}, ""}).outcome, KvOutcome::NotDone);
+	EXPECT_EQ(platform::readTransaction(HttpAnswer{404, {}, ""}).outcome, KvOutcome::LeaseGone);
+	EXPECT_EQ(platform::readTransaction(HttpAnswer{200, {}, R"({"revision": 4})"}).outcome, KvOutcome::Done);
+	EXPECT_FALSE(platform::readRange(HttpAnswer{200, {}, R"({"items": [{}], "at": 1})"}));
+	EXPECT_FALSE(platform::readRange(HttpAnswer{429, {}, ""}));
+	EXPECT_TRUE(platform::readWatch(HttpAnswer{410, {}, ""})->historyLost);
+}
+
+TEST(PlatformStore, eventsTellWhatIsGone)
+{
+	const std::string body = R"({"events": [{"key": "a", "value": ")" + toBase64("v") +
+							 R"(", "revision": 5}, {"key": "b", "revision": 6, "gone": true}], "at": 6})";
+	const auto events = platform::readWatch(HttpAnswer{200, {}, body});
+	ASSERT_TRUE(events);
+	ASSERT_EQ(events->items.size(), 2u);
+	EXPECT_EQ(events->items[0].value, "v");
+	EXPECT_EQ(events->items[1].revision, 0u);
+	EXPECT_EQ(events->revision, 6u);
+}
+
+} // namespace beacongate::test
