Let any request pass while a quota has something left, and owe the rest

Change: a request passes while the level is above 0 and may take it below; Retry-After tells when it is above again. Tests: large requests are not starved (failed before: 0 of 600), what was taken too much is owed.

--- a/src/coordination/quotaledger.cpp
+++ b/src/coordination/quotaledger.cpp
@@ -10,6 +10,7 @@
 namespace
 {
 constexpr double kStartShare = 0.5; ///< Of the burst, at a start: what others have is not known yet.
+constexpr double kReadyShare = 0.1; ///< Of a request, that has to be there when its caller comes back.
 constexpr Micros kLongestWait = 5 * kSecond;
 
 double secondsOf(Micros span)
@@ -75,11 +76,11 @@
 		return 0;
 	}
 	refill(bucket, now);
-	// A request larger than the burst passes once the bucket is full.
-	const double needed = std::min(amount, bucket.burst);
-	if (bucket.level < needed)
+	// Any request passes while something is left, and what it takes beyond that is owed: a bucket that is nearly
+	// empty would else let small requests through and never a large one.
+	if (bucket.level <= 0.0)
 	{
-		const double wait = (needed - bucket.level) / bucket.rate;
+		const double wait = (-bucket.level + kReadyShare * std::min(amount, bucket.burst)) / bucket.rate;
 		return std::clamp<Micros>(static_cast<Micros>(wait * static_cast<double>(kSecond)), kMillisecond,
 								  kLongestWait);
 	}
