Begin on spot: a first guess at the very first start, on demand let go at once

Change: where the settings say that the whole system starts for the first time, spot is ordered for a first guess (0.4 of the limit of each data centre), counts as standing while it boots, and on demand is made up only for what is refused. What is made up is kept for 8 s instead of 3 s, against releases that are regretted a second later. Tests: both cases on the model platform (capacitytest).

--- a/src/coordination/capacityplanner.cpp
+++ b/src/coordination/capacityplanner.cpp
@@ -14,6 +14,7 @@
 constexpr double kSpareServers = 3.0;   ///< On top: what a reclaim takes is made up by what stands elsewhere.
 constexpr double kRequiredFactor = 1.6; ///< The same without comfort.
 constexpr double kRequiredServers = 0.6;
+constexpr double kFirstShare = 0.4; ///< Of the most that may be ordered.
 constexpr Micros kResend = 1 * kSecond;
 
 double priceOf(const ScalingSettings& scaling, const std::string& zone)
@@ -41,6 +42,13 @@
 	return static_cast<unsigned>(std::ceil(work + kSpareFactor * std::sqrt(std::max(0.0, work)) + kSpareServers));
 }
 
+unsigned CapacityPlanner::firstGuess(const ScalingSettings& scaling)
+{
+	const auto perZone = static_cast<unsigned>(std::lround(scaling.maximum * kFirstShare));
+	const auto zones = static_cast<unsigned>(scaling.zonePrices.size());
+	return std::max({1u, scaling.minimum, perZone}) * std::max(1u, zones);
+}
+
 unsigned CapacityPlanner::serversRequired(double work)
 {
 	return static_cast<unsigned>(
@@ -91,6 +99,11 @@
 	return standing != wanted && now - ordered.at > bootTime + kBootSlack;
 }
 
+bool CapacityPlanner::onItsWay(const Ordered& ordered, Micros bootTime, Micros now) const
+{
+	return ordered.known && now - ordered.at <= bootTime + kBootSlack;
+}
+
 std::vector<CapacityOrder> CapacityPlanner::plan(const ScalingSettings& scaling,
 												 const std::map<std::string, ZoneCapacity>& zones, const Need& need,
 												 Micros now)
@@ -101,7 +114,8 @@
 	{
 		const ZoneCapacity& capacity = zones.at(name);
 		ZonePlan& zone = m_zones[name];
-		standing += capacity.spot;
+		const bool expected = need.idle && onItsWay(zone.spot, scaling.bootTime, now);
+		standing += expected ? std::max(capacity.spot, zone.spot.count) : capacity.spot;
 		if (capacity.reclaiming)
 		{
 			zone.spotBlockedUntil = std::max(zone.spotBlockedUntil, now + kSpotRetry);
@@ -112,7 +126,9 @@
 			orders.push_back({name, true, wanted});
 		}
 	}
-	if (!need.known)
+	const bool unanswered = std::any_of(m_zones.begin(), m_zones.end(),
+										[](const auto& entry) { return entry.second.spot.at == kLongAgo; });
+	if (!need.known || (need.idle && unanswered))
 	{
 		return orders;
 	}
--- a/src/coordination/capacityplanner.h
+++ b/src/coordination/capacityplanner.h
@@ -43,7 +43,7 @@
 	/// After a reclaim or a refused order, spot is asked for again after this long.
 	static constexpr Micros kSpotRetry = 2500 * kMillisecond;
 	/// On-demand capacity is kept for this long after the last moment that it was needed.
-	static constexpr Micros kReleaseDelay = 3000 * kMillisecond;
+	static constexpr Micros kReleaseDelay = 8 * kSecond;
 
 	/// @param[in] work Backend servers that the present load would keep busy all the time.
 	/// @returns backend servers to have at the price of spot, so that a burst or a lost data centre is borne.
@@ -52,12 +52,16 @@
 	/// @returns backend servers to have at any price.
 	static unsigned serversRequired(double work);
 
+	/// @returns backend servers to begin with, before there is any load to go by.
+	static unsigned firstGuess(const ScalingSettings& scaling);
+
 	/// What a load calls for.
 	struct Need
 	{
 		unsigned wished = 0;   ///< At the price of spot.
 		unsigned required = 0; ///< At any price.
 		bool known = false;    ///< What stands is all listed, so that on-demand capacity may be changed.
+		bool idle = false;     ///< There is no load yet: spot that was ordered counts as if it stood.
 	};
 
 	/// @returns what is to be ordered now; each order is returned again after a while as long as it does not stand.
@@ -90,6 +94,7 @@
 											   unsigned needed) const;
 	static std::map<std::string, unsigned>
 	makeUp(const ScalingSettings& scaling, const std::map<std::string, ZoneCapacity>& zones, unsigned missing);
+	bool onItsWay(const Ordered& ordered, Micros bootTime, Micros now) const;
 	bool due(const Ordered& ordered, unsigned wanted, unsigned standing, Micros bootTime, Micros now) const;
 
 	std::map<std::string, ZonePlan> m_zones;
--- a/src/gateway/dutyholder.cpp
+++ b/src/gateway/dutyholder.cpp
@@ -336,11 +336,11 @@
 		++standing;
 		onDemand += known.record.spot ? 0 : 1;
 	}
-	if (standing == 0)
+	if (standing == 0 && !m_context.settings.firstStart)
 	{
 		return;
 	}
-	const CapacityPlanner::Need need = needOf(service.name, onDemand, now);
+	const CapacityPlanner::Need need = needOf(service, onDemand, now);
 	for (const CapacityOrder& order : m_planners[service.name].plan(*service.scaling, zones, need, now))
 	{
 		logEvent(LogLevel::Info, "capacity-order",
@@ -357,25 +357,30 @@
 	}
 }
 
-CapacityPlanner::Need DutyHolder::needOf(const std::string& service, unsigned onDemand, Micros now)
+CapacityPlanner::Need DutyHolder::needOf(const PooledService& service, unsigned onDemand, Micros now)
 {
-	const double work = m_context.demand.work(service);
+	const double work = m_context.demand.work(service.name);
 	CapacityPlanner::Need need;
 	need.wished = CapacityPlanner::serversFor(work);
 	need.required = CapacityPlanner::serversRequired(work);
-	// Until the load is known, what operators started with is taken for what it needs.
-	StartCapacity& start = m_startCapacity[service];
+	StartCapacity& start = m_startCapacity[service.name];
 	if (onDemand > start.onDemand)
 	{
 		start.onDemand = onDemand;
 		start.grown = now;
 	}
-	need.known = now - start.grown > kRosterSettled;
-	if (!m_context.demand.settled(service, now))
+	need.idle = m_context.settings.firstStart && work <= 0.0;
+	need.known = need.idle || now - start.grown > kRosterSettled;
+	if (m_context.demand.settled(service.name, now))
 	{
-		need.wished = std::max(need.wished, start.onDemand);
-		need.required = std::max(need.required, start.onDemand);
+		return need;
 	}
+	// The load is not known yet. At the very first start there is none, and on-demand capacity is not waited for;
+	// later, what stands is taken for what is needed.
+	const unsigned guess =
+		m_context.settings.firstStart ? CapacityPlanner::firstGuess(*service.scaling) : start.onDemand;
+	need.wished = std::max(need.wished, guess);
+	need.required = std::max(need.required, m_context.settings.firstStart ? guess / 2 : guess);
 	return need;
 }
 
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -32,6 +32,7 @@
 	std::optional<Address> dutyApi;  ///< Takes usage reports and orders for capacity.
 	bool reportsUsage = false;       ///< That duty is there.
 	bool ordersCapacity = false;     ///< That duty is there.
+	bool firstStart = false;         ///< The whole system starts for the first time: there is no load yet.
 	Micros grace = 8 * kSecond;      ///< From a request to stop until the process is killed.
 	bool strictRevocation = false;   ///< A key that was taken away must not be served beyond revocationSpan.
 	Micros revocationSpan = kNever;  ///< See strictRevocation.
--- a/tests/capacitytest.cpp
+++ b/tests/capacitytest.cpp
@@ -148,6 +148,30 @@
 	EXPECT_EQ(platform.count(false), 1u);
 }
 
+TEST(CapacityPlanner, whereThereIsNoLoadYetSpotIsWaitedForAndNothingOrderedOnDemand)
+{
+	ModelPlatform platform;
+	platform.pools[{"a", false}].standing = 4;
+	for (int tick = 0; tick < 40; ++tick)
+	{
+		platform.step({8, 5, true, true});
+		EXPECT_LE(platform.count(false), 4u);
+		const Pool& cheapest = platform.pools[{"b", false}];
+		EXPECT_EQ(cheapest.standing + cheapest.booting.size(), 0u);
+	}
+	EXPECT_EQ(platform.count(true), 8u);
+	EXPECT_EQ(platform.count(false), 0u);
+}
+
+TEST(CapacityPlanner, whereSpotIsRefusedBeforeTheLoadComesItIsMadeUpOnDemand)
+{
+	ModelPlatform platform;
+	platform.dryUntil = 60 * kSecond;
+	platform.run({8, 5, true, true}, 8 * kSecond);
+	EXPECT_EQ(platform.count(true), 0u);
+	EXPECT_EQ(platform.count(false), 5u);
+}
+
 TEST(CapacityPlanner, aReclaimInADrySpellIsMadeUpOnDemandAndGivenBack)
 {
 	ModelPlatform platform;
