Let the duty holder alone watch the store; pass its news on by gossip

Ruled out: no watch at all (a reclaim's notice would be heard up to 0.8 s late by everyone); slower reads (a lost one would break the two seconds of a configuration). Change: one gateway watches; datagrams name backend servers that were found leaving in the last 2 s and the version in force, and a gateway that hears of a newer one reads at once (5 times a second at most). Reads every 0.8 s stay.

--- a/src/coordination/directory.cpp
+++ b/src/coordination/directory.cpp
@@ -36,6 +36,10 @@
 		const bool newlyLeaving = record.leaves && !known.record.leaves;
 		known.record = record;
 		known.record.draining = record.draining || wasDraining;
+		if (known.record.draining && known.drainingSince == kNever)
+		{
+			known.drainingSince = now;
+		}
 		known.vanishedAt = kNever;
 		if (newlyLeaving)
 		{
@@ -49,6 +53,7 @@
 		if (!present.count(it->first) && known.vanishedAt == kNever)
 		{
 			known.vanishedAt = now;
+			known.drainingSince = std::min(known.drainingSince, now);
 		}
 		const bool forgotten = known.vanishedAt != kNever && now - known.vanishedAt > kVanishedMemory;
 		it = forgotten ? m_backends.erase(it) : std::next(it);
@@ -69,13 +74,27 @@
 	}
 }
 
-void Directory::markDraining(const std::string& id)
+void Directory::markDraining(const std::string& id, Micros now)
 {
 	const auto it = m_backends.find(id);
-	if (it != m_backends.end())
+	if (it != m_backends.end() && !it->second.record.draining)
 	{
 		it->second.record.draining = true;
+		it->second.drainingSince = now;
+	}
+}
+
+std::vector<std::string> Directory::drainingSince(Micros moment) const
+{
+	std::vector<std::string> ids;
+	for (const auto& [id, known] : m_backends)
+	{
+		if (known.drainingSince != kNever && known.drainingSince >= moment)
+		{
+			ids.push_back(id);
+		}
 	}
+	return ids;
 }
 
 Micros Directory::age(Micros now) const
--- a/src/coordination/directory.h
+++ b/src/coordination/directory.h
@@ -30,10 +30,11 @@
 struct KnownBackend
 {
 	BackendRecord record;
-	Micros leavesAt = kNever;   ///< When it is reclaimed.
-	Micros coldUntil = 0;       ///< It is slow until then.
-	Micros vanishedAt = kNever; ///< When its record was first found missing.
-	bool misdirected = false;   ///< Another server answered at its address.
+	Micros leavesAt = kNever;      ///< When it is reclaimed.
+	Micros coldUntil = 0;          ///< It is slow until then.
+	Micros vanishedAt = kNever;    ///< When its record was first found missing.
+	Micros drainingSince = kNever; ///< When it was first known to take no new work.
+	bool misdirected = false;      ///< Another server answered at its address.
 
 	/// @returns whether new work may go to it.
 	bool usable() const
@@ -63,8 +64,11 @@
 	/// A backend server answered that it is not the one that was meant.
 	void markMisdirected(const std::string& id);
 
-	/// A backend server said of itself that it is leaving.
-	void markDraining(const std::string& id);
+	/// A backend server is known from elsewhere to be leaving.
+	void markDraining(const std::string& id, Micros now);
+
+	/// @returns backend servers that were found to be leaving within a span.
+	std::vector<std::string> drainingSince(Micros moment) const;
 
 	/// @returns the configuration in force, or nullptr.
 	const RoutingConfigPtr& config() const
--- a/src/coordination/gossip.h
+++ b/src/coordination/gossip.h
@@ -35,6 +35,7 @@
 	std::vector<BackendLoad> loads;
 	std::vector<UsageCount> usage;
 	std::vector<DemandReport> demand;
+	std::vector<std::string> draining; ///< Backend servers that were lately found to take no new work.
 };
 
 } // namespace beacongate
--- a/src/gateway/dutyholder.cpp
+++ b/src/gateway/dutyholder.cpp
@@ -80,6 +80,7 @@
 void DutyHolder::tick()
 {
 	const Micros now = monotonicNow();
+	m_context.holdsDuties = m_lease.held(now) && !m_context.stopping;
 	if (m_context.stopping)
 	{
 		return;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -89,6 +89,10 @@
 	m_gossiper->init();
 	m_store = std::make_shared<StoreSync>(m_context);
 	m_store->init();
+	m_context.onNewsFromPeer = [this]
+	{
+		m_store->refresh();
+	};
 	m_registration = std::make_shared<Registration>(m_context);
 	m_registration->init();
 	if (m_context.settings.dutyApi)
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -77,6 +77,10 @@
 	std::size_t openExchanges = 0;
 	/// Called when the directory took in a snapshot.
 	std::function<void()> onDirectoryChanged;
+	/// Called when a peer has a newer configuration.
+	std::function<void()> onNewsFromPeer;
+	/// This gateway holds the duties: it alone watches the store and passes the news on.
+	bool holdsDuties = false;
 };
 
 } // namespace beacongate
--- a/src/gateway/gossiper.cpp
+++ b/src/gateway/gossiper.cpp
@@ -19,6 +19,7 @@
 namespace
 {
 constexpr Micros kInterval = 150 * kMillisecond;
+constexpr Micros kDrainingNews = 2 * kSecond; ///< How long peers are told of a leaving backend server.
 
 Micros wallClockNow()
 {
@@ -74,6 +75,7 @@
 	message.loads = m_context.balancer.ownLoads();
 	message.usage = m_context.usage.ownCounts();
 	message.demand = m_context.demand.ownReports();
+	message.draining = m_context.directory.drainingSince(now - kDrainingNews);
 	if (m_context.directory.config())
 	{
 		for (const TeamAccess& team : m_context.directory.config()->teams)
@@ -181,6 +183,14 @@
 	{
 		m_context.directory.confirm(message->echo - message->configAge);
 	}
+	for (const std::string& id : message->draining)
+	{
+		m_context.directory.markDraining(id, now);
+	}
+	if (config && config->version < message->configVersion && m_context.onNewsFromPeer)
+	{
+		m_context.onNewsFromPeer();
+	}
 }
 
 } // namespace beacongate
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -16,6 +16,7 @@
 namespace
 {
 constexpr Micros kReadInterval = 800 * kMillisecond; ///< Well within every bound on news.
+constexpr Micros kNewsInterval = 200 * kMillisecond; ///< Between two early reads.
 constexpr Micros kReadTimeout = 900 * kMillisecond;
 constexpr Micros kRetryMin = 100 * kMillisecond;
 constexpr Micros kRetryMax = 600 * kMillisecond;
@@ -71,6 +72,12 @@
 
 void StoreSync::refresh()
 {
+	const Micros now = monotonicNow();
+	if (now - m_lastNews < kNewsInterval)
+	{
+		return;
+	}
+	m_lastNews = now;
 	if (m_reading)
 	{
 		m_readAgain = true;
@@ -173,7 +180,8 @@
 
 void StoreSync::watch()
 {
-	if (m_closed)
+	// A watch is charged for each thing that it hears, so one gateway watches and the others hear of it by gossip.
+	if (m_closed || !m_context.holdsDuties)
 	{
 		return;
 	}
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -31,8 +31,10 @@
 	/// @returns what a peer gets that cannot reach the store, as MessagePack; empty where there is nothing.
 	std::string encodeContent() const;
 
-private:
+	/// Reads at once, or as soon as the read that runs has ended.
 	void refresh();
+
+private:
 	void scheduleRead(Micros span);
 	void read();
 	void readPage(const std::string& afterKey);
@@ -59,6 +61,7 @@
 	Micros m_readSent = 0;
 	bool m_reading = false;
 	bool m_readAgain = false;
+	Micros m_lastNews = kLongAgo;
 	bool m_watching = false;
 	bool m_storeReachable = true;
 	bool m_closed = false;
--- a/src/protocol/gossipcodec.cpp
+++ b/src/protocol/gossipcodec.cpp
@@ -9,7 +9,7 @@
 {
 namespace
 {
-constexpr int kFormat = 2; ///< Raised when the layout changes.
+constexpr int kFormat = 3; ///< Raised when the layout changes.
 
 Json encodeQuotas(const std::vector<QuotaReport>& quotas)
 {
@@ -72,10 +72,11 @@
 
 std::string encodeGossip(const GossipMessage& message)
 {
-	const Json fields = Json::array(
-		{kFormat, message.run.name, message.run.incarnation, message.host, message.sent, message.echo,
-		 message.wallClock, message.configVersion, message.storeRevision, message.configAge, message.leaving,
-		 message.members, encodeQuotas(message.quotas), encodeLoads(message.loads), encodeUsage(message.usage), encodeDemand(message.demand)});
+	const Json fields =
+		Json::array({kFormat, message.run.name, message.run.incarnation, message.host, message.sent, message.echo,
+					 message.wallClock, message.configVersion, message.storeRevision, message.configAge,
+					 message.leaving, message.members, encodeQuotas(message.quotas), encodeLoads(message.loads),
+					 encodeUsage(message.usage), encodeDemand(message.demand), message.draining});
 	std::string bytes;
 	Json::to_msgpack(fields, bytes);
 	return bytes;
@@ -84,7 +85,7 @@
 std::optional<GossipMessage> decodeGossip(std::string_view bytes)
 {
 	const Json fields = Json::from_msgpack(bytes.begin(), bytes.end(), true, false);
-	if (!fields.is_array() || fields.size() < 16 || fields[0] != kFormat)
+	if (!fields.is_array() || fields.size() < 17 || fields[0] != kFormat)
 	{
 		return std::nullopt;
 	}
@@ -107,6 +108,7 @@
 		{
 			message.demand.push_back({report.at(0).get<std::string>(), report.at(1).get<double>()});
 		}
+		message.draining = fields[16].get<std::vector<std::string>>();
 		return message;
 	}
 	catch (const Json::exception&)
--- a/tests/gatewayprotocoltest.cpp
+++ b/tests/gatewayprotocoltest.cpp
@@ -189,11 +189,13 @@
 	message.loads = {{"backend", 12, 13}};
 	message.usage = {{14, "team", 15}};
 	message.demand = {{"service", 16.5}};
+	message.draining = {"backend"};
 	const auto decoded = decodeGossip(encodeGossip(message));
 	ASSERT_TRUE(decoded);
 	EXPECT_EQ(encodeGossip(*decoded), encodeGossip(message));
 	EXPECT_EQ(decoded->run, message.run);
 	EXPECT_EQ(decoded->demand[0].work, 16.5);
+	EXPECT_EQ(decoded->draining, message.draining);
 }
 
 RC_GTEST_PROP(GossipCodec, refusesBytesThatAreNoMessage, (const std::string& bytes))
