Use backend servers again whose records lapsed and came back

A record that vanished was told to peers as leaving, and leaving is final. Change: only what a backend server says of itself is passed on as leaving; a record that vanished counts as capacity for 2 s, so that an outage's end orders nothing. Test: aRecordThatLapsedAndCameBackIsUsedAgain failed before, passes now.

--- a/src/coordination/directory.cpp
+++ b/src/coordination/directory.cpp
@@ -53,7 +53,6 @@
 		if (!present.count(it->first) && known.vanishedAt == kNever)
 		{
 			known.vanishedAt = now;
-			known.drainingSince = std::min(known.drainingSince, now);
 		}
 		const bool forgotten = known.vanishedAt != kNever && now - known.vanishedAt > kVanishedMemory;
 		it = forgotten ? m_backends.erase(it) : std::next(it);
--- a/src/gateway/dutyholder.cpp
+++ b/src/gateway/dutyholder.cpp
@@ -18,6 +18,7 @@
 constexpr Micros kStoreTimeout = 700 * kMillisecond;
 constexpr Micros kDutyTimeout = 1 * kSecond;
 constexpr Micros kSettle = 1200 * kMillisecond; ///< After a window's end, for counts still on their way.
+constexpr Micros kLapseSpan = 2 * kSecond;      ///< A record that vanished is counted for this long.
 constexpr Micros kRosterSettled =
 	2500 * kMillisecond; ///< Without a new backend server, until all are taken to be listed.
 constexpr std::uint64_t kWindowsBack = 3;
@@ -323,7 +324,9 @@
 	unsigned onDemand = 0;
 	for (const auto& [id, known] : m_context.directory.backends())
 	{
-		if (known.record.service != service.name || known.vanishedAt != kNever)
+		// Records lapse together while the store is down and come back with the next heartbeat.
+		const bool gone = known.vanishedAt != kNever && now - known.vanishedAt > kLapseSpan;
+		if (known.record.service != service.name || gone)
 		{
 			continue;
 		}
--- a/tests/gatewaycoretest.cpp
+++ b/tests/gatewaycoretest.cpp
@@ -107,6 +107,18 @@
 	EXPECT_TRUE(directory.usableOf("model", 3 * kSecond + Directory::kVanishedGrace).empty());
 }
 
+TEST(Directory, aRecordThatLapsedAndCameBackIsUsedAgain)
+{
+	// Records lapse while the store is down; only one that said so itself is told to peers as leaving.
+	Directory directory;
+	directory.apply({1, configOf(1), {backendOf("a"), backendOf("b")}, 0}, kSecond);
+	directory.apply({2, configOf(1), {backendOf("b", true)}, 0}, 2 * kSecond);
+	EXPECT_EQ(directory.drainingSince(0), std::vector<std::string>{"b"});
+	directory.apply({3, configOf(1), {backendOf("a"), backendOf("b", true)}, 0}, 4 * kSecond);
+	ASSERT_EQ(directory.usableOf("model", 4 * kSecond).size(), 1u);
+	EXPECT_EQ(directory.usableOf("model", 4 * kSecond)[0]->record.id, "a");
+}
+
 TEST(Directory, ageCountsFromTheCallThatConfirmed)
 {
 	Directory directory;
