--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -110,6 +110,11 @@
 	m_context.loop.run();
 }
 
+void Gateway::post(std::function<void()> function)
+{
+	boost::asio::post(m_context.loop, std::move(function));
+}
+
 RequestLimits Gateway::limitsInForce() const
 {
 	const auto& config = m_context.directory.config();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -36,6 +36,9 @@
 	/// Runs until a stop has been completed.
 	void run();
 
+	/// Runs a function on the event loop's thread, at some later time.
+	void post(std::function<void()> function);
+
 	/// Stops: takes requests until the balancer has noticed, ends what runs, and ends.
 	void requestStop();
 
--- /dev/null
+++ b/tools/standin/platform.h
@@ -0,0 +1,229 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// Small stand-ins that speak the users' platform's published protocol: its store, its workers, its duty calls.
+
+#ifndef BEACONGATE_TOOLS_STANDIN_PLATFORM_H
+#define BEACONGATE_TOOLS_STANDIN_PLATFORM_H
+
+#include "transport/serversession.h"
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace beacongate::standin
+{
+/// An event loop on a thread of its own.
+class LoopThread
+{
+public:
+	LoopThread();
+	~LoopThread();
+	LoopThread(const LoopThread&) = delete;
+	LoopThread& operator=(const LoopThread&) = delete;
+
+	/// Runs a function on the loop's thread and waits for it.
+	void run(const std::function<void()>& function);
+
+	boost::asio::io_context& context()
+	{
+		return m_context;
+	}
+
+private:
+	boost::asio::io_context m_context{1};
+	boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
+	std::thread m_thread;
+};
+
+/// How the store fails.
+enum class StoreFault
+{
+	None,
+	Busy,        ///< 503 to everything.
+	Silent,      ///< No answer.
+	LosesWrites, ///< Writes are done and not answered.
+};
+
+/// Key-value service with revisions, watches, leases and conditional changes.
+class PlatformStore
+{
+public:
+	explicit PlatformStore(const Address& address);
+	~PlatformStore();
+
+	/// Writes as an operator or a worker.
+	void put(const std::string& key, const std::string& value);
+
+	/// Removes as an operator or a worker.
+	void remove(const std::string& key);
+
+	/// @returns a key's value, or an empty text.
+	std::string get(const std::string& key);
+
+	/// @returns keys that begin so.
+	std::vector<std::string> keys(const std::string& prefix);
+
+	/// Changes how the store fails from now on.
+	void setFault(StoreFault fault);
+
+	/// Forgets the history: watches from before get 410.
+	void forgetHistory();
+
+	/// @returns calls that came.
+	unsigned calls() const
+	{
+		return m_calls;
+	}
+
+private:
+	struct Item
+	{
+		std::string value;
+		std::uint64_t revision = 0;
+		std::uint64_t lease = 0;
+	};
+
+	struct Event
+	{
+		std::string key;
+		std::string value;
+		std::uint64_t revision = 0;
+		bool gone = false;
+	};
+
+	struct Watch
+	{
+		ServerSessionPtr session;
+		std::string prefix;
+		std::uint64_t since = 0;
+	};
+
+	void onRequest(const ServerSessionPtr& session, const IncomingRequest& request);
+	HttpAnswer range(const std::string& prefix, const std::string& after);
+	HttpAnswer transact(const std::string& body);
+	HttpAnswer openLease(const std::string& body);
+	HttpAnswer renewLease(std::uint64_t lease);
+	void watch(const ServerSessionPtr& session, const std::string& prefix, std::uint64_t since, Micros span);
+	HttpAnswer eventsSince(const std::string& prefix, std::uint64_t since) const;
+	void change(const std::string& key, const std::string* value, std::uint64_t lease);
+	void wakeWatches();
+	void expireLeases();
+	void scheduleExpiry();
+
+	LoopThread m_loop;
+	std::shared_ptr<ServerContext> m_context;
+	std::unique_ptr<ServerListener> m_listener;
+	boost::asio::steady_timer m_timer;
+	std::map<std::string, Item> m_items;
+	std::map<std::uint64_t, std::pair<Micros, Micros>> m_leases; ///< End and span.
+	std::vector<Event> m_events;
+	std::vector<Watch> m_watches;
+	std::uint64_t m_revision = 0;
+	std::uint64_t m_historyStart = 0;
+	std::uint64_t m_nextLease = 1;
+	StoreFault m_fault = StoreFault::None;
+	std::atomic<unsigned> m_calls = 0;
+};
+
+/// What a worker does with a request.
+enum class WorkerFault
+{
+	None,
+	Rejects,     ///< 503 that says that it did not run.
+	Fails,       ///< Runs and answers 500.
+	Resets,      ///< Runs and resets the connection.
+	Hangs,       ///< Runs and says nothing.
+	WrongId,     ///< Answers another request.
+	CutsStream,  ///< Ends the connection inside an event.
+	Unframed,    ///< An answer without a length, reset halfway.
+	Misdirected, ///< Says that it is another worker.
+};
+
+/// A request as a worker got it.
+struct WorkerRun
+{
+	std::string id;
+	std::string method;
+	std::string target;
+	std::string body;
+	HttpHeaders headers;
+	bool ended = false; ///< Its caller closed the connection before the answer was whole.
+};
+
+/// A worker of plain calls and of event streams.
+class PlatformWorker
+{
+public:
+	/// Events of a stream.
+	static constexpr unsigned kEvents = 8;
+	/// Pause between two events.
+	static constexpr Micros kEventPause = 20 * kMillisecond;
+
+	PlatformWorker(std::string id, const Address& address);
+	~PlatformWorker();
+
+	/// Changes what it does with requests from now on.
+	void setFault(WorkerFault fault);
+
+	/// @returns requests that it ran.
+	std::vector<WorkerRun> runs();
+
+	/// @returns requests that it ran, by the id that their caller gave.
+	unsigned runsOf(const std::string& id);
+
+private:
+	struct Connection;
+	using ConnectionPtr = std::shared_ptr<Connection>;
+
+	void accept();
+	void onBytes(const ConnectionPtr& connection, std::string_view bytes);
+	void onRequest(const ConnectionPtr& connection);
+	void stream(const ConnectionPtr& connection, unsigned next);
+	std::string head(const ConnectionPtr& connection, unsigned status, const std::string& more);
+
+	std::string m_id;
+	LoopThread m_loop;
+	boost::asio::ip::tcp::acceptor m_acceptor;
+	WorkerFault m_fault = WorkerFault::None;
+	std::mutex m_mutex;
+	std::vector<WorkerRun> m_runs;
+};
+
+/// A call that only the holder of the duties may make.
+struct DutyCall
+{
+	std::string target;
+	std::string holder;
+	std::uint64_t fence = 0;
+	std::string body;
+};
+
+/// Takes usage reports and orders.
+class PlatformDuties
+{
+public:
+	explicit PlatformDuties(const Address& address);
+	~PlatformDuties();
+
+	/// @returns the calls so far.
+	std::vector<DutyCall> calls();
+
+private:
+	LoopThread m_loop;
+	std::shared_ptr<ServerContext> m_context;
+	std::unique_ptr<ServerListener> m_listener;
+	std::mutex m_mutex;
+	std::vector<DutyCall> m_calls;
+};
+
+} // namespace beacongate::standin
+
+#endif // BEACONGATE_TOOLS_STANDIN_PLATFORM_H
