Keep usage counts in the store, so that they outlive all gateways at once

The log shows nine (eight) gateways started within a second: counts lived in memory and in datagrams only. Ruled out: each gateway writing its own (eight times the calls); the report itself (fixed and sent once). Change: the holder of the duties keeps the counts of all runs of the last two windows under one key, several times a second while they change; whoever reads the store takes them in. Test: usageCountsOutliveAllGatewaysAtOnce.

--- a/src/coordination/usageledger.h
+++ b/src/coordination/usageledger.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 namespace beacongate
@@ -75,6 +76,21 @@
 		return counts;
 	}
 
+	/// @returns counts of all runs from a window on, to be kept where they outlive all gateways.
+	std::vector<std::pair<GatewayRun, UsageCount>> allCounts(std::uint64_t fromWindow) const
+	{
+		std::vector<std::pair<GatewayRun, UsageCount>> counts;
+		for (const auto& [key, count] : m_counts)
+		{
+			if (std::get<0>(key) >= fromWindow)
+			{
+				counts.emplace_back(std::get<GatewayRun>(key),
+									UsageCount{std::get<0>(key), std::get<std::string>(key), count});
+			}
+		}
+		return counts;
+	}
+
 	/// @returns counts of all runs in a window, by team.
 	std::map<std::string, std::uint64_t> totals(std::uint64_t window) const
 	{
--- a/src/gateway/dutyholder.cpp
+++ b/src/gateway/dutyholder.cpp
@@ -7,7 +7,7 @@
 #include "gateway/memberkeys.h"
 #include "platform/dutycalls.h"
 #include "platform/storecalls.h"
-#include "protocol/json.h"
+#include "protocol/usagecodec.h"
 
 namespace beacongate
 {
@@ -30,16 +30,13 @@
 	return text.empty() ? 0 : std::strtoull(text.c_str(), nullptr, 10);
 }
 
-std::map<std::string, std::uint64_t> readCounts(const std::string& text)
-{
-	return parseJson(text, Failure::StoreUnavailable).get<std::map<std::string, std::uint64_t>>();
-}
 } // namespace
 
 DutyHolder::DutyHolder(GatewayContext& context)
 	: m_context(context),
 	  m_leaseChannel(std::make_shared<HttpChannel>(context.loop, context.settings.store, kAnswerBytes)),
 	  m_storeChannel(std::make_shared<HttpChannel>(context.loop, context.settings.store, kAnswerBytes)),
+	  m_countsChannel(std::make_shared<HttpChannel>(context.loop, context.settings.store, kAnswerBytes)),
 	  m_dutyChannel(std::make_shared<HttpChannel>(context.loop, *context.settings.dutyApi, kAnswerBytes)),
 	  m_timer(context.loop)
 {
@@ -56,6 +53,7 @@
 	m_timer.cancel();
 	m_leaseChannel->close();
 	m_storeChannel->close();
+	m_countsChannel->close();
 	m_dutyChannel->close();
 }
 
@@ -103,6 +101,7 @@
 	}
 	if (m_context.settings.reportsUsage)
 	{
+		keepCounts(now);
 		reportUsage(now);
 	}
 	if (m_context.settings.ordersCapacity)
@@ -218,7 +217,7 @@
 		const auto fixed = m_context.content.items.find(usageKey(window));
 		if (fixed != m_context.content.items.end())
 		{
-			sendWindow(window, readCounts(fixed->second.value));
+			sendWindow(window, decodeTotals(fixed->second.value));
 		}
 		else
 		{
@@ -228,6 +227,34 @@
 	}
 }
 
+void DutyHolder::keepCounts(Micros now)
+{
+	if (m_keepingCounts || !m_lease.mayAct(now))
+	{
+		return;
+	}
+	const std::uint64_t current = m_context.currentWindow(now);
+	std::string text = encodeRunCounts(m_context.usage.allCounts(current - std::min<std::uint64_t>(current, 1)));
+	if (text == m_keptCounts)
+	{
+		return;
+	}
+	m_keepingCounts = true;
+	KvTransaction change;
+	// Counts only grow and are merged by the larger, so a put that is done late does no harm.
+	change.puts = {{kCountsKey, text, 0}};
+	m_countsChannel->call(
+		platform::transactionCall(change), kStoreTimeout,
+		[self = shared_from_this(), text = std::move(text)](const std::optional<HttpAnswer>& answer)
+		{
+			self->m_keepingCounts = false;
+			if (platform::readTransaction(answer).outcome == KvOutcome::Done)
+			{
+				self->m_keptCounts = text;
+			}
+		});
+}
+
 void DutyHolder::fixWindow(std::uint64_t window)
 {
 	std::map<std::string, std::uint64_t> counts = m_context.usage.totals(window);
@@ -240,7 +267,7 @@
 	}
 	KvTransaction change;
 	change.conditions = {{usageKey(window), 0}};
-	change.puts = {{usageKey(window), Json(counts).dump(), 0}};
+	change.puts = {{usageKey(window), encodeTotals(counts), 0}};
 	for (const auto& [key, item] : m_context.content.items)
 	{
 		const bool isUsage = key.compare(0, kUsagePrefix.size(), kUsagePrefix) == 0;
@@ -264,7 +291,7 @@
 							 {
 								 if (item.key == usageKey(window) && item.revision != 0)
 								 {
-									 self->sendWindow(window, readCounts(item.value));
+									 self->sendWindow(window, decodeTotals(item.value));
 								 }
 							 }
 						 });
--- a/src/gateway/dutyholder.h
+++ b/src/gateway/dutyholder.h
@@ -55,6 +55,7 @@
 	void compete();
 	void take(std::uint64_t lease, Micros span, Micros sent);
 	void renew();
+	void keepCounts(Micros now);
 	void reportUsage(Micros now);
 	void fixWindow(std::uint64_t window);
 	void sendWindow(std::uint64_t window, const std::map<std::string, std::uint64_t>& counts);
@@ -67,6 +68,7 @@
 	GatewayContext& m_context;
 	std::shared_ptr<HttpChannel> m_leaseChannel;
 	std::shared_ptr<HttpChannel> m_storeChannel;
+	std::shared_ptr<HttpChannel> m_countsChannel;
 	std::shared_ptr<HttpChannel> m_dutyChannel;
 	boost::asio::steady_timer m_timer;
 	DutyLease m_lease;
@@ -77,6 +79,8 @@
 	bool m_closed = false;
 	std::set<std::uint64_t> m_reported; ///< Windows that the platform has.
 	std::set<std::uint64_t> m_inWork;
+	std::string m_keptCounts;
+	bool m_keepingCounts = false;
 	std::map<std::string, CapacityPlanner> m_planners;
 	std::map<std::string, StartCapacity> m_startCapacity;
 	std::size_t m_openOrders = 0;
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -8,6 +8,7 @@
 #include "platform/documents.h"
 #include "platform/storecalls.h"
 #include "protocol/json.h"
+#include "protocol/usagecodec.h"
 
 #include <set>
 
@@ -290,6 +291,10 @@
 				logEvent(LogLevel::Warning, "backend-refused", {{"backend", *id}, {"detail", error.what()}});
 			}
 		}
+		else if (key == kCountsKey)
+		{
+			learnCounts(item);
+		}
 		else if (isMemberKey(key))
 		{
 			members.insert(item.value);
@@ -317,6 +322,19 @@
 	}
 }
 
+void StoreSync::learnCounts(const KvItem& item)
+{
+	if (item.revision == m_countsRevision)
+	{
+		return;
+	}
+	m_countsRevision = item.revision;
+	for (const auto& [run, count] : decodeRunCounts(item.value))
+	{
+		m_context.usage.onReport(run, count);
+	}
+}
+
 void StoreSync::schedulePeers()
 {
 	after(m_peerTimer, m_context.jittered(kPeerInterval), [self = shared_from_this()] { self->learnFromPeers(); });
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -48,6 +48,7 @@
 	RoutingConfigPtr configOf(const KvItem& item);
 	void learnFromPeers();
 	void onPeerContent(Micros sent, const std::optional<HttpAnswer>& answer);
+	void learnCounts(const KvItem& item);
 	void schedulePeers();
 
 	GatewayContext& m_context;
@@ -69,6 +70,7 @@
 	std::uint64_t m_parsedRevision = 0;
 	RoutingConfigPtr m_parsed;
 	std::uint64_t m_rejectedRevision = 0;
+	std::uint64_t m_countsRevision = 0;
 };
 
 } // namespace beacongate
--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -610,6 +610,40 @@
 	EXPECT_LE(counted, 30u);
 }
 
+TEST_F(GatewayTest, usageCountsOutliveAllGatewaysAtOnce)
+{
+	GatewaySettings chosen = settings(1);
+	chosen.usageWindow = 4 * kSecond;
+	startGateway(chosen);
+	ASSERT_TRUE(await([&] { return !store->get("beacongate/holder").empty(); }));
+	// The requests have to fall into one window with time to spare.
+	const auto position = []
+	{
+		const auto now = std::chrono::system_clock::now().time_since_epoch();
+		return std::chrono::duration_cast<std::chrono::milliseconds>(now).count() % 4000;
+	};
+	ASSERT_TRUE(await([&] { return position() < 500; }));
+	for (int number = 0; number < 5; ++number)
+	{
+		EXPECT_EQ(statusOf(call("GET", "/safe/", "r" + std::to_string(number))), 200u);
+	}
+	std::this_thread::sleep_for(std::chrono::milliseconds(700));
+	gateways.clear();
+	startGateway(chosen);
+	const auto reported = [&]
+	{
+		for (const standin::DutyCall& report : duties->calls())
+		{
+			if (parseJson(report.body, Failure::Internal).at("counts").value("t", 0) == 5)
+			{
+				return true;
+			}
+		}
+		return false;
+	};
+	EXPECT_TRUE(await(reported, 12 * kSecond));
+}
+
 TEST_F(GatewayTest, theDutiesPassToAnotherWithALargerFence)
 {
 	startGateway(settings(1));
