--- a/include/beacongate/limits.h
+++ b/include/beacongate/limits.h
@@ -49,14 +49,14 @@
 inline constexpr Micros kDefaultHeaderTimeout = 10 * kSecond; ///< For a request's header, where none is set.
 inline constexpr Micros kDefaultIdleTimeout = 60 * kSecond;   ///< Of a caller's connection, where none is set.
 inline constexpr std::size_t kReadBytes = 16u << 10;          ///< Read from a connection at once.
-inline constexpr std::size_t kUnsentBytes = 256u << 10; ///< Unsent bytes of a caller that stop its backend server.
+inline constexpr std::size_t kUnsentBytes = 256u << 10;  ///< Unsent bytes of a caller that stop its backend server.
 inline constexpr std::size_t kBufferedBytes = 96u << 20; ///< All request bodies that one gateway holds.
-inline constexpr std::size_t kGatewayAnswerBytes = 8u << 20;  ///< An answer that is kept until it is whole.
-inline constexpr std::size_t kEventBytes = 256u << 10;        ///< One event of a stream.
-inline constexpr std::size_t kSnapshotBytes = 32u << 20;      ///< The store's content as one gateway reads it.
-inline constexpr std::size_t kGossipBytes = 60u << 10;        ///< One datagram between gateways.
-inline constexpr std::size_t kGossipPeers = 16;               ///< Peers that a gateway sends to in one round.
-inline constexpr std::size_t kPendingCalls = 64;              ///< Calls that wait for one connection to the store.
+inline constexpr std::size_t kGatewayAnswerBytes = 8u << 20; ///< An answer that is kept until it is whole.
+inline constexpr std::size_t kEventBytes = 256u << 10;       ///< One event of a stream.
+inline constexpr std::size_t kSnapshotBytes = 32u << 20;     ///< The store's content as one gateway reads it.
+inline constexpr std::size_t kGossipBytes = 60u << 10;       ///< One datagram between gateways.
+inline constexpr std::size_t kGossipPeers = 16;              ///< Peers that a gateway sends to in one round.
+inline constexpr std::size_t kPendingCalls = 64;             ///< Calls that wait for one connection to the store.
 } // namespace beacongate::limits
 
 #endif // BEACONGATE_LIMITS_H
--- a/src/coordination/attemptpolicy.h
+++ b/src/coordination/attemptpolicy.h
@@ -9,6 +9,8 @@
 
 #include "beacongate/types.h"
 
+#include <string_view>
+
 namespace beacongate
 {
 /// How an attempt ended.
@@ -21,6 +23,25 @@
 	Broken,      ///< The connection ended, or the answer makes no sense.
 };
 
+/// @returns the name used in logs and metrics.
+constexpr std::string_view toString(AttemptResult result)
+{
+	switch (result)
+	{
+	case AttemptResult::NotSent:
+		return "not-sent";
+	case AttemptResult::Rejected:
+		return "rejected";
+	case AttemptResult::Misdirected:
+		return "misdirected";
+	case AttemptResult::ServerError:
+		return "server-error";
+	case AttemptResult::Broken:
+		return "broken";
+	}
+	return "broken";
+}
+
 /// What an attempt's end has to be weighed against.
 struct AttemptContext
 {
@@ -43,6 +64,23 @@
 	AnswerUnknown, ///< Say that it failed and may have run.
 };
 
+/// @returns the name used in logs.
+constexpr std::string_view toString(AttemptDecision decision)
+{
+	switch (decision)
+	{
+	case AttemptDecision::Retry:
+		return "retry";
+	case AttemptDecision::PassAnswer:
+		return "pass-answer";
+	case AttemptDecision::AnswerNotRun:
+		return "answer-not-run";
+	case AttemptDecision::AnswerUnknown:
+		return "answer-unknown";
+	}
+	return "answer-unknown";
+}
+
 /// Tries for which no connection came up, before the request is given up.
 inline constexpr unsigned kMaxUnsentTries = 4;
 
--- a/src/daemon/logging.cpp
+++ b/src/daemon/logging.cpp
@@ -55,6 +55,11 @@
 	StdoutSink::instance().flush();
 }
 
+std::uint64_t droppedLogLines()
+{
+	return StdoutSink::instance().dropped();
+}
+
 void logEvent(LogLevel _level, std::string_view _event, std::initializer_list<LogField> _fields)
 {
 	const std::string line = formatEvent(_event, _fields);
--- a/src/daemon/logging.h
+++ b/src/daemon/logging.h
@@ -7,6 +7,7 @@
 #ifndef BEACONGATE_DAEMON_LOGGING_H
 #define BEACONGATE_DAEMON_LOGGING_H
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -36,6 +37,9 @@
 /// Writes what is buffered, as far as the reader takes it.
 void flushStdoutLogging();
 
+/// @returns lines that did not reach standard output.
+std::uint64_t droppedLogLines();
+
 /// Writes one line: event=NAME key=value ...; values with spaces are quoted.
 void logEvent(LogLevel _level, std::string_view _event, std::initializer_list<LogField> _fields);
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -253,6 +253,10 @@
 void Exchange::send(const KnownBackend& backend)
 {
 	const Micros now = monotonicNow();
+	if (m_queued)
+	{
+		m_context.metrics.onQueued(m_service, now - m_request.received);
+	}
 	m_queued = false;
 	m_attempt = {};
 	m_attempt.backendId = backend.record.id;
@@ -405,6 +409,7 @@
 	{
 		m_attempt.firstEvent = true;
 		m_context.balancer.onFirstEvent(m_attempt.backendId, m_placement);
+		m_context.metrics.onFirstByte(m_service, monotonicNow() - m_request.received);
 		countBegin();
 	}
 	if (!m_streaming)
@@ -522,15 +527,16 @@
 	const auto candidates = m_context.directory.usableOf(m_service, now);
 	attempts.anotherBackend = m_context.balancer.choose(candidates, m_placement, m_tried, now).backend != nullptr;
 	const AttemptDecision decision = decideAfterAttempt(result, attempts);
+	m_context.metrics.onFailedAttempt(m_service, toString(result));
 	m_mayHaveRun = m_mayHaveRun || mayHaveRunAfter(result);
 	logEvent(LogLevel::Info, "attempt-failed",
 			 {{"request", m_info.id},
 			  {"backend", m_attempt.backendId},
-			  {"result", std::to_string(static_cast<int>(result))},
+			  {"result", std::string(toString(result))},
 			  {"status", std::to_string(m_attempt.head.status)},
 			  {"sent", std::to_string(m_sent)},
 			  {"ms", millisText(now - m_attempt.sent)},
-			  {"decision", std::to_string(static_cast<int>(decision))}});
+			  {"decision", std::string(toString(decision))}});
 	if (decision == AttemptDecision::Retry)
 	{
 		if (!tryDispatch() && !m_finished)
@@ -598,7 +604,7 @@
 		m_context.quotas.giveBack(m_team->name, m_quotaTaken);
 	}
 	m_session->answer(makeOwnAnswer(status, failure, detail, retryAfter, platform::ownAnswerHeaders(m_info.id)));
-	finish(std::string(failureInfo(failure).type), status);
+	finish(std::string(failureInfo(failure).type), status, detail);
 }
 
 void Exchange::onCallerGone()
@@ -626,7 +632,7 @@
 	refuse(Failure::NoBackend, "no backend server had room in time", kShortRetryAfter);
 }
 
-void Exchange::finish(const std::string& outcome, unsigned status)
+void Exchange::finish(const std::string& outcome, unsigned status, const std::string& detail)
 {
 	if (m_finished)
 	{
@@ -646,6 +652,8 @@
 		m_dispatcher.remove(this);
 	}
 	const Micros now = monotonicNow();
+	m_context.metrics.onRequest({m_route ? m_route->name : "-", m_team ? m_team->name : "-", outcome, status},
+								now - m_request.received);
 	logEvent(LogLevel::Info, "request",
 			 {{"request", m_info.id},
 			  {"route", m_route ? m_route->name : "-"},
@@ -654,6 +662,7 @@
 			  {"status", std::to_string(status)},
 			  {"backend", m_attempt.backendId.empty() ? "-" : m_attempt.backendId},
 			  {"sent", std::to_string(m_sent)},
+			  {"detail", detail.empty() ? "-" : detail},
 			  {"ms", millisText(now - m_request.received)},
 			  {"config", m_config ? std::to_string(m_config->version) : "-"},
 			  {"config_age_ms", millisText(m_context.directory.age(now))}});
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -103,7 +103,7 @@
 	void answerOwn(unsigned status, Failure failure, const std::string& detail, Micros retryAfter);
 	void onCallerGone();
 	void onTimeout();
-	void finish(const std::string& outcome, unsigned status);
+	void finish(const std::string& outcome, unsigned status, const std::string& detail = {});
 
 	GatewayContext& m_context;
 	Dispatcher& m_dispatcher;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -19,6 +19,7 @@
 constexpr Micros kStopRetryAfter = 50 * kMillisecond;
 constexpr const char* kContentPath = "/content";
 constexpr const char* kStatePath = "/state";
+constexpr const char* kMetricsPath = "/metrics";
 
 HttpAnswer malformedAnswer(ParseFault fault)
 {
@@ -85,6 +86,11 @@
 		m_controlListener =
 			std::make_unique<ServerListener>(m_context.loop, *m_context.settings.control, m_questions);
 	}
+	if (m_context.settings.metricsPort != 0)
+	{
+		const Address address{m_context.settings.callers.host, m_context.settings.metricsPort};
+		m_metricsListener = std::make_unique<ServerListener>(m_context.loop, address, m_questions);
+	}
 	m_gossiper = std::make_unique<Gossiper>(m_context);
 	m_gossiper->init();
 	m_store = std::make_shared<StoreSync>(m_context);
@@ -172,9 +178,38 @@
 		session->answer(answer);
 		return;
 	}
+	if (request.head.target == kMetricsPath)
+	{
+		session->answer(HttpAnswer{200, {{"Content-Type", "text/plain; version=0.0.4"}}, formatMetrics()});
+		return;
+	}
 	session->answer(makeOwnAnswer(404, Failure::NoRoute, "no such page", 0));
 }
 
+std::string Gateway::formatMetrics()
+{
+	const Micros now = monotonicNow();
+	GatewayMetrics& metrics = m_context.metrics;
+	std::size_t usable = 0;
+	for (const auto& [id, known] : m_context.directory.backends())
+	{
+		usable += known.usable() ? 1 : 0;
+	}
+	const auto& config = m_context.directory.config();
+	metrics.setGauge("beacongate_open_requests", static_cast<double>(m_context.openExchanges));
+	metrics.setGauge("beacongate_waiting_requests", static_cast<double>(m_dispatcher.waiting()));
+	metrics.setGauge("beacongate_backends_known", static_cast<double>(m_context.directory.backends().size()));
+	metrics.setGauge("beacongate_backends_usable", static_cast<double>(usable));
+	metrics.setGauge("beacongate_config_version", config ? static_cast<double>(config->version) : 0.0);
+	metrics.setGauge("beacongate_config_age_seconds",
+					 static_cast<double>(m_context.directory.age(now)) / static_cast<double>(kSecond));
+	metrics.setGauge("beacongate_members", static_cast<double>(m_context.peers.memberCount(now)));
+	metrics.setGauge("beacongate_duties_held", m_duties && m_duties->holds() ? 1.0 : 0.0);
+	metrics.setGauge("beacongate_buffered_bytes", static_cast<double>(m_callers->bufferedBytes));
+	metrics.setGauge("beacongate_log_lines_left_out", static_cast<double>(droppedLogLines()));
+	return metrics.format();
+}
+
 void Gateway::waitForSignal()
 {
 	m_signals.async_wait(
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -47,6 +47,7 @@
 	void onCallerRequest(const ServerSessionPtr& session, IncomingRequest&& request);
 	void onReadinessRequest(const ServerSessionPtr& session, const IncomingRequest& request);
 	void onControlRequest(const ServerSessionPtr& session, const IncomingRequest& request);
+	std::string formatMetrics();
 	bool ready() const;
 	void waitForSignal();
 	void reloadSettings();
@@ -62,6 +63,7 @@
 	std::unique_ptr<ServerListener> m_callerListener;
 	std::unique_ptr<ServerListener> m_readinessListener;
 	std::unique_ptr<ServerListener> m_controlListener;
+	std::unique_ptr<ServerListener> m_metricsListener;
 	std::shared_ptr<StoreSync> m_store;
 	std::shared_ptr<Registration> m_registration;
 	std::shared_ptr<DutyHolder> m_duties;
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -17,6 +17,7 @@
 #include "coordination/sharedretrybudget.h"
 #include "coordination/usageledger.h"
 #include "daemon/clock.h"
+#include "gateway/gatewaymetrics.h"
 #include "gateway/gatewaysettings.h"
 
 #include <boost/asio/io_context.hpp>
@@ -72,6 +73,7 @@
 	UsageLedger usage;
 	DemandMeter demand;
 	std::minstd_rand random;
+	GatewayMetrics metrics;
 	bool stopping = false;
 	Micros stopRequested = kNever;
 	std::size_t openExchanges = 0;
--- /dev/null
+++ b/src/gateway/gatewaymetrics.cpp
@@ -0,0 +1,161 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+#include "gateway/gatewaymetrics.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+
+#include <array>
+#include <sstream>
+
+namespace beacongate
+{
+namespace acc = boost::accumulators;
+
+namespace
+{
+constexpr std::array<double, 3> kQuantiles = {0.5, 0.95, 0.99};
+constexpr std::array<double, 9> kBoundsSeconds = {0.005, 0.02, 0.05, 0.1, 0.3, 0.6, 1.2, 3.0, 10.0};
+constexpr const char* kOther = "other"; ///< Stands for label sets beyond the bound.
+
+double secondsOf(Micros span)
+{
+	return static_cast<double>(span) / static_cast<double>(kSecond);
+}
+
+/// Escapes a label's value.
+std::string quoted(std::string_view text)
+{
+	std::string value = "\"";
+	for (const char c : text)
+	{
+		if (c == '"' || c == '\\')
+		{
+			value += '\\';
+		}
+		value += c == '\n' ? ' ' : c;
+	}
+	return value + '"';
+}
+} // namespace
+
+/// A histogram for scrapers and quantiles for people.
+struct LatencySummary
+{
+	using Set =
+		acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum, acc::tag::extended_p_square>>;
+
+	LatencySummary() : set(acc::extended_p_square_probabilities = kQuantiles)
+	{
+	}
+
+	void add(double seconds)
+	{
+		set(seconds);
+		for (std::size_t index = 0; index < kBoundsSeconds.size(); ++index)
+		{
+			buckets[index] += seconds <= kBoundsSeconds[index] ? 1 : 0;
+		}
+	}
+
+	Set set;
+	std::array<std::uint64_t, kBoundsSeconds.size()> buckets{};
+};
+
+namespace
+{
+void formatLatencies(std::ostream& out, const std::string& name, const char* label,
+					 const std::map<std::string, std::unique_ptr<LatencySummary>>& latencies)
+{
+	out << "# TYPE " << name << " histogram\n";
+	for (const auto& [value, summary] : latencies)
+	{
+		const std::string labels = std::string(label) + '=' + quoted(value);
+		for (std::size_t index = 0; index < kBoundsSeconds.size(); ++index)
+		{
+			out << name << "_bucket{" << labels << ",le=\"" << kBoundsSeconds[index] << "\"} "
+				<< summary->buckets[index] << '\n';
+		}
+		out << name << "_bucket{" << labels << ",le=\"+Inf\"} " << acc::count(summary->set) << '\n';
+		out << name << "_sum{" << labels << "} " << acc::sum(summary->set) << '\n';
+		out << name << "_count{" << labels << "} " << acc::count(summary->set) << '\n';
+		for (std::size_t index = 0; index < kQuantiles.size(); ++index)
+		{
+			out << name << "_quantile{" << labels << ",quantile=\"" << kQuantiles[index] << "\"} "
+				<< acc::extended_p_square(summary->set)[index] << '\n';
+		}
+	}
+}
+} // namespace
+
+GatewayMetrics::GatewayMetrics() = default;
+GatewayMetrics::~GatewayMetrics() = default;
+
+void GatewayMetrics::record(Latencies& latencies, const std::string& label, Micros span)
+{
+	const bool full = latencies.size() >= kMostSeries && !latencies.count(label);
+	std::unique_ptr<LatencySummary>& summary = latencies[full ? kOther : label];
+	if (!summary)
+	{
+		summary = std::make_unique<LatencySummary>();
+	}
+	summary->add(secondsOf(span));
+}
+
+void GatewayMetrics::onRequest(const RequestLabels& labels, Micros duration)
+{
+	const bool full = m_requests.size() >= kMostSeries && !m_requests.count(labels);
+	++m_requests[full ? RequestLabels{kOther, kOther, labels.outcome, labels.status} : labels];
+	record(m_durations, labels.route, duration);
+}
+
+void GatewayMetrics::onFirstByte(const std::string& service, Micros sinceArrival)
+{
+	record(m_firstBytes, service, sinceArrival);
+}
+
+void GatewayMetrics::onQueued(const std::string& service, Micros waited)
+{
+	record(m_waits, service, waited);
+}
+
+void GatewayMetrics::onFailedAttempt(const std::string& service, std::string_view result)
+{
+	++m_failedAttempts[{service, std::string(result)}];
+}
+
+void GatewayMetrics::setGauge(const std::string& name, double value)
+{
+	m_gauges[name] = value;
+}
+
+std::string GatewayMetrics::format() const
+{
+	std::ostringstream out;
+	out << "# TYPE beacongate_requests_total counter\n";
+	for (const auto& [labels, count] : m_requests)
+	{
+		out << "beacongate_requests_total{route=" << quoted(labels.route) << ",team=" << quoted(labels.team)
+			<< ",outcome=" << quoted(labels.outcome) << ",status=\"" << labels.status << "\"} " << count << '\n';
+	}
+	out << "# TYPE beacongate_failed_attempts_total counter\n";
+	for (const auto& [labels, count] : m_failedAttempts)
+	{
+		out << "beacongate_failed_attempts_total{service=" << quoted(labels.first)
+			<< ",result=" << quoted(labels.second) << "} " << count << '\n';
+	}
+	formatLatencies(out, "beacongate_request_seconds", "route", m_durations);
+	formatLatencies(out, "beacongate_first_byte_seconds", "service", m_firstBytes);
+	formatLatencies(out, "beacongate_queue_seconds", "service", m_waits);
+	for (const auto& [name, value] : m_gauges)
+	{
+		out << "# TYPE " << name << " gauge\n" << name << ' ' << value << '\n';
+	}
+	return out.str();
+}
+
+} // namespace beacongate
--- /dev/null
+++ b/src/gateway/gatewaymetrics.h
@@ -0,0 +1,77 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// Counters and latencies of one gateway, in the text format that scrapers read.
+
+#ifndef BEACONGATE_GATEWAY_GATEWAYMETRICS_H
+#define BEACONGATE_GATEWAY_GATEWAYMETRICS_H
+
+#include "beacongate/types.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace beacongate
+{
+/// What a finished request is counted by.
+struct RequestLabels
+{
+	std::string route;
+	std::string team;
+	std::string outcome;
+	unsigned status = 0;
+	auto operator<=>(const RequestLabels&) const = default;
+};
+
+struct LatencySummary;
+
+/// Counts what happened; bounded, since routes and teams come and go.
+class GatewayMetrics
+{
+public:
+	/// Series that one counter keeps; further label sets are counted together.
+	static constexpr std::size_t kMostSeries = 512;
+
+	GatewayMetrics();
+	~GatewayMetrics();
+	GatewayMetrics(const GatewayMetrics&) = delete;
+	GatewayMetrics& operator=(const GatewayMetrics&) = delete;
+
+	/// A request got its final answer.
+	void onRequest(const RequestLabels& labels, Micros duration);
+
+	/// The first event, or the whole answer of a call, came from a backend server.
+	void onFirstByte(const std::string& service, Micros sinceArrival);
+
+	/// A request was sent to a backend server after waiting for room.
+	void onQueued(const std::string& service, Micros waited);
+
+	/// An attempt at a backend server ended without an answer for the caller.
+	void onFailedAttempt(const std::string& service, std::string_view result);
+
+	/// Sets a value that is told as it is.
+	void setGauge(const std::string& name, double value);
+
+	/// @returns all figures as text.
+	std::string format() const;
+
+private:
+	using Latencies = std::map<std::string, std::unique_ptr<LatencySummary>>;
+
+	static void record(Latencies& latencies, const std::string& label, Micros span);
+
+	std::map<RequestLabels, std::uint64_t> m_requests;
+	std::map<std::pair<std::string, std::string>, std::uint64_t> m_failedAttempts;
+	std::map<std::string, double> m_gauges;
+	Latencies m_durations;
+	Latencies m_firstBytes;
+	Latencies m_waits;
+};
+
+} // namespace beacongate
+
+#endif // BEACONGATE_GATEWAY_GATEWAYMETRICS_H
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -25,6 +25,7 @@
 	Address callers;                 ///< Listens for callers.
 	Address readiness;               ///< Listens for the balancer's questions.
 	std::optional<Address> control;  ///< Listens for other gateways and operators.
+	std::uint16_t metricsPort = 0;   ///< Serves figures to scrapers on the callers' host; 0 is not at all.
 	std::uint16_t gossipPort = 0;    ///< Datagrams between gateways, the same port on all VMs.
 	std::vector<Address> seeds;      ///< Control addresses of some gateways.
 	Address store;                   ///< The key-value service.
--- a/tests/protocoltest.cpp
+++ b/tests/protocoltest.cpp
@@ -6,9 +6,9 @@
 
 #include "daemon/logging.h"
 #include "daemon/options.h"
+#include "protocol/base64.h"
 #include "protocol/configdoc.h"
 #include "protocol/documents.h"
-#include "protocol/base64.h"
 #include "protocol/etcd.h"
 #include "protocol/openai.h"
 #include "protocol/peercodec.h"
--- a/tools/gateway.cpp
+++ b/tools/gateway.cpp
@@ -22,6 +22,9 @@
 	bool checkOnly = false;
 	app.add_option("--settings", path, "Settings file; left out, the platform's variable names it");
 	app.add_flag("--check", checkOnly, "Reads the settings and ends");
+	std::uint16_t metricsPort = 0;
+	app.add_option("--metrics-port", metricsPort, "Port for scrapers on the callers' host; 0 serves no figures [0]")
+		->envname("BEACONGATE_METRICS_PORT");
 	CLI11_PARSE(app, argc, argv);
 	std::signal(SIGPIPE, SIG_IGN);
 	try
