--- a/src/coordination/capacityplanner.cpp
+++ b/src/coordination/capacityplanner.cpp
@@ -26,6 +26,7 @@
 std::vector<std::string> byPrice(const ScalingSettings& scaling, const std::map<std::string, ZoneCapacity>& zones)
 {
 	std::vector<std::string> names;
+	names.reserve(zones.size());
 	for (const auto& [name, capacity] : zones)
 	{
 		names.push_back(name);
--- a/src/gateway/dutyholder.cpp
+++ b/src/gateway/dutyholder.cpp
@@ -21,6 +21,7 @@
 constexpr Micros kLapseSpan = 2 * kSecond;      ///< A record that vanished is counted for this long.
 constexpr Micros kRosterSettled =
 	2500 * kMillisecond; ///< Without a new backend server, until all are taken to be listed.
+constexpr Micros kKeepInterval = 350 * kMillisecond; ///< Between two writes of all counts.
 constexpr std::uint64_t kWindowsBack = 3;
 constexpr std::uint64_t kWindowsKept = 8;
 constexpr std::size_t kAnswerBytes = 1u << 20;
@@ -229,7 +230,7 @@
 
 void DutyHolder::keepCounts(Micros now)
 {
-	if (m_keepingCounts || !m_lease.mayAct(now))
+	if (m_keepingCounts || now - m_countsKept < kKeepInterval || !m_lease.mayAct(now))
 	{
 		return;
 	}
@@ -240,6 +241,7 @@
 		return;
 	}
 	m_keepingCounts = true;
+	m_countsKept = now;
 	KvTransaction change;
 	// Counts only grow and are merged by the larger, so a put that is done late does no harm.
 	change.puts = {{kCountsKey, text, 0}};
--- a/src/gateway/dutyholder.h
+++ b/src/gateway/dutyholder.h
@@ -80,6 +80,7 @@
 	std::set<std::uint64_t> m_reported; ///< Windows that the platform has.
 	std::set<std::uint64_t> m_inWork;
 	std::string m_keptCounts;
+	Micros m_countsKept = kLongAgo;
 	bool m_keepingCounts = false;
 	std::map<std::string, CapacityPlanner> m_planners;
 	std::map<std::string, StartCapacity> m_startCapacity;
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -86,7 +86,7 @@
 		for (std::size_t index = 0; index < kQuantiles.size(); ++index)
 		{
 			out << name << "_quantile{" << labels << ",quantile=\"" << kQuantiles[index] << "\"} "
-				<< acc::extended_p_square(summary->set)[index] << '\n';
+				<< acc::extended_p_square(summary->set)[static_cast<std::ptrdiff_t>(index)] << '\n';
 		}
 	}
 }
