--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -320,10 +320,7 @@
 		fields.priority = m_priority;
 	}
 	std::string bytes = m_request.head.method + ' ' + m_request.head.target + " HTTP/1.1\r\n";
-	for (const auto& [name, value] : platform::forwardedHeaders(m_request.head.headers, fields))
-	{
-		bytes += name + ": " + value + "\r\n";
-	}
+	appendHeaders(bytes, platform::forwardedHeaders(m_request.head.headers, fields));
 	const bool hadBody = m_request.head.chunked || !findHeader(m_request.head.headers, "Content-Length").empty();
 	if (hadBody)
 	{
--- a/src/transport/forwarding.cpp
+++ b/src/transport/forwarding.cpp
@@ -62,4 +62,15 @@
 	return kept;
 }
 
+void appendHeaders(std::string& bytes, const HttpHeaders& headers)
+{
+	for (const auto& [name, value] : headers)
+	{
+		bytes += name;
+		bytes += ": ";
+		bytes += value;
+		bytes += "\r\n";
+	}
+}
+
 } // namespace beacongate
--- a/src/transport/forwarding.h
+++ b/src/transport/forwarding.h
@@ -19,6 +19,9 @@
 /// @returns the headers without those that concern one connection or the body's framing.
 HttpHeaders endToEndHeaders(const HttpHeaders& headers);
 
+/// Appends header lines as they go on the wire.
+void appendHeaders(std::string& bytes, const HttpHeaders& headers);
+
 } // namespace beacongate
 
 #endif // BEACONGATE_TRANSPORT_FORWARDING_H
--- a/src/transport/httpchannel.cpp
+++ b/src/transport/httpchannel.cpp
@@ -4,6 +4,7 @@
 #include "transport/httpchannel.h"
 
 #include "beacongate/limits.h"
+#include "transport/forwarding.h"
 
 #include <boost/asio/post.hpp>
 
@@ -21,10 +22,7 @@
 {
 	std::string bytes = request.method + ' ' + request.target + " HTTP/1.1\r\n";
 	bytes += "Host: " + address.host + ':' + std::to_string(address.port) + "\r\n";
-	for (const auto& [name, value] : request.headers)
-	{
-		bytes += name + ": " + value + "\r\n";
-	}
+	appendHeaders(bytes, request.headers);
 	if (!request.body.empty() || request.method == "POST")
 	{
 		bytes += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
--- a/src/transport/outgoingcall.cpp
+++ b/src/transport/outgoingcall.cpp
@@ -45,7 +45,7 @@
 	return call;
 }
 
-void OutgoingCall::onConnected(const TcpConnection::Ptr& connection, std::string bytes, bool noBody)
+void OutgoingCall::onConnected(const TcpConnection::Ptr& connection, const std::string& bytes, bool noBody)
 {
 	if (m_ended)
 	{
@@ -74,7 +74,7 @@
 		self->onEnd(how);
 	};
 	m_connection->start(std::move(handlers));
-	m_connection->send(std::move(bytes));
+	m_connection->send(bytes);
 	if (m_handlers.onSent)
 	{
 		m_handlers.onSent();
--- a/src/transport/outgoingcall.h
+++ b/src/transport/outgoingcall.h
@@ -67,7 +67,7 @@
 	void resume();
 
 private:
-	void onConnected(const TcpConnection::Ptr& connection, std::string bytes, bool noBody);
+	void onConnected(const TcpConnection::Ptr& connection, const std::string& bytes, bool noBody);
 	void onBytes(std::string_view bytes);
 	void onEnd(ConnectionEnd how);
 	void parse();
--- a/src/transport/serversession.cpp
+++ b/src/transport/serversession.cpp
@@ -5,6 +5,7 @@
 
 #include "beacongate/errors.h"
 #include "beacongate/limits.h"
+#include "transport/forwarding.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/string.hpp>
@@ -220,13 +221,7 @@
 	const auto reason = beast::http::obsolete_reason(static_cast<beast::http::status>(status));
 	head.append(reason.data(), reason.size());
 	head += "\r\n";
-	for (const auto& [name, value] : headers)
-	{
-		head += name;
-		head += ": ";
-		head += value;
-		head += "\r\n";
-	}
+	appendHeaders(head, headers);
 	if (!keepAlive)
 	{
 		head += "Connection: close\r\n";
@@ -255,7 +250,7 @@
 	{
 		bytes += answer.body;
 	}
-	m_connection->send(std::move(bytes));
+	m_connection->send(bytes);
 	m_keepAlive = keepAlive;
 	m_phase = Phase::Answering;
 	finishAnswer();
@@ -282,7 +277,7 @@
 	}
 	m_phase = Phase::Answering;
 	m_chunked = m_version == 11;
-	m_connection->send(std::move(bytes));
+	m_connection->send(bytes);
 }
 
 void ServerSession::sendPiece(std::string_view bytes)
@@ -300,7 +295,7 @@
 	{
 		framed = bytes;
 	}
-	m_connection->send(std::move(framed));
+	m_connection->send(framed);
 }
 
 void ServerSession::finishAnswer()
--- a/src/transport/tcpconnection.cpp
+++ b/src/transport/tcpconnection.cpp
@@ -158,7 +158,7 @@
 	waitForBytes();
 }
 
-void TcpConnection::send(std::string bytes)
+void TcpConnection::send(std::string_view bytes)
 {
 	if (m_closed || m_lingering)
 	{
--- a/src/transport/tcpconnection.h
+++ b/src/transport/tcpconnection.h
@@ -64,7 +64,7 @@
 	void resumeReading();
 
 	/// Sends bytes, in order.
-	void send(std::string bytes);
+	void send(std::string_view bytes);
 
 	/// @returns bytes that the system has not taken yet.
 	std::size_t unsent() const
