Order capacity by slots held as well as by prompts read

The need counted the time that engines spend reading prompts and nothing of the slots held while tokens are made.

Ruled out: a holder that gives no orders ('0 orders' in the report means orders to load models); refused orders alone (409 for 13 s after a reclaim, as before).

Change: gateways also report slot time, in seconds of a whole engine; the need is reading + slots held / 0.65, with the slots' time scaled to the pace that tokens have where the reading is spread over what stands.

Tests: the closed loop in capacitytest fails where slots are not counted (it asks for less than the load holds).

--- a/src/coordination/capacityplanner.cpp
+++ b/src/coordination/capacityplanner.cpp
@@ -16,6 +16,8 @@
 constexpr double kRequiredServers = 0.6;
 constexpr double kFirstShare = 0.4; ///< Of the most that may be ordered.
 constexpr Micros kResend = 1 * kSecond;
+constexpr double kSlotUse = 0.65;   ///< A larger share of slots is not held without requests that wait.
+constexpr double kLeastPace = 0.25; ///< Share of time that is left to tokens, however much is read.
 
 double priceOf(const ScalingSettings& scaling, const std::string& zone)
 {
@@ -38,6 +40,14 @@
 }
 } // namespace
 
+double CapacityPlanner::combinedWork(double reading, double occupied, unsigned standing)
+{
+	// Reading slows the tokens of requests beside it down, so that these hold their slots for longer than they
+	// will where the reading is spread over enough backend servers.
+	const double pace = 1.0 - reading / static_cast<double>(std::max(1u, standing));
+	return reading + occupied * std::clamp(pace, kLeastPace, 1.0) / kSlotUse;
+}
+
 unsigned CapacityPlanner::serversFor(double work)
 {
 	return static_cast<unsigned>(std::ceil(work + kSpareFactor * std::sqrt(std::max(0.0, work)) + kSpareServers));
--- a/src/coordination/capacityplanner.h
+++ b/src/coordination/capacityplanner.h
@@ -45,6 +45,14 @@
 	/// On-demand capacity is kept for this long after the last moment that it was needed.
 	static constexpr Micros kReleaseDelay = 8 * kSecond;
 
+	/// Joins the two ways in which a load fills engines: reading prompts, during which no token is made, and
+	/// slots held while tokens are made.
+	/// @param[in] reading Backend servers kept busy by reading prompts.
+	/// @param[in] occupied Backend servers whose slots are all held, at the present pace of tokens.
+	/// @param[in] standing Backend servers there are, over which the reading is spread.
+	/// @returns backend servers that the load would keep busy all the time.
+	static double combinedWork(double reading, double occupied, unsigned standing);
+
 	/// @param[in] work Backend servers that the present load would keep busy all the time.
 	/// @returns backend servers to have at the price of spot, so that a burst or a lost data centre is borne.
 	static unsigned serversFor(double work);
--- a/src/coordination/demandmeter.cpp
+++ b/src/coordination/demandmeter.cpp
@@ -22,9 +22,12 @@
 }
 } // namespace
 
-void DemandMeter::add(Service& service, double work)
+void DemandMeter::Average::step(double passed)
 {
-	service.fresh += work;
+	const double weight = 1.0 - std::exp(-passed / kAveragingSeconds);
+	rate += weight * (fresh / passed - rate);
+	recentPeak = std::max(rate, recentPeak * std::exp(-passed / kPeakSeconds));
+	fresh = 0.0;
 }
 
 void DemandMeter::onPrompt(const std::string& service, std::uint64_t promptTokens)
@@ -32,23 +35,39 @@
 	const auto tokens = static_cast<double>(promptTokens);
 	const double work = tokens * kSecondsPerToken + tokens * tokens * kSecondsPerTokenPair;
 	Service& entry = m_services[service];
-	entry.own += work;
-	add(entry, work);
+	entry.ownWork += work;
+	entry.work.fresh += work;
+}
+
+void DemandMeter::onSlotHeld(const std::string& service, Micros duration, unsigned slots)
+{
+	const double held = secondsOf(duration) / static_cast<double>(std::max(1u, slots));
+	Service& entry = m_services[service];
+	entry.ownOccupied += held;
+	entry.occupied.fresh += held;
 }
 
 void DemandMeter::onCall(const std::string& service, Micros duration, unsigned slots)
 {
 	const double work = secondsOf(duration) / (static_cast<double>(std::max(1u, slots)) * kCallUse);
 	Service& entry = m_services[service];
-	entry.own += work;
-	add(entry, work);
+	entry.ownWork += work;
+	entry.work.fresh += work;
+}
+
+void DemandMeter::addGrowth(Average& average, double& known, double reported)
+{
+	if (reported > known)
+	{
+		average.fresh += reported - known;
+		known = reported;
+	}
 }
 
 void DemandMeter::onReport(const std::string& peer, std::uint64_t incarnation, const DemandReport& report)
 {
 	Service& entry = m_services[report.service];
-	const auto [it, added] = entry.peers.try_emplace(peer);
-	PeerWork& known = it->second;
+	PeerWork& known = entry.peers[peer];
 	if (incarnation < known.incarnation)
 	{
 		return;
@@ -56,14 +75,11 @@
 	if (incarnation > known.incarnation)
 	{
 		// What it brought before it was known cannot be told apart from old work.
-		known = {incarnation, report.work};
+		known = {incarnation, report.work, report.occupied};
 		return;
 	}
-	if (report.work > known.work)
-	{
-		add(entry, report.work - known.work);
-		known.work = report.work;
-	}
+	addGrowth(entry.work, known.work, report.work);
+	addGrowth(entry.occupied, known.occupied, report.occupied);
 }
 
 void DemandMeter::advance(Micros now)
@@ -71,16 +87,14 @@
 	const double passed = secondsOf(now - m_advanced);
 	if (m_advanced != 0 && passed > 0.0)
 	{
-		const double weight = 1.0 - std::exp(-passed / kAveragingSeconds);
 		for (auto& [name, service] : m_services)
 		{
-			service.rate += weight * (service.fresh / passed - service.rate);
-			service.recentPeak = std::max(service.rate, service.recentPeak * std::exp(-passed / kPeakSeconds));
-			if (service.fresh > 0.0 && service.firstWork == kNever)
+			if (service.work.fresh > 0.0 && service.firstWork == kNever)
 			{
 				service.firstWork = now;
 			}
-			service.fresh = 0.0;
+			service.work.step(passed);
+			service.occupied.step(passed);
 		}
 	}
 	m_advanced = now;
@@ -89,7 +103,13 @@
 double DemandMeter::work(const std::string& service) const
 {
 	const auto it = m_services.find(service);
-	return it == m_services.end() ? 0.0 : it->second.recentPeak;
+	return it == m_services.end() ? 0.0 : it->second.work.recentPeak;
+}
+
+double DemandMeter::occupied(const std::string& service) const
+{
+	const auto it = m_services.find(service);
+	return it == m_services.end() ? 0.0 : it->second.occupied.recentPeak;
 }
 
 bool DemandMeter::settled(const std::string& service, Micros now) const
@@ -103,9 +123,9 @@
 	std::vector<DemandReport> reports;
 	for (const auto& [name, service] : m_services)
 	{
-		if (service.own > 0.0)
+		if (service.ownWork > 0.0)
 		{
-			reports.push_back({name, service.own});
+			reports.push_back({name, service.ownWork, service.ownOccupied});
 		}
 	}
 	return reports;
--- a/src/coordination/demandmeter.h
+++ b/src/coordination/demandmeter.h
@@ -20,7 +20,8 @@
 struct DemandReport
 {
 	std::string service;
-	double work = 0.0;
+	double work = 0.0;     ///< Reading prompts, or running calls of a plain service.
+	double occupied = 0.0; ///< Slots held at engines, in seconds of a backend server with all its slots.
 };
 
 /// Averages the work over the last seconds.
@@ -33,6 +34,10 @@
 	/// A prompt was sent to an engine.
 	void onPrompt(const std::string& service, std::uint64_t promptTokens);
 
+	/// A request at an engine ended.
+	/// @param[in] duration For which it held a slot.
+	void onSlotHeld(const std::string& service, Micros duration, unsigned slots);
+
 	/// A call at a plain service ended.
 	void onCall(const std::string& service, Micros duration, unsigned slots);
 
@@ -45,6 +50,9 @@
 	/// @returns backend servers that the present load keeps busy.
 	double work(const std::string& service) const;
 
+	/// @returns backend servers whose slots the present load holds all the time.
+	double occupied(const std::string& service) const;
+
 	/// @returns whether work was seen for long enough.
 	bool settled(const std::string& service, Micros now) const;
 
@@ -52,23 +60,34 @@
 	std::vector<DemandReport> ownReports() const;
 
 private:
+	/// An average of the last seconds, and its peak of late.
+	struct Average
+	{
+		double fresh = 0.0; ///< Since the last step.
+		double rate = 0.0;
+		double recentPeak = 0.0;
+
+		void step(double passed);
+	};
+
 	struct PeerWork
 	{
 		std::uint64_t incarnation = 0;
 		double work = 0.0;
+		double occupied = 0.0;
 	};
 
 	struct Service
 	{
-		double own = 0.0;
-		double fresh = 0.0; ///< Since the last step.
-		double rate = 0.0;
-		double recentPeak = 0.0;
+		double ownWork = 0.0;
+		double ownOccupied = 0.0;
+		Average work;
+		Average occupied;
 		Micros firstWork = kNever;
 		std::map<std::string, PeerWork> peers;
 	};
 
-	void add(Service& service, double work);
+	static void addGrowth(Average& average, double& known, double reported);
 
 	std::map<std::string, Service> m_services;
 	Micros m_advanced = 0;
--- a/src/gateway/dutyholder.cpp
+++ b/src/gateway/dutyholder.cpp
@@ -373,7 +373,7 @@
 	{
 		return;
 	}
-	const CapacityPlanner::Need need = needOf(service, onDemand, now);
+	const CapacityPlanner::Need need = needOf(service, standing, onDemand, now);
 	for (const CapacityOrder& order : m_planners[service.name].plan(*service.scaling, zones, need, now))
 	{
 		logEvent(LogLevel::Info, "capacity-order",
@@ -382,6 +382,7 @@
 				  {"kind", order.spot ? "spot" : "on-demand"},
 				  {"count", std::to_string(order.count)},
 				  {"work", std::to_string(m_context.demand.work(service.name))},
+				  {"occupied", std::to_string(m_context.demand.occupied(service.name))},
 				  {"wished", std::to_string(need.wished)},
 				  {"required", std::to_string(need.required)},
 				  {"standing", std::to_string(standing)},
@@ -390,9 +391,11 @@
 	}
 }
 
-CapacityPlanner::Need DutyHolder::needOf(const PooledService& service, unsigned onDemand, Micros now)
+CapacityPlanner::Need DutyHolder::needOf(const PooledService& service, unsigned standing, unsigned onDemand,
+										 Micros now)
 {
-	const double work = m_context.demand.work(service.name);
+	const double work = CapacityPlanner::combinedWork(m_context.demand.work(service.name),
+													  m_context.demand.occupied(service.name), standing);
 	CapacityPlanner::Need need;
 	need.wished = CapacityPlanner::serversFor(work);
 	need.required = CapacityPlanner::serversRequired(work);
--- a/src/gateway/dutyholder.h
+++ b/src/gateway/dutyholder.h
@@ -61,7 +61,7 @@
 	void sendWindow(std::uint64_t window, const std::map<std::string, std::uint64_t>& counts);
 	void orderCapacity(Micros now);
 	void orderFor(const PooledService& service, Micros now);
-	CapacityPlanner::Need needOf(const PooledService& service, unsigned onDemand, Micros now);
+	CapacityPlanner::Need needOf(const PooledService& service, unsigned standing, unsigned onDemand, Micros now);
 	void sendOrder(const std::string& service, const CapacityOrder& order);
 	std::uint64_t revisionOf(const std::string& key) const;
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -493,9 +493,18 @@
 void Exchange::releaseBackend()
 {
 	m_context.balancer.onEnded(m_attempt.backendId, m_placement, m_attempt.firstEvent);
-	if (m_placement.promptTokens == 0 && m_attempt.slots > 0)
+	if (m_attempt.slots == 0)
 	{
-		m_context.demand.onCall(m_service, monotonicNow() - m_attempt.sent, m_attempt.slots);
+		return;
+	}
+	const Micros held = monotonicNow() - m_attempt.sent;
+	if (m_placement.promptTokens == 0)
+	{
+		m_context.demand.onCall(m_service, held, m_attempt.slots);
+	}
+	else
+	{
+		m_context.demand.onSlotHeld(m_service, held, m_attempt.slots);
 	}
 }
 
--- a/src/protocol/gossipcodec.cpp
+++ b/src/protocol/gossipcodec.cpp
@@ -9,7 +9,7 @@
 {
 namespace
 {
-constexpr int kFormat = 3; ///< Raised when the layout changes.
+constexpr int kFormat = 4; ///< Raised when the layout changes.
 
 Json encodeQuotas(const std::vector<QuotaReport>& quotas)
 {
@@ -46,7 +46,7 @@
 	Json list = Json::array();
 	for (const DemandReport& report : demand)
 	{
-		list.push_back(Json::array({report.service, report.work}));
+		list.push_back(Json::array({report.service, report.work, report.occupied}));
 	}
 	return list;
 }
@@ -106,7 +106,8 @@
 		decodeLists(fields[12], fields[13], fields[14], message);
 		for (const Json& report : fields[15])
 		{
-			message.demand.push_back({report.at(0).get<std::string>(), report.at(1).get<double>()});
+			message.demand.push_back(
+				{report.at(0).get<std::string>(), report.at(1).get<double>(), report.at(2).get<double>()});
 		}
 		message.draining = fields[16].get<std::vector<std::string>>();
 		return message;
--- a/tests/capacitytest.cpp
+++ b/tests/capacitytest.cpp
@@ -10,6 +10,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <cmath>
 #include <deque>
 
 namespace beacongate::test
@@ -211,6 +212,41 @@
 	}
 }
 
+RC_GTEST_PROP(CapacityPlanner, slotsAreNeitherLeftFullNorMostlyEmpty, ())
+{
+	// Requests that hold their slots for long, beside prompts that are read and slow them down.
+	const double reading = *rc::gen::inRange(0, 300) / 10.0;
+	const double holding = *rc::gen::inRange(0, 300) / 10.0;
+	double standing = *rc::gen::inRange(1, 40);
+	double held = 0.0;
+	for (int round = 0; round < 12; ++round)
+	{
+		const double pace = std::max(0.05, 1.0 - reading / standing);
+		held = std::min(standing, holding / pace);
+		standing = CapacityPlanner::serversFor(
+			CapacityPlanner::combinedWork(reading, held, static_cast<unsigned>(standing)));
+	}
+	RC_ASSERT(held / standing < 0.8);
+	RC_ASSERT(standing < 4.0 + 2.0 * (reading + holding + std::sqrt(reading + holding) + 4.0));
+}
+
+TEST(DemandMeter, countsSlotsHeldHereAndAtPeersOnce)
+{
+	DemandMeter meter;
+	Micros now = kSecond;
+	double held = 0.0;
+	for (int tick = 0; tick < 200; ++tick)
+	{
+		now += 100 * kMillisecond;
+		held += 0.1;
+		meter.onReport("b", 5, {"model", held, held});
+		meter.onReport("b", 5, {"model", held, held - 0.05}); // Late.
+		meter.onSlotHeld("model", 800 * kMillisecond, 4);     // Eight slots of four at a time: two engines.
+		meter.advance(now);
+	}
+	EXPECT_NEAR(meter.occupied("model"), 3.0, 0.2);
+}
+
 TEST(DemandMeter, countsWhatPeersBringOnceAndForgetsAPeak)
 {
 	DemandMeter meter;
@@ -220,8 +256,8 @@
 	{
 		now += 100 * kMillisecond;
 		brought += 0.2; // Two seconds of work a second.
-		meter.onReport("b", 5, {"model", brought});
-		meter.onReport("b", 5, {"model", brought - 0.1}); // Late.
+		meter.onReport("b", 5, {"model", brought, 0.0});
+		meter.onReport("b", 5, {"model", brought - 0.1, 0.0}); // Late.
 		meter.advance(now);
 	}
 	EXPECT_NEAR(meter.work("model"), 2.0, 0.2);
@@ -232,7 +268,7 @@
 		meter.advance(now);
 	}
 	EXPECT_LT(meter.work("model"), 0.2);
-	meter.onReport("b", 6, {"model", 100.0}); // Restarted and first heard now: old work is not new work.
+	meter.onReport("b", 6, {"model", 100.0, 0.0}); // Restarted and first heard now: old work is not new work.
 	meter.advance(now + kSecond);
 	EXPECT_LT(meter.work("model"), 0.2);
 }
--- a/tests/gatewayprotocoltest.cpp
+++ b/tests/gatewayprotocoltest.cpp
@@ -188,13 +188,14 @@
 	message.quotas = {{"team", 11.5}};
 	message.loads = {{"backend", 12, 13}};
 	message.usage = {{14, "team", 15}};
-	message.demand = {{"service", 16.5}};
+	message.demand = {{"service", 16.5, 2.25}};
 	message.draining = {"backend"};
 	const auto decoded = decodeGossip(encodeGossip(message));
 	ASSERT_TRUE(decoded);
 	EXPECT_EQ(encodeGossip(*decoded), encodeGossip(message));
 	EXPECT_EQ(decoded->run, message.run);
 	EXPECT_EQ(decoded->demand[0].work, 16.5);
+	EXPECT_EQ(decoded->demand[0].occupied, 2.25);
 	EXPECT_EQ(decoded->draining, message.draining);
 }
 
