Read the store once a data centre, and keep lapsed backend servers after an outage

What a data centre's gateways read is the same.

Ruled out: a watch in each gateway (each thing heard is charged); stale reads (seconds old, so no proof of freshness); gossip of the content (its size); passing large values on (a configuration of a hundred kilobytes to twenty gateways fills a link of 10 Mbit/s): those are left out and read from the store itself.

Change: the first member of a data centre, in order of hosts, reads every 0.6 s; the others ask it every 0.4 s for what changed since their revision, and read for themselves where it fails, is older than 1.5 s, or leaves the configuration out. The age that is passed on is that of the read, not what gossip says of the configuration. Peers are asked by the same difference where the store is out of reach. Records of backend servers are parsed once a revision. Also, from the users' issue: after 1.5 s without word from the store, records that are missing count as lapsed for 2 s and their servers are used; one still missing then is gone.

Tests: ContentHistory (property), RelayChoice, ContentCodec, Directory.recordsThatLapsed..., GatewayTest.oneGatewayOfADataCentreReads..., backendServersWhoseRecordsLapse...

--- /dev/null
+++ b/src/coordination/contenthistory.h
@@ -0,0 +1,67 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// What changed in the store's content since a revision, so that one gateway's read serves its whole data centre.
+
+#ifndef BEACONGATE_COORDINATION_CONTENTHISTORY_H
+#define BEACONGATE_COORDINATION_CONTENTHISTORY_H
+
+#include "coordination/kvtypes.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <vector>
+
+namespace beacongate
+{
+/// The way from one revision of the content to a later one.
+struct ContentUpdate
+{
+	std::uint64_t since = 0;
+	std::uint64_t revision = 0;
+	Micros age = kNever;             ///< How long ago that revision was certainly the newest.
+	std::uint64_t configVersion = 0; ///< In force at the gateway that says this; 0 is none.
+	std::vector<KvItem> items;       ///< New or changed.
+	std::vector<KvItem> leftOut;     ///< New or changed and large: without their values.
+	std::vector<std::string> removed;
+};
+
+/// Remembers which keys went, since the content itself does not tell.
+class ContentHistory
+{
+public:
+	/// Removals that are remembered.
+	static constexpr std::size_t kRemovals = 1024;
+	/// Larger values are left out of updates: many readers at once would fill a small VM's link.
+	static constexpr std::size_t kValueBytes = 8u << 10;
+
+	/// The content was replaced by a newer one.
+	void onReplaced(const StoreContent& before, const StoreContent& after);
+
+	/// @returns whether updates from that revision are known in full.
+	bool covers(const StoreContent& content, std::uint64_t since) const;
+
+	/// @returns what changed since a revision that is covered; the age is left to the caller.
+	ContentUpdate updateSince(const StoreContent& content, std::uint64_t since) const;
+
+private:
+	struct Removal
+	{
+		std::string key;
+		std::uint64_t revision = 0;
+	};
+
+	std::deque<Removal> m_removals;
+	std::uint64_t m_from = 0; ///< Removals after this revision are all known; 0 before the first content.
+};
+
+/// Brings content to an update's revision.
+/// @param[in,out] content At the revision from which the update leads, or later.
+void applyUpdate(StoreContent& content, const ContentUpdate& update);
+
+} // namespace beacongate
+
+#endif // BEACONGATE_COORDINATION_CONTENTHISTORY_H
--- a/src/coordination/directory.cpp
+++ b/src/coordination/directory.cpp
@@ -14,6 +14,11 @@
 	{
 		return false;
 	}
+	if (m_snapshotTaken != kNever && now - m_snapshotTaken > kOutage)
+	{
+		m_outageEnded = now;
+	}
+	m_snapshotTaken = now;
 	m_revision = snapshot.revision;
 	m_confirmed = std::max(m_confirmed, snapshot.confirmed);
 	mergeBackends(snapshot, now);
@@ -41,6 +46,7 @@
 			known.drainingSince = now;
 		}
 		known.vanishedAt = kNever;
+		known.lapsedUntil = 0;
 		if (newlyLeaving)
 		{
 			known.leavesAt = now + *record.leaves;
@@ -53,6 +59,8 @@
 		if (!present.count(it->first) && known.vanishedAt == kNever)
 		{
 			known.vanishedAt = now;
+			const bool mayHaveLapsed = now - m_outageEnded < kLapseReturn;
+			known.lapsedUntil = mayHaveLapsed ? m_outageEnded + kLapseReturn : 0;
 		}
 		const bool forgotten = known.vanishedAt != kNever && now - known.vanishedAt > kVanishedMemory;
 		it = forgotten ? m_backends.erase(it) : std::next(it);
@@ -111,7 +119,7 @@
 		{
 			continue;
 		}
-		if (known.vanishedAt == kNever)
+		if (known.vanishedAt == kNever || now < known.lapsedUntil)
 		{
 			usable.push_back(&known);
 		}
--- a/src/coordination/directory.h
+++ b/src/coordination/directory.h
@@ -33,6 +33,7 @@
 	Micros leavesAt = kNever;      ///< When it is reclaimed.
 	Micros coldUntil = 0;          ///< It is slow until then.
 	Micros vanishedAt = kNever;    ///< When its record was first found missing.
+	Micros lapsedUntil = 0;        ///< Until then, a missing record is taken to have lapsed in an outage.
 	Micros drainingSince = kNever; ///< When it was first known to take no new work.
 	bool misdirected = false;      ///< Another server answered at its address.
 
@@ -50,6 +51,10 @@
 	/// A record that vanished without notice is still used for this long where no other is left: records
 	/// lapse while the store is down, and a leaving server may be given work for a short while.
 	static constexpr Micros kVanishedGrace = 800 * kMillisecond;
+	/// Without a snapshot for longer than this, records may have lapsed though their backend servers live.
+	static constexpr Micros kOutage = 1500 * kMillisecond;
+	/// After an outage, records that lapsed are back within this span; one that is still missing is gone.
+	static constexpr Micros kLapseReturn = 2 * kSecond;
 	/// A vanished record is remembered for this long.
 	static constexpr Micros kVanishedMemory = 10 * kSecond;
 
@@ -61,6 +66,12 @@
 	/// @param[in] confirmed Steady time at which it certainly was.
 	void confirm(Micros confirmed);
 
+	/// The present snapshot was found to be still the newest.
+	void onUnchanged(Micros now)
+	{
+		m_snapshotTaken = now;
+	}
+
 	/// A backend server answered that it is not the one that was meant.
 	void markMisdirected(const std::string& id);
 
@@ -100,6 +111,8 @@
 	RoutingConfigPtr m_config;
 	std::uint64_t m_revision = 0;
 	Micros m_confirmed = kLongAgo;
+	Micros m_snapshotTaken = kNever; ///< When the last snapshot was taken in.
+	Micros m_outageEnded = kLongAgo;
 	std::map<std::string, KnownBackend> m_backends;
 };
 
--- a/src/coordination/kvtypes.h
+++ b/src/coordination/kvtypes.h
@@ -7,7 +7,10 @@
 #ifndef BEACONGATE_COORDINATION_KVTYPES_H
 #define BEACONGATE_COORDINATION_KVTYPES_H
 
+#include "beacongate/types.h"
+
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -21,6 +24,14 @@
 	std::uint64_t revision = 0;
 };
 
+/// The whole content of the store as it was last read, by key.
+struct StoreContent
+{
+	std::uint64_t revision = 0;
+	Micros confirmed = kLongAgo;
+	std::map<std::string, KvItem> items;
+};
+
 /// A page of items.
 struct KvPage
 {
--- a/src/gateway/dutyholder.cpp
+++ b/src/gateway/dutyholder.cpp
@@ -19,6 +19,7 @@
 constexpr Micros kDutyTimeout = 1 * kSecond;
 constexpr Micros kSettle = 1200 * kMillisecond; ///< After a window's end, for counts still on their way.
 constexpr Micros kLapseSpan = 2 * kSecond;      ///< A record that vanished is counted for this long.
+constexpr Micros kKnownSpan = 2 * kSecond;      ///< Within which the store was read, before the duties are taken.
 constexpr Micros kRosterSettled =
 	2500 * kMillisecond; ///< Without a new backend server, until all are taken to be listed.
 constexpr Micros kKeepInterval = 350 * kMillisecond; ///< Between two writes of all counts.
@@ -120,7 +121,7 @@
 void DutyHolder::compete()
 {
 	const bool taken = revisionOf(kHolderKey) != 0;
-	const bool known = m_context.content.confirmed + kSecond > monotonicNow();
+	const bool known = m_context.content.confirmed + kKnownSpan > monotonicNow();
 	if (m_competing || taken || !known)
 	{
 		return;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -8,6 +8,7 @@
 #include "gateway/gatewaystate.h"
 #include "gateway/ownanswers.h"
 #include "platform/headers.h"
+#include "protocol/contentcodec.h"
 
 #include <csignal>
 
@@ -17,7 +18,6 @@
 {
 constexpr Micros kStopStep = 50 * kMillisecond;
 constexpr Micros kStopRetryAfter = 50 * kMillisecond;
-constexpr const char* kContentPath = "/content";
 constexpr const char* kStatePath = "/state";
 constexpr const char* kMetricsPath = "/metrics";
 
@@ -165,11 +165,19 @@
 	if (request.head.target == kContentPath)
 	{
 		HttpAnswer answer;
-		answer.body = m_store->encodeContent();
+		answer.body = m_store->wholeContent();
 		answer.status = answer.body.empty() ? 503 : 200;
 		session->answer(answer);
 		return;
 	}
+	if (const auto revision = readUpdatePath(request.head.target))
+	{
+		HttpAnswer answer;
+		answer.body = m_store->contentSince(*revision);
+		answer.status = answer.body.empty() ? 404 : 200;
+		session->answer(answer);
+		return;
+	}
 	if (request.head.target == kStatePath)
 	{
 		HttpAnswer answer;
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -9,11 +9,13 @@
 
 #include "coordination/agreedclock.h"
 #include "coordination/balancer.h"
+#include "coordination/contenthistory.h"
 #include "coordination/demandmeter.h"
 #include "coordination/directory.h"
 #include "coordination/kvtypes.h"
 #include "coordination/peertable.h"
 #include "coordination/quotaledger.h"
+#include "coordination/relaychoice.h"
 #include "coordination/sharedretrybudget.h"
 #include "coordination/usageledger.h"
 #include "daemon/clock.h"
@@ -29,20 +31,13 @@
 
 namespace beacongate
 {
-/// The whole content of the store as it was last read, by key.
-struct StoreContent
-{
-	std::uint64_t revision = 0;
-	Micros confirmed = kLongAgo;
-	std::map<std::string, KvItem> items;
-};
-
 /// State of one gateway.
 struct GatewayContext
 {
 	explicit GatewayContext(GatewaySettings configured)
 		: settings(std::move(configured)), run{settings.name, newIncarnation()}, balancer(settings.dataCentre),
-		  peers(settings.callers.host), usage(run), random(static_cast<std::mt19937::result_type>(run.incarnation))
+		  peers(settings.callers.host), relays({settings.callers.host, settings.dataCentre}), usage(run),
+		  random(static_cast<std::mt19937::result_type>(run.incarnation))
 	{
 		retryBudget.configure(settings.retryBudget);
 		peers.setSeeds(settings.seeds);
@@ -65,10 +60,12 @@
 	GatewayRun run;
 	Directory directory;
 	StoreContent content;
+	ContentHistory history;
 	Balancer balancer;
 	QuotaLedger quotas;
 	SharedRetryBudget retryBudget;
 	PeerTable peers;
+	RelayChoice relays;
 	AgreedClock clock;
 	UsageLedger usage;
 	DemandMeter demand;
--- a/src/gateway/memberkeys.h
+++ b/src/gateway/memberkeys.h
@@ -7,13 +7,15 @@
 #ifndef BEACONGATE_GATEWAY_MEMBERKEYS_H
 #define BEACONGATE_GATEWAY_MEMBERKEYS_H
 
+#include "coordination/relaychoice.h"
+
 #include <cstdint>
 #include <string>
 #include <string_view>
 
 namespace beacongate
 {
-inline constexpr std::string_view kMemberPrefix = "beacongate/members/"; ///< Then the name; the value is its host.
+inline constexpr std::string_view kMemberPrefix = "beacongate/members/"; ///< Then the name; the value is a record.
 inline constexpr std::string_view kUsagePrefix = "beacongate/usage/";    ///< Then the window's number.
 inline constexpr const char* kHolderKey = "beacongate/holder";           ///< Leased to the holder of the duties.
 inline constexpr const char* kFenceKey = "beacongate/fence";             ///< The holder's fencing token.
@@ -32,6 +34,19 @@
 	return std::string(kMemberPrefix) + name;
 }
 
+/// @returns the value that registers a gateway: its host, a space and its data centre.
+inline std::string encodeMember(const MemberRecord& member)
+{
+	return member.host + ' ' + member.dataCentre;
+}
+
+/// @returns the record in a value.
+inline MemberRecord decodeMember(const std::string& value)
+{
+	const std::size_t space = value.find(' ');
+	return {value.substr(0, space), space == std::string::npos ? "" : value.substr(space + 1)};
+}
+
 /// @returns the key under which a window's counts are fixed.
 inline std::string usageKey(std::uint64_t window)
 {
--- a/src/gateway/registration.cpp
+++ b/src/gateway/registration.cpp
@@ -81,7 +81,8 @@
 {
 	// A member's entry is its own alone: a put without a condition that is done late changes nothing.
 	KvTransaction change;
-	change.puts.push_back({memberKey(m_context.settings.name), m_context.settings.callers.host, m_lease});
+	const MemberRecord record{m_context.settings.callers.host, m_context.settings.dataCentre};
+	change.puts.push_back({memberKey(m_context.settings.name), encodeMember(record), m_lease});
 	m_channel->call(platform::transactionCall(change), kCallTimeout,
 					[self = shared_from_this()](const std::optional<HttpAnswer>& answer)
 					{
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -7,16 +7,20 @@
 #include "gateway/memberkeys.h"
 #include "platform/documents.h"
 #include "platform/storecalls.h"
-#include "protocol/json.h"
+#include "protocol/contentcodec.h"
 #include "protocol/usagecodec.h"
 
+#include <algorithm>
 #include <set>
 
 namespace beacongate
 {
 namespace
 {
-constexpr Micros kReadInterval = 800 * kMillisecond; ///< Well within every bound on news.
+constexpr Micros kReadInterval = 600 * kMillisecond;  ///< With the next one, well within every bound on news.
+constexpr Micros kRelayInterval = 400 * kMillisecond; ///< Between two questions to the relay.
+constexpr Micros kRelayTimeout = 300 * kMillisecond;
+constexpr Micros kRelayAge = 1500 * kMillisecond;    ///< A relay that knows nothing newer than this is of no use.
 constexpr Micros kNewsInterval = 200 * kMillisecond; ///< Between two early reads.
 constexpr Micros kReadTimeout = 900 * kMillisecond;
 constexpr Micros kRetryMin = 100 * kMillisecond;
@@ -24,10 +28,9 @@
 constexpr Micros kWatchSpan = 5 * kSecond;
 constexpr Micros kWatchTimeout = kWatchSpan + kSecond;
 constexpr Micros kWatchRetry = 500 * kMillisecond;
-constexpr Micros kPeerInterval = 300 * kMillisecond;
+constexpr Micros kPeerInterval = 500 * kMillisecond;
 constexpr Micros kPeerTimeout = 400 * kMillisecond;
-constexpr Micros kAskPeersAfter = 900 * kMillisecond; ///< Age of the configuration from which peers are asked.
-constexpr const char* kContentPath = "/content";
+constexpr Micros kAskPeersAfter = 1800 * kMillisecond; ///< Age of the content from which peers are asked.
 
 template <typename Handler> void after(boost::asio::steady_timer& timer, Micros span, Handler handler)
 {
@@ -69,6 +72,10 @@
 	{
 		m_peerChannel->close();
 	}
+	if (m_relayChannel)
+	{
+		m_relayChannel->close();
+	}
 }
 
 void StoreSync::refresh()
@@ -84,7 +91,10 @@
 		m_readAgain = true;
 		return;
 	}
-	read();
+	// A relay has read no more of it than this gateway.
+	m_reading = true;
+	m_readTimer.cancel();
+	readStore();
 }
 
 void StoreSync::scheduleRead(Micros span)
@@ -99,8 +109,96 @@
 		return;
 	}
 	m_reading = true;
-	m_readAgain = false;
 	m_readTimer.cancel();
+	const auto relay = m_context.relays.relay(monotonicNow());
+	const bool mayAsk = relay && m_context.settings.control && !m_context.holdsDuties;
+	if (mayAsk && m_context.content.revision != 0)
+	{
+		askRelay(*relay);
+		return;
+	}
+	readStore();
+}
+
+void StoreSync::askRelay(const std::string& host)
+{
+	if (!m_relayChannel || m_relayHost != host)
+	{
+		if (m_relayChannel)
+		{
+			m_relayChannel->close();
+		}
+		const Address address{host, m_context.settings.control->port};
+		m_relayChannel = std::make_shared<HttpChannel>(m_context.loop, address, limits::kSnapshotBytes);
+		m_relayHost = host;
+	}
+	ChannelRequest request;
+	request.target = std::string(kUpdatePath) + std::to_string(m_context.content.revision);
+	const Micros asked = monotonicNow();
+	m_relayChannel->call(std::move(request), kRelayTimeout,
+						 [self = shared_from_this(), asked](const std::optional<HttpAnswer>& answer)
+						 {
+							 if (!self->m_closed)
+							 {
+								 const bool told = answer && answer->status == 200;
+								 self->onRelayUpdate(asked, told ? decodeUpdate(answer->body) : std::nullopt);
+							 }
+						 });
+}
+
+void StoreSync::onRelayUpdate(Micros asked, const std::optional<ContentUpdate>& update)
+{
+	m_relayFailed = !update || update->age > kRelayAge;
+	if (m_relayFailed || !takeUpdate(asked, *update))
+	{
+		readStore();
+		return;
+	}
+	m_reading = false;
+	if (m_readAgain)
+	{
+		refresh();
+	}
+	if (!m_reading)
+	{
+		scheduleRead(kRelayInterval);
+	}
+}
+
+bool StoreSync::takeUpdate(Micros asked, const ContentUpdate& update)
+{
+	const auto& config = m_context.directory.config();
+	if (config && config->version == update.configVersion)
+	{
+		m_context.directory.confirm(asked - update.age);
+	}
+	const bool fits = update.since == m_context.content.revision || update.revision <= m_context.content.revision;
+	const bool configLeftOut = std::any_of(
+		update.leftOut.begin(), update.leftOut.end(),
+		[this](const KvItem& item) { return platform::isConfig(item) && item.revision != m_parsedRevision; });
+	if (!fits || configLeftOut)
+	{
+		return false;
+	}
+	if (update.revision <= m_context.content.revision)
+	{
+		if (update.revision == m_context.content.revision)
+		{
+			m_context.content.confirmed = std::max(m_context.content.confirmed, asked - update.age);
+			m_context.directory.onUnchanged(monotonicNow());
+		}
+		return true;
+	}
+	StoreContent content = m_context.content;
+	applyUpdate(content, update);
+	content.confirmed = asked - update.age;
+	apply(std::move(content), true);
+	return true;
+}
+
+void StoreSync::readStore()
+{
+	m_readAgain = false;
 	m_incoming = {};
 	m_readSent = monotonicNow();
 	readPage("");
@@ -151,6 +249,12 @@
 		logEvent(LogLevel::Info, "store-regained", {{"revision", std::to_string(m_incoming.revision)}});
 	}
 	m_incoming.confirmed = m_readSent;
+	if (m_relayFailed)
+	{
+		// The store answers and the relay does not, or knows less.
+		m_context.relays.onFailed(m_relayHost, monotonicNow());
+		m_relayFailed = false;
+	}
 	apply(std::move(m_incoming), false);
 	m_incoming = {};
 	if (!m_watching)
@@ -159,7 +263,8 @@
 	}
 	if (m_readAgain)
 	{
-		read();
+		m_reading = true;
+		readStore();
 		return;
 	}
 	scheduleRead(kReadInterval);
@@ -273,7 +378,7 @@
 	StoreSnapshot snapshot;
 	snapshot.revision = content.revision;
 	snapshot.confirmed = content.confirmed;
-	std::set<std::string> members;
+	std::set<MemberRecord> members;
 	for (const auto& [key, item] : content.items)
 	{
 		if (platform::isConfig(item))
@@ -282,13 +387,9 @@
 		}
 		else if (const auto id = platform::backendIdOf(item))
 		{
-			try
+			if (const BackendRecord* record = recordOf(*id, item))
 			{
-				snapshot.backends.push_back(platform::readBackend(*id, item.value));
-			}
-			catch (const std::exception& error)
-			{
-				logEvent(LogLevel::Warning, "backend-refused", {{"backend", *id}, {"detail", error.what()}});
+				snapshot.backends.push_back(*record);
 			}
 		}
 		else if (key == kCountsKey)
@@ -297,14 +398,20 @@
 		}
 		else if (isMemberKey(key))
 		{
-			members.insert(item.value);
+			members.insert(decodeMember(item.value));
 		}
 	}
 	if (content.revision < m_context.directory.revision())
 	{
 		return;
 	}
-	m_context.peers.setRegistered(std::move(members));
+	m_context.relays.setMembers(members);
+	std::set<std::string> hosts;
+	for (const MemberRecord& member : members)
+	{
+		hosts.insert(member.host);
+	}
+	m_context.peers.setRegistered(std::move(hosts));
 	if (m_context.directory.apply(snapshot, now))
 	{
 		m_context.quotas.setMembers(m_context.peers.memberCount(now));
@@ -315,7 +422,11 @@
 				  {"from", fromPeer ? "peer" : "store"},
 				  {"backends", std::to_string(snapshot.backends.size())}});
 	}
-	m_context.balancer.retain(m_context.directory.backends());
+	const auto& known = m_context.directory.backends();
+	m_context.balancer.retain(known);
+	std::erase_if(m_records, [&known](const auto& entry) { return !known.count(entry.first); });
+	m_context.history.onReplaced(m_context.content, content);
+	content.confirmed = std::max(content.confirmed, m_context.content.confirmed);
 	m_context.content = std::move(content);
 	if (m_context.onDirectoryChanged)
 	{
@@ -323,6 +434,25 @@
 	}
 }
 
+const BackendRecord* StoreSync::recordOf(const std::string& id, const KvItem& item)
+{
+	ParsedRecord& parsed = m_records[id];
+	if (parsed.revision != item.revision)
+	{
+		parsed.revision = item.revision;
+		parsed.record.reset();
+		try
+		{
+			parsed.record = platform::readBackend(id, item.value);
+		}
+		catch (const std::exception& error)
+		{
+			logEvent(LogLevel::Warning, "backend-refused", {{"backend", id}, {"detail", error.what()}});
+		}
+	}
+	return parsed.record ? &*parsed.record : nullptr;
+}
+
 void StoreSync::learnCounts(const KvItem& item)
 {
 	if (item.revision == m_countsRevision)
@@ -349,13 +479,12 @@
 	}
 	const Micros now = monotonicNow();
 	const auto control = m_context.settings.control;
-	if (!control || m_context.directory.age(now) < kAskPeersAfter)
+	if (!control || now - m_context.content.confirmed < kAskPeersAfter)
 	{
 		schedulePeers();
 		return;
 	}
-	const Micros known = now - m_context.directory.age(now);
-	std::optional<std::string> host = m_context.peers.freshestAfter(known, now);
+	std::optional<std::string> host = m_context.peers.freshestAfter(m_context.content.confirmed, now);
 	if (!host && !m_context.directory.config() && !m_context.settings.seeds.empty())
 	{
 		host = m_context.settings.seeds[m_context.random() % m_context.settings.seeds.size()].host;
@@ -365,74 +494,86 @@
 		schedulePeers();
 		return;
 	}
-	const Address address{*host, control->port};
+	askPeer(*host, m_context.content.revision == 0);
+}
+
+void StoreSync::askPeer(const std::string& host, bool whole)
+{
+	const Address address{host, m_context.settings.control->port};
 	m_peerChannel = std::make_shared<HttpChannel>(m_context.loop, address, limits::kSnapshotBytes);
 	ChannelRequest request;
-	request.target = kContentPath;
+	request.target =
+		whole ? std::string(kContentPath) : std::string(kUpdatePath) + std::to_string(m_context.content.revision);
 	request.headers = {{"Connection", "close"}};
+	const Micros asked = monotonicNow();
 	m_peerChannel->call(std::move(request), kPeerTimeout,
-						[self = shared_from_this(), now](const std::optional<HttpAnswer>& answer)
+						[self = shared_from_this(), asked, host, whole](const std::optional<HttpAnswer>& answer)
 						{
-							if (!self->m_closed)
+							if (self->m_closed)
 							{
-								self->onPeerContent(now, answer);
+								return;
 							}
+							if (whole)
+							{
+								self->schedulePeers();
+								self->onPeerContent(asked, answer);
+								return;
+							}
+							self->onPeerUpdate(asked, host, answer);
 						});
 }
 
-void StoreSync::onPeerContent(Micros sent, const std::optional<HttpAnswer>& answer)
+void StoreSync::onPeerUpdate(Micros asked, const std::string& host, const std::optional<HttpAnswer>& answer)
 {
-	schedulePeers();
-	if (!answer || answer->status != 200)
+	const auto update = answer && answer->status == 200 ? decodeUpdate(answer->body) : std::nullopt;
+	const bool tooOld = answer && answer->status == 404;
+	if (tooOld || (update && !takeUpdate(asked, *update)))
 	{
+		askPeer(host, true);
 		return;
 	}
-	const Json root = Json::from_msgpack(answer->body, true, false);
-	if (!root.is_array() || root.size() != 3)
+	schedulePeers();
+}
+
+void StoreSync::onPeerContent(Micros asked, const std::optional<HttpAnswer>& answer)
+{
+	if (!answer || answer->status != 200)
 	{
 		return;
 	}
-	try
+	std::optional<StoreContent> content = decodeContent(answer->body, asked);
+	if (!content)
 	{
-		StoreContent content;
-		content.revision = root[0].get<std::uint64_t>();
-		// The peer's age is counted to when it answered, which was after the question was sent.
-		content.confirmed = sent - root[1].get<Micros>();
-		for (const Json& entry : root[2])
-		{
-			KvItem item{entry.at(0).get<std::string>(), entry.at(1).get<std::string>(),
-						entry.at(2).get<std::uint64_t>()};
-			content.items[item.key] = std::move(item);
-		}
-		if (content.revision == m_context.directory.revision())
-		{
-			m_context.directory.confirm(content.confirmed);
-			return;
-		}
-		apply(std::move(content), true);
+		logEvent(LogLevel::Warning, "peer-content-refused", {});
+		return;
 	}
-	catch (const Json::exception&)
+	if (content->revision == m_context.directory.revision())
 	{
-		logEvent(LogLevel::Warning, "peer-content-refused", {});
+		m_context.directory.confirm(content->confirmed);
+		return;
 	}
+	apply(std::move(*content), true);
 }
 
-std::string StoreSync::encodeContent() const
+std::string StoreSync::wholeContent() const
 {
 	if (m_context.content.items.empty())
 	{
 		return "";
 	}
-	Json items = Json::array();
-	for (const auto& [key, item] : m_context.content.items)
+	return encodeContent(m_context.content, monotonicNow() - m_context.content.confirmed);
+}
+
+std::string StoreSync::contentSince(std::uint64_t revision) const
+{
+	if (!m_context.history.covers(m_context.content, revision))
 	{
-		items.push_back(Json::array({item.key, item.value, item.revision}));
+		return "";
 	}
-	std::string bytes;
-	Json::to_msgpack(
-		Json::array({m_context.content.revision, m_context.directory.age(monotonicNow()), std::move(items)}),
-		bytes);
-	return bytes;
+	ContentUpdate update = m_context.history.updateSince(m_context.content, revision);
+	update.age = monotonicNow() - m_context.content.confirmed;
+	update.configVersion = m_context.directory.config() ? m_context.directory.config()->version : 0;
+	return encodeUpdate(update);
 }
 
 } // namespace beacongate
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -2,7 +2,8 @@
 // Licence: BSD-2-Clause, see LICENSE.
 
 /// @file
-/// Keeps the directory as new as the store: reads, watches, and other gateways where the store is out of reach.
+/// Keeps the directory as new as the store: by one reader in each data centre, by reads of its own where that one
+/// fails, and by other gateways where the store is out of reach.
 
 #ifndef BEACONGATE_GATEWAY_STORESYNC_H
 #define BEACONGATE_GATEWAY_STORESYNC_H
@@ -10,13 +11,16 @@
 #include "gateway/gatewaycontext.h"
 #include "transport/httpchannel.h"
 
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace beacongate
 {
-/// Reads the whole store again and again. A read is the only proof that a configuration is the newest; a watch only
-/// says when to read early, since one that hears nothing may be cut off.
+/// Reads the whole store again and again, or asks the gateway of its data centre that does. A read is the only
+/// proof that a configuration is the newest; a watch only says when to read early, since one that hears nothing may
+/// be cut off.
 class StoreSync : public std::enable_shared_from_this<StoreSync>
 {
 public:
@@ -29,14 +33,28 @@
 	void shutdown();
 
 	/// @returns what a peer gets that cannot reach the store, as MessagePack; empty where there is nothing.
-	std::string encodeContent() const;
+	std::string wholeContent() const;
+
+	/// @returns what changed since a revision, as MessagePack; empty where that is not known.
+	std::string contentSince(std::uint64_t revision) const;
 
 	/// Reads at once, or as soon as the read that runs has ended.
 	void refresh();
 
 private:
+	/// A backend server's record as it stood at a revision; none where it could not be read.
+	struct ParsedRecord
+	{
+		std::uint64_t revision = 0;
+		std::optional<BackendRecord> record;
+	};
+
 	void scheduleRead(Micros span);
 	void read();
+	void askRelay(const std::string& host);
+	void onRelayUpdate(Micros asked, const std::optional<ContentUpdate>& update);
+	bool takeUpdate(Micros asked, const ContentUpdate& update);
+	void readStore();
 	void readPage(const std::string& afterKey);
 	void onPage(const std::optional<KvPage>& page);
 	void finishRead();
@@ -47,7 +65,10 @@
 	void apply(StoreContent content, bool fromPeer);
 	RoutingConfigPtr configOf(const KvItem& item);
 	void learnFromPeers();
-	void onPeerContent(Micros sent, const std::optional<HttpAnswer>& answer);
+	void askPeer(const std::string& host, bool whole);
+	void onPeerUpdate(Micros asked, const std::string& host, const std::optional<HttpAnswer>& answer);
+	void onPeerContent(Micros asked, const std::optional<HttpAnswer>& answer);
+	const BackendRecord* recordOf(const std::string& id, const KvItem& item);
 	void learnCounts(const KvItem& item);
 	void schedulePeers();
 
@@ -55,6 +76,9 @@
 	std::shared_ptr<HttpChannel> m_reads;
 	std::shared_ptr<HttpChannel> m_watches;
 	std::shared_ptr<HttpChannel> m_peerChannel;
+	std::shared_ptr<HttpChannel> m_relayChannel;
+	std::string m_relayHost;    ///< That m_relayChannel leads to.
+	bool m_relayFailed = false; ///< The read that runs was to come from the relay.
 	boost::asio::steady_timer m_readTimer;
 	boost::asio::steady_timer m_watchTimer;
 	boost::asio::steady_timer m_peerTimer;
@@ -71,6 +95,7 @@
 	RoutingConfigPtr m_parsed;
 	std::uint64_t m_rejectedRevision = 0;
 	std::uint64_t m_countsRevision = 0;
+	std::map<std::string, ParsedRecord> m_records;
 };
 
 } // namespace beacongate
--- a/tests/gatewaycoretest.cpp
+++ b/tests/gatewaycoretest.cpp
@@ -7,10 +7,12 @@
 
 #include "coordination/agreedclock.h"
 #include "coordination/attemptpolicy.h"
+#include "coordination/contenthistory.h"
 #include "coordination/directory.h"
 #include "coordination/dutylease.h"
 #include "coordination/peertable.h"
 #include "coordination/quotaledger.h"
+#include "coordination/relaychoice.h"
 #include "coordination/sharedretrybudget.h"
 #include "coordination/stoppolicy.h"
 #include "coordination/usageledger.h"
@@ -119,6 +121,45 @@
 	EXPECT_EQ(directory.usableOf("model", 4 * kSecond)[0]->record.id, "a");
 }
 
+TEST(Directory, recordsThatLapsedInAnOutageAreUsedUntilTheyAreBackOrGone)
+{
+	Directory directory;
+	directory.apply({1, configOf(1), {backendOf("a"), backendOf("b")}, 0}, kSecond);
+	const Micros back = kSecond + Directory::kOutage + kMillisecond;
+	directory.apply({5, configOf(1), {}, 0}, back);
+	EXPECT_EQ(directory.usableOf("model", back).size(), 2u);
+	// One returns first: it must not get the whole load.
+	directory.apply({6, configOf(1), {backendOf("a")}, 0}, back + kSecond);
+	EXPECT_EQ(directory.usableOf("model", back + kSecond).size(), 2u);
+	const auto later = directory.usableOf("model", back + Directory::kLapseReturn);
+	ASSERT_EQ(later.size(), 1u);
+	EXPECT_EQ(later[0]->record.id, "a");
+}
+
+TEST(Directory, aRecordThatGoesWhileTheStoreAnswersIsNotTakenToHaveLapsed)
+{
+	Directory directory;
+	Micros now = kSecond;
+	directory.apply({1, configOf(1), {backendOf("a"), backendOf("b")}, 0}, now);
+	for (int poll = 0; poll < 10; ++poll)
+	{
+		now += kSecond;
+		directory.onUnchanged(now);
+	}
+	directory.apply({2, configOf(1), {backendOf("b")}, 0}, now + kSecond);
+	EXPECT_EQ(directory.usableOf("model", now + kSecond).size(), 1u);
+}
+
+TEST(Directory, oneThatSaidItLeavesIsNotUsedThoughItsRecordLapsed)
+{
+	Directory directory;
+	directory.apply({1, configOf(1), {backendOf("a", true), backendOf("b")}, 0}, kSecond);
+	const Micros back = kSecond + 2 * Directory::kOutage;
+	directory.apply({5, configOf(1), {}, 0}, back);
+	ASSERT_EQ(directory.usableOf("model", back).size(), 1u);
+	EXPECT_EQ(directory.usableOf("model", back)[0]->record.id, "b");
+}
+
 TEST(Directory, ageCountsFromTheCallThatConfirmed)
 {
 	Directory directory;
@@ -129,6 +170,100 @@
 	EXPECT_EQ(directory.age(7 * kSecond), 2 * kSecond);
 }
 
+RC_GTEST_PROP(ContentHistory, aFollowerEndsWithWhatItsRelayHas, (const std::vector<std::uint8_t>& steps))
+{
+	// A store that changes, a relay that reads it now and then, a follower that asks the relay now and then.
+	StoreContent store;
+	StoreContent relay;
+	StoreContent follower;
+	ContentHistory history;
+	const auto readStore = [&]
+	{
+		const StoreContent before = relay;
+		relay = store;
+		history.onReplaced(before, relay);
+	};
+	store.revision = 1;
+	readStore();
+	follower = relay;
+	for (const std::uint8_t step : steps)
+	{
+		const std::string key = "k" + std::to_string(step % 5);
+		switch (step / 5 % 4)
+		{
+		case 0:
+			++store.revision;
+			store.items[key] = {key, std::to_string(step), store.revision};
+			break;
+		case 1:
+			++store.revision;
+			store.items.erase(key);
+			break;
+		case 2:
+			readStore();
+			break;
+		default:
+			RC_ASSERT(history.covers(relay, follower.revision));
+			applyUpdate(follower, history.updateSince(relay, follower.revision));
+			RC_ASSERT(follower.revision == relay.revision);
+			RC_ASSERT(follower.items.size() == relay.items.size());
+			for (const auto& [name, item] : relay.items)
+			{
+				RC_ASSERT(follower.items[name].value == item.value);
+			}
+		}
+	}
+}
+
+TEST(ContentHistory, saysWhenItDoesNotKnowAndLeavesLargeValuesOut)
+{
+	ContentHistory history;
+	StoreContent content;
+	EXPECT_FALSE(history.covers(content, 0));
+	content.revision = 10;
+	content.items["large"] = {"large", std::string(ContentHistory::kValueBytes + 1, 'x'), 9};
+	history.onReplaced({}, content);
+	EXPECT_FALSE(history.covers(content, 9));
+	EXPECT_FALSE(history.covers(content, 11));
+	StoreContent next = content;
+	next.revision = 12;
+	next.items["large"].revision = 12;
+	history.onReplaced(content, next);
+	const ContentUpdate update = history.updateSince(next, 10);
+	ASSERT_EQ(update.leftOut.size(), 1u);
+	EXPECT_EQ(update.leftOut[0].revision, 12u);
+	EXPECT_TRUE(update.items.empty());
+	for (std::size_t round = 0; round <= ContentHistory::kRemovals; ++round)
+	{
+		StoreContent with = next;
+		++with.revision;
+		with.items["k"] = {"k", "", with.revision};
+		history.onReplaced(next, with);
+		next = with;
+		++next.revision;
+		next.items.erase("k");
+		history.onReplaced(with, next);
+	}
+	EXPECT_FALSE(history.covers(next, 12));
+	EXPECT_TRUE(history.covers(next, next.revision - 2));
+}
+
+TEST(RelayChoice, isTheFirstOfTheDataCentreThatAnswers)
+{
+	RelayChoice second({"10.0.0.2", "a"});
+	EXPECT_FALSE(second.relay(0));
+	second.setMembers({{"10.0.0.1", "b"}, {"10.0.0.2", "a"}, {"10.0.0.3", "a"}});
+	EXPECT_FALSE(second.relay(0)) << "the own data centre alone counts, and only those before in order";
+	RelayChoice third({"10.0.0.3", "a"});
+	third.setMembers({{"10.0.0.1", "a"}, {"10.0.0.2", "a"}, {"10.0.0.3", "a"}});
+	EXPECT_EQ(third.relay(0), "10.0.0.1");
+	third.onFailed("10.0.0.1", kSecond);
+	EXPECT_EQ(third.relay(kSecond), "10.0.0.2");
+	third.onFailed("10.0.0.2", kSecond);
+	EXPECT_FALSE(third.relay(kSecond));
+	EXPECT_EQ(third.relay(2 * kSecond + RelayChoice::kAvoided), "10.0.0.1");
+}
+
 RC_GTEST_PROP(AttemptPolicy, keepsPromisesAndBounds, (const std::vector<std::uint8_t>& results, bool repeatable))
 {
 	AttemptContext context;
--- a/tests/gatewayprotocoltest.cpp
+++ b/tests/gatewayprotocoltest.cpp
@@ -10,6 +10,7 @@
 #include "platform/settings.h"
 #include "platform/storecalls.h"
 #include "protocol/base64.h"
+#include "protocol/contentcodec.h"
 #include "protocol/eventstream.h"
 #include "protocol/gossipcodec.h"
 #include "protocol/json.h"
@@ -208,6 +209,39 @@
 	RC_ASSERT(!decodeGossip(cut));
 }
 
+TEST(ContentCodec, givesBackWhatWasSentAndRefusesTheRest)
+{
+	ContentUpdate update;
+	update.since = 7;
+	update.revision = 9;
+	update.age = 250;
+	update.configVersion = 3;
+	update.items = {{"a", std::string("\0\xff", 2), 8}};
+	update.leftOut = {{"b", "", 9}};
+	update.removed = {"c"};
+	const auto decoded = decodeUpdate(encodeUpdate(update));
+	ASSERT_TRUE(decoded);
+	EXPECT_EQ(decoded->revision, 9u);
+	EXPECT_EQ(decoded->age, 250);
+	EXPECT_EQ(decoded->configVersion, 3u);
+	ASSERT_EQ(decoded->items.size(), 1u);
+	EXPECT_EQ(decoded->items[0].value, update.items[0].value);
+	EXPECT_EQ(decoded->leftOut[0].key, "b");
+	EXPECT_EQ(decoded->removed, update.removed);
+	StoreContent content;
+	content.revision = 5;
+	content.items["k"] = {"k", "v", 4};
+	const auto whole = decodeContent(encodeContent(content, 100), 1000);
+	ASSERT_TRUE(whole);
+	EXPECT_EQ(whole->confirmed, 900);
+	EXPECT_EQ(whole->items.at("k").value, "v");
+	EXPECT_FALSE(decodeUpdate(encodeContent(content, 100)));
+	EXPECT_FALSE(decodeContent("nonsense", 0));
+	EXPECT_EQ(readUpdatePath("/content/since/12"), 12u);
+	EXPECT_FALSE(readUpdatePath("/content/since/12x"));
+	EXPECT_FALSE(readUpdatePath("/content"));
+}
+
 TEST(PlatformSettings, areReadAndUnknownFieldsPassedOver)
 {
 	const GatewaySettings settings = platform::readSettings(settingsText());
--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -541,6 +541,61 @@
 	EXPECT_EQ(workers[0]->runs().size(), before);
 }
 
+TEST_F(GatewayTest, oneGatewayOfADataCentreReadsTheStoreForTheOthers)
+{
+	constexpr int kGateways = 4;
+	const auto callsIn = [&](Micros span)
+	{
+		const unsigned before = store->calls();
+		std::this_thread::sleep_for(std::chrono::microseconds(span));
+		return store->calls() - before;
+	};
+	startGateway(settings(1));
+	std::this_thread::sleep_for(std::chrono::seconds(2));
+	const unsigned alone = callsIn(4 * kSecond);
+	for (unsigned number = 2; number <= kGateways; ++number)
+	{
+		startGateway(settings(number));
+	}
+	std::this_thread::sleep_for(std::chrono::seconds(2));
+	// Each other gateway renews the lease of its registration, and one may hold the duties beside.
+	EXPECT_LT(callsIn(4 * kSecond), 2 * alone);
+	// The relay ends without a word: the others read for themselves, and hear of news all the while.
+	gateways[0]->stop();
+	store->put(platform::kConfigKey, config(2, {"other"}));
+	for (unsigned number = 2; number <= kGateways; ++number)
+	{
+		EXPECT_TRUE(await(
+			[&] { return statusOf(call("GET", "/safe/", "n" + std::to_string(number), "other", number)) == 200; },
+			2 * kSecond));
+	}
+	store->remove("servers/" + workerId(1));
+	std::this_thread::sleep_for(std::chrono::seconds(2));
+	const std::size_t runs = workers[0]->runs().size();
+	for (int number = 0; number < 8; ++number)
+	{
+		EXPECT_EQ(statusOf(call("GET", "/safe/", "g" + std::to_string(number), "other", 2 + number % 3)), 200u);
+	}
+	EXPECT_EQ(workers[0]->runs().size(), runs) << "a record that is gone is not used by one that asks its relay";
+}
+
+TEST_F(GatewayTest, backendServersWhoseRecordsLapseInAnOutageServeOn)
+{
+	startGateway(settings(1));
+	store->setFault(StoreFault::Busy);
+	std::this_thread::sleep_for(std::chrono::milliseconds(2000));
+	store->remove("servers/" + workerId(1));
+	store->remove("servers/" + workerId(2));
+	store->setFault(StoreFault::None);
+	for (int number = 0; number < 12; ++number)
+	{
+		EXPECT_EQ(statusOf(call("GET", "/safe/", "l" + std::to_string(number))), 200u);
+		std::this_thread::sleep_for(std::chrono::milliseconds(100));
+	}
+	registerWorker(2, "ready");
+	EXPECT_TRUE(await([&] { return statusOf(call("GET", "/safe/", "back")) == 200; }, kSecond));
+}
+
 TEST_F(GatewayTest, newsComeAlsoAfterTheStoreForgotItsHistory)
 {
 	startGateway(settings(1));
