Hold as much spare spot capacity as there is work, and grow where all slots are held

Slots that are all held hide the load, and what stood before the first reclaim (38 wished) was sized for a load without one.

Change: the wish at the price of spot is twice the work, where that is more than the former spare (from about 9 engines on); where 85% of the slots are held the need is half as much again as what stands.

--- a/src/coordination/capacityplanner.cpp
+++ b/src/coordination/capacityplanner.cpp
@@ -12,12 +12,15 @@
 {
 constexpr double kSpareFactor = 2.0;    ///< Of the square root of the work: what a varying load needs.
 constexpr double kSpareServers = 3.0;   ///< On top: what a reclaim takes is made up by what stands elsewhere.
+constexpr double kSpareShare = 1.0;     ///< Of the work, at least: two of four data centres may go at once.
 constexpr double kRequiredFactor = 1.6; ///< The same without comfort.
 constexpr double kRequiredServers = 0.6;
 constexpr double kFirstShare = 0.4; ///< Of the most that may be ordered.
 constexpr Micros kResend = 1 * kSecond;
 constexpr double kSlotUse = 0.65;   ///< A larger share of slots is not held without requests that wait.
 constexpr double kLeastPace = 0.25; ///< Share of time that is left to tokens, however much is read.
+constexpr double kSaturated = 0.85; ///< Share of slots held from which the load cannot be read off them any more.
+constexpr double kGrowth = 1.5;     ///< Of what stands, where it is saturated.
 
 double priceOf(const ScalingSettings& scaling, const std::string& zone)
 {
@@ -44,13 +47,16 @@
 {
 	// Reading slows the tokens of requests beside it down, so that these hold their slots for longer than they
 	// will where the reading is spread over enough backend servers.
-	const double pace = 1.0 - reading / static_cast<double>(std::max(1u, standing));
-	return reading + occupied * std::clamp(pace, kLeastPace, 1.0) / kSlotUse;
+	const double present = std::max(1u, standing);
+	const double pace = std::clamp(1.0 - reading / present, kLeastPace, 1.0);
+	const double work = reading + occupied * pace / kSlotUse;
+	return occupied >= kSaturated * present ? std::max(work, kGrowth * present) : work;
 }
 
 unsigned CapacityPlanner::serversFor(double work)
 {
-	return static_cast<unsigned>(std::ceil(work + kSpareFactor * std::sqrt(std::max(0.0, work)) + kSpareServers));
+	const double forVariation = kSpareFactor * std::sqrt(std::max(0.0, work)) + kSpareServers;
+	return static_cast<unsigned>(std::ceil(work + std::max(forVariation, kSpareShare * work)));
 }
 
 unsigned CapacityPlanner::firstGuess(const ScalingSettings& scaling)
