Show the gateway's path in the demo; keep a deployment's documents in one place

scripts/demo starts one gateway before a stand-in of the users' platform (store, duty calls, two backend servers) and sends a stream and a call that may not be repeated. The documents in the platform's formats stood in gatewaytest; demo, tests and the soak share standin/platformsite now. Stand-in answers name their request, so that a test sees whose answer it is.

--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -9,6 +9,7 @@
 #include "platform/names.h"
 #include "protocol/json.h"
 #include "standin/platform.h"
+#include "standin/platformsite.h"
 
 #include <gtest/gtest.h>
 
@@ -183,31 +184,23 @@
 
 	void registerWorker(unsigned number, const std::string& state)
 	{
-		const Json record{{"service", "s"}, {"address", host(100 + number) + ":" + std::to_string(kWorkerPort)},
-						  {"zone", "z1"},   {"slots", 4},
-						  {"state", state}, {"coldRemainingMs", 0}};
-		store->put("servers/" + workerId(number), record.dump());
+		constexpr unsigned kSlots = 4;
+		const Address address{host(100 + number), kWorkerPort};
+		store->put("servers/" + workerId(number), standin::formatRecord(address, kSlots, state));
 	}
 
 	static std::string config(std::uint64_t version, const std::vector<std::string>& keys = {"key"})
 	{
-		const auto route = [](const char* path, const char* kind, unsigned attempts, bool resume, bool anonymous)
-		{
-			return Json{{"name", path},   {"host", "h.example"},        {"pathPrefix", path},
-						{"kind", kind},   {"timeoutMs", 2000},          {"targetLatencyMs", 400},
-						{"service", "s"}, {"maxAttempts", attempts},    {"streamResume", resume},
-						{"priority", 1},  {"allowAnonymous", anonymous}};
-		};
-		const Json document{
-			{"version", version},
-			{"routes",
-			 {route("/safe/", "safe", 2, false, false), route("/unsafe/", "unsafe", 1, false, false),
-			  route("/stream/once/", "streaming", 1, false, false),
-			  route("/stream/again/", "streaming", 2, true, false), route("/open/", "safe", 2, false, true)}},
-			{"services", {{{"name", "s"}, {"maxConnections", 50}}}},
-			{"limits", {{"headerTimeoutMs", 300}, {"idleTimeoutMs", 1500}, {"maxBodyBytes", 1000}}},
-			{"tenants", {{{"name", "t"}, {"apiKeys", keys}, {"ratePerS", 0}}}}};
-		return document.dump();
+		standin::SiteConfig made;
+		made.version = version;
+		made.host = "h.example";
+		made.keys = keys;
+		made.routes = {{"/safe/", "safe", 2},
+					   {"/unsafe/", "unsafe", 1},
+					   {"/stream/once/", "streaming", 1},
+					   {"/stream/again/", "streaming", 2, true},
+					   {"/open/", "safe", 2, false, true}};
+		return standin::formatConfig(made);
 	}
 
 	GatewaySettings settings(unsigned number) const
@@ -310,7 +303,7 @@
 		request("POST", "/unsafe/a?b=%20c", "r1",
 				std::string(platform::kApiKey) + ": key\r\n" + platform::kTenant + ": forged\r\nX-Kept: 1\r\n",
 				"the body"));
-	const std::string answer = caller.hear("\r\n\r\nok");
+	const std::string answer = caller.hear("\r\n\r\n" + standin::PlatformWorker::wholeCall("r1"));
 	EXPECT_EQ(statusOf(answer), 200u) << answer;
 	EXPECT_TRUE(has(answer, std::string(platform::kStamp) + ": w"));
 	EXPECT_TRUE(has(answer, std::string(platform::kRequestId) + ": r1"));
@@ -326,7 +319,7 @@
 	EXPECT_EQ(findHeader(runs[0].headers, "X-Kept"), "1");
 	// The connection is kept for another request.
 	caller.say(request("GET", "/open/x", "r2"));
-	EXPECT_EQ(statusOf(caller.hear("\r\n\r\nok")), 200u);
+	EXPECT_EQ(statusOf(caller.hear("\r\n\r\n" + standin::PlatformWorker::wholeCall("r2"))), 200u);
 }
 
 TEST_F(GatewayTest, refusesWhatTheConfigurationDoesNotAllow)
--- a/tools/standin.cpp
+++ b/tools/standin.cpp
@@ -8,6 +8,7 @@
 #include "protocol/configdoc.h"
 #include "standin/cloud.h"
 #include "standin/engine.h"
+#include "standin/platformdemo.h"
 #include "standin/service.h"
 #include "standin/store.h"
 
@@ -39,7 +40,7 @@
 	std::string listen;
 	app.add_option("kind", kind, "What to stand in for")
 		->required()
-		->check(CLI::IsMember({"engine", "service", "store", "cloud"}));
+		->check(CLI::IsMember({"engine", "service", "store", "cloud", "platform"}));
 	app.add_option("--listen", listen, "Address")->required();
 	CLI11_PARSE(app, _argc, _argv);
 	initLogging(_argv[0]);
@@ -47,6 +48,15 @@
 	try
 	{
 		const Address address = readAddress(listen, "--listen", Failure::SettingInvalid);
+		if ("platform" == kind)
+		{
+			const standin::PlatformDemo demo(address);
+			logEvent(LogLevel::Info, "standin-started", {{"kind", kind}, {"port", std::to_string(address.port)}});
+			while (!waitForStopSignal(kSecond))
+			{
+			}
+			return kExitOk;
+		}
 		IoLoop loop;
 		if ("engine" == kind)
 		{
--- a/tools/standin/platform.cpp
+++ b/tools/standin/platform.cpp
@@ -558,8 +558,8 @@
 		const std::lock_guard<std::mutex> guard(m_mutex);
 		connection->asked = true;
 		connection->run = m_runs.size();
-		m_runs.push_back(
-			{connection->requestId, request.method, request.target, connection->body, request.headers});
+		m_runs.push_back({connection->requestId, request.method, request.target, connection->body, request.headers,
+						  monotonicNow()});
 	}
 	if (m_fault == WorkerFault::Hangs)
 	{
@@ -586,7 +586,29 @@
 	}
 	connection->ended = true;
 	const unsigned status = m_fault == WorkerFault::Fails ? 500 : 200;
-	connection->tcp->send(head(connection, status, "Content-Length: 2\r\n") + "ok");
+	const std::string body = wholeCall(connection->requestId);
+	const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n";
+	connection->tcp->send(head(connection, status, length) + body);
+}
+
+std::string PlatformWorker::wholeCall(const std::string& requestId)
+{
+	return "ok " + requestId;
+}
+
+std::string PlatformWorker::formatEvent(const std::string& requestId, unsigned number)
+{
+	return "id: " + std::to_string(number) + "\ndata: piece " + requestId + "\n\n";
+}
+
+std::string PlatformWorker::wholeStream(const std::string& requestId)
+{
+	std::string events;
+	for (unsigned number = 1; number <= kEvents; ++number)
+	{
+		events += formatEvent(requestId, number);
+	}
+	return events;
 }
 
 void PlatformWorker::stream(const ConnectionPtr& connection, unsigned next)
@@ -601,7 +623,7 @@
 		connection->tcp->send("0\r\n\r\n");
 		return;
 	}
-	const std::string event = "id: " + std::to_string(next) + "\ndata: piece\n\n";
+	const std::string event = formatEvent(connection->requestId, next);
 	char size[16];
 	std::snprintf(size, sizeof size, "%zx\r\n", event.size());
 	if (m_fault == WorkerFault::CutsStream && next > kEvents / 2)
--- a/tools/standin/platform.h
+++ b/tools/standin/platform.h
@@ -155,6 +155,7 @@
 	std::string target;
 	std::string body;
 	HttpHeaders headers;
+	Micros began = 0;
 	bool ended = false; ///< Its caller closed the connection before the answer was whole.
 };
 
@@ -167,6 +168,12 @@
 	/// Pause between two events.
 	static constexpr Micros kEventPause = 20 * kMillisecond;
 
+	/// @returns the body of a whole answer to a call.
+	static std::string wholeCall(const std::string& requestId);
+
+	/// @returns the events of a whole stream.
+	static std::string wholeStream(const std::string& requestId);
+
 	PlatformWorker(std::string id, const Address& address);
 	~PlatformWorker();
 
@@ -187,6 +194,7 @@
 	void onBytes(const ConnectionPtr& connection, std::string_view bytes);
 	void onRequest(const ConnectionPtr& connection);
 	void stream(const ConnectionPtr& connection, unsigned next);
+	static std::string formatEvent(const std::string& requestId, unsigned number);
 	std::string head(const ConnectionPtr& connection, unsigned status, const std::string& more);
 
 	std::string m_id;
--- /dev/null
+++ b/tools/standin/platformsite.cpp
@@ -0,0 +1,91 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+#include "standin/platformsite.h"
+
+#include "protocol/configdoc.h"
+#include "protocol/json.h"
+
+namespace beacongate::standin
+{
+namespace
+{
+constexpr unsigned kMostConnections = 200;
+
+Json formatRoute(const SiteRoute& _route, const SiteConfig& _config)
+{
+	return {{"name", _route.path},
+			{"host", _config.host},
+			{"pathPrefix", _route.path},
+			{"kind", _route.kind},
+			{"timeoutMs", _config.timeout / kMillisecond},
+			{"targetLatencyMs", _config.targetLatency / kMillisecond},
+			{"service", kSiteService},
+			{"maxAttempts", _route.attempts},
+			{"streamResume", _route.resume},
+			{"priority", 1},
+			{"allowAnonymous", _route.anonymous}};
+}
+
+std::string formatAddress(const std::string& _host, std::uint16_t _port)
+{
+	return toString(Address{_host, _port});
+}
+} // namespace
+
+std::string formatConfig(const SiteConfig& _config)
+{
+	Json routes = Json::array();
+	for (const SiteRoute& route : _config.routes)
+	{
+		routes.push_back(formatRoute(route, _config));
+	}
+	const Json document{{"version", _config.version},
+						{"routes", routes},
+						{"services", {{{"name", kSiteService}, {"maxConnections", kMostConnections}}}},
+						{"limits",
+						 {{"headerTimeoutMs", _config.headerTimeout / kMillisecond},
+						  {"idleTimeoutMs", _config.idleTimeout / kMillisecond},
+						  {"maxBodyBytes", _config.bodyBytes}}},
+						{"tenants", {{{"name", "t"}, {"apiKeys", _config.keys}, {"ratePerS", 0}}}}};
+	return document.dump();
+}
+
+std::string formatRecord(const Address& _address, unsigned _slots, const std::string& _state)
+{
+	const Json record{{"service", kSiteService}, {"address", toString(_address)}, {"zone", "z1"}, {"slots", _slots},
+					  {"state", _state},         {"coldRemainingMs", 0}};
+	return record.dump();
+}
+
+std::string formatSettings(const SiteGateway& _gateway)
+{
+	Json seeds = Json::array();
+	for (const std::string& host : _gateway.seedHosts)
+	{
+		seeds.push_back(formatAddress(host, _gateway.controlPort));
+	}
+	const Json settings{{"nodeName", _gateway.name},
+						{"zone", _gateway.dataCentre},
+						{"zones", {{_gateway.dataCentre, "r"}}},
+						{"listen",
+						 {{"frontend", formatAddress(_gateway.host, _gateway.callerPort)},
+						  {"readiness", formatAddress(_gateway.host, _gateway.readyPort)},
+						  {"control", formatAddress(_gateway.host, _gateway.controlPort)}}},
+						{"internalPortRange", {_gateway.gossipPort, _gateway.gossipPort}},
+						{"seeds", seeds},
+						{"platform", {{"address", toString(_gateway.store)}}},
+						{"cloudApi", {{"address", toString(_gateway.duties)}, {"duties", {"usage_reporting"}}}},
+						{"bounds",
+						 {{"graceS", _gateway.grace / kSecond},
+						  {"strictRevoke", true},
+						  {"revokeMs", _gateway.revocation / kMillisecond},
+						  {"leaseMs", 3000},
+						  {"usageWindowS", _gateway.usageWindow / kSecond},
+						  {"retryBudgetRatio", 0.2},
+						  {"budgetSlack", 50},
+						  {"budgetWindowS", 10}}}};
+	return settings.dump(1);
+}
+
+} // namespace beacongate::standin
