Soak gateways as processes under random faults, and check the promises from outside

beacongate-soak starts gateways as separate processes with stand-ins of the platform behind loopback proxies, sends calls and streams over kept connections, and kills, stops, pauses, reloads and restarts processes, cuts and slows links, breaks the store and backend servers, lets servers leave and keys change, in an order drawn from a seed.

--- /dev/null
+++ b/tests/soakcheckertest.cpp
@@ -0,0 +1,172 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// The soak's checker sees each promise where it is broken, and nothing where it is kept.
+
+#include "soak/checker.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace beacongate::test
+{
+using namespace soak;
+
+namespace
+{
+/// A request that was served by one run.
+ObservedRequest served(const std::string& _id, RequestKind _kind, Micros _sent)
+{
+	ObservedRequest request;
+	request.id = _id;
+	request.kind = _kind;
+	request.key = "k1";
+	request.start = 1;
+	request.sent = _sent;
+	request.ended = _sent + 50 * kMillisecond;
+	request.status = 200;
+	request.whole = true;
+	request.right = true;
+	request.connected = true;
+	return request;
+}
+
+/// A soak in which everything went well.
+Observations sound()
+{
+	Observations seen;
+	seen.keys = {{"k1", 0, kNever}};
+	seen.settled = 60 * kSecond;
+	for (int number = 0; number < 120; ++number)
+	{
+		const std::string id = "r" + std::to_string(number);
+		const Micros sent = (number + 1) * kSecond / 2 + 10 * kSecond;
+		seen.requests.push_back(served(id, RequestKind::Unsafe, sent));
+		seen.runs.push_back({id, "w1", sent + kMillisecond});
+	}
+	seen.reports = {{"1", "{}", "g1", 1}, {"1", "{}", "g2", 2}, {"2", "{}", "g2", 2}};
+	return seen;
+}
+
+std::size_t countOf(const Observations& _seen, Promise _promise)
+{
+	const std::vector<Finding> findings = check(_seen);
+	return static_cast<std::size_t>(std::count_if(
+		findings.begin(), findings.end(), [&](const Finding& _finding) { return _finding.promise == _promise; }));
+}
+} // namespace
+
+TEST(SoakChecker, findsNothingWhereAllIsKept)
+{
+	EXPECT_TRUE(check(sound()).empty());
+}
+
+TEST(SoakChecker, seesAnAnswerThatIsNotTheRequestsOwn)
+{
+	Observations seen = sound();
+	seen.requests[3].right = false;
+	EXPECT_EQ(countOf(seen, Promise::OwnWholeAnswer), 1u);
+	seen.requests[3].whole = false; // It does not look complete.
+	EXPECT_EQ(countOf(seen, Promise::OwnWholeAnswer), 0u);
+}
+
+TEST(SoakChecker, seesASecondRun)
+{
+	Observations seen = sound();
+	seen.runs.push_back({"r5", "w2", 20 * kSecond});
+	EXPECT_EQ(countOf(seen, Promise::AtMostOnce), 1u);
+	seen.requests[5].kind = RequestKind::StreamAgain;
+	EXPECT_EQ(countOf(seen, Promise::AtMostOnce), 0u);
+}
+
+TEST(SoakChecker, seesARunThatWasSaidNotToBe)
+{
+	for (const unsigned status : {408u, 421u, 429u, 503u})
+	{
+		Observations seen = sound();
+		seen.requests[5].status = status;
+		EXPECT_EQ(countOf(seen, Promise::NotRun), 1u) << status;
+	}
+	Observations seen = sound();
+	seen.requests[5].status = 504;
+	EXPECT_EQ(countOf(seen, Promise::NotRun), 0u);
+}
+
+TEST(SoakChecker, seesWorkForABackendThatLeftUnlessItsGatewayWasDisturbed)
+{
+	Observations seen = sound();
+	seen.departures = {{"w1", 66 * kSecond}};
+	EXPECT_EQ(countOf(seen, Promise::NoWorkForLeaving), 5u);
+	seen.disruptions = {{"backend", 65 * kSecond, 70 * kSecond, std::nullopt, true}};
+	EXPECT_EQ(countOf(seen, Promise::NoWorkForLeaving), 5u);
+	seen.disruptions = {{"pause", 65 * kSecond, 70 * kSecond, 0, false}};
+	EXPECT_EQ(countOf(seen, Promise::NoWorkForLeaving), 0u);
+	seen.disruptions = {{"pause", 65 * kSecond, 70 * kSecond, 1, false}};
+	EXPECT_EQ(countOf(seen, Promise::NoWorkForLeaving), 5u);
+}
+
+TEST(SoakChecker, seesARequestThatAPlannedStopCut)
+{
+	Observations seen = sound();
+	const Micros stop = seen.requests[20].sent - kSecond;
+	seen.stops = {{0, 1, stop, stop + 4 * kSecond}};
+	EXPECT_EQ(countOf(seen, Promise::PlannedStopCuts), 0u);
+	seen.requests[20].whole = false;
+	EXPECT_EQ(countOf(seen, Promise::PlannedStopCuts), 1u);
+	seen.requests[20].start = 2; // Another process took it.
+	EXPECT_EQ(countOf(seen, Promise::PlannedStopCuts), 0u);
+}
+
+TEST(SoakChecker, seesAConfigurationThatIsNotInForceOrGoesBack)
+{
+	Observations seen = sound();
+	seen.requests[40].status = 401;
+	EXPECT_EQ(countOf(seen, Promise::ConfigInForce), 1u);
+	seen = sound();
+	seen.keys = {{"k1", 0, 30 * kSecond}};
+	seen.requests.resize(44); // Sent 2 s after the removal at the latest.
+	seen.runs.resize(44);
+	seen.settled = kNever;
+	EXPECT_EQ(countOf(seen, Promise::RevocationInForce), 0u);
+	seen.requests[40].status = 401; // Refused, and then taken again.
+	seen.runs.erase(seen.runs.begin() + 40);
+	EXPECT_EQ(countOf(seen, Promise::ConfigNeverBack), 3u);
+}
+
+TEST(SoakChecker, seesARemovedKeyThatStillRuns)
+{
+	Observations seen = sound();
+	seen.keys = {{"k1", 0, 30 * kSecond}};
+	seen.disruptions = {{"store", 0, kNever, std::nullopt, false}}; // No excuse.
+	EXPECT_GT(countOf(seen, Promise::RevocationInForce), 50u);
+}
+
+TEST(SoakChecker, seesReportsThatDifferAndFencesThatFall)
+{
+	Observations seen = sound();
+	seen.reports[1].counts = "{\"t\":1}";
+	EXPECT_EQ(countOf(seen, Promise::OneReportAWindow), 1u);
+	seen = sound();
+	seen.reports[1].fence = 1;
+	EXPECT_EQ(countOf(seen, Promise::OneHolder), 1u);
+	seen.reports.push_back({"3", "{}", "g1", 1});
+	EXPECT_EQ(countOf(seen, Promise::OneHolder), 2u);
+}
+
+TEST(SoakChecker, seesThatNothingIsServedAfterwardsAndThatProcessesEnd)
+{
+	Observations seen = sound();
+	for (ObservedRequest& request : seen.requests)
+	{
+		request.status = request.sent > seen.settled ? 503 : 200;
+		request.kind = RequestKind::Safe;
+	}
+	EXPECT_EQ(countOf(seen, Promise::ServesAgain), 1u);
+	seen = sound();
+	seen.unaskedEnds = {"g1"};
+	EXPECT_EQ(countOf(seen, Promise::ProcessLives), 1u);
+}
+
+} // namespace beacongate::test
--- /dev/null
+++ b/tools/soak/checker.cpp
@@ -0,0 +1,296 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+#include "soak/checker.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace beacongate::soak
+{
+namespace
+{
+constexpr unsigned kOk = 200;
+constexpr unsigned kUnauthorized = 401;
+constexpr double kServedShare = 0.9; ///< Of the requests after everything has settled.
+constexpr std::size_t kEnoughRequests = 10;
+
+bool promisesNotRun(unsigned _status)
+{
+	const std::set<unsigned> promises{408, 421, 429, 503};
+	return promises.count(_status) > 0;
+}
+
+std::string millis(Micros _span)
+{
+	return std::to_string(_span / kMillisecond) + " ms";
+}
+
+/// Looks things up in what was seen.
+class Evidence
+{
+public:
+	explicit Evidence(const Observations& _seen) : m_seen(_seen)
+	{
+		for (const ObservedRun& run : _seen.runs)
+		{
+			m_runs[run.id].push_back(&run);
+		}
+		for (const ObservedRequest& request : _seen.requests)
+		{
+			m_requests[request.id] = &request;
+		}
+	}
+
+	/// @returns the runs of a request.
+	const std::vector<const ObservedRun*>& runsOf(const std::string& _id) const
+	{
+		static const std::vector<const ObservedRun*> s_none;
+		const auto it = m_runs.find(_id);
+		return it == m_runs.end() ? s_none : it->second;
+	}
+
+	/// @returns the request of an id, or nullptr.
+	const ObservedRequest* requestOf(const std::string& _id) const
+	{
+		const auto it = m_requests.find(_id);
+		return it == m_requests.end() ? nullptr : it->second;
+	}
+
+	/// @param[in] _backends Whether backend servers have to have been sound, too.
+	/// @returns whether nothing touched a gateway in a span.
+	bool calm(unsigned _gateway, Micros _from, Micros _until, bool _backends) const
+	{
+		return std::none_of(m_seen.disruptions.begin(), m_seen.disruptions.end(),
+							[&](const Disruption& _disruption)
+							{
+								const bool here = !_disruption.gateway || *_disruption.gateway == _gateway;
+								const bool touches = here && (_backends || !_disruption.ofBackend);
+								return touches && _disruption.from <= _until && _disruption.until >= _from;
+							});
+	}
+
+private:
+	const Observations& m_seen;
+	std::map<std::string, std::vector<const ObservedRun*>> m_runs;
+	std::map<std::string, const ObservedRequest*> m_requests;
+};
+
+using Findings = std::vector<Finding>;
+
+void checkAnswers(const Observations& _seen, Findings& _findings)
+{
+	for (const ObservedRequest& request : _seen.requests)
+	{
+		const bool success = request.status >= kOk && request.status < 300;
+		if (success && request.whole && !request.right)
+		{
+			_findings.push_back(
+				{Promise::OwnWholeAnswer, "request " + request.id + " got another or a partial answer"});
+		}
+	}
+}
+
+void checkRuns(const Observations& _seen, const Evidence& _evidence, Findings& _findings)
+{
+	for (const ObservedRequest& request : _seen.requests)
+	{
+		const std::size_t runs = _evidence.runsOf(request.id).size();
+		if (!isRepeatable(request.kind) && runs > 1)
+		{
+			_findings.push_back(
+				{Promise::AtMostOnce, "request " + request.id + " ran " + std::to_string(runs) + " times"});
+		}
+		if (!isRepeatable(request.kind) && promisesNotRun(request.status) && runs > 0)
+		{
+			_findings.push_back(
+				{Promise::NotRun, "request " + request.id + " ran and got " + std::to_string(request.status)});
+		}
+	}
+}
+
+void checkDepartures(const Observations& _seen, const Evidence& _evidence, Findings& _findings)
+{
+	std::map<std::string, Micros> gone;
+	for (const Departure& departure : _seen.departures)
+	{
+		gone.emplace(departure.backend, departure.acknowledged);
+	}
+	for (const ObservedRun& run : _seen.runs)
+	{
+		const auto left = gone.find(run.backend);
+		const ObservedRequest* request = _evidence.requestOf(run.id);
+		if (left == gone.end() || !request || run.began <= left->second + _seen.bounds.drain)
+		{
+			continue;
+		}
+		if (_evidence.calm(request->gateway, left->second - _seen.bounds.contact, run.began, false))
+		{
+			_findings.push_back({Promise::NoWorkForLeaving, "backend " + run.backend + " got " + run.id + " " +
+																millis(run.began - left->second) +
+																" after it left"});
+		}
+	}
+}
+
+void checkStops(const Observations& _seen, const Evidence& _evidence, Findings& _findings)
+{
+	for (const PlannedStop& stop : _seen.stops)
+	{
+		for (const ObservedRequest& request : _seen.requests)
+		{
+			const bool taken = request.gateway == stop.gateway && request.start == stop.start &&
+							   request.ended >= stop.requested &&
+							   request.sent <= stop.requested + _seen.bounds.takeSpan;
+			const bool cut = request.connected && !request.gaveUp && !request.whole;
+			if (taken && cut &&
+				_evidence.calm(stop.gateway, request.sent - _seen.bounds.contact, request.ended, true))
+			{
+				_findings.push_back({Promise::PlannedStopCuts, "request " + request.id + " was cut " +
+																   millis(request.ended - stop.requested) +
+																   " after its gateway was asked to stop"});
+			}
+		}
+	}
+}
+
+void checkKey(const Observations& _seen, const Evidence& _evidence, const KeyLife& _key, Findings& _findings)
+{
+	std::map<std::pair<unsigned, std::uint64_t>, Micros> refused;
+	for (const ObservedRequest& request : _seen.requests)
+	{
+		if (request.key != _key.key)
+		{
+			continue;
+		}
+		const bool inForce = request.sent > _key.added + _seen.bounds.configApply && request.ended < _key.removed;
+		const bool wrong = inForce && request.status == kUnauthorized;
+		if (wrong && _evidence.calm(request.gateway, request.sent - _seen.bounds.contact, request.ended, false))
+		{
+			_findings.push_back({Promise::ConfigInForce, "request " + request.id + ": key refused " +
+															 millis(request.sent - _key.added) +
+															 " after it was added"});
+		}
+		if (request.status == kUnauthorized && request.sent > _key.removed)
+		{
+			Micros& first = refused.try_emplace({request.gateway, request.start}, request.ended).first->second;
+			first = std::min(first, request.ended);
+		}
+		const auto runs = _evidence.runsOf(request.id);
+		if (_key.removed != kNever && request.sent > _key.removed + _seen.bounds.revocation && !runs.empty())
+		{
+			_findings.push_back({Promise::RevocationInForce, "request " + request.id + " ran with a key removed " +
+																 millis(request.sent - _key.removed) + " before"});
+		}
+	}
+	for (const ObservedRequest& request : _seen.requests)
+	{
+		const auto first = refused.find({request.gateway, request.start});
+		const bool again = request.key == _key.key && first != refused.end() && request.sent > first->second;
+		if (again && !_evidence.runsOf(request.id).empty())
+		{
+			_findings.push_back({Promise::ConfigNeverBack,
+								 "request " + request.id + " ran with a key that its gateway had refused"});
+		}
+	}
+}
+
+void checkReports(const Observations& _seen, Findings& _findings)
+{
+	std::map<std::string, std::string> counts;
+	std::map<std::uint64_t, std::string> holders;
+	std::uint64_t highest = 0;
+	for (const UsageReport& report : _seen.reports)
+	{
+		if (counts.try_emplace(report.window, report.counts).first->second != report.counts)
+		{
+			_findings.push_back(
+				{Promise::OneReportAWindow, "window " + report.window + " was reported twice, differently"});
+		}
+		const bool another = holders.try_emplace(report.fence, report.holder).first->second != report.holder;
+		if (another || report.fence < highest)
+		{
+			_findings.push_back(
+				{Promise::OneHolder, "fence " + std::to_string(report.fence) + " of " + report.holder});
+		}
+		highest = std::max(highest, report.fence);
+	}
+}
+
+void checkRecovery(const Observations& _seen, Findings& _findings)
+{
+	std::size_t asked = 0;
+	std::size_t served = 0;
+	for (const ObservedRequest& request : _seen.requests)
+	{
+		if (request.sent >= _seen.settled && !request.gaveUp && request.status != kUnauthorized)
+		{
+			++asked;
+			served += request.status == kOk && request.whole ? 1 : 0;
+		}
+	}
+	const bool enough = asked >= kEnoughRequests;
+	if (_seen.settled != kNever &&
+		(!enough || static_cast<double>(served) < kServedShare * static_cast<double>(asked)))
+	{
+		_findings.push_back(
+			{Promise::ServesAgain, "served " + std::to_string(served) + " of " + std::to_string(asked)});
+	}
+}
+} // namespace
+
+const char* toString(Promise _promise)
+{
+	switch (_promise)
+	{
+	case Promise::OwnWholeAnswer:
+		return "own-whole-answer";
+	case Promise::AtMostOnce:
+		return "at-most-once";
+	case Promise::NotRun:
+		return "not-run";
+	case Promise::NoWorkForLeaving:
+		return "no-work-for-leaving";
+	case Promise::PlannedStopCuts:
+		return "planned-stop-cuts";
+	case Promise::ConfigInForce:
+		return "config-in-force";
+	case Promise::ConfigNeverBack:
+		return "config-never-back";
+	case Promise::RevocationInForce:
+		return "revocation-in-force";
+	case Promise::OneReportAWindow:
+		return "one-report-a-window";
+	case Promise::OneHolder:
+		return "one-holder";
+	case Promise::ProcessLives:
+		return "process-lives";
+	case Promise::ServesAgain:
+		return "serves-again";
+	}
+	return "unknown";
+}
+
+std::vector<Finding> check(const Observations& _seen)
+{
+	const Evidence evidence(_seen);
+	Findings findings;
+	checkAnswers(_seen, findings);
+	checkRuns(_seen, evidence, findings);
+	checkDepartures(_seen, evidence, findings);
+	checkStops(_seen, evidence, findings);
+	for (const KeyLife& key : _seen.keys)
+	{
+		checkKey(_seen, evidence, key, findings);
+	}
+	checkReports(_seen, findings);
+	for (const std::string& name : _seen.unaskedEnds)
+	{
+		findings.push_back({Promise::ProcessLives, name});
+	}
+	checkRecovery(_seen, findings);
+	return findings;
+}
+
+} // namespace beacongate::soak
--- /dev/null
+++ b/tools/soak/faultproxy.cpp
@@ -0,0 +1,177 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+#include "soak/faultproxy.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace beacongate::soak
+{
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using BoostError = boost::system::error_code;
+
+namespace
+{
+constexpr Micros kConnectSpan = 1 * kSecond;
+constexpr Micros kUserTimeout = 10 * kSecond;
+constexpr Micros kDelay = 150 * kMillisecond;
+} // namespace
+
+/// Two connections whose bytes are passed to each other.
+struct FaultProxy::Link
+{
+	TcpConnection::Ptr caller;
+	TcpConnection::Ptr target;
+	bool ended = false;
+};
+
+FaultProxy::FaultProxy(const Address& _listen, const Address& _target)
+	: m_target(_target), m_acceptor(m_loop.context())
+{
+	m_loop.run(
+		[&]
+		{
+			const tcp::endpoint endpoint(asio::ip::make_address(_listen.host), _listen.port);
+			m_acceptor.open(endpoint.protocol());
+			m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+			m_acceptor.bind(endpoint);
+			m_acceptor.listen();
+			accept();
+		});
+}
+
+FaultProxy::~FaultProxy()
+{
+	m_loop.run(
+		[this]
+		{
+			BoostError ignored;
+			m_acceptor.close(ignored);
+			const std::list<LinkPtr> links = m_links;
+			for (const LinkPtr& link : links)
+			{
+				end(link, ConnectionEnd::Broken);
+			}
+		});
+}
+
+void FaultProxy::setFault(LinkFault _fault)
+{
+	m_loop.run(
+		[&]
+		{
+			const bool lostBytes = m_fault == LinkFault::Silent || m_fault == LinkFault::CutsAnswers;
+			m_fault = _fault;
+			if (_fault != LinkFault::Resets && !lostBytes)
+			{
+				return;
+			}
+			// Where bytes were dropped, what follows would make no sense.
+			const std::list<LinkPtr> links = m_links;
+			for (const LinkPtr& link : links)
+			{
+				end(link, ConnectionEnd::Broken);
+			}
+		});
+}
+
+void FaultProxy::accept()
+{
+	m_acceptor.async_accept(
+		[this](const BoostError& _error, tcp::socket _socket)
+		{
+			if (_error)
+			{
+				return;
+			}
+			auto caller = std::make_shared<TcpConnection>(std::move(_socket), kUserTimeout);
+			if (m_fault == LinkFault::Resets)
+			{
+				caller->reset();
+			}
+			else
+			{
+				const auto link = std::make_shared<Link>();
+				link->caller = std::move(caller);
+				TcpConnection::open(m_loop.context(), m_target, kConnectSpan, kUserTimeout,
+									[this, link](TcpConnection::Ptr _target)
+									{
+										if (!_target)
+										{
+											link->caller->reset();
+											return;
+										}
+										link->target = std::move(_target);
+										join(link);
+									});
+			}
+			accept();
+		});
+}
+
+void FaultProxy::join(const LinkPtr& _link)
+{
+	m_links.push_back(_link);
+	for (const bool fromCaller : {true, false})
+	{
+		ConnectionHandlers handlers;
+		handlers.onBytes = [this, _link, fromCaller](std::string_view _bytes)
+		{
+			pass(_link, fromCaller, _bytes);
+		};
+		handlers.onEnd = [this, _link](ConnectionEnd _how)
+		{
+			end(_link, _how);
+		};
+		(fromCaller ? _link->caller : _link->target)->start(std::move(handlers));
+	}
+}
+
+void FaultProxy::pass(const LinkPtr& _link, bool _fromCaller, std::string_view _bytes)
+{
+	const bool dropped = m_fault == LinkFault::Silent || (m_fault == LinkFault::CutsAnswers && !_fromCaller);
+	if (dropped)
+	{
+		return;
+	}
+	if (m_fault != LinkFault::Delays)
+	{
+		deliver(_link, _fromCaller, _bytes);
+		return;
+	}
+	auto timer = std::make_shared<asio::steady_timer>(m_loop.context(), std::chrono::microseconds(kDelay));
+	timer->async_wait([this, timer, _link, _fromCaller, bytes = std::string(_bytes)](const BoostError&)
+					  { deliver(_link, _fromCaller, bytes); });
+}
+
+void FaultProxy::deliver(const LinkPtr& _link, bool _fromCaller, std::string_view _bytes)
+{
+	if (!_link->ended)
+	{
+		(_fromCaller ? _link->target : _link->caller)->send(_bytes);
+	}
+}
+
+void FaultProxy::end(const LinkPtr& _link, ConnectionEnd _how)
+{
+	if (_link->ended)
+	{
+		return;
+	}
+	_link->ended = true;
+	m_links.remove(_link);
+	for (const TcpConnection::Ptr& connection : {_link->caller, _link->target})
+	{
+		if (_how == ConnectionEnd::Closed)
+		{
+			connection->closeAfterSending();
+		}
+		else
+		{
+			connection->reset();
+		}
+	}
+}
+
+} // namespace beacongate::soak
--- /dev/null
+++ b/tools/soak/soak.cpp
@@ -0,0 +1,622 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+#include "soak/soak.h"
+
+#include "beacongate/errors.h"
+#include "daemon/clock.h"
+#include "platform/names.h"
+#include "protocol/json.h"
+#include "soak/caller.h"
+#include "standin/platformsite.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <fstream>
+#include <thread>
+
+namespace beacongate::soak
+{
+namespace
+{
+constexpr std::uint16_t kCallerPort = 19100;
+constexpr std::uint16_t kReadyPort = 19101;
+constexpr std::uint16_t kControlPort = 19102;
+constexpr std::uint16_t kGossipPort = 19103;
+constexpr std::uint16_t kStorePort = 19104;
+constexpr std::uint16_t kDutyPort = 19105;
+constexpr std::uint16_t kBackendPorts = 19200;
+constexpr unsigned kPlatformHost = 250;
+constexpr unsigned kBackendHost = 251;
+constexpr unsigned kBackendProxyHost = 252;
+constexpr unsigned kStoreProxyHosts = 100; ///< Plus the gateway's number.
+constexpr unsigned kBackends = 3;          ///< That take work at any time.
+constexpr std::size_t kKeysInForce = 2;
+constexpr Micros kStep = 20 * kMillisecond;
+constexpr Micros kGrace = 6 * kSecond;
+constexpr Micros kSettleSpan = 7 * kSecond;
+constexpr Micros kProofSpan = 3 * kSecond;
+constexpr Micros kStartSpan = 15 * kSecond;
+constexpr unsigned kMostRequestsAConnection = 6;
+
+bool isReady(const Address& _address)
+{
+	// Any answer to a call proves that the gateway knows a configuration.
+	CallerConnection connection(_address);
+	ObservedRequest request;
+	request.id = "probe";
+	request.key = "k1";
+	if (connection.open())
+	{
+		connection.exchange(request);
+	}
+	return request.status == 200;
+}
+} // namespace
+
+/// A gateway with the link between it and the store.
+struct Soak::Gateway
+{
+	Address address;
+	std::unique_ptr<FaultProxy> storeLink;
+	std::unique_ptr<GatewayProcess> process;
+	bool asked = false;  ///< Its process was asked to stop.
+	bool paused = false; ///< Its process stands still.
+	std::size_t stop = 0;
+};
+
+/// A backend server with the link to it.
+struct Soak::Backend
+{
+	std::string id;
+	Address address;
+	std::unique_ptr<standin::PlatformWorker> worker;
+	std::unique_ptr<FaultProxy> link;
+	bool leaving = false;
+};
+
+Soak::Soak(const SoakOptions& _options) : m_options(_options), m_random(_options.seed)
+{
+	const auto pid = static_cast<unsigned>(getpid());
+	m_net = "127." + std::to_string(1 + pid / 250 % 250) + "." + std::to_string(pid % 250) + ".";
+	m_options.gateways = std::clamp(_options.gateways, 1u, kMostGateways);
+	m_seen.bounds.revocation = 4 * kSecond;
+	m_seen.bounds.takeSpan = 2 * kSecond;
+}
+
+Soak::~Soak()
+{
+	m_calling = false;
+	for (std::thread& caller : m_callers)
+	{
+		caller.join();
+	}
+}
+
+std::string Soak::host(unsigned _number) const
+{
+	return m_net + std::to_string(_number);
+}
+
+void Soak::writeSettings(unsigned _number) const
+{
+	standin::SiteGateway site;
+	site.name = "g" + std::to_string(_number);
+	site.dataCentre = "z" + std::to_string(_number % 2);
+	site.host = host(_number);
+	site.callerPort = kCallerPort;
+	site.readyPort = kReadyPort;
+	site.controlPort = kControlPort;
+	site.gossipPort = kGossipPort;
+	for (unsigned seed = 1; seed <= std::min(3u, m_options.gateways); ++seed)
+	{
+		site.seedHosts.push_back(host(seed));
+	}
+	site.store = {host(kStoreProxyHosts + _number), kStorePort};
+	site.duties = {host(kPlatformHost), kDutyPort};
+	site.grace = kGrace;
+	site.revocation = m_seen.bounds.revocation;
+	std::ofstream(m_options.directory + "/" + site.name + ".json") << formatSettings(site);
+}
+
+void Soak::addBackend()
+{
+	auto backend = std::make_unique<Backend>();
+	const auto number = static_cast<std::uint16_t>(m_backends.size());
+	backend->id = "w" + std::to_string(number);
+	const Address worker{host(kBackendHost), static_cast<std::uint16_t>(kBackendPorts + number)};
+	backend->address = {host(kBackendProxyHost), worker.port};
+	backend->worker = std::make_unique<standin::PlatformWorker>(backend->id, worker);
+	backend->link = std::make_unique<FaultProxy>(backend->address, worker);
+	putRecord(*backend, "ready");
+	m_backends.push_back(std::move(backend));
+}
+
+void Soak::putRecord(const Backend& _backend, const char* _state)
+{
+	constexpr unsigned kSlots = 32;
+	m_store->put(platform::kServersPrefix + _backend.id, standin::formatRecord(_backend.address, kSlots, _state));
+}
+
+void Soak::putConfig()
+{
+	standin::SiteConfig config;
+	config.version = ++m_version;
+	config.host = "h.example";
+	config.routes = {{pathOf(RequestKind::Safe), "safe", 2},
+					 {pathOf(RequestKind::Unsafe), "unsafe", 1},
+					 {pathOf(RequestKind::StreamOnce), "streaming", 1},
+					 {pathOf(RequestKind::StreamAgain), "streaming", 2, true}};
+	for (const KeyLife& key : m_seen.keys)
+	{
+		if (key.removed == kNever)
+		{
+			config.keys.push_back(key.key);
+		}
+	}
+	config.timeout = 2500 * kMillisecond;
+	config.headerTimeout = kSecond;
+	config.idleTimeout = 5 * kSecond;
+	m_store->put(platform::kConfigKey, formatConfig(config));
+}
+
+void Soak::rotateKey()
+{
+	const std::lock_guard<std::mutex> guard(m_mutex);
+	m_seen.keys.push_back({"k" + std::to_string(m_seen.keys.size() + 1), kNever, kNever});
+	const std::size_t count = m_seen.keys.size();
+	KeyLife* removed = count > kKeysInForce ? &m_seen.keys[count - 1 - kKeysInForce] : nullptr;
+	if (removed)
+	{
+		removed->removed = monotonicNow();
+	}
+	putConfig();
+	// The bounds run from the store's acknowledgement.
+	m_seen.keys.back().added = monotonicNow();
+	if (removed)
+	{
+		removed->removed = monotonicNow();
+	}
+}
+
+ObservedRequest Soak::makeRequest(std::minstd_rand& _random, unsigned _caller, unsigned _number)
+{
+	constexpr unsigned kKinds = 4;
+	constexpr unsigned kOldKeyShare = 8; ///< One in so many is sent with a key of any age.
+	ObservedRequest request;
+	request.id = std::to_string(_caller) + "-" + std::to_string(_number);
+	request.kind = static_cast<RequestKind>(_random() % kKinds);
+	const std::lock_guard<std::mutex> guard(m_mutex);
+	const std::size_t count = m_seen.keys.size();
+	const std::size_t newest = std::min<std::size_t>(count, kKeysInForce);
+	const bool any = _random() % kOldKeyShare == 0;
+	const std::size_t back = any ? _random() % count : _random() % newest;
+	request.key = m_seen.keys[count - 1 - back].key;
+	return request;
+}
+
+void Soak::callLoop(unsigned _caller)
+{
+	std::minstd_rand random(static_cast<std::minstd_rand::result_type>(m_options.seed * 1000 + _caller + 1));
+	unsigned number = 0;
+	while (m_calling)
+	{
+		const unsigned gateway = static_cast<unsigned>(random() % m_gateways.size());
+		const std::uint64_t start = m_gateways[gateway]->process->starts();
+		CallerConnection connection(m_gateways[gateway]->address);
+		if (m_gateways[gateway]->process->starts() != start)
+		{
+			continue; // Which process took the connection is not known.
+		}
+		const unsigned count = 1 + static_cast<unsigned>(random() % kMostRequestsAConnection);
+		for (unsigned sent = 0; sent < count && connection.open() && m_calling; ++sent)
+		{
+			ObservedRequest request = makeRequest(random, _caller, ++number);
+			request.gateway = gateway;
+			request.start = start;
+			connection.exchange(request);
+			const std::lock_guard<std::mutex> guard(m_mutex);
+			m_seen.requests.push_back(std::move(request));
+		}
+		std::this_thread::sleep_for(std::chrono::milliseconds(random() % 60));
+	}
+}
+
+void Soak::startCallers()
+{
+	m_calling = true;
+	for (unsigned caller = 0; caller < m_options.callers; ++caller)
+	{
+		m_callers.emplace_back([this, caller] { callLoop(caller); });
+	}
+}
+
+std::size_t Soak::disrupt(const std::string& _what, std::optional<unsigned> _gateway, bool _ofBackend)
+{
+	const std::lock_guard<std::mutex> guard(m_mutex);
+	m_seen.disruptions.push_back({_what, monotonicNow(), kNever, _gateway, _ofBackend});
+	return m_seen.disruptions.size() - 1;
+}
+
+void Soak::calmDown(std::size_t _disruption)
+{
+	const std::lock_guard<std::mutex> guard(m_mutex);
+	m_seen.disruptions[_disruption].until = monotonicNow();
+}
+
+void Soak::later(Micros _span, std::function<void()> _action)
+{
+	m_pending.push_back({monotonicNow() + _span, std::move(_action)});
+}
+
+std::size_t Soak::drawn(std::size_t _count)
+{
+	return m_random() % _count;
+}
+
+Micros Soak::drawnSpan(Micros _least, Micros _most)
+{
+	return _least + static_cast<Micros>(m_random() % static_cast<std::uint64_t>(_most - _least + 1));
+}
+
+void Soak::restart(unsigned _number)
+{
+	m_gateways[_number]->asked = false;
+	m_gateways[_number]->paused = false;
+	m_gateways[_number]->process->start();
+}
+
+void Soak::killGateway(unsigned _number)
+{
+	Gateway& gateway = *m_gateways[_number];
+	const std::size_t disruption = disrupt("kill", _number);
+	gateway.process->kill();
+	gateway.asked = true;
+	later(drawnSpan(200 * kMillisecond, 1500 * kMillisecond),
+		  [this, _number, disruption]
+		  {
+			  restart(_number);
+			  calmDown(disruption);
+		  });
+}
+
+void Soak::stopGateway(unsigned _number)
+{
+	Gateway& gateway = *m_gateways[_number];
+	gateway.asked = true;
+	{
+		const std::lock_guard<std::mutex> guard(m_mutex);
+		gateway.stop = m_seen.stops.size();
+		m_seen.stops.push_back({_number, gateway.process->starts(), monotonicNow(), kNever});
+	}
+	gateway.process->signal(SIGTERM);
+}
+
+void Soak::pauseGateway(unsigned _number)
+{
+	Gateway& gateway = *m_gateways[_number];
+	gateway.paused = true;
+	const std::size_t disruption = disrupt("pause", _number);
+	gateway.process->signal(SIGSTOP);
+	later(drawnSpan(200 * kMillisecond, 4 * kSecond),
+		  [this, &gateway, disruption]
+		  {
+			  gateway.paused = false;
+			  gateway.process->signal(SIGCONT);
+			  calmDown(disruption);
+		  });
+}
+
+void Soak::cutStore(unsigned _number)
+{
+	constexpr std::array kFaults = {LinkFault::Delays, LinkFault::Resets, LinkFault::Silent,
+									LinkFault::CutsAnswers};
+	const std::size_t disruption = disrupt("store-link", _number);
+	m_gateways[_number]->storeLink->setFault(kFaults[drawn(kFaults.size())]);
+	later(drawnSpan(300 * kMillisecond, 6 * kSecond),
+		  [this, _number, disruption]
+		  {
+			  m_gateways[_number]->storeLink->setFault(LinkFault::None);
+			  calmDown(disruption);
+		  });
+}
+
+void Soak::failStore()
+{
+	constexpr std::array kFaults = {standin::StoreFault::Busy, standin::StoreFault::Silent,
+									standin::StoreFault::LosesWrites};
+	const std::size_t disruption = disrupt("store", std::nullopt);
+	if (drawn(4) == 0)
+	{
+		m_store->forgetHistory();
+		calmDown(disruption);
+		return;
+	}
+	m_store->setFault(kFaults[drawn(kFaults.size())]);
+	later(drawnSpan(300 * kMillisecond, 5 * kSecond),
+		  [this, disruption]
+		  {
+			  m_store->setFault(standin::StoreFault::None);
+			  calmDown(disruption);
+		  });
+}
+
+void Soak::lapseRecords()
+{
+	const std::size_t disruption = disrupt("store-lapse", std::nullopt);
+	m_store->setFault(standin::StoreFault::Busy);
+	later(drawnSpan(2 * kSecond, 4 * kSecond),
+		  [this, disruption]
+		  {
+			  for (const auto& backend : m_backends)
+			  {
+				  m_store->remove(platform::kServersPrefix + backend->id);
+			  }
+			  m_store->setFault(standin::StoreFault::None);
+			  later(drawnSpan(100 * kMillisecond, 1800 * kMillisecond),
+					[this, disruption]
+					{
+						for (const auto& backend : m_backends)
+						{
+							if (!backend->leaving)
+							{
+								putRecord(*backend, "ready");
+							}
+						}
+						calmDown(disruption);
+					});
+		  });
+}
+
+void Soak::failBackend()
+{
+	constexpr std::array kFaults = {standin::WorkerFault::Rejects,  standin::WorkerFault::Fails,
+									standin::WorkerFault::Resets,   standin::WorkerFault::Hangs,
+									standin::WorkerFault::WrongId,  standin::WorkerFault::CutsStream,
+									standin::WorkerFault::Unframed, standin::WorkerFault::Misdirected};
+	Backend& backend = *m_backends[m_backends.size() - 1 - drawn(kBackends)];
+	const std::size_t disruption = disrupt("backend", std::nullopt, true);
+	backend.worker->setFault(kFaults[drawn(kFaults.size())]);
+	later(drawnSpan(300 * kMillisecond, 3 * kSecond),
+		  [this, &backend, disruption]
+		  {
+			  backend.worker->setFault(standin::WorkerFault::None);
+			  calmDown(disruption);
+		  });
+}
+
+void Soak::cutBackend()
+{
+	constexpr std::array kFaults = {LinkFault::Delays, LinkFault::Resets, LinkFault::Silent,
+									LinkFault::CutsAnswers};
+	Backend& backend = *m_backends[m_backends.size() - 1 - drawn(kBackends)];
+	const std::size_t disruption = disrupt("backend-link", std::nullopt, true);
+	backend.link->setFault(kFaults[drawn(kFaults.size())]);
+	later(drawnSpan(300 * kMillisecond, 3 * kSecond),
+		  [this, &backend, disruption]
+		  {
+			  backend.link->setFault(LinkFault::None);
+			  calmDown(disruption);
+		  });
+}
+
+void Soak::leaveBackend()
+{
+	addBackend();
+	const auto staying = [](const std::unique_ptr<Backend>& _backend)
+	{
+		return !_backend->leaving;
+	};
+	Backend& backend = **std::find_if(m_backends.begin(), m_backends.end(), staying);
+	backend.leaving = true;
+	if (drawn(3) == 0)
+	{
+		m_store->remove(platform::kServersPrefix + backend.id);
+	}
+	else
+	{
+		putRecord(backend, "draining");
+	}
+	const std::lock_guard<std::mutex> guard(m_mutex);
+	m_seen.departures.push_back({backend.id, monotonicNow()});
+}
+
+void Soak::injectOne()
+{
+	const auto number = static_cast<unsigned>(drawn(m_gateways.size()));
+	Gateway& gateway = *m_gateways[number];
+	const bool steady = !gateway.asked && !gateway.paused && gateway.process->running();
+	switch (drawn(12))
+	{
+	case 0:
+		steady ? killGateway(number) : void();
+		break;
+	case 1:
+	case 2:
+		steady ? stopGateway(number) : void();
+		break;
+	case 3:
+		steady ? pauseGateway(number) : void();
+		break;
+	case 4:
+		cutStore(number);
+		break;
+	case 5:
+		drawn(2) == 0 ? failStore() : lapseRecords();
+		break;
+	case 6:
+		failBackend();
+		break;
+	case 7:
+		cutBackend();
+		break;
+	case 8:
+		leaveBackend();
+		break;
+	case 9:
+		gateway.process->signal(SIGHUP);
+		break;
+	default:
+		rotateKey();
+		break;
+	}
+}
+
+void Soak::watchProcesses()
+{
+	for (unsigned number = 0; number < m_gateways.size(); ++number)
+	{
+		Gateway& gateway = *m_gateways[number];
+		if (!gateway.process->running() || !gateway.process->ended())
+		{
+			continue;
+		}
+		if (!gateway.asked || gateway.process->endStatus() != 0)
+		{
+			const std::lock_guard<std::mutex> guard(m_mutex);
+			m_seen.unaskedEnds.push_back("gateway " + std::to_string(number) + " ended with status " +
+										 std::to_string(gateway.process->endStatus()));
+		}
+		else
+		{
+			const std::lock_guard<std::mutex> guard(m_mutex);
+			m_seen.stops[gateway.stop].ended = monotonicNow();
+		}
+		const std::size_t disruption = disrupt("stopped", number);
+		gateway.asked = true;
+		later(drawnSpan(100 * kMillisecond, kSecond),
+			  [this, number, disruption]
+			  {
+				  restart(number);
+				  calmDown(disruption);
+			  });
+	}
+}
+
+void Soak::runUntil(Micros _moment)
+{
+	while (monotonicNow() < _moment)
+	{
+		watchProcesses();
+		const Micros now = monotonicNow();
+		std::vector<Pending> due;
+		std::erase_if(m_pending,
+					  [&](const Pending& _pending)
+					  {
+						  const bool isDue = _pending.at <= now;
+						  if (isDue)
+						  {
+							  due.push_back(_pending);
+						  }
+						  return isDue;
+					  });
+		for (const Pending& pending : due)
+		{
+			pending.action();
+		}
+		std::this_thread::sleep_for(std::chrono::microseconds(kStep));
+	}
+}
+
+void Soak::settle()
+{
+	// What was begun ends by itself; stopping gateways come back.
+	while (!m_pending.empty())
+	{
+		runUntil(monotonicNow() + kStep);
+	}
+	runUntil(monotonicNow() + kSettleSpan);
+	while (!m_pending.empty())
+	{
+		runUntil(monotonicNow() + kSettleSpan);
+	}
+	{
+		const std::lock_guard<std::mutex> guard(m_mutex);
+		m_seen.settled = monotonicNow();
+	}
+	runUntil(monotonicNow() + kProofSpan);
+}
+
+void Soak::collect()
+{
+	for (const auto& backend : m_backends)
+	{
+		for (const standin::WorkerRun& run : backend->worker->runs())
+		{
+			m_seen.runs.push_back({run.id, backend->id, run.began});
+		}
+	}
+	for (const standin::DutyCall& call : m_duties->calls())
+	{
+		const Json body = Json::parse(call.body, nullptr, false);
+		if (body.is_object() && body.contains("windowId"))
+		{
+			m_seen.reports.push_back(
+				{body["windowId"].dump(), body.value("counts", Json()).dump(), call.holder, call.fence});
+		}
+	}
+}
+
+Observations Soak::run()
+{
+	std::signal(SIGPIPE, SIG_IGN);
+	m_store = std::make_unique<standin::PlatformStore>(Address{host(kPlatformHost), kStorePort});
+	m_duties = std::make_unique<standin::PlatformDuties>(Address{host(kPlatformHost), kDutyPort});
+	for (unsigned number = 0; number < kBackends; ++number)
+	{
+		addBackend();
+	}
+	rotateKey();
+	for (unsigned number = 1; number <= m_options.gateways; ++number)
+	{
+		writeSettings(number);
+		auto gateway = std::make_unique<Gateway>();
+		gateway->address = {host(number), kCallerPort};
+		gateway->storeLink = std::make_unique<FaultProxy>(Address{host(kStoreProxyHosts + number), kStorePort},
+														  Address{host(kPlatformHost), kStorePort});
+		const std::string base = m_options.directory + "/g" + std::to_string(number);
+		gateway->process = std::make_unique<GatewayProcess>(m_options.program, base + ".json", base + ".log");
+		gateway->process->start();
+		m_gateways.push_back(std::move(gateway));
+	}
+	const Micros until = monotonicNow() + kStartSpan;
+	for (const auto& gateway : m_gateways)
+	{
+		while (!isReady(gateway->address))
+		{
+			if (monotonicNow() > until)
+			{
+				throw Error(Failure::SettingInvalid, "a gateway does not get ready; see its log");
+			}
+			std::this_thread::sleep_for(std::chrono::microseconds(kStep));
+		}
+	}
+	startCallers();
+	runUntil(monotonicNow() + m_seen.bounds.contact);
+	const Micros end = monotonicNow() + m_options.span;
+	while (monotonicNow() < end)
+	{
+		injectOne();
+		// Series that overlap, and now and then a calm span in which all bounds hold.
+		runUntil(monotonicNow() + (drawn(12) == 0 ? drawnSpan(5 * kSecond, 8 * kSecond)
+												  : drawnSpan(50 * kMillisecond, 700 * kMillisecond)));
+	}
+	settle();
+	m_calling = false;
+	for (std::thread& caller : m_callers)
+	{
+		caller.join();
+	}
+	m_callers.clear();
+	for (const auto& gateway : m_gateways)
+	{
+		gateway->process->kill();
+	}
+	collect();
+	return m_seen;
+}
+
+} // namespace beacongate::soak
--- /dev/null
+++ b/tools/soak/soak.h
@@ -0,0 +1,111 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// One seeded soak: gateways as processes, stand-ins of the platform, callers, and faults in random order.
+
+#ifndef BEACONGATE_TOOLS_SOAK_SOAK_H
+#define BEACONGATE_TOOLS_SOAK_SOAK_H
+
+#include "soak/faultproxy.h"
+#include "soak/gatewayprocess.h"
+#include "soak/observations.h"
+#include "standin/platform.h"
+
+#include <atomic>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace beacongate::soak
+{
+/// What a soak is made of.
+struct SoakOptions
+{
+	std::uint64_t seed = 1;
+	unsigned gateways = 3;
+	unsigned callers = 6;
+	Micros span = 20 * kSecond; ///< In which faults are injected.
+	std::string program;        ///< Path of beacongate-gateway.
+	std::string directory;      ///< Where settings and logs go; it exists.
+};
+
+/// Runs once.
+class Soak
+{
+public:
+	/// Most gateways of one soak.
+	static constexpr unsigned kMostGateways = 24;
+
+	explicit Soak(const SoakOptions& _options);
+	~Soak();
+	Soak(const Soak&) = delete;
+	Soak& operator=(const Soak&) = delete;
+
+	/// Starts everything, injects faults, lets everything settle, and stops everything.
+	/// @returns what was seen.
+	Observations run();
+
+private:
+	struct Gateway;
+	struct Backend;
+
+	/// Something that is done later.
+	struct Pending
+	{
+		Micros at = 0;
+		std::function<void()> action;
+	};
+
+	std::string host(unsigned _number) const;
+	void writeSettings(unsigned _number) const;
+	void addBackend();
+	void putRecord(const Backend& _backend, const char* _state);
+	void putConfig();
+	void rotateKey();
+	void startCallers();
+	void callLoop(unsigned _caller);
+	ObservedRequest makeRequest(std::minstd_rand& _random, unsigned _caller, unsigned _number);
+	void injectOne();
+	void killGateway(unsigned _number);
+	void stopGateway(unsigned _number);
+	void pauseGateway(unsigned _number);
+	void cutStore(unsigned _number);
+	void failStore();
+	void lapseRecords();
+	void failBackend();
+	void cutBackend();
+	void leaveBackend();
+	void restart(unsigned _number);
+	void watchProcesses();
+	void settle();
+	void collect();
+	void runUntil(Micros _moment);
+	void later(Micros _span, std::function<void()> _action);
+	std::size_t disrupt(const std::string& _what, std::optional<unsigned> _gateway, bool _ofBackend = false);
+	void calmDown(std::size_t _disruption);
+	std::size_t drawn(std::size_t _count);
+	Micros drawnSpan(Micros _least, Micros _most);
+
+	SoakOptions m_options;
+	std::string m_net;
+	std::mt19937_64 m_random;
+	std::unique_ptr<standin::PlatformStore> m_store;
+	std::unique_ptr<standin::PlatformDuties> m_duties;
+	std::vector<std::unique_ptr<Gateway>> m_gateways;
+	std::deque<std::unique_ptr<Backend>> m_backends;
+	std::vector<Pending> m_pending;
+	std::vector<std::thread> m_callers;
+	std::atomic<bool> m_calling = false;
+	std::mutex m_mutex; ///< Guards m_seen, against callers.
+	Observations m_seen;
+	std::uint64_t m_version = 0;
+};
+
+} // namespace beacongate::soak
+
+#endif // BEACONGATE_TOOLS_SOAK_SOAK_H
