Send counts of usage to the holder of the duties, and to all others now and then

And a holder heard each gateway once in 0.8 s by chance, later than a window settles.

Change: where there are more gateways than a round reaches, usage goes to the holder in each round and to all others once in eight, as do the members; the holder is among the receivers of each round. Loads of peers are counted for three times the span in which a peer is heard by chance (a second at least), so that a fourth of them is not left out.

--- a/src/coordination/balancer.cpp
+++ b/src/coordination/balancer.cpp
@@ -17,7 +17,6 @@
 constexpr double kFullMillis = 500.0;          ///< Added where all slots are taken.
 constexpr double kColdMillis = 50.0;           ///< Added while a backend server is slow from its start.
 constexpr double kOtherZoneMillis = 0.5;       ///< Added where the way is longer.
-constexpr Micros kPeerLoadLife = 1 * kSecond;  ///< What a silent peer said is not counted any longer.
 constexpr double kHealthDecay = 0.8;
 constexpr double kEjectShare = 0.5;
 constexpr unsigned kEjectSamples = 4;
@@ -123,7 +122,7 @@
 	}
 	for (const auto& [peer, loads] : m_peers)
 	{
-		if (now - loads.heard > kPeerLoadLife)
+		if (now - loads.heard > m_peerLoadLife)
 		{
 			continue;
 		}
--- a/src/coordination/balancer.h
+++ b/src/coordination/balancer.h
@@ -79,6 +79,12 @@
 	/// Replaces what a peer says of its own load.
 	void setPeerLoads(const std::string& peer, std::vector<BackendLoad> loads, Micros now);
 
+	/// What a peer said of its load is counted for this long after it was heard.
+	void setPeerLoadLife(Micros life)
+	{
+		m_peerLoadLife = life;
+	}
+
 	/// @returns this gateway's own load, for its peers.
 	std::vector<BackendLoad> ownLoads() const;
 
@@ -109,6 +115,7 @@
 	double costOf(const KnownBackend& backend, const PlacementRequest& request, bool preferred, Micros now) const;
 
 	std::string m_dataCentre;
+	Micros m_peerLoadLife = kSecond;
 	std::map<std::string, BackendLoad> m_own;
 	std::map<std::string, Health> m_health;
 	std::map<std::string, PeerLoads> m_peers;
--- a/src/gateway/gossiper.cpp
+++ b/src/gateway/gossiper.cpp
@@ -5,6 +5,8 @@
 
 #include "beacongate/errors.h"
 #include "beacongate/limits.h"
+#include "coordination/gossipplan.h"
+#include "gateway/memberkeys.h"
 #include "protocol/gossipcodec.h"
 
 #include <algorithm>
@@ -95,21 +97,8 @@
 	const std::size_t members = m_context.peers.memberCount(now);
 	m_context.quotas.setMembers(members);
 	m_context.retryBudget.setMembers(members);
-	std::vector<std::string> targets = m_context.peers.targets(now);
-	if (targets.size() > limits::kGossipPeers)
-	{
-		std::shuffle(targets.begin(), targets.end(), m_context.random);
-		targets.resize(limits::kGossipPeers);
-	}
-	GossipMessage message = describe(now);
-	for (const std::string& host : targets)
-	{
-		BoostError ignored;
-		message.echo = m_context.peers.echoFor(host);
-		const std::string bytes = encodeGossip(message);
-		const udp::endpoint endpoint(asio::ip::make_address(host, ignored), m_context.settings.gossipPort);
-		m_socket.send_to(asio::buffer(bytes), endpoint, 0, ignored);
-	}
+	m_context.balancer.setPeerLoadLife(expectedSilence(members));
+	sendRound(now);
 	m_timer.expires_after(std::chrono::microseconds(m_context.jittered(kInterval)));
 	m_timer.async_wait(
 		[this](const BoostError& error)
@@ -121,6 +110,56 @@
 		});
 }
 
+Micros Gossiper::expectedSilence(std::size_t members)
+{
+	// A peer that is sent to by chance is heard once in so many rounds.
+	constexpr std::size_t kPatience = 3;
+	const std::size_t rounds = std::max<std::size_t>(1, members / limits::kGossipPeers);
+	return std::max<Micros>(kSecond, static_cast<Micros>(kPatience * rounds) * kInterval);
+}
+
+std::optional<std::string> Gossiper::holderHost() const
+{
+	const auto& items = m_context.content.items;
+	const auto holder = items.find(kHolderKey);
+	if (holder == items.end())
+	{
+		return std::nullopt;
+	}
+	const std::string name = holder->second.value.substr(0, holder->second.value.find(' '));
+	const auto member = items.find(memberKey(name));
+	return member == items.end() ? std::nullopt : std::optional(decodeMember(member->second.value).host);
+}
+
+void Gossiper::sendRound(Micros now)
+{
+	const std::optional<std::string> holder = holderHost();
+	std::vector<std::string> known = m_context.peers.targets(now);
+	const bool crowded = known.size() > limits::kGossipPeers;
+	const std::vector<std::string> targets =
+		GossipPlan::targets(std::move(known), holder, limits::kGossipPeers, m_context.random);
+	const GossipMessage whole = describe(now);
+	for (const std::string& host : targets)
+	{
+		GossipMessage message = whole;
+		const GossipParts parts = GossipPlan::partsFor(host, holder, crowded, m_round);
+		if (!parts.usage)
+		{
+			message.usage.clear();
+		}
+		if (!parts.members)
+		{
+			message.members.clear();
+		}
+		message.echo = m_context.peers.echoFor(host);
+		const std::string bytes = encodeGossip(message);
+		BoostError ignored;
+		const udp::endpoint endpoint(asio::ip::make_address(host, ignored), m_context.settings.gossipPort);
+		m_socket.send_to(asio::buffer(bytes), endpoint, 0, ignored);
+	}
+	++m_round;
+}
+
 void Gossiper::receive()
 {
 	m_socket.async_wait(udp::socket::wait_read,
--- a/src/gateway/gossiper.h
+++ b/src/gateway/gossiper.h
@@ -14,6 +14,8 @@
 
 #include <array>
 #include <memory>
+#include <optional>
+#include <string>
 #include <vector>
 
 namespace beacongate
@@ -33,6 +35,9 @@
 
 private:
 	void tick();
+	void sendRound(Micros now);
+	std::optional<std::string> holderHost() const;
+	static Micros expectedSilence(std::size_t members);
 	void receive();
 	void readDatagrams();
 	void onDatagram(std::string_view bytes);
@@ -42,6 +47,7 @@
 	boost::asio::ip::udp::socket m_socket;
 	boost::asio::steady_timer m_timer;
 	std::vector<char> m_buffer;
+	std::size_t m_round = 0;
 };
 
 } // namespace beacongate
--- a/tests/gatewaycoretest.cpp
+++ b/tests/gatewaycoretest.cpp
@@ -10,6 +10,7 @@
 #include "coordination/contenthistory.h"
 #include "coordination/directory.h"
 #include "coordination/dutylease.h"
+#include "coordination/gossipplan.h"
 #include "coordination/peertable.h"
 #include "coordination/quotaledger.h"
 #include "coordination/relaychoice.h"
@@ -21,6 +22,8 @@
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <random>
+#include <set>
 
 namespace beacongate::test
 {
@@ -248,6 +251,35 @@
 	EXPECT_TRUE(history.covers(next, next.revision - 2));
 }
 
+RC_GTEST_PROP(GossipPlan, isBoundedAndAlwaysReachesTheHolder, ())
+{
+	const int known = *rc::gen::inRange(1, 200);
+	const int chosen = *rc::gen::inRange(0, known);
+	std::vector<std::string> hosts;
+	for (int number = 0; number < known; ++number)
+	{
+		hosts.push_back("h" + std::to_string(number));
+	}
+	std::minstd_rand random(static_cast<std::minstd_rand::result_type>(known * 1000 + chosen));
+	const std::optional<std::string> holder = hosts[static_cast<std::size_t>(chosen)];
+	const std::vector<std::string> targets = GossipPlan::targets(hosts, holder, 16, random);
+	RC_ASSERT(targets.size() == std::min<std::size_t>(16, hosts.size()));
+	RC_ASSERT(std::set<std::string>(targets.begin(), targets.end()).size() == targets.size());
+	RC_ASSERT(std::find(targets.begin(), targets.end(), *holder) != targets.end());
+	RC_ASSERT(GossipPlan::targets(hosts, std::nullopt, 16, random).size() == targets.size());
+}
+
+TEST(GossipPlan, sendsUsageToTheHolderEachRoundAndToAllNowAndThen)
+{
+	EXPECT_TRUE(GossipPlan::partsFor("a", "a", true, 3).usage);
+	EXPECT_FALSE(GossipPlan::partsFor("b", "a", true, 3).usage);
+	EXPECT_FALSE(GossipPlan::partsFor("a", "a", true, 3).members);
+	EXPECT_TRUE(GossipPlan::partsFor("b", std::nullopt, true, 3).usage) << "nobody is known to hold the duties";
+	EXPECT_TRUE(GossipPlan::partsFor("b", "a", true, 0).usage);
+	EXPECT_TRUE(GossipPlan::partsFor("b", "a", false, 3).usage) << "all are reached in each round";
+	EXPECT_TRUE(GossipPlan::partsFor("b", "a", true, GossipPlan::kFullEvery).members);
+}
+
 TEST(RelayChoice, isTheFirstOfTheDataCentreThatAnswers)
 {
 	RelayChoice second({"10.0.0.2", "a"});
