--- a/src/coordination/contenthistory.cpp
+++ b/src/coordination/contenthistory.cpp
@@ -5,18 +5,18 @@
 
 namespace beacongate
 {
-void ContentHistory::onReplaced(const StoreContent& before, const StoreContent& after)
+void ContentHistory::onReplaced(const StoreContent& _before, const StoreContent& _after)
 {
 	if (m_from == 0)
 	{
-		m_from = after.revision;
+		m_from = _after.revision;
 		return;
 	}
-	for (const auto& [key, item] : before.items)
+	for (const auto& [key, item] : _before.items)
 	{
-		if (!after.items.count(key))
+		if (!_after.items.count(key))
 		{
-			m_removals.push_back({key, after.revision});
+			m_removals.push_back({key, _after.revision});
 		}
 	}
 	while (m_removals.size() > kRemovals)
@@ -26,19 +26,19 @@
 	}
 }
 
-bool ContentHistory::covers(const StoreContent& content, std::uint64_t since) const
+bool ContentHistory::covers(const StoreContent& _content, std::uint64_t _since) const
 {
-	return m_from != 0 && since >= m_from && since <= content.revision;
+	return m_from != 0 && _since >= m_from && _since <= _content.revision;
 }
 
-ContentUpdate ContentHistory::updateSince(const StoreContent& content, std::uint64_t since) const
+ContentUpdate ContentHistory::updateSince(const StoreContent& _content, std::uint64_t _since) const
 {
 	ContentUpdate update;
-	update.since = since;
-	update.revision = content.revision;
-	for (const auto& [key, item] : content.items)
+	update.since = _since;
+	update.revision = _content.revision;
+	for (const auto& [key, item] : _content.items)
 	{
-		if (item.revision <= since)
+		if (item.revision <= _since)
 		{
 			continue;
 		}
@@ -53,7 +53,7 @@
 	}
 	for (const Removal& removal : m_removals)
 	{
-		if (removal.revision > since)
+		if (removal.revision > _since)
 		{
 			update.removed.push_back(removal.key);
 		}
@@ -61,17 +61,17 @@
 	return update;
 }
 
-void applyUpdate(StoreContent& content, const ContentUpdate& update)
+void applyUpdate(StoreContent& _content, const ContentUpdate& _update)
 {
-	for (const std::string& key : update.removed)
+	for (const std::string& key : _update.removed)
 	{
-		content.items.erase(key);
+		_content.items.erase(key);
 	}
-	for (const KvItem& item : update.items)
+	for (const KvItem& item : _update.items)
 	{
-		content.items[item.key] = item;
+		_content.items[item.key] = item;
 	}
-	content.revision = update.revision;
+	_content.revision = _update.revision;
 }
 
 } // namespace beacongate
--- a/src/coordination/contenthistory.h
+++ b/src/coordination/contenthistory.h
@@ -39,13 +39,13 @@
 	static constexpr std::size_t kValueBytes = 8u << 10;
 
 	/// The content was replaced by a newer one.
-	void onReplaced(const StoreContent& before, const StoreContent& after);
+	void onReplaced(const StoreContent& _before, const StoreContent& _after);
 
 	/// @returns whether updates from that revision are known in full.
-	bool covers(const StoreContent& content, std::uint64_t since) const;
+	bool covers(const StoreContent& _content, std::uint64_t _since) const;
 
 	/// @returns what changed since a revision that is covered; the age is left to the caller.
-	ContentUpdate updateSince(const StoreContent& content, std::uint64_t since) const;
+	ContentUpdate updateSince(const StoreContent& _content, std::uint64_t _since) const;
 
 private:
 	struct Removal
@@ -59,8 +59,8 @@
 };
 
 /// Brings content to an update's revision.
-/// @param[in,out] content At the revision from which the update leads, or later.
-void applyUpdate(StoreContent& content, const ContentUpdate& update);
+/// @param[in,out] _content At the revision from which the update leads, or later.
+void applyUpdate(StoreContent& _content, const ContentUpdate& _update);
 
 } // namespace beacongate
 
--- a/src/coordination/relaychoice.h
+++ b/src/coordination/relaychoice.h
@@ -32,32 +32,32 @@
 	/// A member that failed is passed over for this long.
 	static constexpr Micros kAvoided = 5 * kSecond;
 
-	explicit RelayChoice(MemberRecord own) : m_own(std::move(own))
+	explicit RelayChoice(MemberRecord _own) : m_own(std::move(_own))
 	{
 	}
 
 	/// Replaces the members that are known.
-	void setMembers(const std::set<MemberRecord>& members)
+	void setMembers(const std::set<MemberRecord>& _members)
 	{
 		m_hosts.clear();
-		for (const MemberRecord& member : members)
+		for (const MemberRecord& member : _members)
 		{
 			if (member.dataCentre == m_own.dataCentre)
 			{
 				m_hosts.insert(member.host);
 			}
 		}
-		std::erase_if(m_failed, [this](const auto& entry) { return !m_hosts.count(entry.first); });
+		std::erase_if(m_failed, [this](const auto& _entry) { return !m_hosts.count(_entry.first); });
 	}
 
 	/// A member did not answer, or knew less than the store.
-	void onFailed(const std::string& host, Micros now)
+	void onFailed(const std::string& _host, Micros _now)
 	{
-		m_failed[host] = now;
+		m_failed[_host] = _now;
 	}
 
 	/// @returns the host to ask; nothing where this gateway has to read the store itself.
-	std::optional<std::string> relay(Micros now) const
+	std::optional<std::string> relay(Micros _now) const
 	{
 		for (const std::string& host : m_hosts)
 		{
@@ -66,7 +66,7 @@
 				return std::nullopt;
 			}
 			const auto failed = m_failed.find(host);
-			if (failed == m_failed.end() || now - failed->second > kAvoided)
+			if (failed == m_failed.end() || _now - failed->second > kAvoided)
 			{
 				return host;
 			}
--- a/src/protocol/contentcodec.cpp
+++ b/src/protocol/contentcodec.cpp
@@ -14,63 +14,63 @@
 constexpr std::size_t kContentFields = 3;
 constexpr std::size_t kUpdateFields = 7;
 
-Json encodeItem(const KvItem& item)
+Json encodeItem(const KvItem& _item)
 {
-	return Json::array({item.key, item.value, item.revision});
+	return Json::array({_item.key, _item.value, _item.revision});
 }
 
-Json encodeItems(const std::vector<KvItem>& items)
+Json encodeItems(const std::vector<KvItem>& _items)
 {
 	Json list = Json::array();
-	for (const KvItem& item : items)
+	for (const KvItem& item : _items)
 	{
 		list.push_back(encodeItem(item));
 	}
 	return list;
 }
 
-KvItem decodeItem(const Json& entry)
+KvItem decodeItem(const Json& _entry)
 {
-	return {entry.at(0).get<std::string>(), entry.at(1).get<std::string>(), entry.at(2).get<std::uint64_t>()};
+	return {_entry.at(0).get<std::string>(), _entry.at(1).get<std::string>(), _entry.at(2).get<std::uint64_t>()};
 }
 
-std::vector<KvItem> decodeItems(const Json& list)
+std::vector<KvItem> decodeItems(const Json& _list)
 {
 	std::vector<KvItem> items;
-	for (const Json& entry : list)
+	for (const Json& entry : _list)
 	{
 		items.push_back(decodeItem(entry));
 	}
 	return items;
 }
 
-std::string toBytes(const Json& fields)
+std::string toBytes(const Json& _fields)
 {
 	std::string bytes;
-	Json::to_msgpack(fields, bytes);
+	Json::to_msgpack(_fields, bytes);
 	return bytes;
 }
 
-Json fromBytes(std::string_view bytes, std::size_t fieldCount)
+Json fromBytes(std::string_view _bytes, std::size_t _fieldCount)
 {
-	Json fields = Json::from_msgpack(bytes.begin(), bytes.end(), true, false);
-	return fields.is_array() && fields.size() == fieldCount ? fields : Json();
+	Json fields = Json::from_msgpack(_bytes.begin(), _bytes.end(), true, false);
+	return fields.is_array() && fields.size() == _fieldCount ? fields : Json();
 }
 } // namespace
 
-std::string encodeContent(const StoreContent& content, Micros age)
+std::string encodeContent(const StoreContent& _content, Micros _age)
 {
 	Json items = Json::array();
-	for (const auto& [key, item] : content.items)
+	for (const auto& [key, item] : _content.items)
 	{
 		items.push_back(encodeItem(item));
 	}
-	return toBytes(Json::array({content.revision, age, std::move(items)}));
+	return toBytes(Json::array({_content.revision, _age, std::move(items)}));
 }
 
-std::optional<StoreContent> decodeContent(std::string_view bytes, Micros asked)
+std::optional<StoreContent> decodeContent(std::string_view _bytes, Micros _asked)
 {
-	const Json fields = fromBytes(bytes, kContentFields);
+	const Json fields = fromBytes(_bytes, kContentFields);
 	if (fields.is_null())
 	{
 		return std::nullopt;
@@ -80,7 +80,7 @@
 		StoreContent content;
 		content.revision = fields[0].get<std::uint64_t>();
 		// The age is counted to when the answer was made, which was after the question was sent.
-		content.confirmed = asked - fields[1].get<Micros>();
+		content.confirmed = _asked - fields[1].get<Micros>();
 		for (const Json& entry : fields[2])
 		{
 			KvItem item = decodeItem(entry);
@@ -94,15 +94,15 @@
 	}
 }
 
-std::string encodeUpdate(const ContentUpdate& update)
+std::string encodeUpdate(const ContentUpdate& _update)
 {
-	return toBytes(Json::array({update.since, update.revision, update.age, update.configVersion,
-								encodeItems(update.items), encodeItems(update.leftOut), update.removed}));
+	return toBytes(Json::array({_update.since, _update.revision, _update.age, _update.configVersion,
+								encodeItems(_update.items), encodeItems(_update.leftOut), _update.removed}));
 }
 
-std::optional<ContentUpdate> decodeUpdate(std::string_view bytes)
+std::optional<ContentUpdate> decodeUpdate(std::string_view _bytes)
 {
-	const Json fields = fromBytes(bytes, kUpdateFields);
+	const Json fields = fromBytes(_bytes, kUpdateFields);
 	if (fields.is_null())
 	{
 		return std::nullopt;
@@ -125,16 +125,16 @@
 	}
 }
 
-std::optional<std::uint64_t> readUpdatePath(std::string_view path)
+std::optional<std::uint64_t> readUpdatePath(std::string_view _path)
 {
-	if (path.substr(0, kUpdatePath.size()) != kUpdatePath)
+	if (_path.substr(0, kUpdatePath.size()) != kUpdatePath)
 	{
 		return std::nullopt;
 	}
-	path.remove_prefix(kUpdatePath.size());
+	_path.remove_prefix(kUpdatePath.size());
 	std::uint64_t revision = 0;
-	const auto [end, error] = std::from_chars(path.data(), path.data() + path.size(), revision);
-	const bool whole = error == std::errc{} && end == path.data() + path.size();
+	const auto [end, error] = std::from_chars(_path.data(), _path.data() + _path.size(), revision);
+	const bool whole = error == std::errc{} && end == _path.data() + _path.size();
 	return whole ? std::optional(revision) : std::nullopt;
 }
 
--- a/src/protocol/contentcodec.h
+++ b/src/protocol/contentcodec.h
@@ -18,20 +18,20 @@
 inline constexpr std::string_view kContentPath = "/content";       ///< Of the whole content.
 inline constexpr std::string_view kUpdatePath = "/content/since/"; ///< Then the revision that is known.
 
-/// @param[in] age How long ago the content was certainly the newest.
-std::string encodeContent(const StoreContent& content, Micros age);
+/// @param[in] _age How long ago the content was certainly the newest.
+std::string encodeContent(const StoreContent& _content, Micros _age);
 
-/// @param[in] asked When the question was sent; the content counts as confirmed so much before it.
+/// @param[in] _asked When the question was sent; the content counts as confirmed so much before it.
 /// @returns nothing where the bytes are no content.
-std::optional<StoreContent> decodeContent(std::string_view bytes, Micros asked);
+std::optional<StoreContent> decodeContent(std::string_view _bytes, Micros _asked);
 
-std::string encodeUpdate(const ContentUpdate& update);
+std::string encodeUpdate(const ContentUpdate& _update);
 
 /// @returns nothing where the bytes are no update.
-std::optional<ContentUpdate> decodeUpdate(std::string_view bytes);
+std::optional<ContentUpdate> decodeUpdate(std::string_view _bytes);
 
 /// @returns the revision that a path asks for updates from, or nothing where it is not such a path.
-std::optional<std::uint64_t> readUpdatePath(std::string_view path);
+std::optional<std::uint64_t> readUpdatePath(std::string_view _path);
 
 } // namespace beacongate
 
