Close connections to an entry whose header does not come

The entry waited two minutes for the rest of half a header. From a request's first byte on, its header has to be complete within 10 s (limits::kDefaultHeaderTimeout); idle connections and bodies keep their two minutes.

--- a/src/transport/httpserver.cpp
+++ b/src/transport/httpserver.cpp
@@ -106,8 +106,9 @@
 
 struct HttpServerImpl : std::enable_shared_from_this<HttpServerImpl>
 {
-	HttpServerImpl(IoLoop& _loop, HttpServerHandlers _handlers, std::size_t _bodyLimit)
-		: context(_loop.impl().context), acceptor(context), handlers(std::move(_handlers)), bodyLimit(_bodyLimit)
+	HttpServerImpl(IoLoop& _loop, HttpServerHandlers _handlers, std::size_t _bodyLimit, Micros _headerTimeout)
+		: context(_loop.impl().context), acceptor(context), handlers(std::move(_handlers)), bodyLimit(_bodyLimit),
+		  headerTimeout(std::chrono::microseconds(_headerTimeout))
 	{
 	}
 
@@ -124,6 +125,7 @@
 	tcp::acceptor acceptor;
 	HttpServerHandlers handlers;
 	std::size_t bodyLimit;
+	std::chrono::microseconds headerTimeout;
 	std::unordered_map<ExchangeId, SessionPtr> exchanges;
 	std::set<SessionPtr> sessions;
 	ExchangeId nextExchange = 1;
@@ -159,10 +161,27 @@
 	http::request_parser<http::string_body> parser;
 	parser.header_limit(limits::kRequestHeaderBytes);
 	parser.body_limit(bodyLimit);
-	_session->stream.expires_after(kIdleTimeout);
 	boost::system::error_code error;
-	co_await http::async_read(_session->stream, _session->buffer, parser,
-							  asio::redirect_error(asio::use_awaitable, error));
+	if (_session->buffer.size() == 0)
+	{
+		_session->stream.expires_after(kIdleTimeout);
+		const auto space = _session->buffer.prepare(limits::kReadBytes);
+		const std::size_t count =
+			co_await _session->stream.async_read_some(space, asio::redirect_error(asio::use_awaitable, error));
+		_session->buffer.commit(count);
+	}
+	if (!error)
+	{
+		_session->stream.expires_after(headerTimeout);
+		co_await http::async_read_header(_session->stream, _session->buffer, parser,
+										 asio::redirect_error(asio::use_awaitable, error));
+	}
+	if (!error)
+	{
+		_session->stream.expires_after(kIdleTimeout);
+		co_await http::async_read(_session->stream, _session->buffer, parser,
+								  asio::redirect_error(asio::use_awaitable, error));
+	}
 	if (!error)
 	{
 		_keepAlive = parser.get().keep_alive();
@@ -353,8 +372,8 @@
 	it->second->signal.cancel();
 }
 
-HttpServer::HttpServer(IoLoop& _loop, HttpServerHandlers _handlers, std::size_t _bodyLimit)
-	: m_impl(std::make_shared<HttpServerImpl>(_loop, std::move(_handlers), _bodyLimit))
+HttpServer::HttpServer(IoLoop& _loop, HttpServerHandlers _handlers, std::size_t _bodyLimit, Micros _headerTimeout)
+	: m_impl(std::make_shared<HttpServerImpl>(_loop, std::move(_handlers), _bodyLimit, _headerTimeout))
 {
 }
 
--- a/src/transport/httpserver.h
+++ b/src/transport/httpserver.h
@@ -8,6 +8,7 @@
 #define BEACONGATE_TRANSPORT_HTTPSERVER_H
 
 #include "beacongate/errors.h"
+#include "beacongate/limits.h"
 #include "transport/httptypes.h"
 #include "transport/ioloop.h"
 
@@ -35,7 +36,10 @@
 {
 public:
 	/// @param[in] _bodyLimit Bytes of a request's body; a larger one is answered as BodyTooLarge.
-	HttpServer(IoLoop& _loop, HttpServerHandlers _handlers, std::size_t _bodyLimit);
+	/// @param[in] _headerTimeout From a request's first byte until its header is complete; a slower connection is
+	/// closed.
+	HttpServer(IoLoop& _loop, HttpServerHandlers _handlers, std::size_t _bodyLimit,
+			   Micros _headerTimeout = limits::kDefaultHeaderTimeout);
 	~HttpServer();
 	HttpServer(const HttpServer&) = delete;
 	HttpServer& operator=(const HttpServer&) = delete;
