Charge teams for what a peer took while it was not heard

Cause: among 83 gateways each hears another once in 0.78 s by chance. A peer that was silent for more than 0.7 s was taken for cut off: its share of the rate was left to it from then on, but everything it had taken since it was last heard was forgiven. In fleets of 8 a peer is hardly ever silent, so it did not show.

Change: what a peer took while it was silent is charged, less the share that was not filled in; a restarted peer's work too; the span of silence grows with the fleet (twice the span in which a peer is heard by chance).

--- a/src/coordination/quotaledger.cpp
+++ b/src/coordination/quotaledger.cpp
@@ -45,12 +45,24 @@
 	m_members = std::max<std::size_t>(1, members);
 }
 
+Micros QuotaLedger::silence() const
+{
+	const std::size_t rounds = 2 * m_members / kHeardARound;
+	return std::max<Micros>(kSilence, static_cast<Micros>(rounds) * kRound);
+}
+
+double QuotaLedger::leftToPeer(const Bucket& bucket, Micros lastHeard, Micros now) const
+{
+	const Micros silent = std::max<Micros>(0, now - lastHeard - silence());
+	return bucket.rate * secondsOf(silent) / static_cast<double>(m_members);
+}
+
 double QuotaLedger::fillShare(Micros now) const
 {
 	std::size_t heard = 1;
 	for (const auto& [peer, last] : m_heard)
 	{
-		heard += now - last <= kSilence ? 1 : 0;
+		heard += now - last <= silence() ? 1 : 0;
 	}
 	const auto members = static_cast<double>(std::max(m_members, heard));
 	return static_cast<double>(heard) / members;
@@ -109,26 +121,26 @@
 		return;
 	}
 	const auto heard = m_heard.find(peer);
-	const bool wasSilent = heard == m_heard.end() || now - heard->second > kSilence;
-	if (incarnation > count.incarnation || wasSilent)
+	if (heard == m_heard.end())
 	{
-		// What it took while it was not heard came out of the share that was left to it.
+		// What it took before it was known cannot be told apart from old work.
 		count = {incarnation, report.taken};
 		return;
 	}
-	const double taken = report.taken - count.taken;
-	if (taken <= 0.0)
-	{
-		return;
-	}
-	count.taken = report.taken;
+	const double before = incarnation > count.incarnation ? 0.0 : count.taken;
+	const double taken = report.taken - before;
+	count = {incarnation, std::max(before, report.taken)};
 	const auto it = m_buckets.find(report.team);
-	if (it != m_buckets.end())
+	if (taken <= 0.0 || it == m_buckets.end())
 	{
-		refill(it->second, now);
-		// Late news of old work must not shut a team out for longer than the burst is worth.
-		it->second.level = std::max(it->second.level - taken, -2.0 * it->second.burst);
+		return;
 	}
+	Bucket& bucket = it->second;
+	refill(bucket, now);
+	// While it was silent, its share of the rate was left to it and not filled in here.
+	const double owed = std::max(0.0, taken - leftToPeer(bucket, heard->second, now));
+	// Late news of old work must not shut a team out for longer than the burst is worth.
+	bucket.level = std::max(bucket.level - owed, -2.0 * bucket.burst);
 }
 
 void QuotaLedger::onHeard(const std::string& peer, Micros now)
--- a/src/coordination/quotaledger.h
+++ b/src/coordination/quotaledger.h
@@ -29,8 +29,11 @@
 class QuotaLedger
 {
 public:
-	/// A peer that was silent for longer is taken for cut off.
+	/// A peer that was silent for longer is taken for cut off, in fleets where each hears all others in each round.
 	static constexpr Micros kSilence = 700 * kMillisecond;
+	/// In larger ones, the span is that in which a peer is heard twice by chance.
+	static constexpr std::size_t kHeardARound = 16;
+	static constexpr Micros kRound = 150 * kMillisecond;
 
 	/// Sets the limits in force. A team without one takes freely.
 	void configure(const RoutingConfig& config, Micros now);
@@ -72,7 +75,10 @@
 		double taken = 0.0;
 	};
 
+	/// @returns for how long a peer is silent before it is taken for cut off.
+	Micros silence() const;
 	double fillShare(Micros now) const;
+	double leftToPeer(const Bucket& bucket, Micros lastHeard, Micros now) const;
 	void refill(Bucket& bucket, Micros now) const;
 
 	std::map<std::string, Bucket> m_buckets;
--- a/tests/gatewaycoretest.cpp
+++ b/tests/gatewaycoretest.cpp
@@ -380,6 +380,71 @@
 	RC_ASSERT(taken <= kRate * seconds + kBurst + slack);
 }
 
+TEST(QuotaLedger, aLargeFleetThatHearsByChanceKeepsTheQuotaAndUsesIt)
+{
+	// 83 gateways, each of which sends to 16 others by chance in a round; a team that asks for four times its limit.
+	constexpr std::size_t kGateways = 83;
+	constexpr std::size_t kReceivers = 16;
+	constexpr double kRate = 100'000.0;
+	constexpr double kBurst = 200'000.0;
+	constexpr double kAmount = 12'000.0;
+	constexpr double kDemand = 4.0;
+	constexpr Micros kRound = 150 * kMillisecond;
+	constexpr std::size_t kRounds = 400;
+	constexpr std::size_t kWindow = 8 * kSecond / kRound;
+	const RoutingConfigPtr config = limitedConfig(kRate, kBurst);
+	std::vector<QuotaLedger> ledgers(kGateways);
+	std::minstd_rand random(7);
+	Micros now = kSecond;
+	for (QuotaLedger& ledger : ledgers)
+	{
+		ledger.setMembers(kGateways);
+		ledger.configure(*config, now);
+	}
+	const double requestsARound = kDemand * kRate * 0.15 / kAmount / static_cast<double>(kGateways);
+	std::poisson_distribution<int> arrivals(requestsARound);
+	std::vector<double> taken;
+	for (std::size_t round = 0; round < kRounds; ++round)
+	{
+		now += kRound;
+		for (std::size_t sender = 0; sender < kGateways; ++sender)
+		{
+			for (std::size_t sent = 0; sent < kReceivers; ++sent)
+			{
+				const std::size_t receiver = random() % kGateways;
+				if (receiver != sender)
+				{
+					const std::string name = std::to_string(sender);
+					ledgers[receiver].onReport(name, 1, {"team", ledgers[sender].takenHere("team")}, now);
+					ledgers[receiver].onHeard(name, now);
+				}
+			}
+		}
+		double sum = 0.0;
+		for (QuotaLedger& ledger : ledgers)
+		{
+			for (int request = arrivals(random); request > 0; --request)
+			{
+				sum += ledger.take("team", kAmount, now) == 0 ? kAmount : 0.0;
+			}
+		}
+		taken.push_back(sum);
+	}
+	// What is taken before the others hear of it counts against the tolerance of a window.
+	constexpr double kTolerated = (kRate * 8.0 + kBurst) * 1.1 + 140'000.0;
+	double all = 0.0;
+	double window = 0.0;
+	double most = 0.0;
+	for (std::size_t round = 0; round < kRounds; ++round)
+	{
+		all += taken[round];
+		window += taken[round] - (round >= kWindow ? taken[round - kWindow] : 0.0);
+		most = std::max(most, window);
+	}
+	EXPECT_LE(most, kTolerated);
+	EXPECT_GE(all, 0.8 * kRate * 0.15 * static_cast<double>(kRounds));
+}
+
 TEST(QuotaLedger, oneThatHearsNobodyTakesItsEqualShareOnly)
 {
 	QuotaLedger ledger;
