Order spot that one data centre does not give in the others, and read with less of an engine's time

The even spread went on asking the dry ones, so spot fell with each of them and the gap was filled on demand, 4 s late and at 5.5 times the price.

Ruled out: the estimate of reading itself (16 of 60 engines' time where all is well, steady).

Change: a data centre whose spot was taken away or refused is dry until an order is taken; its part goes to the others, which give it back 8 s after it was last needed. Reading counts at 0.6 of an engine's time.

--- a/src/coordination/capacityplanner.cpp
+++ b/src/coordination/capacityplanner.cpp
@@ -17,6 +17,8 @@
 constexpr double kRequiredServers = 0.6;
 constexpr double kFirstShare = 0.4; ///< Of the most that may be ordered.
 constexpr Micros kResend = 1 * kSecond;
+constexpr double kReadingUse =
+	0.6; ///< Prompts differ so much in length that more of an engine's time makes them wait.
 constexpr double kSlotUse = 0.65;   ///< A larger share of slots is not held without requests that wait.
 constexpr double kLeastPace = 0.25; ///< Share of time that is left to tokens, however much is read.
 constexpr double kSaturated = 0.85; ///< Share of slots held from which the load cannot be read off them any more.
@@ -49,7 +51,7 @@
 	// will where the reading is spread over enough backend servers.
 	const double present = std::max(1u, standing);
 	const double pace = std::clamp(1.0 - reading / present, kLeastPace, 1.0);
-	const double work = reading + occupied * pace / kSlotUse;
+	const double work = reading / kReadingUse + occupied * pace / kSlotUse;
 	return occupied >= kSaturated * present ? std::max(work, kGrowth * present) : work;
 }
 
@@ -80,16 +82,24 @@
 	const std::vector<std::string> names = byPrice(scaling, zones);
 	const auto most = static_cast<unsigned>(names.size()) * scaling.maximum;
 	unsigned left = std::min(needed, most);
+	std::vector<std::string> open;
 	for (const std::string& name : names)
 	{
 		spread[name] = std::min(std::max(1u, scaling.minimum), scaling.maximum);
-		left -= std::min(left, spread[name]);
+		const auto zone = m_zones.find(name);
+		if (zone == m_zones.end() || !zone->second.spotDry)
+		{
+			open.push_back(name);
+			left -= std::min(left, spread[name]);
+		}
 	}
+	// What one data centre does not give is ordered in the others, at the price of spot still.
+	const std::vector<std::string>& takers = open.empty() ? names : open;
 	// Evenly, the cheapest first: a reclaim takes all spot capacity of one data centre.
 	while (left > 0)
 	{
 		bool placed = false;
-		for (const std::string& name : names)
+		for (const std::string& name : takers)
 		{
 			if (left > 0 && spread[name] < scaling.maximum)
 			{
@@ -106,6 +116,18 @@
 	return spread;
 }
 
+void CapacityPlanner::Held::update(unsigned wanted, Micros now)
+{
+	if (wanted >= count || now - needed > kReleaseDelay)
+	{
+		count = wanted;
+	}
+	if (wanted >= count)
+	{
+		needed = now;
+	}
+}
+
 bool CapacityPlanner::due(const Ordered& ordered, unsigned wanted, unsigned standing, Micros bootTime,
 						  Micros now) const
 {
@@ -136,11 +158,14 @@
 		if (capacity.reclaiming)
 		{
 			zone.spotBlockedUntil = std::max(zone.spotBlockedUntil, now + kSpotRetry);
+			zone.spotDry = true;
 		}
+		const auto evenShare = std::min(need.wished / static_cast<unsigned>(zones.size()), scaling.maximum);
+		zone.spotHeld.update(zone.spotDry ? std::max(wanted, evenShare) : wanted, now);
 		const bool blocked = zone.spotBlockedUntil > now;
-		if (!blocked && due(zone.spot, wanted, capacity.spot, scaling.bootTime, now))
+		if (!blocked && due(zone.spot, zone.spotHeld.count, capacity.spot, scaling.bootTime, now))
 		{
-			orders.push_back({name, true, wanted});
+			orders.push_back({name, true, zone.spotHeld.count});
 		}
 	}
 	const bool unanswered = std::any_of(m_zones.begin(), m_zones.end(),
@@ -153,17 +178,10 @@
 	for (const auto& [name, wanted] : makeUp(scaling, zones, missing))
 	{
 		ZonePlan& zone = m_zones[name];
-		if (wanted >= zone.onDemandHeld || now - zone.onDemandNeeded > kReleaseDelay)
-		{
-			zone.onDemandHeld = wanted;
-		}
-		if (wanted >= zone.onDemandHeld)
+		zone.onDemandHeld.update(wanted, now);
+		if (due(zone.onDemand, zone.onDemandHeld.count, zones.at(name).onDemand, scaling.bootTime, now))
 		{
-			zone.onDemandNeeded = now;
-		}
-		if (due(zone.onDemand, zone.onDemandHeld, zones.at(name).onDemand, scaling.bootTime, now))
-		{
-			orders.push_back({name, false, zone.onDemandHeld});
+			orders.push_back({name, false, zone.onDemandHeld.count});
 		}
 	}
 	return orders;
@@ -201,6 +219,11 @@
 	if (refused && order.spot)
 	{
 		zone.spotBlockedUntil = now + kSpotRetry;
+		zone.spotDry = true;
+	}
+	if (taken && order.spot)
+	{
+		zone.spotDry = false;
 	}
 }
 
--- a/src/coordination/capacityplanner.h
+++ b/src/coordination/capacityplanner.h
@@ -42,7 +42,7 @@
 	static constexpr Micros kBootSlack = 1500 * kMillisecond;
 	/// After a reclaim or a refused order, spot is asked for again after this long.
 	static constexpr Micros kSpotRetry = 2500 * kMillisecond;
-	/// On-demand capacity is kept for this long after the last moment that it was needed.
+	/// Capacity is kept for this long after the last moment that it was needed.
 	static constexpr Micros kReleaseDelay = 8 * kSecond;
 
 	/// Joins the two ways in which a load fills engines: reading prompts, during which no token is made, and
@@ -88,13 +88,23 @@
 		Micros at = kLongAgo;
 	};
 
+	/// A count that grows at once and shrinks only after a while.
+	struct Held
+	{
+		unsigned count = 0;
+		Micros needed = kLongAgo; ///< When that many were needed last.
+
+		void update(unsigned wanted, Micros now);
+	};
+
 	struct ZonePlan
 	{
 		Ordered onDemand;
 		Ordered spot;
 		Micros spotBlockedUntil = kLongAgo;
-		unsigned onDemandHeld = 0;
-		Micros onDemandNeeded = kLongAgo;
+		bool spotDry = false; ///< Spot capacity was taken away or refused, and none was given since.
+		Held onDemandHeld;
+		Held spotHeld;
 	};
 
 	std::map<std::string, unsigned> spreadSpot(const ScalingSettings& scaling,
