--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -4,6 +4,7 @@
 #include "gateway/exchange.h"
 
 #include "daemon/logging.h"
+#include "gateway/dispatcher.h"
 #include "gateway/ownanswers.h"
 #include "platform/headers.h"
 #include "transport/forwarding.h"
@@ -674,65 +675,4 @@
 			  {"config_age_ms", millisText(m_context.directory.age(now))}});
 }
 
-Dispatcher::Dispatcher(GatewayContext& context) : m_context(context), m_timer(context.loop)
-{
-}
-
-void Dispatcher::enqueue(ExchangePtr exchange)
-{
-	const auto later = [&](const ExchangePtr& other)
-	{
-		return other->priority() > exchange->priority() ||
-			   (other->priority() == exchange->priority() && other->received() > exchange->received());
-	};
-	const auto place = std::find_if(m_waiting.begin(), m_waiting.end(), later);
-	m_waiting.insert(place, std::move(exchange));
-	wake();
-}
-
-void Dispatcher::remove(const Exchange* exchange)
-{
-	std::erase_if(m_waiting, [exchange](const ExchangePtr& other) { return other.get() == exchange; });
-}
-
-std::size_t Dispatcher::waitingBefore(const std::string& service, unsigned priority) const
-{
-	return static_cast<std::size_t>(std::count_if(
-		m_waiting.begin(), m_waiting.end(),
-		[&](const ExchangePtr& other) { return other->service() == service && other->priority() <= priority; }));
-}
-
-void Dispatcher::wake()
-{
-	if (m_wakePending || m_waiting.empty())
-	{
-		return;
-	}
-	constexpr Micros kWakeDelay = 10 * kMillisecond;
-	m_wakePending = true;
-	m_timer.expires_after(std::chrono::microseconds(kWakeDelay));
-	m_timer.async_wait(
-		[this](const boost::system::error_code& error)
-		{
-			m_wakePending = false;
-			if (!error)
-			{
-				tryAll();
-			}
-		});
-}
-
-void Dispatcher::tryAll()
-{
-	const std::vector<ExchangePtr> waiting = m_waiting;
-	for (const ExchangePtr& exchange : waiting)
-	{
-		if (exchange->tryDispatch())
-		{
-			remove(exchange.get());
-		}
-	}
-	wake();
-}
-
 } // namespace beacongate
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -48,12 +48,6 @@
 		return m_priority;
 	}
 
-	/// @returns the service that the request goes to.
-	const std::string& service() const
-	{
-		return m_service;
-	}
-
 	/// @returns when the request arrived.
 	Micros received() const
 	{
@@ -133,39 +127,6 @@
 
 using ExchangePtr = std::shared_ptr<Exchange>;
 
-/// Holds requests for which no backend server has room, the most urgent first.
-class Dispatcher
-{
-public:
-	explicit Dispatcher(GatewayContext& context);
-
-	/// Keeps a request until room is found.
-	void enqueue(ExchangePtr exchange);
-
-	/// Forgets a request.
-	void remove(const Exchange* exchange);
-
-	/// Tries the requests that wait; done soon, once for many calls.
-	void wake();
-
-	/// @returns requests that wait.
-	std::size_t waiting() const
-	{
-		return m_waiting.size();
-	}
-
-	/// @returns requests of a service that wait and are at least as urgent.
-	std::size_t waitingBefore(const std::string& service, unsigned priority) const;
-
-private:
-	void tryAll();
-
-	GatewayContext& m_context;
-	std::vector<ExchangePtr> m_waiting;
-	boost::asio::steady_timer m_timer;
-	bool m_wakePending = false;
-};
-
 } // namespace beacongate
 
 #endif // BEACONGATE_GATEWAY_EXCHANGE_H
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -7,8 +7,8 @@
 #ifndef BEACONGATE_GATEWAY_GATEWAY_H
 #define BEACONGATE_GATEWAY_GATEWAY_H
 
+#include "gateway/dispatcher.h"
 #include "gateway/dutyholder.h"
-#include "gateway/exchange.h"
 #include "gateway/gatewaycontext.h"
 #include "gateway/gossiper.h"
 #include "gateway/registration.h"
--- a/tests/gatewaycoretest.cpp
+++ b/tests/gatewaycoretest.cpp
@@ -382,7 +382,8 @@
 
 TEST(QuotaLedger, aLargeFleetThatHearsByChanceKeepsTheQuotaAndUsesIt)
 {
-	// 83 gateways, each of which sends to 16 others by chance in a round; a team that asks for four times its limit.
+	// 83 gateways, each of which sends to 16 others by chance in a round; a team that asks for four times its
+	// limit.
 	constexpr std::size_t kGateways = 83;
 	constexpr std::size_t kReceivers = 16;
 	constexpr double kRate = 100'000.0;
--- a/tools/soak/checker.cpp
+++ b/tools/soak/checker.cpp
@@ -177,7 +177,7 @@
 			Micros& first = refused.try_emplace({request.gateway, request.start}, request.ended).first->second;
 			first = std::min(first, request.ended);
 		}
-		const auto runs = _evidence.runsOf(request.id);
+		const auto& runs = _evidence.runsOf(request.id);
 		if (_key.removed != kNever && request.sent > _key.removed + _seen.bounds.revocation && !runs.empty())
 		{
 			_findings.push_back({Promise::RevocationInForce, "request " + request.id + " ran with a key removed " +
