Go on ordering on demand while own orders arrive; take back the unhurried reading

The holder's log shows no order on demand from 21.8 s to 26.4 s while 22, 18, 12 and 6 engines stood of 18 to 23 required. Each growth of on-demand capacity, by own orders too, was taken for records that are still being listed, and held all further orders up for 2.5 s. In a wave of reclaims that is when they are needed.

Change: StartListing waits once, at the start.

--- a/src/coordination/capacityplanner.cpp
+++ b/src/coordination/capacityplanner.cpp
@@ -17,8 +17,6 @@
 constexpr double kRequiredServers = 0.6;
 constexpr double kFirstShare = 0.4; ///< Of the most that may be ordered.
 constexpr Micros kResend = 1 * kSecond;
-constexpr double kReadingUse =
-	0.6; ///< Prompts differ so much in length that more of an engine's time makes them wait.
 constexpr double kSlotUse = 0.65;   ///< A larger share of slots is not held without requests that wait.
 constexpr double kLeastPace = 0.25; ///< Share of time that is left to tokens, however much is read.
 constexpr double kSaturated = 0.85; ///< Share of slots held from which the load cannot be read off them any more.
@@ -51,7 +49,7 @@
 	// will where the reading is spread over enough backend servers.
 	const double present = std::max(1u, standing);
 	const double pace = std::clamp(1.0 - reading / present, kLeastPace, 1.0);
-	const double work = reading / kReadingUse + occupied * pace / kSlotUse;
+	const double work = reading + occupied * pace / kSlotUse;
 	return occupied >= kSaturated * present ? std::max(work, kGrowth * present) : work;
 }
 
--- a/src/coordination/capacityplanner.h
+++ b/src/coordination/capacityplanner.h
@@ -10,6 +10,7 @@
 #include "beacongate/routing.h"
 #include "coordination/directory.h"
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <vector>
@@ -33,6 +34,40 @@
 	auto operator<=>(const CapacityOrder&) const = default;
 };
 
+/// Whether all on-demand capacity that stood when this gateway began to look is listed. What grows later grows by
+/// its own orders and is no reason to wait.
+class StartListing
+{
+public:
+	/// Without another backend server for this long, all are taken to be listed.
+	static constexpr Micros kSettled = 2500 * kMillisecond;
+
+	/// Looks at what is listed.
+	/// @returns whether that is all; once it is, it stays so.
+	bool complete(unsigned _onDemand, Micros _now)
+	{
+		const bool first = m_grown == kLongAgo;
+		if (first || (!m_complete && _onDemand > m_onDemand))
+		{
+			m_grown = _now;
+		}
+		m_onDemand = std::max(m_onDemand, _onDemand);
+		m_complete = m_complete || _now - m_grown > kSettled;
+		return m_complete;
+	}
+
+	/// @returns the most on-demand backend servers that were listed at once.
+	unsigned onDemand() const
+	{
+		return m_onDemand;
+	}
+
+private:
+	unsigned m_onDemand = 0;
+	Micros m_grown = kLongAgo;
+	bool m_complete = false;
+};
+
 /// Plans for one service. Spot is ordered first, spread over data centres; what is missing of it is made up on
 /// demand until it stands.
 class CapacityPlanner
--- a/src/gateway/dutyholder.cpp
+++ b/src/gateway/dutyholder.cpp
@@ -20,8 +20,6 @@
 constexpr Micros kSettle = 1200 * kMillisecond; ///< After a window's end, for counts still on their way.
 constexpr Micros kLapseSpan = 2 * kSecond;      ///< A record that vanished is counted for this long.
 constexpr Micros kKnownSpan = 2 * kSecond;      ///< Within which the store was read, before the duties are taken.
-constexpr Micros kRosterSettled =
-	2500 * kMillisecond; ///< Without a new backend server, until all are taken to be listed.
 constexpr Micros kKeepInterval = 350 * kMillisecond; ///< Between two writes of all counts.
 constexpr std::uint64_t kWindowsBack = 3;
 constexpr std::uint64_t kWindowsKept = 8;
@@ -400,14 +398,10 @@
 	CapacityPlanner::Need need;
 	need.wished = CapacityPlanner::serversFor(work);
 	need.required = CapacityPlanner::serversRequired(work);
-	StartCapacity& start = m_startCapacity[service.name];
-	if (onDemand > start.onDemand)
-	{
-		start.onDemand = onDemand;
-		start.grown = now;
-	}
+	StartListing& start = m_startListings[service.name];
+	const bool listed = start.complete(onDemand, now);
 	need.idle = m_context.settings.firstStart && work <= 0.0;
-	need.known = need.idle || now - start.grown > kRosterSettled;
+	need.known = need.idle || listed;
 	if (m_context.demand.settled(service.name, now))
 	{
 		return need;
@@ -415,7 +409,7 @@
 	// The load is not known yet. At the very first start there is none, and on-demand capacity is not waited for;
 	// later, what stands is taken for what is needed.
 	const unsigned guess =
-		m_context.settings.firstStart ? CapacityPlanner::firstGuess(*service.scaling) : start.onDemand;
+		m_context.settings.firstStart ? CapacityPlanner::firstGuess(*service.scaling) : start.onDemand();
 	need.wished = std::max(need.wished, guess);
 	need.required = std::max(need.required, m_context.settings.firstStart ? guess / 2 : guess);
 	return need;
--- a/src/gateway/dutyholder.h
+++ b/src/gateway/dutyholder.h
@@ -43,13 +43,6 @@
 	}
 
 private:
-	/// On-demand capacity that stood when this gateway began to look.
-	struct StartCapacity
-	{
-		unsigned onDemand = 0;
-		Micros grown = 0;
-	};
-
 	void schedule();
 	void tick();
 	void compete();
@@ -83,7 +76,7 @@
 	Micros m_countsKept = kLongAgo;
 	bool m_keepingCounts = false;
 	std::map<std::string, CapacityPlanner> m_planners;
-	std::map<std::string, StartCapacity> m_startCapacity;
+	std::map<std::string, StartListing> m_startListings;
 	std::size_t m_openOrders = 0;
 };
 
