--- a/tests/capacitytest.cpp
+++ b/tests/capacitytest.cpp
@@ -266,8 +266,8 @@
 	{
 		const double pace = std::max(0.05, 1.0 - reading / standing);
 		held = std::min(standing, holding / pace);
-		standing = CapacityPlanner::serversFor(CapacityPlanner::combinedWork(
-			reading, held, static_cast<unsigned>(standing), CapacityPlanner::kUnhurriedReading));
+		standing = CapacityPlanner::serversFor(
+			CapacityPlanner::combinedWork(reading, held, static_cast<unsigned>(standing)));
 	}
 	RC_ASSERT(held / standing < 0.8);
 	const double busy = reading + holding / 0.65;
