--- /dev/null
+++ b/tests/faultproxytest.cpp
@@ -0,0 +1,62 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// The soak's proxy keeps bytes in order while its faults come and go.
+
+#include "soak/faultproxy.h"
+
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace beacongate::test
+{
+namespace
+{
+sockaddr_in loopback(std::uint16_t _port)
+{
+	sockaddr_in address{};
+	address.sin_family = AF_INET;
+	address.sin_port = htons(_port);
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	return address;
+}
+} // namespace
+
+TEST(FaultProxy, whatIsDelayedIsNotOvertakenOnceTheDelayEnds)
+{
+	constexpr std::uint16_t kTarget = 18301;
+	constexpr std::uint16_t kProxy = 18302;
+	const int listener = socket(AF_INET, SOCK_STREAM, 0);
+	const int reuse = 1;
+	setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
+	sockaddr_in address = loopback(kTarget);
+	ASSERT_EQ(bind(listener, reinterpret_cast<const sockaddr*>(&address), sizeof address), 0);
+	ASSERT_EQ(listen(listener, 1), 0);
+	soak::FaultProxy proxy({"127.0.0.1", kProxy}, {"127.0.0.1", kTarget});
+	const int caller = socket(AF_INET, SOCK_STREAM, 0);
+	address = loopback(kProxy);
+	ASSERT_EQ(connect(caller, reinterpret_cast<const sockaddr*>(&address), sizeof address), 0);
+	const int target = accept(listener, nullptr, nullptr);
+	proxy.setFault(soak::LinkFault::Delays);
+	ASSERT_EQ(send(target, "a", 1, 0), 1);
+	std::this_thread::sleep_for(std::chrono::milliseconds(50));
+	proxy.setFault(soak::LinkFault::None);
+	ASSERT_EQ(send(target, "b", 1, 0), 1);
+	std::string heard;
+	while (heard.size() < 2)
+	{
+		char byte = 0;
+		ASSERT_EQ(recv(caller, &byte, 1, 0), 1);
+		heard += byte;
+	}
+	EXPECT_EQ(heard, "ab");
+	close(caller);
+	close(target);
+	close(listener);
+}
+
+} // namespace beacongate::test
--- a/tests/soaktest.cpp
+++ b/tests/soaktest.cpp
@@ -16,10 +16,11 @@
 {
 namespace
 {
-void keepsPromises(std::uint64_t _seed, Micros _span)
+void keepsPromises(std::uint64_t _seed, unsigned _gateways, Micros _span)
 {
 	soak::SoakOptions options;
 	options.seed = _seed;
+	options.gateways = _gateways;
 	options.span = _span;
 	options.program = std::string(BEACONGATE_BIN) + "/beacongate-gateway";
 	const auto directory = std::filesystem::temp_directory_path() / ("beacongate-soak-" + std::to_string(getpid()));
@@ -40,7 +41,18 @@
 
 TEST(Soak, aShortRunKeepsThePromises)
 {
-	keepsPromises(20261202, 15 * kSecond);
+	keepsPromises(20261202, 3, 15 * kSecond);
+}
+
+// The soak's own proxy let later bytes overtake delayed ones when a delay ended (FaultProxy.whatIsDelayed...).
+TEST(Soak, seed510)
+{
+	keepsPromises(510, 5, 20 * kSecond);
+}
+
+TEST(Soak, seed514)
+{
+	keepsPromises(514, 5, 20 * kSecond);
 }
 
 } // namespace beacongate::test
--- a/tools/soak/faultproxy.cpp
+++ b/tools/soak/faultproxy.cpp
@@ -5,6 +5,9 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <deque>
+#include <string>
+
 namespace beacongate::soak
 {
 namespace asio = boost::asio;
@@ -23,6 +26,8 @@
 {
 	TcpConnection::Ptr caller;
 	TcpConnection::Ptr target;
+	std::deque<std::string> toTarget; ///< Pieces that wait, in order.
+	std::deque<std::string> toCaller;
 	bool ended = false;
 };
 
@@ -135,21 +140,27 @@
 	{
 		return;
 	}
-	if (m_fault != LinkFault::Delays)
+	std::deque<std::string>& waiting = _fromCaller ? _link->toTarget : _link->toCaller;
+	const bool delayed = m_fault == LinkFault::Delays || !waiting.empty();
+	waiting.emplace_back(_bytes);
+	if (!delayed)
 	{
-		deliver(_link, _fromCaller, _bytes);
+		deliverNext(_link, _fromCaller);
 		return;
 	}
+	// A piece is never delivered before those that came earlier, also where the fault ends meanwhile.
 	auto timer = std::make_shared<asio::steady_timer>(m_loop.context(), std::chrono::microseconds(kDelay));
-	timer->async_wait([this, timer, _link, _fromCaller, bytes = std::string(_bytes)](const BoostError&)
-					  { deliver(_link, _fromCaller, bytes); });
+	timer->async_wait([this, timer, _link, _fromCaller](const BoostError&) { deliverNext(_link, _fromCaller); });
 }
 
-void FaultProxy::deliver(const LinkPtr& _link, bool _fromCaller, std::string_view _bytes)
+void FaultProxy::deliverNext(const LinkPtr& _link, bool _fromCaller)
 {
+	std::deque<std::string>& waiting = _fromCaller ? _link->toTarget : _link->toCaller;
+	const std::string bytes = std::move(waiting.front());
+	waiting.pop_front();
 	if (!_link->ended)
 	{
-		(_fromCaller ? _link->target : _link->caller)->send(_bytes);
+		(_fromCaller ? _link->target : _link->caller)->send(bytes);
 	}
 }
 
--- a/tools/soak/faultproxy.h
+++ b/tools/soak/faultproxy.h
@@ -44,7 +44,7 @@
 	void accept();
 	void join(const LinkPtr& _link);
 	void pass(const LinkPtr& _link, bool _fromCaller, std::string_view _bytes);
-	void deliver(const LinkPtr& _link, bool _fromCaller, std::string_view _bytes);
+	void deliverNext(const LinkPtr& _link, bool _fromCaller);
 	void end(const LinkPtr& _link, ConnectionEnd _how);
 
 	Address m_target;
