--- a/tests/gatewaycoretest.cpp
+++ b/tests/gatewaycoretest.cpp
@@ -256,6 +256,7 @@
 	const int known = *rc::gen::inRange(1, 200);
 	const int chosen = *rc::gen::inRange(0, known);
 	std::vector<std::string> hosts;
+	hosts.reserve(static_cast<std::size_t>(known));
 	for (int number = 0; number < known; ++number)
 	{
 		hosts.push_back("h" + std::to_string(number));
