Let a new holder of the duties read the kept counts before it reports

Cause: found in reading. A relay leaves values above 8 KiB out, and the usage counts of a fleet of 83 are larger. One that took the duties while it asked a relay fixed the windows that were due from what it had heard by chance, and wrote its own counts over the kept ones.

Change: a holder reports and keeps counts once a read of the store that was sent after it won the lease has come back, and 1.2 s after winning it, in which the others hear who holds the duties.

--- a/src/gateway/dutyholder.cpp
+++ b/src/gateway/dutyholder.cpp
@@ -99,7 +99,7 @@
 	{
 		renew();
 	}
-	if (m_context.settings.reportsUsage)
+	if (m_context.settings.reportsUsage && tookOver(now))
 	{
 		keepCounts(now);
 		reportUsage(now);
@@ -163,6 +163,7 @@
 			}
 			self->m_leaseId = lease;
 			self->m_renewed = sent;
+			self->m_taken = monotonicNow();
 			self->m_lease.onAcquired(fence, sent, span);
 			logEvent(LogLevel::Info, "duty-taken", {{"fence", std::to_string(fence)}});
 		});
@@ -198,6 +199,13 @@
 		});
 }
 
+bool DutyHolder::tookOver(Micros now) const
+{
+	// The kept counts are large, so that a relay leaves them out: a read of the store itself has to follow, and the
+	// other gateways have to hear who holds the duties now.
+	return m_context.content.confirmed > m_taken && now - m_taken > kSettle;
+}
+
 void DutyHolder::reportUsage(Micros now)
 {
 	if (!m_lease.mayAct(now))
--- a/src/gateway/dutyholder.h
+++ b/src/gateway/dutyholder.h
@@ -48,6 +48,8 @@
 	void compete();
 	void take(std::uint64_t lease, Micros span, Micros sent);
 	void renew();
+	/// @returns whether this holder knows what the one before left in the store.
+	bool tookOver(Micros now) const;
 	void keepCounts(Micros now);
 	void reportUsage(Micros now);
 	void fixWindow(std::uint64_t window);
@@ -67,6 +69,7 @@
 	DutyLease m_lease;
 	std::uint64_t m_leaseId = 0;
 	Micros m_renewed = 0;
+	Micros m_taken = kNever; ///< When the lease was won.
 	bool m_competing = false;
 	bool m_renewing = false;
 	bool m_closed = false;
--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -6,8 +6,10 @@
 
 #include "gateway/gateway.h"
 #include "daemon/clock.h"
+#include "gateway/memberkeys.h"
 #include "platform/names.h"
 #include "protocol/json.h"
+#include "protocol/usagecodec.h"
 #include "standin/platform.h"
 #include "standin/platformsite.h"
 
@@ -692,6 +694,51 @@
 	EXPECT_TRUE(await(reported, 12 * kSecond));
 }
 
+TEST_F(GatewayTest, oneThatTakesTheDutiesReadsTheKeptCountsFirst)
+{
+	GatewaySettings relay = settings(1);
+	relay.dutyApi.reset();
+	startGateway(relay);
+	startGateway(settings(2));
+	ASSERT_TRUE(await([&] { return store->get(kHolderKey).substr(0, 2) == "g2"; }));
+	startGateway(settings(3));
+	gateways[1]->stop();
+	// Counts of a large fleet, most of whose gateways are gone: more than one gateway hands on to another.
+	constexpr std::uint64_t kWindows = 20;
+	constexpr unsigned kRuns = 40;
+	const auto now = std::chrono::system_clock::now().time_since_epoch();
+	const auto current = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::seconds>(now).count());
+	RunCounts counts;
+	for (std::uint64_t window = current; window < current + kWindows; ++window)
+	{
+		for (unsigned run = 0; run < kRuns; ++run)
+		{
+			counts.push_back({{"gone" + std::to_string(run), 1}, {window, "t", 1}});
+		}
+	}
+	const std::string text = encodeRunCounts(counts);
+	ASSERT_GT(text.size(), ContentHistory::kValueBytes);
+	store->put(kCountsKey, text);
+	std::map<std::uint64_t, std::uint64_t> reported;
+	const auto enough = [&]
+	{
+		for (const standin::DutyCall& call : duties->calls())
+		{
+			const Json body = Json::parse(call.body);
+			if (call.holder == "g3" && body.at("windowId") > current)
+			{
+				reported[body.at("windowId").get<std::uint64_t>()] = body.at("counts").value("t", 0u);
+			}
+		}
+		return reported.size() >= 3;
+	};
+	ASSERT_TRUE(await(enough, 12 * kSecond));
+	for (const auto& [window, count] : reported)
+	{
+		EXPECT_EQ(count, kRuns) << "window " << window - current << " after the holder's end";
+	}
+}
+
 TEST_F(GatewayTest, theDutiesPassToAnotherWithALargerFence)
 {
 	startGateway(settings(1));
