Do not take a relay that knows less for one that failed

Cause: found in reading. After news a gateway reads the store itself and is ahead of its relay for half a second; the relay then answered 404, was passed over for 5 s, and the gateway read for itself meanwhile. News that came while a relay was asked waited for one more round.

Change: a relay tells one that knows more that there is nothing newer; a 404 is left for revisions that are too old, and is no failure; news are read for right after the relay's answer. What confirms unchanged content stands in one place.

Test: ContentHistory.saysWhenItDoesNotKnow... failed before (it states that a newer revision gets an empty update, where it asked for none).

--- a/src/coordination/contenthistory.cpp
+++ b/src/coordination/contenthistory.cpp
@@ -26,9 +26,9 @@
 	}
 }
 
-bool ContentHistory::covers(const StoreContent& _content, std::uint64_t _since) const
+bool ContentHistory::covers(std::uint64_t _since) const
 {
-	return m_from != 0 && _since >= m_from && _since <= _content.revision;
+	return m_from != 0 && _since >= m_from;
 }
 
 ContentUpdate ContentHistory::updateSince(const StoreContent& _content, std::uint64_t _since) const
--- a/src/coordination/contenthistory.h
+++ b/src/coordination/contenthistory.h
@@ -42,9 +42,10 @@
 	void onReplaced(const StoreContent& _before, const StoreContent& _after);
 
 	/// @returns whether updates from that revision are known in full.
-	bool covers(const StoreContent& _content, std::uint64_t _since) const;
+	bool covers(std::uint64_t _since) const;
 
-	/// @returns what changed since a revision that is covered; the age is left to the caller.
+	/// @returns what changed since a revision that is covered, nothing where that is newer than the content; the
+	/// age is left to the caller.
 	ContentUpdate updateSince(const StoreContent& _content, std::uint64_t _since) const;
 
 private:
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -30,6 +30,8 @@
 constexpr Micros kWatchRetry = 500 * kMillisecond;
 constexpr Micros kPeerInterval = 500 * kMillisecond;
 constexpr Micros kPeerTimeout = 400 * kMillisecond;
+constexpr unsigned kOk = 200;
+constexpr unsigned kNotFound = 404; ///< A peer does not know what changed since so old a revision.
 constexpr Micros kAskPeersAfter = 1800 * kMillisecond; ///< Age of the content from which peers are asked.
 
 template <typename Handler> void after(boost::asio::steady_timer& timer, Micros span, Handler handler)
@@ -81,7 +83,7 @@
 void StoreSync::refresh()
 {
 	const Micros now = monotonicNow();
-	if (now - m_lastNews < kNewsInterval)
+	if (m_closed || now - m_lastNews < kNewsInterval)
 	{
 		return;
 	}
@@ -140,29 +142,24 @@
 						 {
 							 if (!self->m_closed)
 							 {
-								 const bool told = answer && answer->status == 200;
-								 self->onRelayUpdate(asked, told ? decodeUpdate(answer->body) : std::nullopt);
+								 self->onRelayAnswer(asked, answer);
 							 }
 						 });
 }
 
-void StoreSync::onRelayUpdate(Micros asked, const std::optional<ContentUpdate>& update)
+void StoreSync::onRelayAnswer(Micros asked, const std::optional<HttpAnswer>& answer)
 {
-	m_relayFailed = !update || update->age > kRelayAge;
-	if (m_relayFailed || !takeUpdate(asked, *update))
+	const bool tooOld = answer && answer->status == kNotFound;
+	const auto update = answer && answer->status == kOk ? decodeUpdate(answer->body) : std::nullopt;
+	m_relayFailed = !tooOld && (!update || update->age > kRelayAge);
+	const bool taken = update && !m_relayFailed && takeUpdate(asked, *update);
+	if (!taken || m_readAgain)
 	{
 		readStore();
 		return;
 	}
 	m_reading = false;
-	if (m_readAgain)
-	{
-		refresh();
-	}
-	if (!m_reading)
-	{
-		scheduleRead(kRelayInterval);
-	}
+	scheduleRead(kRelayInterval);
 }
 
 bool StoreSync::takeUpdate(Micros asked, const ContentUpdate& update)
@@ -182,11 +179,7 @@
 	}
 	if (update.revision <= m_context.content.revision)
 	{
-		if (update.revision == m_context.content.revision)
-		{
-			m_context.content.confirmed = std::max(m_context.content.confirmed, asked - update.age);
-			m_context.directory.onUnchanged(monotonicNow());
-		}
+		confirmUnchanged(update.revision, asked - update.age);
 		return true;
 	}
 	StoreContent content = m_context.content;
@@ -196,6 +189,15 @@
 	return true;
 }
 
+void StoreSync::confirmUnchanged(std::uint64_t revision, Micros confirmed)
+{
+	if (revision == m_context.content.revision)
+	{
+		m_context.content.confirmed = std::max(m_context.content.confirmed, confirmed);
+		m_context.directory.onUnchanged(monotonicNow());
+	}
+}
+
 void StoreSync::readStore()
 {
 	m_readAgain = false;
@@ -525,8 +527,8 @@
 
 void StoreSync::onPeerUpdate(Micros asked, const std::string& host, const std::optional<HttpAnswer>& answer)
 {
-	const auto update = answer && answer->status == 200 ? decodeUpdate(answer->body) : std::nullopt;
-	const bool tooOld = answer && answer->status == 404;
+	const auto update = answer && answer->status == kOk ? decodeUpdate(answer->body) : std::nullopt;
+	const bool tooOld = answer && answer->status == kNotFound;
 	if (tooOld || (update && !takeUpdate(asked, *update)))
 	{
 		askPeer(host, true);
@@ -537,7 +539,7 @@
 
 void StoreSync::onPeerContent(Micros asked, const std::optional<HttpAnswer>& answer)
 {
-	if (!answer || answer->status != 200)
+	if (!answer || answer->status != kOk)
 	{
 		return;
 	}
@@ -547,9 +549,10 @@
 		logEvent(LogLevel::Warning, "peer-content-refused", {});
 		return;
 	}
-	if (content->revision == m_context.directory.revision())
+	if (content->revision == m_context.content.revision)
 	{
 		m_context.directory.confirm(content->confirmed);
+		confirmUnchanged(content->revision, content->confirmed);
 		return;
 	}
 	apply(std::move(*content), true);
@@ -566,7 +569,7 @@
 
 std::string StoreSync::contentSince(std::uint64_t revision) const
 {
-	if (!m_context.history.covers(m_context.content, revision))
+	if (!m_context.history.covers(revision))
 	{
 		return "";
 	}
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -52,7 +52,8 @@
 	void scheduleRead(Micros span);
 	void read();
 	void askRelay(const std::string& host);
-	void onRelayUpdate(Micros asked, const std::optional<ContentUpdate>& update);
+	void onRelayAnswer(Micros asked, const std::optional<HttpAnswer>& answer);
+	void confirmUnchanged(std::uint64_t revision, Micros confirmed);
 	bool takeUpdate(Micros asked, const ContentUpdate& update);
 	void readStore();
 	void readPage(const std::string& afterKey);
