Say in one place how often a peer is heard; plan spot and on demand in functions of their own

Quota and loads each reckoned the span in which a peer is heard by chance, with constants of their own beside those of gossip; CapacityPlanner::plan did two things at three levels of nesting.

Change: GossipPlan::hearingSpan and limits::kGossipRound; planSpot and planOnDemand. An empty set of data centres no longer can divide by zero, which moving a line out of its loop would have brought in.

--- a/include/beacongate/limits.h
+++ b/include/beacongate/limits.h
@@ -56,6 +56,7 @@
 inline constexpr std::size_t kSnapshotBytes = 32u << 20;     ///< The store's content as one gateway reads it.
 inline constexpr std::size_t kGossipBytes = 60u << 10;       ///< One datagram between gateways.
 inline constexpr std::size_t kGossipPeers = 16;              ///< Peers that a gateway sends to in one round.
+inline constexpr Micros kGossipRound = 150 * kMillisecond;   ///< Between two rounds.
 inline constexpr std::size_t kPendingCalls = 64;             ///< Calls that wait for one connection to the store.
 } // namespace beacongate::limits
 
--- a/src/coordination/capacityplanner.cpp
+++ b/src/coordination/capacityplanner.cpp
@@ -146,7 +146,23 @@
 												 Micros now)
 {
 	std::vector<CapacityOrder> orders;
+	const unsigned standing = planSpot(scaling, zones, need, now, orders);
+	const bool unanswered = std::any_of(m_zones.begin(), m_zones.end(),
+										[](const auto& entry) { return entry.second.spot.at == kLongAgo; });
+	if (need.known && !(need.idle && unanswered))
+	{
+		const unsigned missing = need.required > standing ? need.required - standing : 0;
+		planOnDemand(scaling, zones, missing, now, orders);
+	}
+	return orders;
+}
+
+unsigned CapacityPlanner::planSpot(const ScalingSettings& scaling, const std::map<std::string, ZoneCapacity>& zones,
+								   const Need& need, Micros now, std::vector<CapacityOrder>& orders)
+{
 	unsigned standing = 0;
+	const unsigned evenShare =
+		std::min(need.wished / std::max(1u, static_cast<unsigned>(zones.size())), scaling.maximum);
 	for (const auto& [name, wanted] : spreadSpot(scaling, zones, need.wished))
 	{
 		const ZoneCapacity& capacity = zones.at(name);
@@ -158,7 +174,7 @@
 			zone.spotBlockedUntil = std::max(zone.spotBlockedUntil, now + kSpotRetry);
 			zone.spotDry = true;
 		}
-		const auto evenShare = std::min(need.wished / static_cast<unsigned>(zones.size()), scaling.maximum);
+		// A dry data centre is asked for what it would give were it not dry.
 		zone.spotHeld.update(zone.spotDry ? std::max(wanted, evenShare) : wanted, now);
 		const bool blocked = zone.spotBlockedUntil > now;
 		if (!blocked && due(zone.spot, zone.spotHeld.count, capacity.spot, scaling.bootTime, now))
@@ -166,13 +182,12 @@
 			orders.push_back({name, true, zone.spotHeld.count});
 		}
 	}
-	const bool unanswered = std::any_of(m_zones.begin(), m_zones.end(),
-										[](const auto& entry) { return entry.second.spot.at == kLongAgo; });
-	if (!need.known || (need.idle && unanswered))
-	{
-		return orders;
-	}
-	const unsigned missing = need.required > standing ? need.required - standing : 0;
+	return standing;
+}
+
+void CapacityPlanner::planOnDemand(const ScalingSettings& scaling, const std::map<std::string, ZoneCapacity>& zones,
+								   unsigned missing, Micros now, std::vector<CapacityOrder>& orders)
+{
 	for (const auto& [name, wanted] : makeUp(scaling, zones, missing))
 	{
 		ZonePlan& zone = m_zones[name];
@@ -182,7 +197,6 @@
 			orders.push_back({name, false, zone.onDemandHeld.count});
 		}
 	}
-	return orders;
 }
 
 std::map<std::string, unsigned> CapacityPlanner::makeUp(const ScalingSettings& scaling,
--- a/src/coordination/capacityplanner.h
+++ b/src/coordination/capacityplanner.h
@@ -142,6 +142,11 @@
 		Held spotHeld;
 	};
 
+	/// @returns the spot capacity that stands.
+	unsigned planSpot(const ScalingSettings& scaling, const std::map<std::string, ZoneCapacity>& zones,
+					  const Need& need, Micros now, std::vector<CapacityOrder>& orders);
+	void planOnDemand(const ScalingSettings& scaling, const std::map<std::string, ZoneCapacity>& zones,
+					  unsigned missing, Micros now, std::vector<CapacityOrder>& orders);
 	std::map<std::string, unsigned> spreadSpot(const ScalingSettings& scaling,
 											   const std::map<std::string, ZoneCapacity>& zones,
 											   unsigned needed) const;
--- a/src/coordination/gossipplan.h
+++ b/src/coordination/gossipplan.h
@@ -7,6 +7,8 @@
 #ifndef BEACONGATE_COORDINATION_GOSSIPPLAN_H
 #define BEACONGATE_COORDINATION_GOSSIPPLAN_H
 
+#include "beacongate/limits.h"
+
 #include <algorithm>
 #include <cstddef>
 #include <optional>
@@ -29,6 +31,13 @@
 	/// Members and usage go to everybody once in so many rounds.
 	static constexpr std::size_t kFullEvery = 8;
 
+	/// @returns the span in which a peer is heard once, by chance where there are more than a round reaches.
+	static constexpr Micros hearingSpan(std::size_t _members)
+	{
+		const std::size_t rounds = std::max<std::size_t>(1, _members / limits::kGossipPeers);
+		return static_cast<Micros>(rounds) * limits::kGossipRound;
+	}
+
 	/// Chooses receivers for a round.
 	/// @param[in] _known All that could be sent to.
 	/// @param[in] _holder Holds the duties and is always among them; nothing where that is not known.
--- a/src/coordination/quotaledger.cpp
+++ b/src/coordination/quotaledger.cpp
@@ -3,6 +3,8 @@
 
 #include "coordination/quotaledger.h"
 
+#include "coordination/gossipplan.h"
+
 #include <algorithm>
 
 namespace beacongate
@@ -47,8 +49,7 @@
 
 Micros QuotaLedger::silence() const
 {
-	const std::size_t rounds = 2 * m_members / kHeardARound;
-	return std::max<Micros>(kSilence, static_cast<Micros>(rounds) * kRound);
+	return std::max(kSilence, 2 * GossipPlan::hearingSpan(m_members));
 }
 
 double QuotaLedger::leftToPeer(const Bucket& bucket, Micros lastHeard, Micros now) const
--- a/src/coordination/quotaledger.h
+++ b/src/coordination/quotaledger.h
@@ -29,11 +29,9 @@
 class QuotaLedger
 {
 public:
-	/// A peer that was silent for longer is taken for cut off, in fleets where each hears all others in each round.
+	/// A peer that was silent for longer is taken for cut off; in larger fleets, for twice the span in which a peer
+	/// is heard by chance.
 	static constexpr Micros kSilence = 700 * kMillisecond;
-	/// In larger ones, the span is that in which a peer is heard twice by chance.
-	static constexpr std::size_t kHeardARound = 16;
-	static constexpr Micros kRound = 150 * kMillisecond;
 
 	/// Sets the limits in force. A team without one takes freely.
 	void configure(const RoutingConfig& config, Micros now);
--- a/src/gateway/gossiper.cpp
+++ b/src/gateway/gossiper.cpp
@@ -20,7 +20,7 @@
 
 namespace
 {
-constexpr Micros kInterval = 150 * kMillisecond;
+constexpr Micros kLoadPatience = 3; ///< Times the span in which a peer is heard, until its load is not counted.
 constexpr Micros kDrainingNews = 2 * kSecond; ///< How long peers are told of a leaving backend server.
 
 Micros wallClockNow()
@@ -97,9 +97,9 @@
 	const std::size_t members = m_context.peers.memberCount(now);
 	m_context.quotas.setMembers(members);
 	m_context.retryBudget.setMembers(members);
-	m_context.balancer.setPeerLoadLife(expectedSilence(members));
+	m_context.balancer.setPeerLoadLife(std::max(kSecond, kLoadPatience * GossipPlan::hearingSpan(members)));
 	sendRound(now);
-	m_timer.expires_after(std::chrono::microseconds(m_context.jittered(kInterval)));
+	m_timer.expires_after(std::chrono::microseconds(m_context.jittered(limits::kGossipRound)));
 	m_timer.async_wait(
 		[this](const BoostError& error)
 		{
@@ -110,14 +110,6 @@
 		});
 }
 
-Micros Gossiper::expectedSilence(std::size_t members)
-{
-	// A peer that is sent to by chance is heard once in so many rounds.
-	constexpr std::size_t kPatience = 3;
-	const std::size_t rounds = std::max<std::size_t>(1, members / limits::kGossipPeers);
-	return std::max<Micros>(kSecond, static_cast<Micros>(kPatience * rounds) * kInterval);
-}
-
 std::optional<std::string> Gossiper::holderHost() const
 {
 	const auto& items = m_context.content.items;
--- a/src/gateway/gossiper.h
+++ b/src/gateway/gossiper.h
@@ -37,7 +37,6 @@
 	void tick();
 	void sendRound(Micros now);
 	std::optional<std::string> holderHost() const;
-	static Micros expectedSilence(std::size_t members);
 	void receive();
 	void readDatagrams();
 	void onDatagram(std::string_view bytes);
