--- /dev/null
+++ b/src/gateway/exchangeanswers.cpp
@@ -0,0 +1,278 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+// The half of an exchange that begins when a backend server answers.
+
+#include "daemon/logging.h"
+#include "gateway/dispatcher.h"
+#include "gateway/exchange.h"
+#include "gateway/exchange_p.h"
+#include "platform/headers.h"
+#include "transport/forwarding.h"
+
+namespace beacongate
+{
+namespace
+{
+constexpr Micros kAttemptMin = 20 * kMillisecond; ///< Less time than this is not worth another attempt.
+constexpr unsigned kOk = 200;
+constexpr unsigned kMultipleChoices = 300;
+constexpr unsigned kServerErrors = 500;
+} // namespace
+
+void Exchange::onHead(const MessageHead& head)
+{
+	m_attempt.head = head;
+	m_attempt.info = platform::readAnswer(head);
+	const bool ownAnswer = m_attempt.info.id == m_info.id;
+	if (!ownAnswer)
+	{
+		// An answer to some other request stands in this one's place.
+		endAttempt(AttemptResult::Broken);
+		return;
+	}
+	const bool successStatus = head.status >= kOk && head.status < kMultipleChoices;
+	if (successStatus && (!m_attempt.info.stamped || m_attempt.info.encoded))
+	{
+		endAttempt(AttemptResult::Broken);
+		return;
+	}
+	m_attempt.success = successStatus;
+	if (!m_attempt.info.notExecuted && m_route->kind != RouteKind::Stream)
+	{
+		countBegin();
+	}
+}
+
+void Exchange::countBegin()
+{
+	if (m_usageCounted || !m_team)
+	{
+		return;
+	}
+	m_usageCounted = true;
+	const Micros began = m_route->kind == RouteKind::Stream ? monotonicNow() : m_attempt.sent;
+	m_context.usage.onBegan(m_context.currentWindow(began), m_team->name);
+}
+
+void Exchange::onBody(std::string_view bytes)
+{
+	if (m_attempt.success && m_route->kind == RouteKind::Stream)
+	{
+		onEvents(bytes);
+		return;
+	}
+	m_attempt.body += bytes;
+	if (m_attempt.body.size() > limits::kGatewayAnswerBytes)
+	{
+		endAttempt(AttemptResult::Broken);
+	}
+}
+
+void Exchange::onEvents(std::string_view bytes)
+{
+	std::string whole;
+	for (const StreamEvent& event : m_attempt.events.add(bytes))
+	{
+		// A stream that goes on elsewhere may begin with events that the caller has.
+		if (event.id && m_lastEvent && *event.id <= *m_lastEvent)
+		{
+			continue;
+		}
+		m_lastEvent = event.id ? event.id : m_lastEvent;
+		whole += event.bytes;
+	}
+	if (m_attempt.events.pending() > limits::kEventBytes)
+	{
+		endAttempt(AttemptResult::Broken);
+		return;
+	}
+	if (whole.empty())
+	{
+		return;
+	}
+	if (!m_attempt.firstEvent)
+	{
+		m_attempt.firstEvent = true;
+		m_context.balancer.onFirstEvent(m_attempt.backendId, m_placement);
+		m_context.metrics.onFirstByte(m_service, monotonicNow() - m_request.received);
+		countBegin();
+	}
+	if (!m_streaming)
+	{
+		m_streaming = true;
+		m_session->startAnswer(m_attempt.head.status, endToEndHeaders(m_attempt.head.headers), whole);
+	}
+	else
+	{
+		m_session->sendPiece(whole);
+	}
+	if (m_session->unsent() > limits::kUnsentBytes)
+	{
+		m_attempt.call->pause();
+		m_session->setDrainedHandler(
+			[weak = weak_from_this()]
+			{
+				const auto self = weak.lock();
+				if (self && self->m_attempt.call)
+				{
+					self->m_attempt.call->resume();
+				}
+			});
+	}
+}
+
+void Exchange::onDone()
+{
+	if (m_attempt.info.misdirected)
+	{
+		m_context.directory.markMisdirected(m_attempt.backendId);
+		endAttempt(AttemptResult::Misdirected);
+	}
+	else if (m_attempt.info.notExecuted)
+	{
+		endAttempt(AttemptResult::Rejected);
+	}
+	else if (m_attempt.head.status >= kServerErrors)
+	{
+		endAttempt(AttemptResult::ServerError);
+	}
+	else if (m_attempt.success && m_route->kind == RouteKind::Stream)
+	{
+		finishStream();
+	}
+	else
+	{
+		closeAttempt(true);
+		passAnswer();
+	}
+}
+
+void Exchange::finishStream()
+{
+	const bool whole = m_streaming && m_attempt.events.pending() == 0;
+	if (!whole)
+	{
+		endAttempt(AttemptResult::Broken);
+		return;
+	}
+	closeAttempt(true);
+	m_session->finishAnswer();
+	finish("done", m_attempt.head.status);
+}
+
+void Exchange::onFault(CallFault fault)
+{
+	endAttempt(fault == CallFault::NotSent ? AttemptResult::NotSent : AttemptResult::Broken);
+}
+
+void Exchange::closeAttempt(bool succeeded)
+{
+	if (!m_attempt.call)
+	{
+		return;
+	}
+	m_attempt.call->cancel();
+	m_attempt.call = nullptr;
+	releaseBackend();
+	m_context.balancer.onOutcome(m_attempt.backendId, succeeded, monotonicNow());
+	m_dispatcher.wake();
+}
+
+void Exchange::releaseBackend()
+{
+	m_context.balancer.onEnded(m_attempt.backendId, m_placement, m_attempt.firstEvent);
+	if (m_attempt.slots == 0)
+	{
+		return;
+	}
+	const Micros held = monotonicNow() - m_attempt.sent;
+	if (m_placement.promptTokens == 0)
+	{
+		m_context.demand.onCall(m_service, held, m_attempt.slots);
+	}
+	else
+	{
+		m_context.demand.onSlotHeld(m_service, held, m_attempt.slots);
+	}
+}
+
+void Exchange::endAttempt(AttemptResult result)
+{
+	if (m_finished)
+	{
+		return;
+	}
+	const Micros now = monotonicNow();
+	const bool innocent = result == AttemptResult::Misdirected;
+	if (result == AttemptResult::Broken && m_attempt.onTheWire && m_route->kind != RouteKind::Stream)
+	{
+		countBegin();
+	}
+	closeAttempt(innocent);
+	m_unsentTries += result == AttemptResult::NotSent ? 1 : 0;
+	AttemptContext attempts;
+	attempts.repeatable = m_route->repeatable();
+	attempts.mayHaveRun = m_mayHaveRun;
+	attempts.sent = m_sent;
+	attempts.maxAttempts = m_route->maxAttempts;
+	attempts.unsentTries = m_unsentTries;
+	attempts.budgetAllows = m_context.retryBudget.allows(m_service, now);
+	attempts.timeLeft = timeLeft(now) > kAttemptMin;
+	const auto candidates = m_context.directory.usableOf(m_service, now);
+	attempts.anotherBackend = m_context.balancer.choose(candidates, m_placement, m_tried, now).backend != nullptr;
+	const AttemptDecision decision = decideAfterAttempt(result, attempts);
+	m_context.metrics.onFailedAttempt(m_service, toString(result));
+	m_mayHaveRun = m_mayHaveRun || mayHaveRunAfter(result);
+	logEvent(LogLevel::Info, "attempt-failed",
+			 {{"request", m_info.id},
+			  {"backend", m_attempt.backendId},
+			  {"result", std::string(toString(result))},
+			  {"status", std::to_string(m_attempt.head.status)},
+			  {"sent", std::to_string(m_sent)},
+			  {"ms", millisText(now - m_attempt.sent)},
+			  {"decision", std::string(toString(decision))}});
+	if (decision == AttemptDecision::Retry)
+	{
+		if (!tryDispatch() && !m_finished)
+		{
+			m_queued = true;
+			m_dispatcher.enqueue(shared_from_this());
+		}
+		return;
+	}
+	if (m_streaming)
+	{
+		streamBroke();
+		return;
+	}
+	if (decision == AttemptDecision::PassAnswer)
+	{
+		passAnswer();
+		return;
+	}
+	if (decision == AttemptDecision::AnswerNotRun)
+	{
+		refuse(Failure::NoBackend, "no backend server took the request", kShortRetryAfter);
+		return;
+	}
+	refuse(Failure::BackendLost, "the backend server gave no answer");
+}
+
+void Exchange::streamBroke()
+{
+	m_session->abort();
+	finish("broken", 0);
+}
+
+void Exchange::passAnswer()
+{
+	HttpAnswer answer;
+	answer.status = m_attempt.head.status;
+	answer.headers = endToEndHeaders(m_attempt.head.headers);
+	answer.body = std::move(m_attempt.body);
+	m_session->answer(answer);
+	finish("passed", answer.status);
+}
+
+} // namespace beacongate
--- /dev/null
+++ b/tests/contenttest.cpp
@@ -0,0 +1,249 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// What a gateway believes of the store's content, and whom it asks for it.
+
+#include "coordination/contenthistory.h"
+#include "coordination/directory.h"
+#include "coordination/relaychoice.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <random>
+
+namespace beacongate::test
+{
+namespace
+{
+RoutingConfigPtr configOf(std::uint64_t version)
+{
+	auto config = std::make_shared<RoutingConfig>();
+	config->version = version;
+	config->buildIndex();
+	return config;
+}
+
+BackendRecord backendOf(const std::string& id, bool draining = false)
+{
+	BackendRecord record;
+	record.id = id;
+	record.service = "model";
+	record.draining = draining;
+	return record;
+}
+} // namespace
+
+RC_GTEST_PROP(Directory, neverGoesBackInAnyOrderOfSnapshots, (const std::vector<std::uint8_t>& order))
+{
+	Directory directory;
+	std::uint64_t newest = 0;
+	Micros now = kSecond;
+	for (const std::uint8_t revision : order)
+	{
+		now += kMillisecond;
+		// The store's revision and the configuration's version rise together; a snapshot may come late.
+		directory.apply({revision, configOf(revision / 3 + 1), {}, now}, now);
+		const std::uint64_t version = directory.config() ? directory.config()->version : 0;
+		RC_ASSERT(version >= newest);
+		newest = version;
+	}
+}
+
+RC_GTEST_PROP(Directory, aBackendThatDrainsNeverGetsNewWorkAgain, (const std::vector<std::uint8_t>& events))
+{
+	Directory directory;
+	bool drained = false;
+	std::uint64_t revision = 0;
+	Micros now = kSecond;
+	for (const std::uint8_t event : events)
+	{
+		++revision;
+		now += kMillisecond;
+		const bool draining = event % 7 == 0;
+		const bool listed = event % 5 != 0;
+		std::vector<BackendRecord> backends;
+		if (listed)
+		{
+			backends.push_back(backendOf("b", draining));
+			drained = drained || draining;
+		}
+		directory.apply({revision, configOf(1), backends, now}, now);
+		const auto usable = directory.usableOf("model", now);
+		RC_ASSERT(!drained || usable.empty());
+	}
+}
+
+TEST(Directory, aVanishedRecordIsOnlyUsedForAShortWhileAndWhereNoOtherIsLeft)
+{
+	Directory directory;
+	directory.apply({1, configOf(1), {backendOf("a"), backendOf("b")}, 0}, kSecond);
+	directory.apply({2, configOf(1), {backendOf("b")}, 0}, 2 * kSecond);
+	ASSERT_EQ(directory.usableOf("model", 2 * kSecond).size(), 1u);
+	EXPECT_EQ(directory.usableOf("model", 2 * kSecond)[0]->record.id, "b");
+	directory.apply({3, configOf(1), {}, 0}, 3 * kSecond);
+	EXPECT_FALSE(directory.usableOf("model", 3 * kSecond).empty());
+	EXPECT_TRUE(directory.usableOf("model", 3 * kSecond + Directory::kVanishedGrace).empty());
+}
+
+TEST(Directory, aRecordThatLapsedAndCameBackIsUsedAgain)
+{
+	// Records lapse while the store is down; only one that said so itself is told to peers as leaving.
+	Directory directory;
+	directory.apply({1, configOf(1), {backendOf("a"), backendOf("b")}, 0}, kSecond);
+	directory.apply({2, configOf(1), {backendOf("b", true)}, 0}, 2 * kSecond);
+	EXPECT_EQ(directory.drainingSince(0), std::vector<std::string>{"b"});
+	directory.apply({3, configOf(1), {backendOf("a"), backendOf("b", true)}, 0}, 4 * kSecond);
+	ASSERT_EQ(directory.usableOf("model", 4 * kSecond).size(), 1u);
+	EXPECT_EQ(directory.usableOf("model", 4 * kSecond)[0]->record.id, "a");
+}
+
+TEST(Directory, recordsThatLapsedInAnOutageAreUsedUntilTheyAreBackOrGone)
+{
+	Directory directory;
+	directory.apply({1, configOf(1), {backendOf("a"), backendOf("b")}, 0}, kSecond);
+	const Micros back = kSecond + Directory::kOutage + kMillisecond;
+	directory.apply({5, configOf(1), {}, 0}, back);
+	EXPECT_EQ(directory.usableOf("model", back).size(), 2u);
+	// One returns first: it must not get the whole load.
+	directory.apply({6, configOf(1), {backendOf("a")}, 0}, back + kSecond);
+	EXPECT_EQ(directory.usableOf("model", back + kSecond).size(), 2u);
+	const auto later = directory.usableOf("model", back + Directory::kLapseReturn);
+	ASSERT_EQ(later.size(), 1u);
+	EXPECT_EQ(later[0]->record.id, "a");
+}
+
+TEST(Directory, aRecordThatGoesWhileTheStoreAnswersIsNotTakenToHaveLapsed)
+{
+	Directory directory;
+	Micros now = kSecond;
+	directory.apply({1, configOf(1), {backendOf("a"), backendOf("b")}, 0}, now);
+	for (int poll = 0; poll < 10; ++poll)
+	{
+		now += kSecond;
+		directory.onUnchanged(now);
+	}
+	directory.apply({2, configOf(1), {backendOf("b")}, 0}, now + kSecond);
+	EXPECT_EQ(directory.usableOf("model", now + kSecond).size(), 1u);
+}
+
+TEST(Directory, oneThatSaidItLeavesIsNotUsedThoughItsRecordLapsed)
+{
+	Directory directory;
+	directory.apply({1, configOf(1), {backendOf("a", true), backendOf("b")}, 0}, kSecond);
+	const Micros back = kSecond + 2 * Directory::kOutage;
+	directory.apply({5, configOf(1), {}, 0}, back);
+	ASSERT_EQ(directory.usableOf("model", back).size(), 1u);
+	EXPECT_EQ(directory.usableOf("model", back)[0]->record.id, "b");
+}
+
+TEST(Directory, ageCountsFromTheCallThatConfirmed)
+{
+	Directory directory;
+	EXPECT_GT(directory.age(kSecond), 3600 * kSecond);
+	directory.apply({1, configOf(1), {}, 5 * kSecond}, 6 * kSecond);
+	EXPECT_EQ(directory.age(7 * kSecond), 2 * kSecond);
+	directory.confirm(4 * kSecond);
+	EXPECT_EQ(directory.age(7 * kSecond), 2 * kSecond);
+}
+
+RC_GTEST_PROP(ContentHistory, aFollowerEndsWithWhatItsRelayHas, (const std::vector<std::uint8_t>& steps))
+{
+	// A store that changes, a relay that reads it now and then, a follower that asks the relay now and then.
+	StoreContent store;
+	StoreContent relay;
+	StoreContent follower;
+	ContentHistory history;
+	const auto readStore = [&]
+	{
+		const StoreContent before = relay;
+		relay = store;
+		history.onReplaced(before, relay);
+	};
+	store.revision = 1;
+	readStore();
+	follower = relay;
+	for (const std::uint8_t step : steps)
+	{
+		const std::string key = "k" + std::to_string(step % 5);
+		switch (step / 5 % 4)
+		{
+		case 0:
+			++store.revision;
+			store.items[key] = {key, std::to_string(step), store.revision};
+			break;
+		case 1:
+			++store.revision;
+			store.items.erase(key);
+			break;
+		case 2:
+			readStore();
+			break;
+		default:
+			RC_ASSERT(history.covers(follower.revision));
+			applyUpdate(follower, history.updateSince(relay, follower.revision));
+			RC_ASSERT(follower.revision == relay.revision);
+			RC_ASSERT(follower.items.size() == relay.items.size());
+			for (const auto& [name, item] : relay.items)
+			{
+				RC_ASSERT(follower.items[name].value == item.value);
+			}
+		}
+	}
+}
+
+TEST(ContentHistory, saysWhenItDoesNotKnowAndLeavesLargeValuesOut)
+{
+	ContentHistory history;
+	StoreContent content;
+	EXPECT_FALSE(history.covers(0));
+	content.revision = 10;
+	content.items["large"] = {"large", std::string(ContentHistory::kValueBytes + 1, 'x'), 9};
+	history.onReplaced({}, content);
+	EXPECT_FALSE(history.covers(9));
+	EXPECT_TRUE(history.covers(11)) << "one that knows more is told so, and not that the relay failed";
+	const ContentUpdate nothing = history.updateSince(content, 11);
+	EXPECT_EQ(nothing.revision, 10u);
+	EXPECT_TRUE(nothing.items.empty() && nothing.leftOut.empty() && nothing.removed.empty());
+	StoreContent next = content;
+	next.revision = 12;
+	next.items["large"].revision = 12;
+	history.onReplaced(content, next);
+	const ContentUpdate update = history.updateSince(next, 10);
+	ASSERT_EQ(update.leftOut.size(), 1u);
+	EXPECT_EQ(update.leftOut[0].revision, 12u);
+	EXPECT_TRUE(update.items.empty());
+	for (std::size_t round = 0; round <= ContentHistory::kRemovals; ++round)
+	{
+		StoreContent with = next;
+		++with.revision;
+		with.items["k"] = {"k", "", with.revision};
+		history.onReplaced(next, with);
+		next = with;
+		++next.revision;
+		next.items.erase("k");
+		history.onReplaced(with, next);
+	}
+	EXPECT_FALSE(history.covers(12));
+	EXPECT_TRUE(history.covers(next.revision - 2));
+}
+
+TEST(RelayChoice, isTheFirstOfTheDataCentreThatAnswers)
+{
+	RelayChoice second({"10.0.0.2", "a"});
+	EXPECT_FALSE(second.relay(0));
+	second.setMembers({{"10.0.0.1", "b"}, {"10.0.0.2", "a"}, {"10.0.0.3", "a"}});
+	EXPECT_FALSE(second.relay(0)) << "the own data centre alone counts, and only those before in order";
+	RelayChoice third({"10.0.0.3", "a"});
+	third.setMembers({{"10.0.0.1", "a"}, {"10.0.0.2", "a"}, {"10.0.0.3", "a"}});
+	EXPECT_EQ(third.relay(0), "10.0.0.1");
+	third.onFailed("10.0.0.1", kSecond);
+	EXPECT_EQ(third.relay(kSecond), "10.0.0.2");
+	third.onFailed("10.0.0.2", kSecond);
+	EXPECT_FALSE(third.relay(kSecond));
+	EXPECT_EQ(third.relay(2 * kSecond + RelayChoice::kAvoided), "10.0.0.1");
+}
+
+} // namespace beacongate::test
--- a/tests/faultproxytest.cpp
+++ b/tests/faultproxytest.cpp
@@ -16,12 +16,19 @@
 {
 namespace
 {
+/// A loopback address of this process alone, so that tests that run at the same time do not meet.
+std::string ownHost()
+{
+	const auto pid = static_cast<unsigned>(getpid());
+	return "127." + std::to_string(1 + pid / 250 % 250) + "." + std::to_string(pid % 250) + ".1";
+}
+
 sockaddr_in loopback(std::uint16_t _port)
 {
 	sockaddr_in address{};
 	address.sin_family = AF_INET;
 	address.sin_port = htons(_port);
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	inet_pton(AF_INET, ownHost().c_str(), &address.sin_addr);
 	return address;
 }
 } // namespace
@@ -36,7 +43,7 @@
 	sockaddr_in address = loopback(kTarget);
 	ASSERT_EQ(bind(listener, reinterpret_cast<const sockaddr*>(&address), sizeof address), 0);
 	ASSERT_EQ(listen(listener, 1), 0);
-	soak::FaultProxy proxy({"127.0.0.1", kProxy}, {"127.0.0.1", kTarget});
+	soak::FaultProxy proxy({ownHost(), kProxy}, {ownHost(), kTarget});
 	const int caller = socket(AF_INET, SOCK_STREAM, 0);
 	address = loopback(kProxy);
 	ASSERT_EQ(connect(caller, reinterpret_cast<const sockaddr*>(&address), sizeof address), 0);
--- /dev/null
+++ b/tests/gatewayfixture.h
@@ -0,0 +1,289 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// Whole gateways against stand-ins of the platform, for tests of what callers and workers see.
+
+#ifndef BEACONGATE_TESTS_GATEWAYFIXTURE_H
+#define BEACONGATE_TESTS_GATEWAYFIXTURE_H
+
+#include "await.h"
+#include "daemon/clock.h"
+#include "gateway/gateway.h"
+#include "gateway/memberkeys.h"
+#include "platform/names.h"
+#include "protocol/json.h"
+#include "protocol/usagecodec.h"
+#include "standin/platform.h"
+#include "standin/platformsite.h"
+
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <csignal>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace beacongate::test
+{
+inline constexpr std::uint16_t kCallerPort = 18100;
+inline constexpr std::uint16_t kReadyPort = 18101;
+inline constexpr std::uint16_t kControlPort = 18102;
+inline constexpr std::uint16_t kGossipPort = 18103;
+inline constexpr std::uint16_t kStorePort = 18104;
+inline constexpr std::uint16_t kDutyPort = 18105;
+inline constexpr std::uint16_t kWorkerPort = 18106;
+
+/// A caller's connection, seen as bytes.
+class Caller
+{
+public:
+	explicit Caller(const Address& address) : m_socket(socket(AF_INET, SOCK_STREAM, 0))
+	{
+		sockaddr_in target{};
+		target.sin_family = AF_INET;
+		target.sin_port = htons(address.port);
+		inet_pton(AF_INET, address.host.c_str(), &target.sin_addr);
+		connected = connect(m_socket, reinterpret_cast<const sockaddr*>(&target), sizeof target) == 0;
+	}
+
+	~Caller()
+	{
+		leave();
+	}
+
+	Caller(const Caller&) = delete;
+	Caller& operator=(const Caller&) = delete;
+
+	void leave()
+	{
+		if (m_socket >= 0)
+		{
+			close(m_socket);
+			m_socket = -1;
+		}
+	}
+
+	void say(const std::string& bytes) const
+	{
+		::send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+	}
+
+	/// Reads until a text has come, the connection ends, or the span is over.
+	std::string hear(const std::string& until, Micros span = 10 * kSecond)
+	{
+		std::string heard;
+		const Micros end = monotonicNow() + span;
+		while (monotonicNow() < end && (until.empty() || heard.find(until) == std::string::npos))
+		{
+			pollfd ready{m_socket, POLLIN, 0};
+			if (poll(&ready, 1, 20) != 1)
+			{
+				continue;
+			}
+			char buffer[4096];
+			const ssize_t count = recv(m_socket, buffer, sizeof buffer, 0);
+			if (count <= 0)
+			{
+				ended = true;
+				wasReset = count < 0;
+				break;
+			}
+			heard.append(buffer, static_cast<std::size_t>(count));
+		}
+		return heard;
+	}
+
+	bool connected = false;
+	bool ended = false;
+	bool wasReset = false;
+
+private:
+	int m_socket;
+};
+
+/// A gateway on a thread of its own.
+class RunningGateway
+{
+public:
+	explicit RunningGateway(const GatewaySettings& settings)
+		: m_gateway(settings, [settings] { return settings; }), m_thread([this] { serve(); })
+	{
+	}
+
+	~RunningGateway()
+	{
+		stop();
+	}
+
+	void requestStop()
+	{
+		m_gateway.post([this] { m_gateway.requestStop(); });
+	}
+
+	void stop()
+	{
+		if (m_thread.joinable())
+		{
+			requestStop();
+			m_thread.join();
+		}
+	}
+
+private:
+	void serve()
+	{
+		m_gateway.init();
+		m_gateway.run();
+	}
+
+	Gateway m_gateway;
+	std::thread m_thread;
+};
+
+/// Store, duties, two workers and as many gateways as a test asks for, on loopback addresses of their own.
+class GatewayTest : public testing::Test
+{
+protected:
+	GatewayTest()
+	{
+		std::signal(SIGPIPE, SIG_IGN);
+		const auto pid = static_cast<unsigned>(getpid());
+		m_net = "127." + std::to_string(1 + pid / 250 % 250) + "." + std::to_string(pid % 250) + ".";
+		store = std::make_unique<standin::PlatformStore>(Address{host(200), kStorePort});
+		duties = std::make_unique<standin::PlatformDuties>(Address{host(200), kDutyPort});
+		for (unsigned number : {1u, 2u})
+		{
+			const Address address{host(100 + number), kWorkerPort};
+			workers.push_back(std::make_unique<standin::PlatformWorker>(workerId(number), address));
+			registerWorker(number, "ready");
+		}
+		store->put(platform::kConfigKey, config(1));
+	}
+
+	std::string host(unsigned number) const
+	{
+		return m_net + std::to_string(number);
+	}
+
+	static std::string workerId(unsigned number)
+	{
+		return "w" + std::to_string(number);
+	}
+
+	void registerWorker(unsigned number, const std::string& state)
+	{
+		constexpr unsigned kSlots = 4;
+		const Address address{host(100 + number), kWorkerPort};
+		store->put("servers/" + workerId(number), standin::formatRecord(address, kSlots, state));
+	}
+
+	static std::string config(std::uint64_t version, const std::vector<std::string>& keys = {"key"})
+	{
+		standin::SiteConfig made;
+		made.version = version;
+		made.host = "h.example";
+		made.keys = keys;
+		made.routes = {{"/safe/", "safe", 2},
+					   {"/unsafe/", "unsafe", 1},
+					   {"/stream/once/", "streaming", 1},
+					   {"/stream/again/", "streaming", 2, true},
+					   {"/open/", "safe", 2, false, true}};
+		return standin::formatConfig(made);
+	}
+
+	GatewaySettings settings(unsigned number) const
+	{
+		GatewaySettings made;
+		made.name = "g" + std::to_string(number);
+		made.dataCentre = "z1";
+		made.callers = {host(number), kCallerPort};
+		made.readiness = {host(number), kReadyPort};
+		made.control = Address{host(number), kControlPort};
+		made.gossipPort = kGossipPort;
+		made.seeds = {{host(1), kControlPort}, {host(2), kControlPort}};
+		made.store = {host(200), kStorePort};
+		made.dutyApi = Address{host(200), kDutyPort};
+		made.reportsUsage = true;
+		made.grace = 2 * kSecond;
+		made.strictRevocation = true;
+		made.revocationSpan = 3 * kSecond;
+		made.leaseSpan = 2 * kSecond;
+		made.usageWindow = kSecond;
+		return made;
+	}
+
+	void startGateway(const GatewaySettings& chosen)
+	{
+		gateways.push_back(std::make_unique<RunningGateway>(chosen));
+		ASSERT_TRUE(await([&] { return isReady(chosen.readiness); })) << chosen.name << " did not get ready";
+	}
+
+	static bool isReady(const Address& address)
+	{
+		Caller caller(address);
+		caller.say("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+		return caller.hear("\r\n\r\n", kSecond).find("HTTP/1.1 200") == 0;
+	}
+
+	static std::string request(const std::string& method, const std::string& path, const std::string& id,
+							   const std::string& more = "", const std::string& body = "")
+	{
+		std::string bytes = method + ' ' + path + " HTTP/1.1\r\nHost: h.example\r\n" + platform::kRequestId + ": " +
+							id + "\r\n" + platform::kDeadline + ": 5000\r\n" + more;
+		if (!body.empty())
+		{
+			bytes += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+		}
+		return bytes + "\r\n" + body;
+	}
+
+	/// Sends one request and reads the whole answer.
+	std::string call(const std::string& method, const std::string& path, const std::string& id,
+					 const std::string& key = "key", unsigned gateway = 1)
+	{
+		Caller caller({host(gateway), kCallerPort});
+		const std::string header = key.empty() ? "" : std::string(platform::kApiKey) + ": " + key + "\r\n";
+		caller.say(request(method, path, id, header + "Connection: close\r\n", method == "POST" ? "body" : ""));
+		return caller.hear("");
+	}
+
+	unsigned runsOf(const std::string& id)
+	{
+		return workers[0]->runsOf(id) + workers[1]->runsOf(id);
+	}
+
+	void setFaults(standin::WorkerFault fault)
+	{
+		for (auto& worker : workers)
+		{
+			worker->setFault(fault);
+		}
+	}
+
+	static unsigned statusOf(const std::string& answer)
+	{
+		return answer.size() < 12 ? 0 : static_cast<unsigned>(std::atoi(answer.c_str() + 9));
+	}
+
+	static bool has(const std::string& answer, const std::string& text)
+	{
+		return answer.find(text) != std::string::npos;
+	}
+
+	std::unique_ptr<standin::PlatformStore> store;
+	std::unique_ptr<standin::PlatformDuties> duties;
+	std::vector<std::unique_ptr<standin::PlatformWorker>> workers;
+	std::vector<std::unique_ptr<RunningGateway>> gateways;
+
+private:
+	std::string m_net;
+};
+
+using standin::StoreFault;
+using standin::WorkerFault;
+
+} // namespace beacongate::test
+
+#endif // BEACONGATE_TESTS_GATEWAYFIXTURE_H
--- a/tests/processes.h
+++ b/tests/processes.h
@@ -7,6 +7,7 @@
 #ifndef BEACONGATE_TESTS_PROCESSES_H
 #define BEACONGATE_TESTS_PROCESSES_H
 
+#include "await.h"
 #include "daemon/clock.h"
 #include "protocol/configdoc.h"
 #include "protocol/json.h"
@@ -25,22 +26,6 @@
 
 namespace beacongate::test
 {
-/// Runs a check until it holds, for 20 s at most.
-/// @returns whether it held.
-inline bool await(const std::function<bool()>& _check)
-{
-	const Micros until = monotonicNow() + 20 * kSecond;
-	while (monotonicNow() < until)
-	{
-		if (_check())
-		{
-			return true;
-		}
-		std::this_thread::sleep_for(std::chrono::milliseconds(10));
-	}
-	return false;
-}
-
 /// An answer with its fault, where there is none.
 struct Reply
 {
--- /dev/null
+++ b/tests/quotatest.cpp
@@ -0,0 +1,251 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// Quotas and retries that all gateways share.
+
+#include "coordination/quotaledger.h"
+#include "coordination/sharedretrybudget.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <random>
+
+namespace beacongate::test
+{
+namespace
+{
+RoutingConfigPtr limitedConfig(double rate, double burst)
+{
+	auto config = std::make_shared<RoutingConfig>();
+	TeamAccess team;
+	team.name = "team";
+	team.keys = {"key"};
+	team.ratePerSecond = rate;
+	team.burst = burst;
+	config->teams = {team};
+	config->buildIndex();
+	return config;
+}
+} // namespace
+
+RC_GTEST_PROP(QuotaLedger, gatewaysTogetherStayWithinTheQuota, (const std::vector<std::uint8_t>& steps))
+{
+	constexpr std::size_t kGateways = 4;
+	constexpr double kRate = 1000.0;
+	constexpr double kBurst = 500.0;
+	constexpr Micros kStep = 100 * kMillisecond;
+	const RoutingConfigPtr config = limitedConfig(kRate, kBurst);
+	std::vector<QuotaLedger> ledgers(kGateways);
+	Micros now = kSecond;
+	for (QuotaLedger& ledger : ledgers)
+	{
+		ledger.setMembers(kGateways);
+		ledger.configure(*config, now);
+	}
+	std::vector<bool> cut(kGateways, false);
+	double taken = 0.0;
+	double cuttings = 0.0;
+	for (const std::uint8_t step : steps)
+	{
+		now += kStep;
+		const bool cuts = step >= 192;
+		cuttings += cuts && !cut[step % kGateways] ? 1.0 : 0.0;
+		cut[step % kGateways] = cuts;
+		for (std::size_t index = 0; index < kGateways; ++index)
+		{
+			for (std::size_t peer = 0; peer < kGateways; ++peer)
+			{
+				if (peer != index && !cut[peer] && !cut[index])
+				{
+					const std::string name = std::to_string(peer);
+					ledgers[index].onReport(name, 1, {"team", ledgers[peer].takenHere("team")}, now);
+					ledgers[index].onHeard(name, now);
+				}
+			}
+			// Each asks for as much as the whole quota allows.
+			for (int request = 0; request < 10; ++request)
+			{
+				const double amount = kRate * 0.01;
+				taken += ledgers[index].take("team", amount, now) == 0 ? amount : 0.0;
+			}
+		}
+	}
+	const double seconds = static_cast<double>(now - kSecond) / static_cast<double>(kSecond);
+	// Each gateway may take what is there before it hears of the others: a burst and a request apiece, and, at each
+	// cut, the whole rate until the silence is noticed.
+	const double silence = static_cast<double>(QuotaLedger::kSilence + kStep) / static_cast<double>(kSecond);
+	const double slack = (kBurst + kRate * 0.01) * static_cast<double>(kGateways) + kRate * silence * cuttings;
+	RC_ASSERT(taken <= kRate * seconds + kBurst + slack);
+}
+
+TEST(QuotaLedger, aLargeFleetThatHearsByChanceKeepsTheQuotaAndUsesIt)
+{
+	// 83 gateways, each of which sends to 16 others by chance in a round; a team that asks for four times its
+	// limit.
+	constexpr std::size_t kGateways = 83;
+	constexpr std::size_t kReceivers = 16;
+	constexpr double kRate = 100'000.0;
+	constexpr double kBurst = 200'000.0;
+	constexpr double kAmount = 12'000.0;
+	constexpr double kDemand = 4.0;
+	constexpr Micros kRound = 150 * kMillisecond;
+	constexpr std::size_t kRounds = 400;
+	constexpr std::size_t kWindow = 8 * kSecond / kRound;
+	const RoutingConfigPtr config = limitedConfig(kRate, kBurst);
+	std::vector<QuotaLedger> ledgers(kGateways);
+	std::minstd_rand random(7);
+	Micros now = kSecond;
+	for (QuotaLedger& ledger : ledgers)
+	{
+		ledger.setMembers(kGateways);
+		ledger.configure(*config, now);
+	}
+	const double requestsARound = kDemand * kRate * 0.15 / kAmount / static_cast<double>(kGateways);
+	std::poisson_distribution<int> arrivals(requestsARound);
+	std::vector<double> taken;
+	for (std::size_t round = 0; round < kRounds; ++round)
+	{
+		now += kRound;
+		for (std::size_t sender = 0; sender < kGateways; ++sender)
+		{
+			for (std::size_t sent = 0; sent < kReceivers; ++sent)
+			{
+				const std::size_t receiver = random() % kGateways;
+				if (receiver != sender)
+				{
+					const std::string name = std::to_string(sender);
+					ledgers[receiver].onReport(name, 1, {"team", ledgers[sender].takenHere("team")}, now);
+					ledgers[receiver].onHeard(name, now);
+				}
+			}
+		}
+		double sum = 0.0;
+		for (QuotaLedger& ledger : ledgers)
+		{
+			for (int request = arrivals(random); request > 0; --request)
+			{
+				sum += ledger.take("team", kAmount, now) == 0 ? kAmount : 0.0;
+			}
+		}
+		taken.push_back(sum);
+	}
+	// What is taken before the others hear of it counts against the tolerance of a window.
+	constexpr double kTolerated = (kRate * 8.0 + kBurst) * 1.1 + 140'000.0;
+	double all = 0.0;
+	double window = 0.0;
+	double most = 0.0;
+	for (std::size_t round = 0; round < kRounds; ++round)
+	{
+		all += taken[round];
+		window += taken[round] - (round >= kWindow ? taken[round - kWindow] : 0.0);
+		most = std::max(most, window);
+	}
+	EXPECT_LE(most, kTolerated);
+	EXPECT_GE(all, 0.8 * kRate * 0.15 * static_cast<double>(kRounds));
+}
+
+TEST(QuotaLedger, oneThatHearsNobodyTakesItsEqualShareOnly)
+{
+	QuotaLedger ledger;
+	ledger.setMembers(8);
+	ledger.configure(*limitedConfig(800.0, 100.0), 0);
+	double taken = 0.0;
+	for (Micros now = 0; now < 10 * kSecond; now += 10 * kMillisecond)
+	{
+		taken += ledger.take("team", 10.0, now) == 0 ? 10.0 : 0.0;
+	}
+	EXPECT_LE(taken, 10.0 * 100.0 + 100.0);
+	EXPECT_GE(taken, 10.0 * 100.0 * 0.9);
+}
+
+TEST(QuotaLedger, gatewaysThatStartTogetherShareOneBurst)
+{
+	constexpr std::size_t kGateways = 8;
+	double taken = 0.0;
+	for (std::size_t index = 0; index < kGateways; ++index)
+	{
+		QuotaLedger ledger;
+		ledger.setMembers(kGateways);
+		ledger.configure(*limitedConfig(1000.0, 800.0), 0);
+		while (ledger.take("team", 1.0, 0) == 0)
+		{
+			taken += 1.0;
+		}
+	}
+	EXPECT_LE(taken, 800.0);
+	EXPECT_GE(taken, 300.0);
+}
+
+TEST(QuotaLedger, tellsWhenToComeBack)
+{
+	QuotaLedger ledger;
+	ledger.configure(*limitedConfig(100.0, 100.0), 0);
+	EXPECT_EQ(ledger.take("team", 50.0, 0), 0);
+	const Micros wait = ledger.take("team", 50.0, 0);
+	EXPECT_GT(wait, 0);
+	EXPECT_LE(wait, 500 * kMillisecond);
+	EXPECT_EQ(ledger.take("team", 50.0, wait), 0);
+}
+
+TEST(QuotaLedger, largeRequestsAreNotStarvedBySmallOnes)
+{
+	QuotaLedger ledger;
+	ledger.configure(*limitedConfig(1000.0, 500.0), 0);
+	unsigned large = 0;
+	unsigned largeAsked = 0;
+	unsigned small = 0;
+	unsigned smallAsked = 0;
+	for (Micros now = 0; now < 60 * kSecond; now += 10 * kMillisecond)
+	{
+		const bool isLarge = now / (10 * kMillisecond) % 10 == 0;
+		const bool taken = ledger.take("team", isLarge ? 400.0 : 10.0, now) == 0;
+		(isLarge ? largeAsked : smallAsked) += 1;
+		(isLarge ? large : small) += taken ? 1 : 0;
+	}
+	EXPECT_GT(static_cast<double>(large) / largeAsked, 0.5 * static_cast<double>(small) / smallAsked);
+}
+
+TEST(QuotaLedger, whatWasTakenTooMuchIsOwed)
+{
+	QuotaLedger ledger;
+	ledger.configure(*limitedConfig(1000.0, 100.0), 0);
+	double taken = 0.0;
+	for (Micros now = 0; now < 60 * kSecond; now += 10 * kMillisecond)
+	{
+		taken += ledger.take("team", 3000.0, now) == 0 ? 3000.0 : 0.0;
+	}
+	EXPECT_LE(taken, 60.0 * 1000.0 + 100.0 + 3000.0);
+	EXPECT_GE(taken, 60.0 * 1000.0 * 0.9);
+}
+
+RC_GTEST_PROP(SharedRetryBudget, allGatewaysTogetherStayWithinIt, (const std::vector<std::uint8_t>& steps))
+{
+	constexpr std::size_t kGateways = 5;
+	RetryBudgetSettings settings;
+	settings.slack = 50.0;
+	std::vector<SharedRetryBudget> budgets(kGateways);
+	for (SharedRetryBudget& budget : budgets)
+	{
+		budget.configure(settings);
+		budget.setMembers(kGateways);
+	}
+	double requests = 0.0;
+	double repeats = 0.0;
+	for (const std::uint8_t step : steps)
+	{
+		SharedRetryBudget& budget = budgets[step % kGateways];
+		budget.onRequest("service", kSecond);
+		requests += 1.0;
+		while (budget.allows("service", kSecond))
+		{
+			budget.onRepeat("service", kSecond);
+			repeats += 1.0;
+		}
+	}
+	RC_ASSERT(repeats <= settings.ratio * requests + settings.slack);
+}
+
+} // namespace beacongate::test
--- a/tools/soak/soak.cpp
+++ b/tools/soak/soak.cpp
@@ -1,7 +1,7 @@
 // Copyright 2026 The beacongate authors.
 // Licence: BSD-2-Clause, see LICENSE.
 
-#include "soak/soak.h"
+#include "soak/soak_p.h"
 
 #include "beacongate/errors.h"
 #include "daemon/clock.h"
@@ -33,7 +33,6 @@
 constexpr unsigned kBackendHost = 251;
 constexpr unsigned kBackendProxyHost = 252;
 constexpr unsigned kStoreProxyHosts = 100; ///< Plus the gateway's number.
-constexpr unsigned kBackends = 3;          ///< That take work at any time.
 constexpr std::size_t kKeysInForce = 2;
 constexpr Micros kStep = 20 * kMillisecond;
 constexpr Micros kGrace = 6 * kSecond;
@@ -57,27 +56,6 @@
 }
 } // namespace
 
-/// A gateway with the link between it and the store.
-struct Soak::Gateway
-{
-	Address address;
-	std::unique_ptr<FaultProxy> storeLink;
-	std::unique_ptr<GatewayProcess> process;
-	bool asked = false;  ///< Its process was asked to stop.
-	bool paused = false; ///< Its process stands still.
-	std::size_t stop = 0;
-};
-
-/// A backend server with the link to it.
-struct Soak::Backend
-{
-	std::string id;
-	Address address;
-	std::unique_ptr<standin::PlatformWorker> worker;
-	std::unique_ptr<FaultProxy> link;
-	bool leaving = false;
-};
-
 Soak::Soak(const SoakOptions& _options) : m_options(_options), m_random(_options.seed)
 {
 	const auto pid = static_cast<unsigned>(getpid());
@@ -262,209 +240,6 @@
 	return _least + static_cast<Micros>(m_random() % static_cast<std::uint64_t>(_most - _least + 1));
 }
 
-void Soak::restart(unsigned _number)
-{
-	m_gateways[_number]->asked = false;
-	m_gateways[_number]->paused = false;
-	m_gateways[_number]->process->start();
-}
-
-void Soak::killGateway(unsigned _number)
-{
-	Gateway& gateway = *m_gateways[_number];
-	const std::size_t disruption = disrupt("kill", _number);
-	gateway.process->kill();
-	gateway.asked = true;
-	later(drawnSpan(200 * kMillisecond, 1500 * kMillisecond),
-		  [this, _number, disruption]
-		  {
-			  restart(_number);
-			  calmDown(disruption);
-		  });
-}
-
-void Soak::stopGateway(unsigned _number)
-{
-	Gateway& gateway = *m_gateways[_number];
-	gateway.asked = true;
-	{
-		const std::lock_guard<std::mutex> guard(m_mutex);
-		gateway.stop = m_seen.stops.size();
-		m_seen.stops.push_back({_number, gateway.process->starts(), monotonicNow(), kNever});
-	}
-	gateway.process->signal(SIGTERM);
-}
-
-void Soak::pauseGateway(unsigned _number)
-{
-	Gateway& gateway = *m_gateways[_number];
-	gateway.paused = true;
-	const std::size_t disruption = disrupt("pause", _number);
-	gateway.process->signal(SIGSTOP);
-	later(drawnSpan(200 * kMillisecond, 4 * kSecond),
-		  [this, &gateway, disruption]
-		  {
-			  gateway.paused = false;
-			  gateway.process->signal(SIGCONT);
-			  calmDown(disruption);
-		  });
-}
-
-void Soak::cutStore(unsigned _number)
-{
-	constexpr std::array kFaults = {LinkFault::Delays, LinkFault::Resets, LinkFault::Silent,
-									LinkFault::CutsAnswers};
-	const std::size_t disruption = disrupt("store-link", _number);
-	m_gateways[_number]->storeLink->setFault(kFaults[drawn(kFaults.size())]);
-	later(drawnSpan(300 * kMillisecond, 6 * kSecond),
-		  [this, _number, disruption]
-		  {
-			  m_gateways[_number]->storeLink->setFault(LinkFault::None);
-			  calmDown(disruption);
-		  });
-}
-
-void Soak::failStore()
-{
-	constexpr std::array kFaults = {standin::StoreFault::Busy, standin::StoreFault::Silent,
-									standin::StoreFault::LosesWrites};
-	const std::size_t disruption = disrupt("store", std::nullopt);
-	if (drawn(4) == 0)
-	{
-		m_store->forgetHistory();
-		calmDown(disruption);
-		return;
-	}
-	m_store->setFault(kFaults[drawn(kFaults.size())]);
-	later(drawnSpan(300 * kMillisecond, 5 * kSecond),
-		  [this, disruption]
-		  {
-			  m_store->setFault(standin::StoreFault::None);
-			  calmDown(disruption);
-		  });
-}
-
-void Soak::lapseRecords()
-{
-	const std::size_t disruption = disrupt("store-lapse", std::nullopt);
-	m_store->setFault(standin::StoreFault::Busy);
-	later(drawnSpan(2 * kSecond, 4 * kSecond),
-		  [this, disruption]
-		  {
-			  for (const auto& backend : m_backends)
-			  {
-				  m_store->remove(platform::kServersPrefix + backend->id);
-			  }
-			  m_store->setFault(standin::StoreFault::None);
-			  later(drawnSpan(100 * kMillisecond, 1800 * kMillisecond),
-					[this, disruption]
-					{
-						for (const auto& backend : m_backends)
-						{
-							if (!backend->leaving)
-							{
-								putRecord(*backend, "ready");
-							}
-						}
-						calmDown(disruption);
-					});
-		  });
-}
-
-void Soak::failBackend()
-{
-	constexpr std::array kFaults = {standin::WorkerFault::Rejects,  standin::WorkerFault::Fails,
-									standin::WorkerFault::Resets,   standin::WorkerFault::Hangs,
-									standin::WorkerFault::WrongId,  standin::WorkerFault::CutsStream,
-									standin::WorkerFault::Unframed, standin::WorkerFault::Misdirected};
-	Backend& backend = *m_backends[m_backends.size() - 1 - drawn(kBackends)];
-	const std::size_t disruption = disrupt("backend", std::nullopt, true);
-	backend.worker->setFault(kFaults[drawn(kFaults.size())]);
-	later(drawnSpan(300 * kMillisecond, 3 * kSecond),
-		  [this, &backend, disruption]
-		  {
-			  backend.worker->setFault(standin::WorkerFault::None);
-			  calmDown(disruption);
-		  });
-}
-
-void Soak::cutBackend()
-{
-	constexpr std::array kFaults = {LinkFault::Delays, LinkFault::Resets, LinkFault::Silent,
-									LinkFault::CutsAnswers};
-	Backend& backend = *m_backends[m_backends.size() - 1 - drawn(kBackends)];
-	const std::size_t disruption = disrupt("backend-link", std::nullopt, true);
-	backend.link->setFault(kFaults[drawn(kFaults.size())]);
-	later(drawnSpan(300 * kMillisecond, 3 * kSecond),
-		  [this, &backend, disruption]
-		  {
-			  backend.link->setFault(LinkFault::None);
-			  calmDown(disruption);
-		  });
-}
-
-void Soak::leaveBackend()
-{
-	addBackend();
-	const auto staying = [](const std::unique_ptr<Backend>& _backend)
-	{
-		return !_backend->leaving;
-	};
-	Backend& backend = **std::find_if(m_backends.begin(), m_backends.end(), staying);
-	backend.leaving = true;
-	if (drawn(3) == 0)
-	{
-		m_store->remove(platform::kServersPrefix + backend.id);
-	}
-	else
-	{
-		putRecord(backend, "draining");
-	}
-	const std::lock_guard<std::mutex> guard(m_mutex);
-	m_seen.departures.push_back({backend.id, monotonicNow()});
-}
-
-void Soak::injectOne()
-{
-	const auto number = static_cast<unsigned>(drawn(m_gateways.size()));
-	Gateway& gateway = *m_gateways[number];
-	const bool steady = !gateway.asked && !gateway.paused && gateway.process->running();
-	switch (drawn(12))
-	{
-	case 0:
-		steady ? killGateway(number) : void();
-		break;
-	case 1:
-	case 2:
-		steady ? stopGateway(number) : void();
-		break;
-	case 3:
-		steady ? pauseGateway(number) : void();
-		break;
-	case 4:
-		cutStore(number);
-		break;
-	case 5:
-		drawn(2) == 0 ? failStore() : lapseRecords();
-		break;
-	case 6:
-		failBackend();
-		break;
-	case 7:
-		cutBackend();
-		break;
-	case 8:
-		leaveBackend();
-		break;
-	case 9:
-		gateway.process->signal(SIGHUP);
-		break;
-	default:
-		rotateKey();
-		break;
-	}
-}
-
 void Soak::watchProcesses()
 {
 	for (unsigned number = 0; number < m_gateways.size(); ++number)
