--- a/src/coordination/balancer.cpp
+++ b/src/coordination/balancer.cpp
@@ -89,7 +89,7 @@
 	}
 	if (placement.backend)
 	{
-		const unsigned running = totalInFlight(placement.backend->record.id, now);
+		const unsigned running = totalInFlight(placement.backend->record.id);
 		placement.full = running >= placement.backend->record.slots;
 	}
 	return placement;
@@ -98,7 +98,7 @@
 double Balancer::costOf(const KnownBackend& backend, const PlacementRequest& request, bool preferred,
 						Micros now) const
 {
-	const BackendLoad load = totalLoad(backend.record.id, now);
+	const BackendLoad load = totalLoad(backend.record.id);
 	double cost = backend.record.dataCentre == m_dataCentre ? 0.0 : kOtherZoneMillis;
 	cost += load.inFlight >= backend.record.slots ? kFullMillis : 0.0;
 	cost += backend.coldUntil > now ? kColdMillis : 0.0;
@@ -112,35 +112,24 @@
 	return cost;
 }
 
-BackendLoad Balancer::totalLoad(const std::string& id, Micros now) const
+BackendLoad Balancer::totalLoad(const std::string& id) const
 {
 	BackendLoad total;
-	const auto own = m_own.find(id);
-	if (own != m_own.end())
+	for (const auto* loads : {&m_own, &m_peerTotals})
 	{
-		total = own->second;
-	}
-	for (const auto& [peer, loads] : m_peers)
-	{
-		if (now - loads.heard > m_peerLoadLife)
-		{
-			continue;
-		}
-		for (const BackendLoad& load : loads.loads)
+		const auto it = loads->find(id);
+		if (it != loads->end())
 		{
-			if (load.id == id)
-			{
-				total.inFlight += load.inFlight;
-				total.pendingTokens += load.pendingTokens;
-			}
+			total.inFlight += it->second.inFlight;
+			total.pendingTokens += it->second.pendingTokens;
 		}
 	}
 	return total;
 }
 
-unsigned Balancer::totalInFlight(const std::string& id, Micros now) const
+unsigned Balancer::totalInFlight(const std::string& id) const
 {
-	return totalLoad(id, now).inFlight;
+	return totalLoad(id).inFlight;
 }
 
 void Balancer::onSent(const std::string& id, const PlacementRequest& request)
@@ -197,7 +186,46 @@
 
 void Balancer::setPeerLoads(const std::string& peer, std::vector<BackendLoad> loads, Micros now)
 {
-	m_peers[peer] = {now, std::move(loads)};
+	PeerLoads& known = m_peers[peer];
+	removeFromTotals(known.loads);
+	known = {now, std::move(loads)};
+	for (const BackendLoad& load : known.loads)
+	{
+		BackendLoad& total = m_peerTotals[load.id];
+		total.inFlight += load.inFlight;
+		total.pendingTokens += load.pendingTokens;
+	}
+}
+
+void Balancer::removeFromTotals(const std::vector<BackendLoad>& loads)
+{
+	for (const BackendLoad& load : loads)
+	{
+		const auto it = m_peerTotals.find(load.id);
+		if (it == m_peerTotals.end())
+		{
+			continue; // A peer told of nothing there, and the sum was erased since.
+		}
+		it->second.inFlight -= load.inFlight;
+		it->second.pendingTokens -= load.pendingTokens;
+		if (it->second.inFlight == 0 && it->second.pendingTokens == 0)
+		{
+			m_peerTotals.erase(it);
+		}
+	}
+}
+
+void Balancer::expirePeerLoads(Micros now)
+{
+	for (auto it = m_peers.begin(); it != m_peers.end();)
+	{
+		const bool silent = now - it->second.heard > m_peerLoadLife;
+		if (silent)
+		{
+			removeFromTotals(it->second.loads);
+		}
+		it = silent ? m_peers.erase(it) : std::next(it);
+	}
 }
 
 std::vector<BackendLoad> Balancer::ownLoads() const
--- a/src/coordination/balancer.h
+++ b/src/coordination/balancer.h
@@ -85,11 +85,14 @@
 		m_peerLoadLife = life;
 	}
 
+	/// Forgets what peers said that were not heard of late; to be called several times a second.
+	void expirePeerLoads(Micros now);
+
 	/// @returns this gateway's own load, for its peers.
 	std::vector<BackendLoad> ownLoads() const;
 
 	/// @returns requests of all gateways at a backend server.
-	unsigned totalInFlight(const std::string& id, Micros now) const;
+	unsigned totalInFlight(const std::string& id) const;
 
 	/// Forgets backend servers that are no longer known.
 	void retain(const std::map<std::string, KnownBackend>& known);
@@ -111,14 +114,16 @@
 	};
 
 	bool ejected(const std::string& id, Micros now) const;
-	BackendLoad totalLoad(const std::string& id, Micros now) const;
+	BackendLoad totalLoad(const std::string& id) const;
 	double costOf(const KnownBackend& backend, const PlacementRequest& request, bool preferred, Micros now) const;
+	void removeFromTotals(const std::vector<BackendLoad>& loads);
 
 	std::string m_dataCentre;
 	Micros m_peerLoadLife = kSecond;
 	std::map<std::string, BackendLoad> m_own;
 	std::map<std::string, Health> m_health;
 	std::map<std::string, PeerLoads> m_peers;
+	std::map<std::string, BackendLoad> m_peerTotals; ///< Sums of m_peers by backend server.
 };
 
 } // namespace beacongate
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -69,7 +69,6 @@
 		bool onTheWire = false;
 		bool firstEvent = false;
 		bool success = false;
-		bool counted = false;
 	};
 
 	bool resolve();
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -9,7 +9,7 @@
 {
 namespace
 {
-Json describeBackends(const GatewayContext& context, Micros now)
+Json describeBackends(const GatewayContext& context)
 {
 	Json list = Json::array();
 	for (const auto& [id, known] : context.directory.backends())
@@ -20,7 +20,7 @@
 						{"usable", known.usable()},
 						{"draining", known.record.draining},
 						{"spot", known.record.spot},
-						{"inFlight", context.balancer.totalInFlight(id, now)}});
+						{"inFlight", context.balancer.totalInFlight(id)}});
 	}
 	return list;
 }
@@ -54,7 +54,7 @@
 					 {"stopping", context.stopping},
 					 {"holdsDuties", holdsDuties},
 					 {"members", context.peers.memberCount(now)},
-					 {"backends", describeBackends(context, now)},
+					 {"backends", describeBackends(context)},
 					 {"peers", describePeers(context, now)}};
 	return state.dump(2);
 }
--- a/src/gateway/gossiper.cpp
+++ b/src/gateway/gossiper.cpp
@@ -98,6 +98,7 @@
 	m_context.quotas.setMembers(members);
 	m_context.retryBudget.setMembers(members);
 	m_context.balancer.setPeerLoadLife(std::max(kSecond, kLoadPatience * GossipPlan::hearingSpan(members)));
+	m_context.balancer.expirePeerLoads(now);
 	sendRound(now);
 	m_timer.expires_after(std::chrono::microseconds(m_context.jittered(limits::kGossipRound)));
 	m_timer.async_wait(
