--- a/src/coordination/gossip.h
+++ b/src/coordination/gossip.h
@@ -26,6 +26,7 @@
 	Micros sent = 0;                  ///< The sender's steady time.
 	Micros echo = 0;                  ///< The newest `sent` that the sender has heard from the receiver.
 	Micros wallClock = 0;             ///< The sender's time of day.
+	Micros uptime = 0;                ///< For how long the sender has been running.
 	std::uint64_t configVersion = 0;  ///< 0 where it has none.
 	std::uint64_t storeRevision = 0;  ///< The revision that it knows.
 	Micros configAge = kNever;        ///< How long ago that was certainly the newest.
--- a/src/coordination/quotaledger.cpp
+++ b/src/coordination/quotaledger.cpp
@@ -6,14 +6,18 @@
 #include "coordination/gossipplan.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace beacongate
 {
 namespace
 {
 constexpr double kStartShare = 0.5; ///< Of the burst, at a start: what others have is not known yet.
+constexpr double kKeptShare = 0.5;  ///< Of a level that was kept: more may have been taken since.
 constexpr double kReadyShare = 0.1; ///< Of a request, that has to be there when its caller comes back.
 constexpr Micros kLongestWait = 5 * kSecond;
+constexpr Micros kInterval = 20 * kMillisecond; ///< Takings within it are kept as one: 400 for a bucket at most.
+constexpr double kMostDebt = 2.0;                ///< Bursts. Late news must not shut a team out for longer.
 
 double secondsOf(Micros span)
 {
@@ -21,25 +25,113 @@
 }
 } // namespace
 
+namespace
+{
+/// @returns how much of a taking counts at an age.
+double weightAt(Micros _age)
+{
+	const double fading = secondsOf(TokenBucket::kHistory - TokenBucket::kFullWeight);
+	return std::clamp(secondsOf(TokenBucket::kHistory - _age) / fading, 0.0, 1.0);
+}
+
+/// @returns the seconds of a span that ends now, weighted like the takings in it.
+double weightedSeconds(Micros _span)
+{
+	const double full = secondsOf(std::min(_span, TokenBucket::kFullWeight));
+	const double rest = secondsOf(std::max<Micros>(0, _span - TokenBucket::kFullWeight));
+	return full + rest * (1.0 + weightAt(_span)) / 2.0;
+}
+} // namespace
+
+void TokenBucket::setLimits(double _rate, double _burst)
+{
+	const double window = secondsOf(kHistory);
+	const double before = m_rate * window + m_burst;
+	const double after = _rate * window + _burst;
+	if (limited() && after < before)
+	{
+		for (Interval& interval : m_intervals)
+		{
+			interval.amount *= after / before;
+		}
+	}
+	m_rate = _rate;
+	m_burst = _burst;
+}
+
+double TokenBucket::level(Micros _now) const
+{
+	double level = m_burst;
+	double taken = 0.0;
+	for (auto it = m_intervals.rbegin(); it != m_intervals.rend() && _now - it->since <= kHistory; ++it)
+	{
+		taken += it->amount * weightAt(_now - it->since);
+		level = std::min(level, m_burst + m_rate * weightedSeconds(_now - it->since) - taken);
+	}
+	return level;
+}
+
+void TokenBucket::record(double _amount, Micros _now)
+{
+	while (!m_intervals.empty() && _now - m_intervals.front().since > kHistory)
+	{
+		m_intervals.pop_front();
+	}
+	if (m_intervals.empty() || _now - m_intervals.back().since > kInterval)
+	{
+		m_intervals.push_back({_now, 0.0});
+	}
+	m_intervals.back().amount += _amount;
+}
+
 void QuotaLedger::configure(const RoutingConfig& config, Micros now)
 {
-	const double startShare = kStartShare / static_cast<double>(m_members);
-	for (const TeamAccess& team : config.teams)
+	for (const TeamAccess& access : config.teams)
 	{
-		const auto [it, added] = m_buckets.try_emplace(team.name);
-		Bucket& bucket = it->second;
-		const bool unlimitedBefore = added || bucket.rate <= 0.0;
-		refill(bucket, now);
-		bucket.rate = team.ratePerSecond;
-		bucket.burst = team.burst;
-		bucket.level = unlimitedBefore ? bucket.burst * startShare : std::min(bucket.level, bucket.burst);
+		const auto [it, added] = m_teams.try_emplace(access.name);
+		Team& team = it->second;
+		const bool unlimitedBefore = added || !team.bucket.limited();
+		advance(team, now);
+		team.bucket.setLimits(access.ratePerSecond, access.burst);
+		if (unlimitedBefore && team.bucket.limited())
+		{
+			team.bucket.record(access.burst - startLevel(access), now);
+		}
 	}
-	for (auto& [name, bucket] : m_buckets)
+	for (auto& [name, team] : m_teams)
 	{
 		const bool present = std::any_of(config.teams.begin(), config.teams.end(),
-										 [&name = name](const TeamAccess& team) { return team.name == name; });
-		bucket.rate = present ? bucket.rate : 0.0;
+										 [&name = name](const TeamAccess& access) { return access.name == name; });
+		if (!present)
+		{
+			team.bucket.setLimits(0.0, 0.0);
+		}
+	}
+}
+
+double QuotaLedger::startLevel(const TeamAccess& team) const
+{
+	if (m_firstStart)
+	{
+		// All gateways start at once and do not hear each other yet.
+		return kStartShare * team.burst / static_cast<double>(m_members);
+	}
+	const auto kept = m_keptLevels.find(team.name);
+	const double level = kept == m_keptLevels.end() ? 0.0 : static_cast<double>(kept->second);
+	return kKeptShare * std::min(level, team.burst);
+}
+
+std::map<std::string, std::uint64_t> QuotaLedger::levels(Micros _now) const
+{
+	std::map<std::string, std::uint64_t> levels;
+	for (const auto& [name, team] : m_teams)
+	{
+		if (team.bucket.limited())
+		{
+			levels.emplace(name, static_cast<std::uint64_t>(std::max(0.0, team.bucket.level(_now))));
+		}
 	}
+	return levels;
 }
 
 void QuotaLedger::setMembers(std::size_t members)
@@ -52,69 +144,88 @@
 	return std::max(kSilence, 2 * GossipPlan::hearingSpan(m_members));
 }
 
-double QuotaLedger::leftToPeer(const Bucket& bucket, Micros lastHeard, Micros now) const
+double QuotaLedger::leftToPeer(const TokenBucket& bucket, Micros lastHeard, Micros now) const
 {
 	const Micros silent = std::max<Micros>(0, now - lastHeard - silence());
-	return bucket.rate * secondsOf(silent) / static_cast<double>(m_members);
+	return bucket.rate() * secondsOf(silent) / static_cast<double>(m_members);
 }
 
-double QuotaLedger::fillShare(Micros now) const
+double QuotaLedger::silentShare(Micros now) const
 {
 	std::size_t heard = 1;
 	for (const auto& [peer, last] : m_heard)
 	{
 		heard += now - last <= silence() ? 1 : 0;
 	}
-	const auto members = static_cast<double>(std::max(m_members, heard));
-	return static_cast<double>(heard) / members;
+	const std::size_t members = std::max(m_members, heard);
+	return static_cast<double>(members - heard) / static_cast<double>(members);
+}
+
+void QuotaLedger::Team::recordRecent(double _amount, Micros _now)
+{
+	recent = recent * std::exp(-secondsOf(_now - recentFaded)) + _amount;
+	recentFaded = _now;
 }
 
-void QuotaLedger::refill(Bucket& bucket, Micros now) const
+double QuotaLedger::unheard(const Team& team, Micros now) const
 {
-	const double added = bucket.rate * fillShare(now) * secondsOf(now - bucket.filled);
-	bucket.level = std::min(bucket.burst, bucket.level + added);
-	bucket.filled = now;
+	const double rate = team.recent * std::exp(-secondsOf(now - team.recentFaded));
+	return rate * secondsOf(GossipPlan::hearingSpan(m_members));
+}
+
+void QuotaLedger::advance(Team& team, Micros now) const
+{
+	const Micros since = team.advanced;
+	team.advanced = now;
+	const double share = silentShare(now);
+	if (since != kLongAgo && share > 0.0)
+	{
+		const Micros span = std::min(now - since, TokenBucket::kHistory);
+		team.bucket.record(team.bucket.rate() * share * secondsOf(span), now);
+	}
 }
 
 Micros QuotaLedger::take(const std::string& team, double amount, Micros now)
 {
-	const auto it = m_buckets.find(team);
-	if (it == m_buckets.end())
+	const auto it = m_teams.find(team);
+	if (it == m_teams.end())
 	{
 		return 0;
 	}
-	Bucket& bucket = it->second;
-	if (bucket.rate <= 0.0)
+	TokenBucket& bucket = it->second.bucket;
+	if (!bucket.limited())
 	{
-		bucket.takenHere += amount;
+		it->second.takenHere += amount;
 		return 0;
 	}
-	refill(bucket, now);
+	advance(it->second, now);
 	// Any request passes while something is left, and what it takes beyond that is owed: a bucket that is nearly
 	// empty would else let small requests through and never a large one.
-	if (bucket.level <= 0.0)
+	const double level = bucket.level(now) - unheard(it->second, now);
+	if (level <= 0.0)
 	{
-		const double wait = (-bucket.level + kReadyShare * std::min(amount, bucket.burst)) / bucket.rate;
+		const double wait = (-level + kReadyShare * std::min(amount, bucket.burst())) / bucket.rate();
 		return std::clamp<Micros>(static_cast<Micros>(wait * static_cast<double>(kSecond)), kMillisecond,
 								  kLongestWait);
 	}
-	bucket.level -= amount;
-	bucket.takenHere += amount;
+	bucket.record(amount, now);
+	it->second.recordRecent(amount, now);
+	it->second.takenHere += amount;
 	return 0;
 }
 
-void QuotaLedger::giveBack(const std::string& team, double amount)
+void QuotaLedger::giveBack(const std::string& team, double amount, Micros now)
 {
-	const auto it = m_buckets.find(team);
-	if (it != m_buckets.end())
+	const auto it = m_teams.find(team);
+	if (it != m_teams.end())
 	{
-		// Only this copy is filled again: what was said to others stays said.
-		it->second.level = std::min(it->second.burst, it->second.level + amount);
+		// Only this copy is corrected: what was said to others stays said.
+		it->second.bucket.record(-amount, now);
 	}
 }
 
 void QuotaLedger::onReport(const std::string& peer, std::uint64_t incarnation, const QuotaReport& report,
-						   Micros now)
+						   Micros now, Micros uptime)
 {
 	PeerCount& count = m_peerCounts[peer][report.team];
 	if (incarnation < count.incarnation)
@@ -122,7 +233,8 @@
 		return;
 	}
 	const auto heard = m_heard.find(peer);
-	if (heard == m_heard.end())
+	const bool firstHeard = heard == m_heard.end();
+	if (firstHeard && uptime > TokenBucket::kHistory)
 	{
 		// What it took before it was known cannot be told apart from old work.
 		count = {incarnation, report.taken};
@@ -131,17 +243,18 @@
 	const double before = incarnation > count.incarnation ? 0.0 : count.taken;
 	const double taken = report.taken - before;
 	count = {incarnation, std::max(before, report.taken)};
-	const auto it = m_buckets.find(report.team);
-	if (taken <= 0.0 || it == m_buckets.end())
+	const auto it = m_teams.find(report.team);
+	if (taken <= 0.0 || it == m_teams.end() || !it->second.bucket.limited())
 	{
 		return;
 	}
-	Bucket& bucket = it->second;
-	refill(bucket, now);
-	// While it was silent, its share of the rate was left to it and not filled in here.
-	const double owed = std::max(0.0, taken - leftToPeer(bucket, heard->second, now));
-	// Late news of old work must not shut a team out for longer than the burst is worth.
-	bucket.level = std::max(bucket.level - owed, -2.0 * bucket.burst);
+	TokenBucket& bucket = it->second.bucket;
+	advance(it->second, now);
+	// While it was silent, its share of the rate was left to it and is recorded already.
+	const double owed = std::max(0.0, taken - (firstHeard ? 0.0 : leftToPeer(bucket, heard->second, now)));
+	const double most = std::max(0.0, bucket.level(now) + kMostDebt * bucket.burst());
+	bucket.record(std::min(owed, most), now);
+	it->second.recordRecent(owed, now);
 }
 
 void QuotaLedger::onHeard(const std::string& peer, Micros now)
@@ -151,8 +264,8 @@
 
 double QuotaLedger::takenHere(const std::string& team) const
 {
-	const auto it = m_buckets.find(team);
-	return it == m_buckets.end() ? 0.0 : it->second.takenHere;
+	const auto it = m_teams.find(team);
+	return it == m_teams.end() ? 0.0 : it->second.takenHere;
 }
 
 } // namespace beacongate
--- a/src/coordination/quotaledger.h
+++ b/src/coordination/quotaledger.h
@@ -2,7 +2,7 @@
 // Licence: BSD-2-Clause, see LICENSE.
 
 /// @file
-/// A team's quota over all gateways: each keeps a copy of one token bucket, fed by what the others say they took.
+/// A team's quota over all gateways: each keeps the recent takings of all of them and admits by one token bucket.
 
 #ifndef BEACONGATE_COORDINATION_QUOTALEDGER_H
 #define BEACONGATE_COORDINATION_QUOTALEDGER_H
@@ -11,6 +11,7 @@
 #include "beacongate/types.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 
@@ -23,6 +24,61 @@
 	double taken = 0.0;
 };
 
+/// What all gateways took from one team's bucket of late, and the level that follows from it.
+/// @remarks The level is worked out anew from the takings instead of being carried along. A difference between two
+/// gateways (a start, a limit that took hold earlier here, a refund) therefore ends after kHistory at the latest;
+/// a carried level would keep it for as long as the team stays over its limit.
+class TokenBucket
+{
+public:
+	/// Takings count in full for this long, and less and less until kHistory, so that no burst becomes free at one
+	/// moment. In between lies the window over which a quota is checked (8 s on all deployments so far).
+	static constexpr Micros kFullWeight = 5 * kSecond;
+	/// Takings are forgotten after this span.
+	static constexpr Micros kHistory = 10 * kSecond;
+
+	/// Sets the limits.
+	/// @param[in] _rate Amount per second; 0 or less for no limit.
+	/// @remarks Where limits fall, what was taken under the old ones counts in proportion.
+	void setLimits(double _rate, double _burst);
+
+	/// @returns whether there is a limit.
+	bool limited() const
+	{
+		return m_rate > 0.0;
+	}
+
+	/// @returns amount per second.
+	double rate() const
+	{
+		return m_rate;
+	}
+
+	/// @returns amount on top of the rate.
+	double burst() const
+	{
+		return m_burst;
+	}
+
+	/// @returns what may be taken; below 0 where too much was.
+	double level(Micros _now) const;
+
+	/// Counts an amount as taken; a negative one gives back.
+	void record(double _amount, Micros _now);
+
+private:
+	/// Takings that lie close together.
+	struct Interval
+	{
+		Micros since = 0; ///< The first of them.
+		double amount = 0.0;
+	};
+
+	double m_rate = 0.0;
+	double m_burst = 0.0;
+	std::deque<Interval> m_intervals; ///< Oldest first; bounded by kHistory.
+};
+
 /// All teams' buckets.
 /// @remarks A gateway that is not heard may be taking its equal share, so that share of the rate is left
 /// to it. One that hears nobody takes just that share itself. The sum stays within the rate either way.
@@ -33,6 +89,22 @@
 	/// is heard by chance.
 	static constexpr Micros kSilence = 700 * kMillisecond;
 
+	/// A gateway that starts while the system runs does not know what was taken before. It begins with a part of what
+	/// was kept of a team's bucket, or with an empty one.
+	void setFirstStart(bool _firstStart)
+	{
+		m_firstStart = _firstStart;
+	}
+
+	/// Names what was left of buckets before this gateway started; to be called before configure().
+	void setKeptLevels(std::map<std::string, std::uint64_t> _levels)
+	{
+		m_keptLevels = std::move(_levels);
+	}
+
+	/// @returns what is left of each limited team's bucket, to be kept for gateways that start.
+	std::map<std::string, std::uint64_t> levels(Micros _now) const;
+
 	/// Sets the limits in force. A team without one takes freely.
 	void configure(const RoutingConfig& config, Micros now);
 
@@ -45,11 +117,13 @@
 	Micros take(const std::string& team, double amount, Micros now);
 
 	/// Gives back what a request took that did not run.
-	void giveBack(const std::string& team, double amount);
+	void giveBack(const std::string& team, double amount, Micros now);
 
 	/// A peer says what it has taken; to be called before onHeard() for the same message.
 	/// @param[in] incarnation The peer's run: its counts begin at 0.
-	void onReport(const std::string& peer, std::uint64_t incarnation, const QuotaReport& report, Micros now);
+	/// @param[in] uptime For how long the peer has been running: all that a young one took is recent.
+	void onReport(const std::string& peer, std::uint64_t incarnation, const QuotaReport& report, Micros now,
+				  Micros uptime = kNever);
 
 	/// A peer was heard.
 	void onHeard(const std::string& peer, Micros now);
@@ -58,13 +132,16 @@
 	double takenHere(const std::string& team) const;
 
 private:
-	struct Bucket
+	struct Team
 	{
-		double rate = 0.0;
-		double burst = 0.0;
-		double level = 0.0;
-		Micros filled = 0;
+		TokenBucket bucket;
 		double takenHere = 0.0;
+		Micros advanced = kLongAgo; ///< Until then the shares of silent gateways are recorded.
+		double recent = 0.0;        ///< What all took, a second's worth: older takings fade out.
+		Micros recentFaded = 0;     ///< Until then they have faded.
+
+		/// All gateways, this one included, took an amount.
+		void recordRecent(double _amount, Micros _now);
 	};
 
 	struct PeerCount
@@ -75,14 +152,23 @@
 
 	/// @returns for how long a peer is silent before it is taken for cut off.
 	Micros silence() const;
-	double fillShare(Micros now) const;
-	double leftToPeer(const Bucket& bucket, Micros lastHeard, Micros now) const;
-	void refill(Bucket& bucket, Micros now) const;
-
-	std::map<std::string, Bucket> m_buckets;
+	/// @returns the part of the gateways that are not heard.
+	double silentShare(Micros now) const;
+	double leftToPeer(const TokenBucket& bucket, Micros lastHeard, Micros now) const;
+	/// @returns what is likely to have been taken without word of it yet. All gateways reckon with the whole, so that
+	/// none of them gets ahead by having taken most of it itself.
+	double unheard(const Team& team, Micros now) const;
+	/// Counts the share of the rate that is left to silent gateways as taken.
+	void advance(Team& team, Micros now) const;
+	/// @returns what a bucket holds as this gateway first hears of it.
+	double startLevel(const TeamAccess& team) const;
+
+	std::map<std::string, std::uint64_t> m_keptLevels;
+	std::map<std::string, Team> m_teams;
 	std::map<std::string, std::map<std::string, PeerCount>> m_peerCounts;
 	std::map<std::string, Micros> m_heard;
 	std::size_t m_members = 1;
+	bool m_firstStart = true;
 };
 
 } // namespace beacongate
--- a/src/gateway/dutyholder.cpp
+++ b/src/gateway/dutyholder.cpp
@@ -250,8 +250,9 @@
 	m_keepingCounts = true;
 	m_countsKept = now;
 	KvTransaction change;
-	// Counts only grow and are merged by the larger, so a put that is done late does no harm.
-	change.puts = {{kCountsKey, text, 0}};
+	// Counts only grow and are merged by the larger, so a put that is done late does no harm. Levels are a hint for
+	// gateways that start.
+	change.puts = {{kCountsKey, text, 0}, {kLevelsKey, encodeTotals(m_context.quotas.levels(now)), 0}};
 	m_countsChannel->call(
 		platform::transactionCall(change), kStoreTimeout,
 		[self = shared_from_this(), text = std::move(text)](const std::optional<HttpAnswer>& answer)
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -344,7 +344,7 @@
 	}
 	if (m_team && m_quotaTaken > 0.0 && !m_mayHaveRun && m_sent == 0)
 	{
-		m_context.quotas.giveBack(m_team->name, m_quotaTaken);
+		m_context.quotas.giveBack(m_team->name, m_quotaTaken, monotonicNow());
 	}
 	m_session->answer(makeOwnAnswer(status, failure, detail, retryAfter, platform::ownAnswerHeaders(m_info.id)));
 	finish(std::string(failureInfo(failure).type), status, detail);
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -40,6 +40,7 @@
 		  random(static_cast<std::mt19937::result_type>(run.incarnation))
 	{
 		retryBudget.configure(settings.retryBudget);
+		quotas.setFirstStart(settings.firstStart);
 		peers.setSeeds(settings.seeds);
 	}
 
@@ -58,6 +59,7 @@
 	boost::asio::io_context loop{1};
 	GatewaySettings settings;
 	GatewayRun run;
+	Micros started = monotonicNow();
 	Directory directory;
 	StoreContent content;
 	ContentHistory history;
--- a/src/gateway/gossiper.cpp
+++ b/src/gateway/gossiper.cpp
@@ -69,6 +69,7 @@
 	message.host = m_context.settings.callers.host;
 	message.sent = now;
 	message.wallClock = wallClockNow();
+	message.uptime = now - m_context.started;
 	message.storeRevision = m_context.directory.revision();
 	message.configVersion = m_context.directory.config() ? m_context.directory.config()->version : 0;
 	message.configAge = m_context.directory.age(now);
@@ -201,7 +202,7 @@
 	}
 	for (const QuotaReport& report : message->quotas)
 	{
-		m_context.quotas.onReport(message->host, message->run.incarnation, report, now);
+		m_context.quotas.onReport(message->host, message->run.incarnation, report, now, message->uptime);
 	}
 	for (const DemandReport& report : message->demand)
 	{
--- a/src/gateway/memberkeys.h
+++ b/src/gateway/memberkeys.h
@@ -20,6 +20,7 @@
 inline constexpr const char* kHolderKey = "beacongate/holder";           ///< Leased to the holder of the duties.
 inline constexpr const char* kFenceKey = "beacongate/fence";             ///< The holder's fencing token.
 
+inline constexpr const char* kLevelsKey = "beacongate/levels"; ///< What is left of the teams' quotas.
 inline constexpr const char* kCountsKey = "beacongate/counts"; ///< Usage counts of all gateways.
 
 /// @returns whether a key registers a gateway.
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -3,6 +3,7 @@
 
 #include "gateway/storesync.h"
 
+#include "beacongate/errors.h"
 #include "daemon/logging.h"
 #include "gateway/memberkeys.h"
 #include "platform/documents.h"
@@ -394,6 +395,10 @@
 				snapshot.backends.push_back(*record);
 			}
 		}
+		else if (key == kLevelsKey)
+		{
+			learnLevels(item);
+		}
 		else if (key == kCountsKey)
 		{
 			learnCounts(item);
@@ -436,6 +441,18 @@
 	}
 }
 
+void StoreSync::learnLevels(const KvItem& item)
+{
+	try
+	{
+		m_context.quotas.setKeptLevels(decodeTotals(item.value));
+	}
+	catch (const Error& error)
+	{
+		logEvent(LogLevel::Warning, "quota-levels-unreadable", {{"detail", error.what()}});
+	}
+}
+
 const BackendRecord* StoreSync::recordOf(const std::string& id, const KvItem& item)
 {
 	ParsedRecord& parsed = m_records[id];
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -70,6 +70,7 @@
 	void onPeerUpdate(Micros asked, const std::string& host, const std::optional<HttpAnswer>& answer);
 	void onPeerContent(Micros asked, const std::optional<HttpAnswer>& answer);
 	const BackendRecord* recordOf(const std::string& id, const KvItem& item);
+	void learnLevels(const KvItem& item);
 	void learnCounts(const KvItem& item);
 	void schedulePeers();
 
--- a/src/protocol/gossipcodec.cpp
+++ b/src/protocol/gossipcodec.cpp
@@ -76,7 +76,8 @@
 		Json::array({kFormat, message.run.name, message.run.incarnation, message.host, message.sent, message.echo,
 					 message.wallClock, message.configVersion, message.storeRevision, message.configAge,
 					 message.leaving, message.members, encodeQuotas(message.quotas), encodeLoads(message.loads),
-					 encodeUsage(message.usage), encodeDemand(message.demand), message.draining});
+					 encodeUsage(message.usage), encodeDemand(message.demand), message.draining,
+					 message.uptime});
 	std::string bytes;
 	Json::to_msgpack(fields, bytes);
 	return bytes;
@@ -85,7 +86,7 @@
 std::optional<GossipMessage> decodeGossip(std::string_view bytes)
 {
 	const Json fields = Json::from_msgpack(bytes.begin(), bytes.end(), true, false);
-	if (!fields.is_array() || fields.size() < 17 || fields[0] != kFormat)
+	if (!fields.is_array() || fields.size() < 18 || fields[0] != kFormat)
 	{
 		return std::nullopt;
 	}
@@ -110,6 +111,7 @@
 				{report.at(0).get<std::string>(), report.at(1).get<double>(), report.at(2).get<double>()});
 		}
 		message.draining = fields[16].get<std::vector<std::string>>();
+		message.uptime = fields[17].get<Micros>();
 		return message;
 	}
 	catch (const Json::exception&)
--- a/tests/quotatest.cpp
+++ b/tests/quotatest.cpp
@@ -11,6 +11,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <numeric>
 #include <random>
 
 namespace beacongate::test
@@ -179,6 +180,162 @@
 	EXPECT_GE(taken, 300.0);
 }
 
+TEST(QuotaLedger, aLargeFleetThatIsRestartedTwiceInAWindowKeepsTheQuota)
+{
+	// 87 gateways that hear each other by chance; all are killed at once, twice within one window, while a team
+	// asks for three times its limit. (Seen as fresh-77cc on samtalsstod-norr-grown, 5% over what is tolerated.)
+	constexpr std::size_t kGateways = 87;
+	constexpr std::size_t kReceivers = 16;
+	constexpr double kRate = 1'100'000.0;
+	constexpr double kBurst = 1'100'000.0;
+	constexpr double kAmount = 4'700.0;
+	constexpr Micros kRound = 150 * kMillisecond;
+	constexpr std::size_t kRounds = 160;
+	constexpr std::size_t kCalm = 60; ///< Rounds in which the team asks for half of its limit.
+	constexpr std::size_t kWindow = 8 * kSecond / kRound;
+	const RoutingConfigPtr config = limitedConfig(kRate, kBurst);
+	std::vector<QuotaLedger> ledgers;
+	std::minstd_rand random(7);
+	std::uint64_t incarnation = 0;
+	Micros started = 0;
+	const auto start = [&](Micros now)
+	{
+		++incarnation;
+		started = now;
+		ledgers.assign(kGateways, QuotaLedger());
+		for (QuotaLedger& ledger : ledgers)
+		{
+			ledger.setFirstStart(incarnation == 1);
+			ledger.setMembers(kGateways);
+			ledger.configure(*config, now);
+		}
+	};
+	Micros now = kSecond;
+	start(now);
+	std::vector<double> taken;
+	for (std::size_t round = 0; round < kRounds; ++round)
+	{
+		now += kRound;
+		if (round == kCalm + 8 || round == kCalm + 36)
+		{
+			start(now);
+		}
+		for (std::size_t sender = 0; sender < kGateways; ++sender)
+		{
+			for (std::size_t sent = 0; sent < kReceivers; ++sent)
+			{
+				const std::size_t receiver = random() % kGateways;
+				if (receiver != sender)
+				{
+					const std::string name = std::to_string(sender);
+					const double count = ledgers[sender].takenHere("team");
+					ledgers[receiver].onReport(name, incarnation, {"team", count}, now, now - started);
+					ledgers[receiver].onHeard(name, now);
+				}
+			}
+		}
+		const double demand = round < kCalm ? 0.5 : 3.0;
+		std::poisson_distribution<int> arrivals(demand * kRate * 0.15 / kAmount / static_cast<double>(kGateways));
+		double sum = 0.0;
+		for (QuotaLedger& ledger : ledgers)
+		{
+			for (int request = arrivals(random); request > 0; --request)
+			{
+				sum += ledger.take("team", kAmount, now) == 0 ? kAmount : 0.0;
+			}
+		}
+		taken.push_back(sum);
+	}
+	double most = 0.0;
+	for (std::size_t end = kWindow; end <= taken.size(); ++end)
+	{
+		const auto last = taken.begin() + static_cast<std::ptrdiff_t>(end);
+		most = std::max(most, std::accumulate(last - kWindow, last, 0.0));
+	}
+	EXPECT_LE(most, (kRate * 8.0 + kBurst) * 1.1 + 140'000.0);
+	EXPECT_GE(std::accumulate(taken.begin(), taken.end(), 0.0), 0.5 * kRate * 0.15 * kRounds);
+}
+
+TEST(QuotaLedger, gatewaysThatLearnOfALowerLimitAtDifferentTimesComeToAgree)
+{
+	constexpr std::size_t kGateways = 7;
+	constexpr double kAmount = 10.0;
+	constexpr Micros kStep = 100 * kMillisecond;
+	const RoutingConfigPtr wide = limitedConfig(10'000.0, 20'000.0);
+	const RoutingConfigPtr narrow = limitedConfig(1000.0, 2000.0);
+	std::vector<QuotaLedger> ledgers(kGateways);
+	for (QuotaLedger& ledger : ledgers)
+	{
+		ledger.setMembers(kGateways);
+		ledger.configure(*wide, kSecond);
+	}
+	std::minstd_rand random(7);
+	std::poisson_distribution<int> arrivals(7.0);
+	std::vector<double> taken(kGateways, 0.0);
+	for (Micros now = kSecond; now < 40 * kSecond; now += kStep)
+	{
+		for (std::size_t index = 0; index < kGateways; ++index)
+		{
+			// Each reads the change a little later than the one before.
+			if (now == 5 * kSecond + static_cast<Micros>(index) * kStep)
+			{
+				ledgers[index].configure(*narrow, now);
+			}
+			for (std::size_t peer = 0; peer < kGateways; ++peer)
+			{
+				const std::string name = std::to_string(peer);
+				if (peer != index)
+				{
+					ledgers[index].onReport(name, 1, {"team", ledgers[peer].takenHere("team")}, now);
+					ledgers[index].onHeard(name, now);
+				}
+			}
+		}
+		// The same is asked of each by chance, five times the lower limit in all.
+		for (std::size_t index = 0; index < kGateways; ++index)
+		{
+			for (int request = arrivals(random); request > 0; --request)
+			{
+				const bool passed = ledgers[index].take("team", kAmount, now) == 0;
+				taken[index] += passed && now > 15 * kSecond ? kAmount : 0.0;
+			}
+		}
+	}
+	const double all = std::accumulate(taken.begin(), taken.end(), 0.0);
+	EXPECT_GE(all, 25.0 * 1000.0 * 0.9);
+	for (std::size_t index = 0; index < kGateways; ++index)
+	{
+		EXPECT_GE(taken[index], 0.25 * all / static_cast<double>(kGateways)) << "gateway " << index;
+	}
+}
+
+TEST(QuotaLedger, oneThatIsRestartedGoesOnWithAPartOfWhatWasLeft)
+{
+	const RoutingConfigPtr config = limitedConfig(1000.0, 800.0);
+	const auto taken = [&config](std::map<std::string, std::uint64_t> kept)
+	{
+		QuotaLedger ledger;
+		ledger.setFirstStart(false);
+		ledger.setKeptLevels(std::move(kept));
+		ledger.configure(*config, kSecond);
+		double sum = 0.0;
+		while (ledger.take("team", 10.0, kSecond) == 0)
+		{
+			sum += 10.0;
+		}
+		return sum;
+	};
+	EXPECT_EQ(taken({}), 0.0);
+	EXPECT_EQ(taken({{"team", 0}}), 0.0);
+	EXPECT_GE(taken({{"team", 800}}), 300.0);
+	EXPECT_LE(taken({{"team", 800}}), 800.0);
+	EXPECT_LE(taken({{"team", 1'000'000}}), 800.0) << "no more than a burst, whatever was kept";
+	QuotaLedger ledger;
+	ledger.configure(*config, 0);
+	EXPECT_EQ(ledger.levels(0).at("team"), 400U);
+	EXPECT_EQ(ledger.levels(20 * kSecond).at("team"), 800U);
+}
+
 TEST(QuotaLedger, tellsWhenToComeBack)
 {
 	QuotaLedger ledger;
