--- a/src/coordination/quotaledger.cpp
+++ b/src/coordination/quotaledger.cpp
@@ -13,7 +13,7 @@
 namespace
 {
 constexpr double kStartShare = 0.5; ///< Of the burst, at a start: what others have is not known yet.
-constexpr double kKeptShare = 0.5;  ///< Of a level that was kept: more may have been taken since.
+constexpr double kKeptShare = 0.8;  ///< Of a level that was kept: a little more may have been taken since.
 constexpr double kReadyShare = 0.1; ///< Of a request, that has to be there when its caller comes back.
 constexpr Micros kLongestWait = 5 * kSecond;
 constexpr Micros kInterval = 20 * kMillisecond; ///< Takings within it are kept as one: 400 for a bucket at most.
