--- a/src/coordination/capacityplanner.cpp
+++ b/src/coordination/capacityplanner.cpp
@@ -66,6 +66,24 @@
 	return std::max({1u, scaling.minimum, perZone}) * std::max(1u, zones);
 }
 
+CapacityPlanner::Need CapacityPlanner::needFor(const ScalingSettings& _scaling, const Observation& _seen)
+{
+	Need need;
+	need.wished = serversFor(_seen.work);
+	need.required = serversRequired(_seen.work);
+	need.idle = _seen.firstStart && _seen.work <= 0.0;
+	need.known = need.idle || _seen.listed;
+	if (_seen.settled)
+	{
+		return need;
+	}
+	const unsigned guess = _seen.firstStart ? firstGuess(_scaling) : _seen.standing;
+	need.wished = std::max(need.wished, guess);
+	// At the very first start, on-demand capacity is not waited for.
+	need.required = std::max(need.required, _seen.firstStart ? guess / 2 : guess);
+	return need;
+}
+
 unsigned CapacityPlanner::serversRequired(double work)
 {
 	return static_cast<unsigned>(
@@ -114,9 +132,9 @@
 	return spread;
 }
 
-void CapacityPlanner::Held::update(unsigned wanted, Micros now)
+void CapacityPlanner::Held::update(unsigned wanted, Micros releaseDelay, Micros now)
 {
-	if (wanted >= count || now - needed > kReleaseDelay)
+	if (wanted >= count || now - needed > releaseDelay)
 	{
 		count = wanted;
 	}
@@ -175,7 +193,7 @@
 			zone.spotDry = true;
 		}
 		// A dry data centre is asked for what it would give were it not dry.
-		zone.spotHeld.update(zone.spotDry ? std::max(wanted, evenShare) : wanted, now);
+		zone.spotHeld.update(zone.spotDry ? std::max(wanted, evenShare) : wanted, kSpotRelease, now);
 		const bool blocked = zone.spotBlockedUntil > now;
 		if (!blocked && due(zone.spot, zone.spotHeld.count, capacity.spot, scaling.bootTime, now))
 		{
@@ -191,7 +209,7 @@
 	for (const auto& [name, wanted] : makeUp(scaling, zones, missing))
 	{
 		ZonePlan& zone = m_zones[name];
-		zone.onDemandHeld.update(wanted, now);
+		zone.onDemandHeld.update(wanted, kOnDemandRelease, now);
 		if (due(zone.onDemand, zone.onDemandHeld.count, zones.at(name).onDemand, scaling.bootTime, now))
 		{
 			orders.push_back({name, false, zone.onDemandHeld.count});
--- a/src/coordination/capacityplanner.h
+++ b/src/coordination/capacityplanner.h
@@ -41,12 +41,18 @@
 public:
 	/// Without another backend server for this long, all are taken to be listed.
 	static constexpr Micros kSettled = 2500 * kMillisecond;
+	/// What stood at the start is looked for within this long, one read of the store and a little more. What comes
+	/// later comes from orders, and to keep that too would order ever more.
+	static constexpr Micros kFirstLook = 1 * kSecond;
 
 	/// Looks at what is listed.
+	/// @param[in] _standing Backend servers of both kinds.
 	/// @returns whether that is all; once it is, it stays so.
-	bool complete(unsigned _onDemand, Micros _now)
+	bool complete(unsigned _onDemand, Micros _now, unsigned _standing = 0)
 	{
 		const bool first = m_grown == kLongAgo;
+		m_began = first ? _now : m_began;
+		m_standing = _now - m_began <= kFirstLook ? std::max(m_standing, _standing) : m_standing;
 		if (first || (!m_complete && _onDemand > m_onDemand))
 		{
 			m_grown = _now;
@@ -62,8 +68,16 @@
 		return m_onDemand;
 	}
 
+	/// @returns the most backend servers of both kinds that were listed at once when this gateway began to look.
+	unsigned standing() const
+	{
+		return m_standing;
+	}
+
 private:
 	unsigned m_onDemand = 0;
+	unsigned m_standing = 0;
+	Micros m_began = kLongAgo;
 	Micros m_grown = kLongAgo;
 	bool m_complete = false;
 };
@@ -77,8 +91,10 @@
 	static constexpr Micros kBootSlack = 1500 * kMillisecond;
 	/// After a reclaim or a refused order, spot is asked for again after this long.
 	static constexpr Micros kSpotRetry = 2500 * kMillisecond;
-	/// Capacity is kept for this long after the last moment that it was needed.
-	static constexpr Micros kReleaseDelay = 8 * kSecond;
+	/// Spot capacity is kept for this long after the last moment that it was needed.
+	static constexpr Micros kSpotRelease = 8 * kSecond;
+	/// On-demand capacity costs several times as much and is there again after a boot: it is kept for less.
+	static constexpr Micros kOnDemandRelease = 8 * kSecond;
 
 	/// Joins the two ways in which a load fills engines: reading prompts, during which no token is made, and
 	/// slots held while tokens are made.
@@ -107,6 +123,20 @@
 		bool idle = false;     ///< There is no load yet: spot that was ordered counts as if it stood.
 	};
 
+	/// What a gateway that plans has seen of a service.
+	struct Observation
+	{
+		double work = 0.0;       ///< Backend servers that the load keeps busy, as far as it is known.
+		bool settled = false;    ///< The load was seen for long enough to be believed.
+		bool firstStart = false; ///< The whole system starts, so that there is no load yet.
+		bool listed = false;     ///< All on-demand capacity there is was listed.
+		unsigned standing = 0;   ///< Backend servers of both kinds that stood when it began to plan.
+	};
+
+	/// @returns what to order for. While a gateway that started in the middle of a day does not know the load, it
+	/// keeps what stands: the one that planned before had reasons for it.
+	static Need needFor(const ScalingSettings& _scaling, const Observation& _seen);
+
 	/// @returns what is to be ordered now; each order is returned again after a while as long as it does not stand.
 	std::vector<CapacityOrder> plan(const ScalingSettings& scaling,
 									const std::map<std::string, ZoneCapacity>& zones, const Need& need, Micros now);
@@ -129,7 +159,7 @@
 		unsigned count = 0;
 		Micros needed = kLongAgo; ///< When that many were needed last.
 
-		void update(unsigned wanted, Micros now);
+		void update(unsigned wanted, Micros releaseDelay, Micros now);
 	};
 
 	struct ZonePlan
--- a/src/gateway/dutyholder.cpp
+++ b/src/gateway/dutyholder.cpp
@@ -404,24 +404,13 @@
 {
 	const double work = CapacityPlanner::combinedWork(m_context.demand.work(service.name),
 													  m_context.demand.occupied(service.name), standing);
-	CapacityPlanner::Need need;
-	need.wished = CapacityPlanner::serversFor(work);
-	need.required = CapacityPlanner::serversRequired(work);
-	StartListing& start = m_startListings[service.name];
-	const bool listed = start.complete(onDemand, now);
-	need.idle = m_context.settings.firstStart && work <= 0.0;
-	need.known = need.idle || listed;
-	if (m_context.demand.settled(service.name, now))
-	{
-		return need;
-	}
-	// The load is not known yet. At the very first start there is none, and on-demand capacity is not waited for;
-	// later, what stands is taken for what is needed.
-	const unsigned guess =
-		m_context.settings.firstStart ? CapacityPlanner::firstGuess(*service.scaling) : start.onDemand();
-	need.wished = std::max(need.wished, guess);
-	need.required = std::max(need.required, m_context.settings.firstStart ? guess / 2 : guess);
-	return need;
+	CapacityPlanner::Observation seen;
+	seen.work = work;
+	seen.settled = m_context.demand.settled(service.name, now);
+	seen.firstStart = m_context.settings.firstStart;
+	seen.listed = m_startListings[service.name].complete(onDemand, now, standing);
+	seen.standing = m_startListings[service.name].standing();
+	return CapacityPlanner::needFor(*service.scaling, seen);
 }
 
 void DutyHolder::sendOrder(const std::string& service, const CapacityOrder& order)
--- a/tests/capacitytest.cpp
+++ b/tests/capacitytest.cpp
@@ -158,6 +158,32 @@
 	EXPECT_EQ(platform.count(false), 1u);
 }
 
+TEST(CapacityPlanner, oneThatPlansAfterARestartKeepsWhatStandsUntilItKnowsTheLoad)
+{
+	ScalingSettings scaling;
+	scaling.minimum = 1;
+	scaling.maximum = 10;
+	scaling.zonePrices = {{"a", 1.0}, {"b", 0.8}, {"c", 1.25}, {"d", 0.9}};
+	CapacityPlanner::Observation seen;
+	seen.work = 0.4;
+	seen.standing = 30;
+	seen.listed = true;
+	const CapacityPlanner::Need unknown = CapacityPlanner::needFor(scaling, seen);
+	EXPECT_GE(unknown.wished, 30U) << "spot was cut to a tenth while its load had only begun to be counted";
+	EXPECT_GE(unknown.required, 30U);
+	seen.settled = true;
+	const CapacityPlanner::Need known = CapacityPlanner::needFor(scaling, seen);
+	EXPECT_LT(known.wished, 10U);
+	EXPECT_LT(known.required, 5U);
+	seen.settled = false;
+	seen.firstStart = true;
+	seen.work = 0.0;
+	seen.standing = 4;
+	const CapacityPlanner::Need first = CapacityPlanner::needFor(scaling, seen);
+	EXPECT_EQ(first.wished, CapacityPlanner::firstGuess(scaling));
+	EXPECT_TRUE(first.idle);
+}
+
 TEST(StartListing, whatIsOrderedLaterIsNoReasonToWait)
 {
 	StartListing listing;
