--- a/src/coordination/balancer.cpp
+++ b/src/coordination/balancer.cpp
@@ -11,7 +11,8 @@
 {
 namespace
 {
-constexpr double kPromptTokensPerMilli = 60.0; ///< Read by one engine; only the order of costs hangs on it.
+constexpr double kRereadWeight = 4.0;          ///< A shared part that is read again also delays all others there, and
+											   ///< drives out what they share. Measured: docs/POLICY.md, round 4.
 constexpr double kRunningMillis = 0.4;         ///< Added for each request that already runs at an engine.
 constexpr double kPlainMillis = 10.0;          ///< Added for each call that already runs at a plain service.
 constexpr double kFullMillis = 500.0;          ///< Added where all slots are taken.
@@ -107,7 +108,8 @@
 		return cost + kPlainMillis * load.inFlight;
 	}
 	const std::uint64_t missing = preferred ? 0 : request.sharedTokens();
-	cost += static_cast<double>(load.pendingTokens + missing) / kPromptTokensPerMilli;
+	cost += static_cast<double>(load.pendingTokens) / request.tokensPerMilli;
+	cost += kRereadWeight * static_cast<double>(missing) / request.tokensPerMilli;
 	cost += kRunningMillis * load.inFlight;
 	return cost;
 }
--- a/src/coordination/balancer.h
+++ b/src/coordination/balancer.h
@@ -9,6 +9,7 @@
 
 #include "coordination/directory.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -28,9 +29,16 @@
 {
 	std::uint64_t promptTokens = 0; ///< 0 for calls of plain services.
 	std::vector<PromptPart> parts;  ///< In order; the last one belongs to this request alone.
+	double tokensPerMilli = 60.0;   ///< Read by an engine of the service, see EngineModel.
 
 	/// @returns tokens that another request may have left in a cache.
 	std::uint64_t sharedTokens() const;
+
+	/// @returns tokens that have to be read in any case.
+	std::uint64_t ownTokens() const
+	{
+		return promptTokens - std::min(promptTokens, sharedTokens());
+	}
 };
 
 /// What a gateway has sent to one backend server and not seen the end of.
--- a/src/coordination/demandmeter.cpp
+++ b/src/coordination/demandmeter.cpp
@@ -10,9 +10,7 @@
 {
 namespace
 {
-constexpr double kSecondsPerToken = 1.0 / 60'000.0; ///< Of an engine that reads a prompt.
-constexpr double kSecondsPerTokenPair = 0.33e-9;    ///< A prompt's cost grows faster than its length.
-constexpr double kCallUse = 0.6;                    ///< A plain service is full at this share of its slots.
+constexpr double kCallUse = 0.6; ///< A plain service is full at this share of its slots.
 constexpr double kAveragingSeconds = 4.0;
 constexpr double kPeakSeconds = 10.0; ///< A peak is remembered for about this long.
 
@@ -30,13 +28,11 @@
 	fresh = 0.0;
 }
 
-void DemandMeter::onPrompt(const std::string& service, std::uint64_t promptTokens)
+void DemandMeter::onPrompt(const std::string& service, double readingSeconds)
 {
-	const auto tokens = static_cast<double>(promptTokens);
-	const double work = tokens * kSecondsPerToken + tokens * tokens * kSecondsPerTokenPair;
 	Service& entry = m_services[service];
-	entry.ownWork += work;
-	entry.work.fresh += work;
+	entry.ownWork += readingSeconds;
+	entry.work.fresh += readingSeconds;
 }
 
 void DemandMeter::onSlotHeld(const std::string& service, Micros duration, unsigned slots)
--- a/src/coordination/demandmeter.h
+++ b/src/coordination/demandmeter.h
@@ -32,7 +32,8 @@
 	static constexpr Micros kSettling = 8 * kSecond;
 
 	/// A prompt was sent to an engine.
-	void onPrompt(const std::string& service, std::uint64_t promptTokens);
+	/// @param[in] readingSeconds For which it keeps the engine busy.
+	void onPrompt(const std::string& service, double readingSeconds);
 
 	/// A request at an engine ended.
 	/// @param[in] duration For which it held a slot.
--- /dev/null
+++ b/src/coordination/enginemodel.cpp
@@ -0,0 +1,110 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+#include "coordination/enginemodel.h"
+
+#include <algorithm>
+
+namespace beacongate
+{
+namespace
+{
+constexpr std::size_t kEstimateEvery = 16; ///< Samples; an estimate sorts all that are kept.
+constexpr double kStartQuantile = 0.1;     ///< Of the waits of short prompts: what is waited for nothing to read.
+constexpr double kSpeedQuantile = 0.8;     ///< Of the bounds that long prompts give; a fifth may be too high.
+constexpr double kMostChange = 16.0;       ///< Times the prior, either way; beyond that the samples are not believed.
+
+double quantileOf(std::vector<double> _values, double _share)
+{
+	const auto rank = static_cast<std::ptrdiff_t>(_share * static_cast<double>(_values.size() - 1));
+	std::nth_element(_values.begin(), _values.begin() + rank, _values.end());
+	return _values[static_cast<std::size_t>(rank)];
+}
+} // namespace
+
+double EngineModel::weightedTokens(std::uint64_t _tokens)
+{
+	const auto tokens = static_cast<double>(_tokens);
+	return tokens * (1.0 + tokens / kPairTokens);
+}
+
+void EngineModel::onFirstEvent(const std::string& _service, std::uint64_t _tokens, Micros _waited)
+{
+	if (_tokens == 0 || _waited <= 0)
+	{
+		return;
+	}
+	Service& service = m_services[_service];
+	const Sample sample{weightedTokens(_tokens), static_cast<double>(_waited) / static_cast<double>(kSecond)};
+	if (service.samples.size() < kSamplesKept)
+	{
+		service.samples.push_back(sample);
+	}
+	else
+	{
+		service.samples[service.next] = sample;
+		service.next = (service.next + 1) % kSamplesKept;
+	}
+	++service.sinceEstimate;
+	if (service.samples.size() >= kSamplesNeeded && service.sinceEstimate >= kEstimateEvery)
+	{
+		service.sinceEstimate = 0;
+		service.tokensPerSecond = estimate(service.samples, service.tokensPerSecond);
+	}
+}
+
+double EngineModel::estimate(const std::vector<Sample>& _samples, double _before)
+{
+	std::vector<Sample> sorted = _samples;
+	std::sort(sorted.begin(), sorted.end(),
+			  [](const Sample& _left, const Sample& _right) { return _left.tokens < _right.tokens; });
+	const std::size_t quarter = sorted.size() / 4;
+	std::vector<double> shortWaits;
+	double shortTokens = 0.0;
+	for (std::size_t index = 0; index < quarter; ++index)
+	{
+		shortWaits.push_back(sorted[index].seconds);
+		shortTokens += sorted[index].tokens / static_cast<double>(quarter);
+	}
+	const double start = quantileOf(std::move(shortWaits), kStartQuantile);
+	std::vector<double> bounds;
+	for (std::size_t index = sorted.size() - quarter; index < sorted.size(); ++index)
+	{
+		const double tokens = sorted[index].tokens - shortTokens;
+		const double seconds = sorted[index].seconds - start;
+		if (tokens > 0.0 && seconds > 0.0)
+		{
+			bounds.push_back(tokens / seconds);
+		}
+	}
+	if (bounds.size() < quarter / 2 || bounds.empty())
+	{
+		// Prompts are all alike, or did not have to be read: nothing is learnt from these.
+		return _before;
+	}
+	return std::clamp(quantileOf(std::move(bounds), kSpeedQuantile), kPriorTokensPerSecond / kMostChange,
+					  kPriorTokensPerSecond * kMostChange);
+}
+
+double EngineModel::tokensPerSecond(const std::string& _service) const
+{
+	const auto it = m_services.find(_service);
+	return it == m_services.end() ? kPriorTokensPerSecond : it->second.tokensPerSecond;
+}
+
+double EngineModel::readingSeconds(const std::string& _service, std::uint64_t _tokens) const
+{
+	return weightedTokens(_tokens) / tokensPerSecond(_service);
+}
+
+std::map<std::string, double> EngineModel::speeds() const
+{
+	std::map<std::string, double> speeds;
+	for (const auto& [name, service] : m_services)
+	{
+		speeds.emplace(name, service.tokensPerSecond);
+	}
+	return speeds;
+}
+
+} // namespace beacongate
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -23,6 +23,7 @@
 constexpr Micros kStoreRetryAfter = 500 * kMillisecond;
 constexpr Micros kBackendUserTimeout = 3 * kSecond;
 constexpr Micros kDefaultHold = 30 * kSecond;
+constexpr double kMillisPerSecond = 1000.0;
 } // namespace
 
 Exchange::Exchange(GatewayContext& context, Dispatcher& dispatcher, ServerSessionPtr session,
@@ -225,6 +226,7 @@
 		refuse(Failure::KeyUnconfirmed, "the key cannot be confirmed", kStoreRetryAfter);
 		return true;
 	}
+	m_placement.tokensPerMilli = m_context.engines.tokensPerSecond(m_service) / kMillisPerSecond;
 	const auto candidates = m_context.directory.usableOf(m_service, now);
 	const Placement placement = m_context.balancer.choose(candidates, m_placement, m_tried, now);
 	const bool lateAlready = now - m_request.received > m_route->targetLatency;
@@ -255,10 +257,12 @@
 	m_attempt.sent = now;
 	m_tried.push_back(backend.record.id);
 	m_attempt.slots = backend.record.slots;
+	m_attempt.resumed = m_lastEvent.has_value() || !m_info.lastEventId.empty();
 	m_context.balancer.onSent(backend.record.id, m_placement);
 	if (m_placement.promptTokens > 0)
 	{
-		m_context.demand.onPrompt(m_service, m_placement.promptTokens);
+		m_context.demand.onPrompt(m_service,
+								  m_context.engines.readingSeconds(m_service, m_placement.promptTokens));
 	}
 	CallOptions options;
 	options.address = backend.record.address;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -68,6 +68,7 @@
 		EventSplitter events;
 		bool onTheWire = false;
 		bool firstEvent = false;
+		bool resumed = false; ///< It goes on where another run broke off.
 		bool success = false;
 	};
 
--- a/src/gateway/exchangeanswers.cpp
+++ b/src/gateway/exchangeanswers.cpp
@@ -95,6 +95,11 @@
 	{
 		m_attempt.firstEvent = true;
 		m_context.balancer.onFirstEvent(m_attempt.backendId, m_placement);
+		if (!m_attempt.resumed)
+		{
+			m_context.engines.onFirstEvent(m_service, m_placement.ownTokens(),
+										   monotonicNow() - m_attempt.sent);
+		}
 		m_context.metrics.onFirstByte(m_service, monotonicNow() - m_request.received);
 		countBegin();
 	}
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -12,6 +12,7 @@
 #include "coordination/contenthistory.h"
 #include "coordination/demandmeter.h"
 #include "coordination/directory.h"
+#include "coordination/enginemodel.h"
 #include "coordination/kvtypes.h"
 #include "coordination/peertable.h"
 #include "coordination/quotaledger.h"
@@ -71,6 +72,7 @@
 	AgreedClock clock;
 	UsageLedger usage;
 	DemandMeter demand;
+	EngineModel engines;
 	std::minstd_rand random;
 	GatewayMetrics metrics;
 	bool stopping = false;
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -54,6 +54,7 @@
 					 {"stopping", context.stopping},
 					 {"holdsDuties", holdsDuties},
 					 {"members", context.peers.memberCount(now)},
+					 {"readingTokensPerSecond", context.engines.speeds()},
 					 {"backends", describeBackends(context)},
 					 {"peers", describePeers(context, now)}};
 	return state.dump(2);
