--- a/src/gateway/exchangeanswers.cpp
+++ b/src/gateway/exchangeanswers.cpp
@@ -38,7 +38,9 @@
 		return;
 	}
 	m_attempt.success = successStatus;
-	if (!m_attempt.info.notExecuted && m_route->kind != RouteKind::Stream)
+	// A stream counts from its first event, and from a failure that the engine itself answered.
+	const bool streaming = successStatus && m_route->kind == RouteKind::Stream;
+	if (!m_attempt.info.notExecuted && !streaming)
 	{
 		countBegin();
 	}
@@ -210,8 +212,9 @@
 	}
 	const Micros now = monotonicNow();
 	const bool innocent = result == AttemptResult::Misdirected;
-	if (result == AttemptResult::Broken && m_attempt.onTheWire && m_route->kind != RouteKind::Stream)
+	if (result == AttemptResult::Broken && m_attempt.onTheWire)
 	{
+		// Answers get lost more often than engines fail before they begin.
 		countBegin();
 	}
 	closeAttempt(innocent);
--- a/tests/gatewaystoretest.cpp
+++ b/tests/gatewaystoretest.cpp
@@ -164,6 +164,36 @@
 	EXPECT_LE(counted, 30u);
 }
 
+TEST_F(GatewayTest, aStreamThatAnEngineRanIsCountedThoughItsAnswerFailedOrWasLost)
+{
+	startGateway(settings(1));
+	ASSERT_TRUE(await([&] { return !store->get("beacongate/holder").empty(); }));
+	setFaults(WorkerFault::Fails);
+	EXPECT_EQ(statusOf(call("GET", "/stream/once/", "failed")), 500u);
+	setFaults(WorkerFault::Resets);
+	EXPECT_EQ(statusOf(call("GET", "/stream/once/", "lost")), 502u);
+	setFaults(WorkerFault::Rejects);
+	EXPECT_EQ(statusOf(call("GET", "/stream/once/", "rejected")), 503u);
+	const auto counted = [&]
+	{
+		std::map<std::uint64_t, std::uint64_t> windows;
+		for (const standin::DutyCall& report : duties->calls())
+		{
+			const Json body = parseJson(report.body, Failure::Internal);
+			windows[body.at("windowId").get<std::uint64_t>()] = body.at("counts").value("t", std::uint64_t{0});
+		}
+		std::uint64_t sum = 0;
+		for (const auto& [window, count] : windows)
+		{
+			sum += count;
+		}
+		return sum;
+	};
+	EXPECT_TRUE(await([&] { return counted() == 2; }, 6 * kSecond)) << counted() << " counted of two that ran";
+	std::this_thread::sleep_for(std::chrono::seconds(1));
+	EXPECT_EQ(counted(), 2u) << "what an engine rejected is not counted";
+}
+
 TEST_F(GatewayTest, usageCountsOutliveAllGatewaysAtOnce)
 {
 	GatewaySettings chosen = settings(1);
--- a/tools/standin/platformworker.cpp
+++ b/tools/standin/platformworker.cpp
@@ -166,7 +166,7 @@
 		asio::post(m_loop.context(), [connection] { connection->tcp->reset(); });
 		return;
 	}
-	if (request.target.starts_with("/stream/"))
+	if (request.target.starts_with("/stream/") && m_fault != WorkerFault::Fails)
 	{
 		const std::string_view last = findHeader(request.headers, platform::kLastEvent);
 		connection->tcp->send(
