--- a/include/beacongate/types.h
+++ b/include/beacongate/types.h
@@ -22,6 +22,12 @@
 inline constexpr Micros kMillisecond = 1000;
 inline constexpr Micros kSecond = 1000 * kMillisecond;
 
+/// @returns a span in seconds.
+constexpr double secondsOf(Micros _span)
+{
+	return static_cast<double>(_span) / static_cast<double>(kSecond);
+}
+
 /// The "no deadline" value.
 inline constexpr Micros kNever = std::numeric_limits<Micros>::max();
 
--- a/src/coordination/demandmeter.cpp
+++ b/src/coordination/demandmeter.cpp
@@ -13,11 +13,6 @@
 constexpr double kCallUse = 0.6; ///< A plain service is full at this share of its slots.
 constexpr double kAveragingSeconds = 4.0;
 constexpr double kPeakSeconds = 10.0; ///< A peak is remembered for about this long.
-
-double secondsOf(Micros span)
-{
-	return static_cast<double>(span) / static_cast<double>(kSecond);
-}
 } // namespace
 
 void DemandMeter::Average::step(double passed)
@@ -126,5 +121,4 @@
 	}
 	return reports;
 }
-
 } // namespace beacongate
--- a/src/coordination/enginemodel.cpp
+++ b/src/coordination/enginemodel.cpp
@@ -35,7 +35,7 @@
 		return;
 	}
 	Service& service = m_services[_service];
-	const Sample sample{weightedTokens(_tokens), static_cast<double>(_waited) / static_cast<double>(kSecond)};
+	const Sample sample{weightedTokens(_tokens), secondsOf(_waited)};
 	if (service.samples.size() < kSamplesKept)
 	{
 		service.samples.push_back(sample);
--- /dev/null
+++ b/src/coordination/tokenbucket.h
@@ -0,0 +1,73 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// A token bucket whose level follows from the recent takings alone.
+
+#ifndef BEACONGATE_COORDINATION_TOKENBUCKET_H
+#define BEACONGATE_COORDINATION_TOKENBUCKET_H
+
+#include "beacongate/types.h"
+
+#include <deque>
+
+namespace beacongate
+{
+/// What all gateways took from one team's bucket of late, and the level that follows from it.
+/// @remarks The level is worked out anew from the takings instead of being carried along. A difference between two
+/// gateways (a start, a limit that took hold earlier here, a refund) therefore ends after kHistory at the latest;
+/// a carried level would keep it for as long as the team stays over its limit.
+class TokenBucket
+{
+public:
+	/// Takings count in full for this long, and less and less until kHistory, so that no burst becomes free at one
+	/// moment. In between lies the window over which a quota is checked (8 s on all deployments so far).
+	static constexpr Micros kFullWeight = 5 * kSecond;
+	/// Takings are forgotten after this span.
+	static constexpr Micros kHistory = 10 * kSecond;
+
+	/// Sets the limits.
+	/// @param[in] _rate Amount per second; 0 or less for no limit.
+	/// @remarks Where limits fall, what was taken under the old ones counts in proportion.
+	void setLimits(double _rate, double _burst);
+
+	/// @returns whether there is a limit.
+	bool limited() const
+	{
+		return m_rate > 0.0;
+	}
+
+	/// @returns amount per second.
+	double rate() const
+	{
+		return m_rate;
+	}
+
+	/// @returns amount on top of the rate.
+	double burst() const
+	{
+		return m_burst;
+	}
+
+	/// @returns what may be taken; below 0 where too much was.
+	double level(Micros _now) const;
+
+	/// Counts an amount as taken; a negative one gives back.
+	void record(double _amount, Micros _now);
+
+private:
+	/// Takings that lie close together.
+	struct Interval
+	{
+		Micros since = 0; ///< The first of them.
+		double amount = 0.0;
+	};
+
+	double m_rate = 0.0;
+	double m_burst = 0.0;
+	std::deque<Interval> m_intervals; ///< Oldest first; bounded by kHistory.
+};
+
+} // namespace beacongate
+
+#endif // BEACONGATE_COORDINATION_TOKENBUCKET_H
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -22,11 +22,6 @@
 constexpr std::array<double, 9> kBoundsSeconds = {0.005, 0.02, 0.05, 0.1, 0.3, 0.6, 1.2, 3.0, 10.0};
 constexpr const char* kOther = "other"; ///< Stands for label sets beyond the bound.
 
-double secondsOf(Micros span)
-{
-	return static_cast<double>(span) / static_cast<double>(kSecond);
-}
-
 /// Escapes a label's value.
 std::string quoted(std::string_view text)
 {
@@ -157,5 +152,4 @@
 	}
 	return out.str();
 }
-
 } // namespace beacongate
