--- a/src/protocol/gossipcodec.cpp
+++ b/src/protocol/gossipcodec.cpp
@@ -76,8 +76,7 @@
 		Json::array({kFormat, message.run.name, message.run.incarnation, message.host, message.sent, message.echo,
 					 message.wallClock, message.configVersion, message.storeRevision, message.configAge,
 					 message.leaving, message.members, encodeQuotas(message.quotas), encodeLoads(message.loads),
-					 encodeUsage(message.usage), encodeDemand(message.demand), message.draining,
-					 message.uptime});
+					 encodeUsage(message.usage), encodeDemand(message.demand), message.draining, message.uptime});
 	std::string bytes;
 	Json::to_msgpack(fields, bytes);
 	return bytes;
