--- a/tests/balancertest.cpp
+++ b/tests/balancertest.cpp
@@ -41,7 +41,7 @@
 		std::vector<BackendLoad> loads;
 		for (unsigned backend = 0; backend < step / kPeers % (kBackends + 1); ++backend)
 		{
-			loads.push_back({"b" + std::to_string(backend), step % 3u, step % 3u * 10u});
+			loads.push_back({"b" + std::to_string(backend), step % 3u, std::uint64_t{step % 3u} * 10U});
 		}
 		words[peer] = {now, loads};
 		balancer.setPeerLoads(peer, loads, now);
