Log how old the list of backend servers was at each send, and when one was found to leave

Cause: requests reached backend servers after they had left, and neither logs nor metrics could tell the hypotheses apart: the age in a request's line is that of the configuration, which peers confirm, not that of the list of backend servers; who learnt of a leaving server when, and by which sign, and a delayed event loop stood nowhere. Change: list_age_ms in the request line, events backend-leaving and loop-delayed, histograms of both spans; millisText() moves to the log's header, where both users see it. Result: no change of behaviour; contenttest passes (12 tests).

--- a/src/coordination/directory.cpp
+++ b/src/coordination/directory.cpp
@@ -5,9 +5,24 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace beacongate
 {
+std::string_view toString(LeavingSign sign)
+{
+	switch (sign)
+	{
+	case LeavingSign::Record:
+		return "record";
+	case LeavingSign::Missing:
+		return "missing";
+	case LeavingSign::Peer:
+		return "peer";
+	}
+	return "unknown";
+}
+
 bool Directory::apply(const StoreSnapshot& snapshot, Micros now)
 {
 	if (snapshot.revision < m_revision)
@@ -44,6 +59,7 @@
 		if (known.record.draining && known.drainingSince == kNever)
 		{
 			known.drainingSince = now;
+			m_leavingNotices.push_back({record.id, LeavingSign::Record});
 		}
 		known.vanishedAt = kNever;
 		known.lapsedUntil = 0;
@@ -59,6 +75,7 @@
 		if (!present.count(it->first) && known.vanishedAt == kNever)
 		{
 			known.vanishedAt = now;
+			m_leavingNotices.push_back({it->first, LeavingSign::Missing});
 			const bool mayHaveLapsed = now - m_outageEnded < kLapseReturn;
 			known.lapsedUntil = mayHaveLapsed ? m_outageEnded + kLapseReturn : 0;
 		}
@@ -88,9 +105,15 @@
 	{
 		it->second.record.draining = true;
 		it->second.drainingSince = now;
+		m_leavingNotices.push_back({id, LeavingSign::Peer});
 	}
 }
 
+std::vector<LeavingNotice> Directory::takeLeavingNotices()
+{
+	return std::exchange(m_leavingNotices, {});
+}
+
 std::vector<std::string> Directory::drainingSince(Micros moment) const
 {
 	std::vector<std::string> ids;
--- a/src/coordination/directory.h
+++ b/src/coordination/directory.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace beacongate
@@ -44,6 +45,24 @@
 	}
 };
 
+/// From what a gateway learnt that a backend server takes no new work any more.
+enum class LeavingSign : std::uint8_t
+{
+	Record,  ///< Its record says so.
+	Missing, ///< Its record went.
+	Peer,    ///< A peer said so.
+};
+
+/// @returns a short name for logs.
+std::string_view toString(LeavingSign sign);
+
+/// A backend server was first found to be leaving.
+struct LeavingNotice
+{
+	std::string id;
+	LeavingSign sign = LeavingSign::Record;
+};
+
 /// Merges snapshots so that nothing older ever replaces something newer.
 class Directory
 {
@@ -81,6 +100,9 @@
 	/// @returns backend servers that were found to be leaving within a span.
 	std::vector<std::string> drainingSince(Micros moment) const;
 
+	/// @returns what was found out about leaving backend servers since the last call, for the log.
+	std::vector<LeavingNotice> takeLeavingNotices();
+
 	/// @returns the configuration in force, or nullptr.
 	const RoutingConfigPtr& config() const
 	{
@@ -114,6 +136,7 @@
 	Micros m_snapshotTaken = kNever; ///< When the last snapshot was taken in.
 	Micros m_outageEnded = kLongAgo;
 	std::map<std::string, KnownBackend> m_backends;
+	std::vector<LeavingNotice> m_leavingNotices; ///< One at most for each backend server and sign until taken.
 };
 
 } // namespace beacongate
--- a/src/daemon/logging.h
+++ b/src/daemon/logging.h
@@ -7,6 +7,8 @@
 #ifndef BEACONGATE_DAEMON_LOGGING_H
 #define BEACONGATE_DAEMON_LOGGING_H
 
+#include "beacongate/types.h"
+
 #include <cstdint>
 #include <initializer_list>
 #include <string>
@@ -43,6 +45,12 @@
 /// Writes one line: event=NAME key=value ...; values with spaces are quoted.
 void logEvent(LogLevel _level, std::string_view _event, std::initializer_list<LogField> _fields);
 
+/// @returns a span in whole milliseconds, as a field's value.
+inline std::string millisText(Micros _span)
+{
+	return std::to_string(_span / kMillisecond);
+}
+
 /// @returns the line that logEvent() writes, without the logger's own prefix.
 std::string formatEvent(std::string_view _event, std::initializer_list<LogField> _fields);
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -273,6 +273,8 @@
 	handlers.onSent = [self]
 	{
 		self->m_attempt.onTheWire = true;
+		self->m_attempt.listAge = monotonicNow() - self->m_context.content.confirmed;
+		self->m_context.metrics.onSent(self->m_service, self->m_attempt.listAge);
 		if (self->m_sent == 0)
 		{
 			self->m_context.retryBudget.onRequest(self->m_service, monotonicNow());
@@ -411,7 +413,8 @@
 			  {"detail", detail.empty() ? "-" : detail},
 			  {"ms", millisText(now - m_request.received)},
 			  {"config", m_config ? std::to_string(m_config->version) : "-"},
-			  {"config_age_ms", millisText(m_context.directory.age(now))}});
+			  {"config_age_ms", millisText(m_context.directory.age(now))},
+			  {"list_age_ms", m_sent == 0 ? "-" : millisText(m_attempt.listAge)}});
 }
 
 } // namespace beacongate
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -66,6 +66,7 @@
 		AnswerInfo info;
 		std::string body;
 		EventSplitter events;
+		Micros listAge = 0; ///< How old the list of backend servers was as the request went out.
 		bool onTheWire = false;
 		bool firstEvent = false;
 		bool resumed = false; ///< It goes on where another run broke off.
--- a/src/gateway/exchange_p.h
+++ b/src/gateway/exchange_p.h
@@ -9,19 +9,11 @@
 
 #include "beacongate/types.h"
 
-#include <string>
-
 namespace beacongate
 {
 /// After a refusal that lies with the moment's load.
 inline constexpr Micros kShortRetryAfter = 100 * kMillisecond;
 
-/// @returns whole milliseconds, for logs.
-inline std::string millisText(Micros _span)
-{
-	return std::to_string(_span / kMillisecond);
-}
-
 } // namespace beacongate
 
 #endif // BEACONGATE_GATEWAY_EXCHANGE_P_H
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -118,6 +118,16 @@
 	record(m_waits, service, waited);
 }
 
+void GatewayMetrics::onSent(const std::string& service, Micros listAge)
+{
+	record(m_listAges, service, listAge);
+}
+
+void GatewayMetrics::onLoopDelay(Micros delay)
+{
+	record(m_loopDelays, "main", delay);
+}
+
 void GatewayMetrics::onFailedAttempt(const std::string& service, std::string_view result)
 {
 	++m_failedAttempts[{service, std::string(result)}];
@@ -146,6 +156,8 @@
 	formatLatencies(out, "beacongate_request_seconds", "route", m_durations);
 	formatLatencies(out, "beacongate_first_byte_seconds", "service", m_firstBytes);
 	formatLatencies(out, "beacongate_queue_seconds", "service", m_waits);
+	formatLatencies(out, "beacongate_list_age_at_send_seconds", "service", m_listAges);
+	formatLatencies(out, "beacongate_loop_delay_seconds", "loop", m_loopDelays);
 	for (const auto& [name, value] : m_gauges)
 	{
 		out << "# TYPE " << name << " gauge\n" << name << ' ' << value << '\n';
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -50,6 +50,14 @@
 	/// A request was sent to a backend server after waiting for room.
 	void onQueued(const std::string& service, Micros waited);
 
+	/// A request went out to a backend server.
+	/// @param[in] listAge How old the list of backend servers was at that moment.
+	void onSent(const std::string& service, Micros listAge);
+
+	/// A timer of the event loop ran.
+	/// @param[in] delay How much later than asked.
+	void onLoopDelay(Micros delay);
+
 	/// An attempt at a backend server ended without an answer for the caller.
 	void onFailedAttempt(const std::string& service, std::string_view result);
 
@@ -70,6 +78,8 @@
 	Latencies m_durations;
 	Latencies m_firstBytes;
 	Latencies m_waits;
+	Latencies m_listAges;
+	Latencies m_loopDelays;
 };
 
 } // namespace beacongate
--- a/src/gateway/gossiper.cpp
+++ b/src/gateway/gossiper.cpp
@@ -6,6 +6,7 @@
 #include "beacongate/errors.h"
 #include "beacongate/limits.h"
 #include "coordination/gossipplan.h"
+#include "daemon/logging.h"
 #include "gateway/memberkeys.h"
 #include "protocol/gossipcodec.h"
 
@@ -21,6 +22,8 @@
 namespace
 {
 constexpr Micros kLoadPatience = 3; ///< Times the span in which a peer is heard, until its load is not counted.
+/// A delay of the event loop that is worth a line: half of the shortest interval at which the store is asked.
+constexpr Micros kLoopDelayLogged = 200 * kMillisecond;
 constexpr Micros kDrainingNews = 2 * kSecond; ///< How long peers are told of a leaving backend server.
 
 Micros wallClockNow()
@@ -92,6 +95,8 @@
 void Gossiper::tick()
 {
 	const Micros now = monotonicNow();
+	reportDelay(now);
+	logLeavingNotices();
 	m_context.clock.update(wallClockNow(), now);
 	m_context.demand.advance(now);
 	m_context.usage.advance(m_context.currentWindow(now));
@@ -102,7 +107,9 @@
 	m_context.balancer.setPeerLoadLife(std::max(kSecond, kLoadPatience * GossipPlan::hearingSpan(members)));
 	m_context.balancer.expirePeerLoads(now);
 	sendRound(now);
-	m_timer.expires_after(std::chrono::microseconds(m_context.jittered(limits::kGossipRound)));
+	const Micros pause = m_context.jittered(limits::kGossipRound);
+	m_due = now + pause;
+	m_timer.expires_after(std::chrono::microseconds(pause));
 	m_timer.async_wait(
 		[this](const BoostError& error)
 		{
@@ -113,6 +120,34 @@
 		});
 }
 
+void Gossiper::logLeavingNotices()
+{
+	for (const LeavingNotice& notice : m_context.directory.takeLeavingNotices())
+	{
+		logEvent(LogLevel::Info, "backend-leaving",
+				 {{"backend", notice.id},
+				  {"sign", std::string(toString(notice.sign))},
+				  {"revision", std::to_string(m_context.directory.revision())},
+				  {"list_age_ms", millisText(monotonicNow() - m_context.content.confirmed)},
+				  {"in_flight", std::to_string(m_context.balancer.totalInFlight(notice.id))}});
+	}
+}
+
+void Gossiper::reportDelay(Micros now)
+{
+	if (m_due == kNever)
+	{
+		return;
+	}
+	const Micros delay = std::max<Micros>(0, now - m_due);
+	m_context.metrics.onLoopDelay(delay);
+	if (delay > kLoopDelayLogged)
+	{
+		logEvent(LogLevel::Warning, "loop-delayed",
+				 {{"ms", millisText(delay)}, {"open", std::to_string(m_context.openExchanges)}});
+	}
+}
+
 std::optional<std::string> Gossiper::holderHost() const
 {
 	const auto& items = m_context.content.items;
--- a/src/gateway/gossiper.h
+++ b/src/gateway/gossiper.h
@@ -35,6 +35,8 @@
 
 private:
 	void tick();
+	void reportDelay(Micros now);
+	void logLeavingNotices();
 	void sendRound(Micros now);
 	std::optional<std::string> holderHost() const;
 	void receive();
@@ -47,6 +49,7 @@
 	boost::asio::steady_timer m_timer;
 	std::vector<char> m_buffer;
 	std::size_t m_round = 0;
+	Micros m_due = kNever; ///< When the next round should begin.
 };
 
 } // namespace beacongate
--- a/tests/contenttest.cpp
+++ b/tests/contenttest.cpp
@@ -139,6 +139,26 @@
 	EXPECT_EQ(directory.usableOf("model", back)[0]->record.id, "b");
 }
 
+TEST(Directory, tellsOnceFromWhichSignItLearntThatABackendLeaves)
+{
+	Directory directory;
+	directory.apply({1, configOf(1), {backendOf("a"), backendOf("b"), backendOf("c")}, 0}, kSecond);
+	EXPECT_TRUE(directory.takeLeavingNotices().empty());
+	directory.markDraining("a", 2 * kSecond);
+	directory.markDraining("a", 2 * kSecond);
+	directory.apply({2, configOf(1), {backendOf("a", true), backendOf("b", true)}, 0}, 2 * kSecond);
+	directory.apply({3, configOf(1), {backendOf("a", true), backendOf("b", true)}, 0}, 3 * kSecond);
+	std::vector<std::pair<std::string, std::string>> told;
+	for (const LeavingNotice& notice : directory.takeLeavingNotices())
+	{
+		told.emplace_back(notice.id, toString(notice.sign));
+	}
+	const std::vector<std::pair<std::string, std::string>> expected{
+		{"a", "peer"}, {"b", "record"}, {"c", "missing"}};
+	EXPECT_EQ(told, expected);
+	EXPECT_TRUE(directory.takeLeavingNotices().empty());
+}
+
 TEST(Directory, ageCountsFromTheCallThatConfirmed)
 {
 	Directory directory;
