Read the list of backend servers by itself once it is half as old as it may be

Cause: requests reached backend servers that had left. Their list came by the same read as the configuration, and any read was dropped after 0.9 s; a configuration that takes longer on a narrow link held the list back without a bound. Change: BackendListSync reads the records alone when the list is older than half of the drain bound and the store answers; Directory keeps the list's own revision, so that a read that began earlier brings nothing back, and its own age; a read of the whole store may take 6 s while bytes come; a call asks once more whether its backend server takes work when its connection is up; a missing record counts as lapsed only where a read of the store has failed since the list was confirmed, not where the list came slowly. Records are decoded and ranges read in modules of their own, out of storesync.cpp.

--- a/src/coordination/directory.cpp
+++ b/src/coordination/directory.cpp
@@ -29,14 +29,9 @@
 	{
 		return false;
 	}
-	if (m_snapshotTaken != kNever && now - m_snapshotTaken > kOutage)
-	{
-		m_outageEnded = now;
-	}
-	m_snapshotTaken = now;
 	m_revision = snapshot.revision;
 	m_confirmed = std::max(m_confirmed, snapshot.confirmed);
-	mergeBackends(snapshot, now);
+	applyList({snapshot.revision, snapshot.backends, snapshot.confirmed}, now);
 	const bool newer = snapshot.config && (!m_config || snapshot.config->version > m_config->version);
 	if (newer)
 	{
@@ -45,10 +40,33 @@
 	return newer;
 }
 
-void Directory::mergeBackends(const StoreSnapshot& snapshot, Micros now)
+void Directory::applyList(const BackendList& list, Micros now)
+{
+	if (list.revision < m_listRevision)
+	{
+		// A read of the whole store that began earlier: it would bring records back that have gone since.
+		return;
+	}
+	// A list may also grow old because it comes slowly; records lapse only where the store could not be reached.
+	const bool failedSince = m_listConfirmed != kLongAgo && m_storeFailed > m_listConfirmed;
+	if (failedSince && now - m_listConfirmed > kOutage)
+	{
+		m_outageEnded = now;
+	}
+	m_listRevision = list.revision;
+	m_listConfirmed = std::max(m_listConfirmed, list.confirmed);
+	mergeBackends(list.records, now);
+}
+
+void Directory::onUnchanged(Micros confirmed)
+{
+	m_listConfirmed = std::max(m_listConfirmed, confirmed);
+}
+
+void Directory::mergeBackends(const std::vector<BackendRecord>& records, Micros now)
 {
 	std::set<std::string> present;
-	for (const BackendRecord& record : snapshot.backends)
+	for (const BackendRecord& record : records)
 	{
 		present.insert(record.id);
 		KnownBackend& known = m_backends[record.id];
@@ -132,6 +150,17 @@
 	return now - m_confirmed;
 }
 
+bool Directory::takesWork(const std::string& id, Micros now) const
+{
+	const auto it = m_backends.find(id);
+	if (it == m_backends.end() || it->second.record.draining || it->second.misdirected)
+	{
+		return false;
+	}
+	const KnownBackend& known = it->second;
+	return known.vanishedAt == kNever || now < known.lapsedUntil || now - known.vanishedAt < kVanishedGrace;
+}
+
 std::vector<const KnownBackend*> Directory::usableOf(const std::string& service, Micros now) const
 {
 	std::vector<const KnownBackend*> usable;
--- a/src/coordination/directory.h
+++ b/src/coordination/directory.h
@@ -27,6 +27,14 @@
 	Micros confirmed = 0;
 };
 
+/// The records of all backend servers at one revision, without the rest of the store.
+struct BackendList
+{
+	std::uint64_t revision = 0;
+	std::vector<BackendRecord> records;
+	Micros confirmed = 0; ///< Steady time before which the call that read them had not been sent.
+};
+
 /// A backend server as this gateway knows it.
 struct KnownBackend
 {
@@ -81,14 +89,21 @@
 	/// @returns whether the configuration's version rose.
 	bool apply(const StoreSnapshot& snapshot, Micros now);
 
-	/// The present content was confirmed as the newest.
+	/// Takes in a list that was read by itself. An older one changes nothing.
+	void applyList(const BackendList& list, Micros now);
+
+	/// The present configuration was confirmed as the newest.
 	/// @param[in] confirmed Steady time at which it certainly was.
 	void confirm(Micros confirmed);
 
 	/// The present snapshot was found to be still the newest.
-	void onUnchanged(Micros now)
+	/// @param[in] confirmed Steady time at which it certainly was.
+	void onUnchanged(Micros confirmed);
+
+	/// A read of the store failed, so that records may lapse without their backend servers' doing.
+	void onStoreFailed(Micros now)
 	{
-		m_snapshotTaken = now;
+		m_storeFailed = now;
 	}
 
 	/// A backend server answered that it is not the one that was meant.
@@ -118,6 +133,15 @@
 	/// @returns for how long the configuration has not been confirmed.
 	Micros age(Micros now) const;
 
+	/// @returns for how long the list of backend servers has not been confirmed.
+	Micros listAge(Micros now) const
+	{
+		return now - m_listConfirmed;
+	}
+
+	/// @returns whether a request that was meant for a backend server may still be sent to it.
+	bool takesWork(const std::string& id, Micros now) const;
+
 	/// @returns all backend servers by id, also those that take no new work.
 	const std::map<std::string, KnownBackend>& backends() const
 	{
@@ -128,12 +152,14 @@
 	std::vector<const KnownBackend*> usableOf(const std::string& service, Micros now) const;
 
 private:
-	void mergeBackends(const StoreSnapshot& snapshot, Micros now);
+	void mergeBackends(const std::vector<BackendRecord>& records, Micros now);
 
 	RoutingConfigPtr m_config;
 	std::uint64_t m_revision = 0;
 	Micros m_confirmed = kLongAgo;
-	Micros m_snapshotTaken = kNever; ///< When the last snapshot was taken in.
+	std::uint64_t m_listRevision = 0;
+	Micros m_listConfirmed = kLongAgo; ///< When the list of backend servers was certainly the newest.
+	Micros m_storeFailed = kLongAgo;   ///< When a read failed last.
 	Micros m_outageEnded = kLongAgo;
 	std::map<std::string, KnownBackend> m_backends;
 	std::vector<LeavingNotice> m_leavingNotices; ///< One at most for each backend server and sign until taken.
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -270,10 +270,15 @@
 	options.noBody = m_request.head.method == "HEAD";
 	CallHandlers handlers;
 	const auto self = shared_from_this();
+	// It may have been found to leave while the connection opened, which may take 0.3 s.
+	handlers.maySend = [self]
+	{
+		return self->m_context.directory.takesWork(self->m_attempt.backendId, monotonicNow());
+	};
 	handlers.onSent = [self]
 	{
 		self->m_attempt.onTheWire = true;
-		self->m_attempt.listAge = monotonicNow() - self->m_context.content.confirmed;
+		self->m_attempt.listAge = self->m_context.directory.listAge(monotonicNow());
 		self->m_context.metrics.onSent(self->m_service, self->m_attempt.listAge);
 		if (self->m_sent == 0)
 		{
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -95,6 +95,8 @@
 	m_gossiper->init();
 	m_store = std::make_shared<StoreSync>(m_context);
 	m_store->init();
+	m_backendList = std::make_shared<BackendListSync>(m_context);
+	m_backendList->init();
 	m_context.onNewsFromPeer = [this]
 	{
 		m_store->refresh();
@@ -309,6 +311,7 @@
 	m_signals.cancel();
 	m_gossiper->shutdown();
 	m_store->shutdown();
+	m_backendList->shutdown();
 	m_registration->shutdown();
 	if (m_duties)
 	{
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -7,6 +7,7 @@
 #ifndef BEACONGATE_GATEWAY_GATEWAY_H
 #define BEACONGATE_GATEWAY_GATEWAY_H
 
+#include "gateway/backendlistsync.h"
 #include "gateway/dispatcher.h"
 #include "gateway/dutyholder.h"
 #include "gateway/gatewaycontext.h"
@@ -65,6 +66,7 @@
 	std::unique_ptr<ServerListener> m_controlListener;
 	std::unique_ptr<ServerListener> m_metricsListener;
 	std::shared_ptr<StoreSync> m_store;
+	std::shared_ptr<BackendListSync> m_backendList;
 	std::shared_ptr<Registration> m_registration;
 	std::shared_ptr<DutyHolder> m_duties;
 	std::unique_ptr<Gossiper> m_gossiper;
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -20,6 +20,7 @@
 #include "coordination/sharedretrybudget.h"
 #include "coordination/usageledger.h"
 #include "daemon/clock.h"
+#include "gateway/backendrecords.h"
 #include "gateway/gatewaymetrics.h"
 #include "gateway/gatewaysettings.h"
 
@@ -64,6 +65,8 @@
 	Directory directory;
 	StoreContent content;
 	ContentHistory history;
+	BackendRecords backendRecords;
+	bool storeReachable = true; ///< The last read of the store was answered.
 	Balancer balancer;
 	QuotaLedger quotas;
 	SharedRetryBudget retryBudget;
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -153,6 +153,8 @@
 		out << "beacongate_failed_attempts_total{service=" << quoted(labels.first)
 			<< ",result=" << quoted(labels.second) << "} " << count << '\n';
 	}
+	out << "# TYPE beacongate_backend_list_reads_total counter\nbeacongate_backend_list_reads_total " << m_listReads
+		<< '\n';
 	formatLatencies(out, "beacongate_request_seconds", "route", m_durations);
 	formatLatencies(out, "beacongate_first_byte_seconds", "service", m_firstBytes);
 	formatLatencies(out, "beacongate_queue_seconds", "service", m_waits);
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -54,6 +54,12 @@
 	/// @param[in] listAge How old the list of backend servers was at that moment.
 	void onSent(const std::string& service, Micros listAge);
 
+	/// The list of backend servers was read by itself, since it had grown old.
+	void onListRead()
+	{
+		++m_listReads;
+	}
+
 	/// A timer of the event loop ran.
 	/// @param[in] delay How much later than asked.
 	void onLoopDelay(Micros delay);
@@ -75,6 +81,7 @@
 	std::map<RequestLabels, std::uint64_t> m_requests;
 	std::map<std::pair<std::string, std::string>, std::uint64_t> m_failedAttempts;
 	std::map<std::string, double> m_gauges;
+	std::uint64_t m_listReads = 0;
 	Latencies m_durations;
 	Latencies m_firstBytes;
 	Latencies m_waits;
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -37,6 +37,7 @@
 	Micros grace = 8 * kSecond;      ///< From a request to stop until the process is killed.
 	bool strictRevocation = false;   ///< A key that was taken away must not be served beyond revocationSpan.
 	Micros revocationSpan = kNever;  ///< See strictRevocation.
+	Micros drainSpan = 2 * kSecond;  ///< No request may reach a backend server later after it was known to leave.
 	Micros leaseSpan = 3 * kSecond;  ///< Of the duty holder's lease.
 	Micros usageWindow = kSecond;    ///< Length of a usage report's window.
 	Micros usageDue = 10 * kSecond;  ///< From a window's end until its report is late.
--- a/src/gateway/gossiper.cpp
+++ b/src/gateway/gossiper.cpp
@@ -128,7 +128,7 @@
 				 {{"backend", notice.id},
 				  {"sign", std::string(toString(notice.sign))},
 				  {"revision", std::to_string(m_context.directory.revision())},
-				  {"list_age_ms", millisText(monotonicNow() - m_context.content.confirmed)},
+				  {"list_age_ms", millisText(m_context.directory.listAge(monotonicNow()))},
 				  {"in_flight", std::to_string(m_context.balancer.totalInFlight(notice.id))}});
 	}
 }
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -23,7 +23,11 @@
 constexpr Micros kRelayTimeout = 300 * kMillisecond;
 constexpr Micros kRelayAge = 1500 * kMillisecond;    ///< A relay that knows nothing newer than this is of no use.
 constexpr Micros kNewsInterval = 200 * kMillisecond; ///< Between two early reads.
-constexpr Micros kReadTimeout = 900 * kMillisecond;
+/// A read that brings no bytes for this long has failed; the store answers within 10 ms.
+constexpr Micros kReadSilence = 900 * kMillisecond;
+/// A read may take this long while bytes come: the content grows with the configuration, and 2 MB need 1.6 s of a
+/// link of 10 Mbit/s that callers' answers share. With 0.9 s for any size, 1.1 MB never came at 0.5 MB/s.
+constexpr Micros kReadLongest = 6 * kSecond;
 constexpr Micros kRetryMin = 100 * kMillisecond;
 constexpr Micros kRetryMax = 600 * kMillisecond;
 constexpr Micros kWatchSpan = 5 * kSecond;
@@ -51,7 +55,7 @@
 
 StoreSync::StoreSync(GatewayContext& context)
 	: m_context(context),
-	  m_reads(std::make_shared<HttpChannel>(context.loop, context.settings.store, limits::kSnapshotBytes)),
+	  m_reads(std::make_shared<RangeReader>(context.loop, context.settings.store, "", kReadSilence, kReadLongest)),
 	  m_watches(std::make_shared<HttpChannel>(context.loop, context.settings.store, limits::kSnapshotBytes)),
 	  m_readTimer(context.loop), m_watchTimer(context.loop), m_peerTimer(context.loop)
 {
@@ -195,71 +199,38 @@
 	if (revision == m_context.content.revision)
 	{
 		m_context.content.confirmed = std::max(m_context.content.confirmed, confirmed);
-		m_context.directory.onUnchanged(monotonicNow());
+		m_context.directory.onUnchanged(confirmed);
 	}
 }
 
 void StoreSync::readStore()
 {
 	m_readAgain = false;
-	m_incoming = {};
-	m_readSent = monotonicNow();
-	readPage("");
+	m_reads->read([self = shared_from_this()](std::optional<StoreContent> content)
+				  { self->onRead(std::move(content)); });
 }
 
-void StoreSync::readPage(const std::string& afterKey)
+void StoreSync::onRead(std::optional<StoreContent> content)
 {
-	m_reads->call(platform::rangeCall("", afterKey), kReadTimeout,
-				  [self = shared_from_this()](const std::optional<HttpAnswer>& answer)
-				  {
-					  if (!self->m_closed)
-					  {
-						  self->onPage(platform::readRange(answer));
-					  }
-				  });
-}
-
-void StoreSync::onPage(const std::optional<KvPage>& page)
-{
-	if (!page)
+	if (!content)
 	{
 		onReadFailed();
 		return;
 	}
-	if (m_incoming.items.empty())
-	{
-		m_incoming.revision = page->revision;
-	}
-	for (const KvItem& item : page->items)
-	{
-		m_incoming.items[item.key] = item;
-	}
-	if (page->more && !page->items.empty())
-	{
-		readPage(page->items.back().key);
-		return;
-	}
-	finishRead();
-}
-
-void StoreSync::finishRead()
-{
 	m_reading = false;
 	m_failures = 0;
-	if (!m_storeReachable)
+	if (!m_context.storeReachable)
 	{
-		m_storeReachable = true;
-		logEvent(LogLevel::Info, "store-regained", {{"revision", std::to_string(m_incoming.revision)}});
+		m_context.storeReachable = true;
+		logEvent(LogLevel::Info, "store-regained", {{"revision", std::to_string(content->revision)}});
 	}
-	m_incoming.confirmed = m_readSent;
 	if (m_relayFailed)
 	{
 		// The store answers and the relay does not, or knows less.
 		m_context.relays.onFailed(m_relayHost, monotonicNow());
 		m_relayFailed = false;
 	}
-	apply(std::move(m_incoming), false);
-	m_incoming = {};
+	apply(std::move(*content), false);
 	if (!m_watching)
 	{
 		watch();
@@ -277,9 +248,10 @@
 {
 	m_reading = false;
 	++m_failures;
-	if (m_storeReachable)
+	m_context.directory.onStoreFailed(monotonicNow());
+	if (m_context.storeReachable)
 	{
-		m_storeReachable = false;
+		m_context.storeReachable = false;
 		logEvent(LogLevel::Warning, "store-lost",
 				 {{"revision", std::to_string(m_context.directory.revision())},
 				  {"config_age_ms", std::to_string(m_context.directory.age(monotonicNow()) / kMillisecond)}});
@@ -388,13 +360,6 @@
 		{
 			snapshot.config = configOf(item);
 		}
-		else if (const auto id = platform::backendIdOf(item))
-		{
-			if (const BackendRecord* record = recordOf(*id, item))
-			{
-				snapshot.backends.push_back(*record);
-			}
-		}
 		else if (key == kLevelsKey)
 		{
 			learnLevels(item);
@@ -412,6 +377,7 @@
 	{
 		return;
 	}
+	snapshot.backends = m_context.backendRecords.read(content.items);
 	m_context.relays.setMembers(members);
 	std::set<std::string> hosts;
 	for (const MemberRecord& member : members)
@@ -431,7 +397,6 @@
 	}
 	const auto& known = m_context.directory.backends();
 	m_context.balancer.retain(known);
-	std::erase_if(m_records, [&known](const auto& entry) { return !known.count(entry.first); });
 	m_context.history.onReplaced(m_context.content, content);
 	content.confirmed = std::max(content.confirmed, m_context.content.confirmed);
 	m_context.content = std::move(content);
@@ -453,25 +418,6 @@
 	}
 }
 
-const BackendRecord* StoreSync::recordOf(const std::string& id, const KvItem& item)
-{
-	ParsedRecord& parsed = m_records[id];
-	if (parsed.revision != item.revision)
-	{
-		parsed.revision = item.revision;
-		parsed.record.reset();
-		try
-		{
-			parsed.record = platform::readBackend(id, item.value);
-		}
-		catch (const std::exception& error)
-		{
-			logEvent(LogLevel::Warning, "backend-refused", {{"backend", id}, {"detail", error.what()}});
-		}
-	}
-	return parsed.record ? &*parsed.record : nullptr;
-}
-
 void StoreSync::learnCounts(const KvItem& item)
 {
 	if (item.revision == m_countsRevision)
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -9,6 +9,7 @@
 #define BEACONGATE_GATEWAY_STORESYNC_H
 
 #include "gateway/gatewaycontext.h"
+#include "gateway/rangereader.h"
 #include "transport/httpchannel.h"
 
 #include <map>
@@ -42,13 +43,6 @@
 	void refresh();
 
 private:
-	/// A backend server's record as it stood at a revision; none where it could not be read.
-	struct ParsedRecord
-	{
-		std::uint64_t revision = 0;
-		std::optional<BackendRecord> record;
-	};
-
 	void scheduleRead(Micros span);
 	void read();
 	void askRelay(const std::string& host);
@@ -56,9 +50,7 @@
 	void confirmUnchanged(std::uint64_t revision, Micros confirmed);
 	bool takeUpdate(Micros asked, const ContentUpdate& update);
 	void readStore();
-	void readPage(const std::string& afterKey);
-	void onPage(const std::optional<KvPage>& page);
-	void finishRead();
+	void onRead(std::optional<StoreContent> content);
 	void onReadFailed();
 	void watch();
 	void onWatch(const std::optional<HttpAnswer>& answer);
@@ -69,13 +61,12 @@
 	void askPeer(const std::string& host, bool whole);
 	void onPeerUpdate(Micros asked, const std::string& host, const std::optional<HttpAnswer>& answer);
 	void onPeerContent(Micros asked, const std::optional<HttpAnswer>& answer);
-	const BackendRecord* recordOf(const std::string& id, const KvItem& item);
 	void learnLevels(const KvItem& item);
 	void learnCounts(const KvItem& item);
 	void schedulePeers();
 
 	GatewayContext& m_context;
-	std::shared_ptr<HttpChannel> m_reads;
+	std::shared_ptr<RangeReader> m_reads;
 	std::shared_ptr<HttpChannel> m_watches;
 	std::shared_ptr<HttpChannel> m_peerChannel;
 	std::shared_ptr<HttpChannel> m_relayChannel;
@@ -84,20 +75,16 @@
 	boost::asio::steady_timer m_readTimer;
 	boost::asio::steady_timer m_watchTimer;
 	boost::asio::steady_timer m_peerTimer;
-	StoreContent m_incoming;
-	Micros m_readSent = 0;
 	bool m_reading = false;
 	bool m_readAgain = false;
 	Micros m_lastNews = kLongAgo;
 	bool m_watching = false;
-	bool m_storeReachable = true;
 	bool m_closed = false;
 	unsigned m_failures = 0;
 	std::uint64_t m_parsedRevision = 0;
 	RoutingConfigPtr m_parsed;
 	std::uint64_t m_rejectedRevision = 0;
 	std::uint64_t m_countsRevision = 0;
-	std::map<std::string, ParsedRecord> m_records;
 };
 
 } // namespace beacongate
--- a/src/transport/httpchannel.cpp
+++ b/src/transport/httpchannel.cpp
@@ -68,6 +68,19 @@
 		return;
 	}
 	++m_turn;
+	m_callEnds = std::chrono::steady_clock::now() + std::chrono::microseconds(m_queue.front().request.longest);
+	armTimer();
+	m_reused = m_connection && !m_connection->closed();
+	if (m_reused)
+	{
+		transmit();
+		return;
+	}
+	connect();
+}
+
+void HttpChannel::armTimer()
+{
 	m_timer.expires_after(std::chrono::microseconds(m_queue.front().span));
 	m_timer.async_wait(
 		[weak = weak_from_this(), turn = m_turn](const BoostError& error)
@@ -79,13 +92,6 @@
 				self->finish(std::nullopt);
 			}
 		});
-	m_reused = m_connection && !m_connection->closed();
-	if (m_reused)
-	{
-		transmit();
-		return;
-	}
-	connect();
 }
 
 void HttpChannel::connect()
@@ -161,6 +167,10 @@
 	}
 	if (!m_parser->done())
 	{
+		if (std::chrono::steady_clock::now() < m_callEnds)
+		{
+			armTimer();
+		}
 		return;
 	}
 	HttpAnswer answer;
--- a/src/transport/httpchannel.h
+++ b/src/transport/httpchannel.h
@@ -10,6 +10,7 @@
 #include "transport/messageparser.h"
 #include "transport/tcpconnection.h"
 
+#include <chrono>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -25,6 +26,8 @@
 	std::string target;
 	HttpHeaders headers;
 	std::string body;
+	/// The answer may take this long as long as its bytes keep coming; 0 is no longer than the call's span.
+	Micros longest = 0;
 };
 
 /// Formats a request with its Host and Content-Length.
@@ -42,7 +45,8 @@
 	HttpChannel(boost::asio::io_context& context, Address address, std::size_t answerLimit);
 
 	/// Sends a call once those before it have ended. The handler never runs inside this function.
-	/// @param[in] span Time for the call, from the moment that it is its turn.
+	/// @param[in] span Time for the call, from the moment that it is its turn, and again from each piece of its
+	/// answer until the request's `longest` has passed.
 	void call(ChannelRequest request, Micros span, Handler handler, MaySend maySend = nullptr);
 
 	/// Closes the connection; calls that wait get nothing and no handler runs any more.
@@ -58,6 +62,7 @@
 	};
 
 	void next();
+	void armTimer();
 	void connect();
 	void transmit();
 	void onBytes(std::string_view bytes);
@@ -74,6 +79,7 @@
 	bool m_closed = false;
 	bool m_reused = false;
 	std::uint64_t m_turn = 0;
+	std::chrono::steady_clock::time_point m_callEnds; ///< From then on, more bytes give the call no more time.
 	TcpConnection::Ptr m_connection;
 	std::unique_ptr<MessageParser> m_parser;
 	std::string m_input;
--- a/src/transport/outgoingcall.cpp
+++ b/src/transport/outgoingcall.cpp
@@ -60,6 +60,12 @@
 		fail(CallFault::NotSent);
 		return;
 	}
+	if (m_handlers.maySend && !m_handlers.maySend())
+	{
+		connection->close();
+		fail(CallFault::NotSent);
+		return;
+	}
 	m_connection = connection;
 	m_noBody = noBody;
 	m_parser = makeParser(noBody);
--- a/src/transport/outgoingcall.h
+++ b/src/transport/outgoingcall.h
@@ -28,6 +28,8 @@
 /// What a call reports; nothing after onDone(), onFault() or cancel().
 struct CallHandlers
 {
+	/// Asked once the connection is up; where it says no, the call ends as NotSent. None is yes.
+	std::function<bool()> maySend;
 	std::function<void()> onSent; ///< The connection is up and the request's bytes were handed over.
 	std::function<void(const MessageHead&)> onHead;
 	std::function<void(std::string_view)> onBody;
