Let reads that a watch outran confirm, and give large answers of peers and watches time

Change: such a read confirms what is known; calls to peers and watches may take longer while bytes come. Tests of the call's spans (httpchanneltest) and of the confirmation.

--- a/src/coordination/directory.cpp
+++ b/src/coordination/directory.cpp
@@ -27,6 +27,10 @@
 {
 	if (snapshot.revision < m_revision)
 	{
+		// A watch was faster than this read. What is known holds all that the read found, so the read confirms it:
+		// at the holder of the duties, reads that a watch outran had left the list unconfirmed for 3.9 s.
+		confirm(snapshot.confirmed);
+		onUnchanged(snapshot.confirmed);
 		return false;
 	}
 	m_revision = snapshot.revision;
@@ -45,6 +49,7 @@
 	if (list.revision < m_listRevision)
 	{
 		// A read of the whole store that began earlier: it would bring records back that have gone since.
+		onUnchanged(list.confirmed);
 		return;
 	}
 	// A list may also grow old because it comes slowly; records lapse only where the store could not be reached.
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -141,6 +141,7 @@
 	}
 	ChannelRequest request;
 	request.target = std::string(kUpdatePath) + std::to_string(m_context.content.revision);
+	request.longest = kReadSilence;
 	const Micros asked = monotonicNow();
 	m_relayChannel->call(std::move(request), kRelayTimeout,
 						 [self = shared_from_this(), asked](const std::optional<HttpAnswer>& answer)
@@ -267,7 +268,9 @@
 		return;
 	}
 	m_watching = true;
-	m_watches->call(platform::watchCall("", m_context.directory.revision(), kWatchSpan), kWatchTimeout,
+	ChannelRequest request = platform::watchCall("", m_context.directory.revision(), kWatchSpan);
+	request.longest = kWatchTimeout + kReadLongest;
+	m_watches->call(std::move(request), kWatchTimeout,
 					[self = shared_from_this()](const std::optional<HttpAnswer>& answer)
 					{
 						if (!self->m_closed)
@@ -375,6 +378,8 @@
 	}
 	if (content.revision < m_context.directory.revision())
 	{
+		m_context.directory.apply(snapshot, now);
+		m_context.content.confirmed = std::max(m_context.content.confirmed, content.confirmed);
 		return;
 	}
 	snapshot.backends = m_context.backendRecords.read(content.items);
@@ -470,6 +475,7 @@
 	request.target =
 		whole ? std::string(kContentPath) : std::string(kUpdatePath) + std::to_string(m_context.content.revision);
 	request.headers = {{"Connection", "close"}};
+	request.longest = kReadLongest;
 	const Micros asked = monotonicNow();
 	m_peerChannel->call(std::move(request), kPeerTimeout,
 						[self = shared_from_this(), asked, host, whole](const std::optional<HttpAnswer>& answer)
--- a/tests/contenttest.cpp
+++ b/tests/contenttest.cpp
@@ -160,6 +160,18 @@
 	EXPECT_EQ(directory.listAge(3 * kSecond), kSecond);
 }
 
+TEST(Directory, aReadThatNewsOutranConfirmsWhatIsKnown)
+{
+	Directory directory;
+	directory.apply({9, configOf(2), {backendOf("a")}, kSecond}, kSecond);
+	EXPECT_FALSE(directory.apply({8, configOf(1), {backendOf("b")}, 5 * kSecond}, 6 * kSecond));
+	EXPECT_EQ(directory.config()->version, 2u);
+	ASSERT_EQ(directory.usableOf("model", 6 * kSecond).size(), 1u);
+	EXPECT_EQ(directory.usableOf("model", 6 * kSecond)[0]->record.id, "a");
+	EXPECT_EQ(directory.listAge(6 * kSecond), kSecond);
+	EXPECT_EQ(directory.age(6 * kSecond), kSecond);
+}
+
 RC_GTEST_PROP(Directory, whatTakesWorkIsWhatMayBeChosen, (const std::vector<std::uint8_t>& events))
 {
 	Directory directory;
--- /dev/null
+++ b/tests/httpchanneltest.cpp
@@ -0,0 +1,98 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// How long a call on a kept connection may take.
+
+#include "transport/httpchannel.h"
+#include "daemon/clock.h"
+#include "standin/platform.h"
+
+#include <gtest/gtest.h>
+
+#include <future>
+#include <unistd.h>
+
+namespace beacongate::test
+{
+namespace
+{
+constexpr std::uint16_t kPort = 18104;
+constexpr std::size_t kRate = 500'000;       ///< Bytes a second.
+constexpr std::size_t kValueBytes = 150'000; ///< 0.4 s at that rate, in base64.
+constexpr Micros kSpan = 150 * kMillisecond; ///< Several pieces of the answer come within it.
+constexpr Micros kLongest = 2 * kSecond;
+constexpr std::size_t kMostBytes = 1u << 20;
+
+/// A store whose answers come slowly, and a channel to it.
+class HttpChannelTest : public testing::Test
+{
+protected:
+	HttpChannelTest()
+		: m_address{"127.77." + std::to_string(getpid() % 250) + ".1", kPort}, m_store(m_address),
+		  m_channel(std::make_shared<HttpChannel>(m_loop.context(), m_address, kMostBytes))
+	{
+		m_store.put("large", std::string(kValueBytes, 'x'));
+		m_store.setReadRate(kRate);
+	}
+
+	~HttpChannelTest() override
+	{
+		m_loop.run([this] { m_channel->close(); });
+	}
+
+	/// @returns whether the answer came whole.
+	bool readWithin(Micros span, Micros longest)
+	{
+		ChannelRequest request;
+		request.target = "/kv-range?pathPrefix=";
+		request.longest = longest;
+		std::promise<bool> whole;
+		m_loop.run(
+			[&]
+			{
+				m_channel->call(request, span,
+								[&whole](const std::optional<HttpAnswer>& answer)
+								{ whole.set_value(answer && answer->body.size() > kValueBytes); });
+			});
+		return whole.get_future().get();
+	}
+
+	Address m_address;
+	standin::PlatformStore m_store;
+	standin::LoopThread m_loop;
+	std::shared_ptr<HttpChannel> m_channel;
+};
+} // namespace
+
+TEST_F(HttpChannelTest, aCallEndsWithItsSpanWhereNothingElseIsSaid)
+{
+	const Micros began = monotonicNow();
+	EXPECT_FALSE(readWithin(kSpan, 0));
+	EXPECT_LT(monotonicNow() - began, 2 * kSpan);
+	m_store.setReadRate(0);
+	EXPECT_TRUE(readWithin(kSpan, 0)) << "the next call opens a new connection";
+}
+
+TEST_F(HttpChannelTest, anAnswerThatKeepsComingIsGivenMoreTime)
+{
+	EXPECT_TRUE(readWithin(kSpan, kLongest));
+	EXPECT_TRUE(readWithin(kSpan, kLongest)) << "the connection is kept";
+}
+
+TEST_F(HttpChannelTest, anAnswerThatKeepsComingEndsAtItsLongestSpan)
+{
+	const Micros began = monotonicNow();
+	EXPECT_FALSE(readWithin(kSpan, kSpan));
+	EXPECT_LT(monotonicNow() - began, 3 * kSpan);
+}
+
+TEST_F(HttpChannelTest, aServerThatFallsSilentIsGivenNoMoreTime)
+{
+	m_store.setFault(standin::StoreFault::Silent);
+	const Micros began = monotonicNow();
+	EXPECT_FALSE(readWithin(kSpan, kLongest));
+	EXPECT_LT(monotonicNow() - began, 2 * kSpan);
+}
+
+} // namespace beacongate::test
