--- a/include/beacongate/routing.h
+++ b/include/beacongate/routing.h
@@ -122,13 +122,13 @@
 	void buildIndex();
 
 	/// @returns the route with the longest prefix of the path, or nullptr.
-	const Route* findRoute(std::string_view host, std::string_view path) const;
+	const Route* findRoute(std::string_view _host, std::string_view _path) const;
 
 	/// @returns the team that holds a key, or nullptr.
-	const TeamAccess* findTeamByKey(std::string_view key) const;
+	const TeamAccess* findTeamByKey(std::string_view _key) const;
 
 	/// @returns the service of that name, or nullptr.
-	const PooledService* findService(std::string_view name) const;
+	const PooledService* findService(std::string_view _name) const;
 
 private:
 	std::unordered_map<std::string, std::vector<std::size_t>> m_routesByHost;
--- a/src/coordination/agreedclock.h
+++ b/src/coordination/agreedclock.h
@@ -26,19 +26,19 @@
 	static constexpr std::size_t kQuorum = 3;
 
 	/// A peer's wall clock was read.
-	void onSample(const std::string& peer, Micros wallClock, Micros now)
+	void onSample(const std::string& _peer, Micros _wallClock, Micros _now)
 	{
-		m_samples[peer] = {wallClock - now, now};
+		m_samples[_peer] = {_wallClock - _now, _now};
 	}
 
 	/// Works the offset out again.
 	/// @param[in] ownWallClock This process's wall clock.
-	void update(Micros ownWallClock, Micros now)
+	void update(Micros _ownWallClock, Micros _now)
 	{
-		std::vector<Micros> offsets{ownWallClock - now};
+		std::vector<Micros> offsets{_ownWallClock - _now};
 		for (const auto& [peer, sample] : m_samples)
 		{
-			if (now - sample.taken <= kSampleLife)
+			if (_now - sample.taken <= kSampleLife)
 			{
 				offsets.push_back(sample.offset);
 			}
@@ -54,9 +54,9 @@
 	}
 
 	/// @returns true time since the start of 1970.
-	Micros trueTime(Micros now) const
+	Micros trueTime(Micros _now) const
 	{
-		return now + m_offset;
+		return _now + m_offset;
 	}
 
 private:
--- a/src/coordination/attemptpolicy.h
+++ b/src/coordination/attemptpolicy.h
@@ -24,9 +24,9 @@
 };
 
 /// @returns the name used in logs and metrics.
-constexpr std::string_view toString(AttemptResult result)
+constexpr std::string_view toString(AttemptResult _result)
 {
-	switch (result)
+	switch (_result)
 	{
 	case AttemptResult::NotSent:
 		return "not-sent";
@@ -65,9 +65,9 @@
 };
 
 /// @returns the name used in logs.
-constexpr std::string_view toString(AttemptDecision decision)
+constexpr std::string_view toString(AttemptDecision _decision)
 {
-	switch (decision)
+	switch (_decision)
 	{
 	case AttemptDecision::Retry:
 		return "retry";
@@ -85,25 +85,25 @@
 inline constexpr unsigned kMaxUnsentTries = 4;
 
 /// @returns whether the attempt may have run the request.
-constexpr bool mayHaveRunAfter(AttemptResult result)
+constexpr bool mayHaveRunAfter(AttemptResult _result)
 {
-	return result == AttemptResult::ServerError || result == AttemptResult::Broken;
+	return _result == AttemptResult::ServerError || _result == AttemptResult::Broken;
 }
 
 /// Decides after an attempt's end.
-constexpr AttemptDecision decideAfterAttempt(AttemptResult result, const AttemptContext& context)
+constexpr AttemptDecision decideAfterAttempt(AttemptResult _result, const AttemptContext& _context)
 {
-	const bool mayHaveRun = context.mayHaveRun || mayHaveRunAfter(result);
-	const bool safeToRepeat = context.repeatable || !mayHaveRun;
-	const bool unsent = result == AttemptResult::NotSent;
-	const bool triesLeft = unsent ? context.unsentTries < kMaxUnsentTries : context.sent < context.maxAttempts;
-	const bool needsBudget = context.sent > 0;
-	const bool allowed = !needsBudget || context.budgetAllows;
-	if (safeToRepeat && triesLeft && allowed && context.anotherBackend && context.timeLeft)
+	const bool mayHaveRun = _context.mayHaveRun || mayHaveRunAfter(_result);
+	const bool safeToRepeat = _context.repeatable || !mayHaveRun;
+	const bool unsent = _result == AttemptResult::NotSent;
+	const bool triesLeft = unsent ? _context.unsentTries < kMaxUnsentTries : _context.sent < _context.maxAttempts;
+	const bool needsBudget = _context.sent > 0;
+	const bool allowed = !needsBudget || _context.budgetAllows;
+	if (safeToRepeat && triesLeft && allowed && _context.anotherBackend && _context.timeLeft)
 	{
 		return AttemptDecision::Retry;
 	}
-	if (result == AttemptResult::ServerError)
+	if (_result == AttemptResult::ServerError)
 	{
 		return AttemptDecision::PassAnswer;
 	}
--- a/src/coordination/balancer.cpp
+++ b/src/coordination/balancer.cpp
@@ -25,16 +25,16 @@
 constexpr Micros kEjectMin = 1500 * kMillisecond;
 constexpr Micros kEjectMax = 6 * kSecond;
 
-std::uint64_t rendezvousWeight(std::uint64_t part, const std::string& id)
+std::uint64_t rendezvousWeight(std::uint64_t _part, const std::string& _id)
 {
-	return XXH64(id.data(), id.size(), part);
+	return XXH64(_id.data(), _id.size(), _part);
 }
 
 /// The part that decides where a prompt is likely to be cached: the longest chain that others may share.
-std::uint64_t affinityPart(const PlacementRequest& request)
+std::uint64_t affinityPart(const PlacementRequest& _request)
 {
-	const std::size_t shared = request.parts.size() < 2 ? 0 : request.parts.size() - 2;
-	return request.parts[shared].id;
+	const std::size_t shared = _request.parts.size() < 2 ? 0 : _request.parts.size() - 2;
+	return _request.parts[shared].id;
 }
 } // namespace
 
@@ -48,29 +48,29 @@
 	return tokens;
 }
 
-Placement Balancer::choose(const std::vector<const KnownBackend*>& candidates, const PlacementRequest& request,
-						   const std::vector<std::string>& excluded, Micros now)
+Placement Balancer::choose(const std::vector<const KnownBackend*>& _candidates, const PlacementRequest& _request,
+						   const std::vector<std::string>& _excluded, Micros _now)
 {
 	std::vector<const KnownBackend*> allowed;
-	for (const KnownBackend* backend : candidates)
+	for (const KnownBackend* backend : _candidates)
 	{
-		if (std::find(excluded.begin(), excluded.end(), backend->record.id) == excluded.end())
+		if (std::find(_excluded.begin(), _excluded.end(), backend->record.id) == _excluded.end())
 		{
 			allowed.push_back(backend);
 		}
 	}
 	std::vector<const KnownBackend*> healthy;
 	std::copy_if(allowed.begin(), allowed.end(), std::back_inserter(healthy),
-				 [&](const KnownBackend* backend) { return !ejected(backend->record.id, now); });
+				 [&](const KnownBackend* _backend) { return !ejected(_backend->record.id, _now); });
 	// Where most look bad, the fault is more likely elsewhere: all are used.
 	const std::vector<const KnownBackend*>& pool = healthy.size() * 2 >= allowed.size() ? healthy : allowed;
 	const KnownBackend* preferred = nullptr;
-	if (request.parts.size() > 1)
+	if (_request.parts.size() > 1)
 	{
 		std::uint64_t best = 0;
 		for (const KnownBackend* backend : pool)
 		{
-			const std::uint64_t weight = rendezvousWeight(affinityPart(request), backend->record.id);
+			const std::uint64_t weight = rendezvousWeight(affinityPart(_request), backend->record.id);
 			if (!preferred || weight > best)
 			{
 				preferred = backend;
@@ -81,7 +81,7 @@
 	Placement placement;
 	for (const KnownBackend* backend : pool)
 	{
-		const double cost = costOf(*backend, request, backend == preferred, now);
+		const double cost = costOf(*backend, _request, backend == preferred, _now);
 		if (!placement.backend || cost < placement.cost)
 		{
 			placement.backend = backend;
@@ -96,30 +96,30 @@
 	return placement;
 }
 
-double Balancer::costOf(const KnownBackend& backend, const PlacementRequest& request, bool preferred,
-						Micros now) const
+double Balancer::costOf(const KnownBackend& _backend, const PlacementRequest& _request, bool _preferred,
+						Micros _now) const
 {
-	const BackendLoad load = totalLoad(backend.record.id);
-	double cost = backend.record.dataCentre == m_dataCentre ? 0.0 : kOtherZoneMillis;
-	cost += load.inFlight >= backend.record.slots ? kFullMillis : 0.0;
-	cost += backend.coldUntil > now ? kColdMillis : 0.0;
-	if (request.promptTokens == 0)
+	const BackendLoad load = totalLoad(_backend.record.id);
+	double cost = _backend.record.dataCentre == m_dataCentre ? 0.0 : kOtherZoneMillis;
+	cost += load.inFlight >= _backend.record.slots ? kFullMillis : 0.0;
+	cost += _backend.coldUntil > _now ? kColdMillis : 0.0;
+	if (_request.promptTokens == 0)
 	{
 		return cost + kPlainMillis * load.inFlight;
 	}
-	const std::uint64_t missing = preferred ? 0 : request.sharedTokens();
-	cost += static_cast<double>(load.pendingTokens) / request.tokensPerMilli;
-	cost += kRereadWeight * static_cast<double>(missing) / request.tokensPerMilli;
+	const std::uint64_t missing = _preferred ? 0 : _request.sharedTokens();
+	cost += static_cast<double>(load.pendingTokens) / _request.tokensPerMilli;
+	cost += kRereadWeight * static_cast<double>(missing) / _request.tokensPerMilli;
 	cost += kRunningMillis * load.inFlight;
 	return cost;
 }
 
-BackendLoad Balancer::totalLoad(const std::string& id) const
+BackendLoad Balancer::totalLoad(const std::string& _id) const
 {
 	BackendLoad total;
 	for (const auto* loads : {&m_own, &m_peerTotals})
 	{
-		const auto it = loads->find(id);
+		const auto it = loads->find(_id);
 		if (it != loads->end())
 		{
 			total.inFlight += it->second.inFlight;
@@ -129,68 +129,68 @@
 	return total;
 }
 
-unsigned Balancer::totalInFlight(const std::string& id) const
+unsigned Balancer::totalInFlight(const std::string& _id) const
 {
-	return totalLoad(id).inFlight;
+	return totalLoad(_id).inFlight;
 }
 
-void Balancer::onSent(const std::string& id, const PlacementRequest& request)
+void Balancer::onSent(const std::string& _id, const PlacementRequest& _request)
 {
-	BackendLoad& load = m_own[id];
-	load.id = id;
+	BackendLoad& load = m_own[_id];
+	load.id = _id;
 	++load.inFlight;
-	load.pendingTokens += request.promptTokens;
+	load.pendingTokens += _request.promptTokens;
 }
 
-void Balancer::onFirstEvent(const std::string& id, const PlacementRequest& request)
+void Balancer::onFirstEvent(const std::string& _id, const PlacementRequest& _request)
 {
-	BackendLoad& load = m_own[id];
-	load.pendingTokens -= std::min(load.pendingTokens, request.promptTokens);
+	BackendLoad& load = m_own[_id];
+	load.pendingTokens -= std::min(load.pendingTokens, _request.promptTokens);
 }
 
-void Balancer::onEnded(const std::string& id, const PlacementRequest& request, bool hadFirstEvent)
+void Balancer::onEnded(const std::string& _id, const PlacementRequest& _request, bool _hadFirstEvent)
 {
-	if (!hadFirstEvent)
+	if (!_hadFirstEvent)
 	{
-		onFirstEvent(id, request);
+		onFirstEvent(_id, _request);
 	}
-	BackendLoad& load = m_own[id];
+	BackendLoad& load = m_own[_id];
 	load.inFlight -= std::min(load.inFlight, 1u);
 }
 
-bool Balancer::ejected(const std::string& id, Micros now) const
+bool Balancer::ejected(const std::string& _id, Micros _now) const
 {
-	const auto it = m_health.find(id);
-	return it != m_health.end() && it->second.ejectedUntil > now;
+	const auto it = m_health.find(_id);
+	return it != m_health.end() && it->second.ejectedUntil > _now;
 }
 
-void Balancer::onOutcome(const std::string& id, bool succeeded, Micros now)
+void Balancer::onOutcome(const std::string& _id, bool _succeeded, Micros _now)
 {
-	Health& health = m_health[id];
-	health.failureShare = health.failureShare * kHealthDecay + (succeeded ? 0.0 : 1.0 - kHealthDecay);
+	Health& health = m_health[_id];
+	health.failureShare = health.failureShare * kHealthDecay + (_succeeded ? 0.0 : 1.0 - kHealthDecay);
 	++health.samples;
-	health.consecutive = succeeded ? 0 : health.consecutive + 1;
+	health.consecutive = _succeeded ? 0 : health.consecutive + 1;
 	const bool manyFail = health.samples >= kEjectSamples && health.failureShare > kEjectShare;
 	if (manyFail || health.consecutive >= kEjectConsecutive)
 	{
 		health.ejectSpan = std::clamp(health.ejectSpan * 2, kEjectMin, kEjectMax);
-		health.ejectedUntil = now + health.ejectSpan;
+		health.ejectedUntil = _now + health.ejectSpan;
 		// One more failure after the span puts it out again, one success counts for it.
 		health.consecutive = kEjectConsecutive - 1;
 		health.samples = 0;
 		health.failureShare = 0.0;
 	}
-	if (succeeded && now > health.ejectedUntil)
+	if (_succeeded && _now > health.ejectedUntil)
 	{
 		health.ejectSpan = 0;
 	}
 }
 
-void Balancer::setPeerLoads(const std::string& peer, std::vector<BackendLoad> loads, Micros now)
+void Balancer::setPeerLoads(const std::string& _peer, std::vector<BackendLoad> _loads, Micros _now)
 {
-	PeerLoads& known = m_peers[peer];
+	PeerLoads& known = m_peers[_peer];
 	removeFromTotals(known.loads);
-	known = {now, std::move(loads)};
+	known = {_now, std::move(_loads)};
 	for (const BackendLoad& load : known.loads)
 	{
 		BackendLoad& total = m_peerTotals[load.id];
@@ -199,9 +199,9 @@
 	}
 }
 
-void Balancer::removeFromTotals(const std::vector<BackendLoad>& loads)
+void Balancer::removeFromTotals(const std::vector<BackendLoad>& _loads)
 {
-	for (const BackendLoad& load : loads)
+	for (const BackendLoad& load : _loads)
 	{
 		const auto it = m_peerTotals.find(load.id);
 		if (it == m_peerTotals.end())
@@ -217,11 +217,11 @@
 	}
 }
 
-void Balancer::expirePeerLoads(Micros now)
+void Balancer::expirePeerLoads(Micros _now)
 {
 	for (auto it = m_peers.begin(); it != m_peers.end();)
 	{
-		const bool silent = now - it->second.heard > m_peerLoadLife;
+		const bool silent = _now - it->second.heard > m_peerLoadLife;
 		if (silent)
 		{
 			removeFromTotals(it->second.loads);
@@ -243,14 +243,14 @@
 	return loads;
 }
 
-void Balancer::retain(const std::map<std::string, KnownBackend>& known)
+void Balancer::retain(const std::map<std::string, KnownBackend>& _known)
 {
-	const auto gone = [&known](const auto& entry)
+	const auto gone = [&_known](const auto& _entry)
 	{
-		return !known.count(entry.first);
+		return !_known.count(_entry.first);
 	};
 	std::erase_if(m_health, gone);
-	std::erase_if(m_own, [&](const auto& entry) { return gone(entry) && entry.second.inFlight == 0; });
+	std::erase_if(m_own, [&](const auto& _entry) { return gone(_entry) && _entry.second.inFlight == 0; });
 }
 
 } // namespace beacongate
--- a/src/coordination/balancer.h
+++ b/src/coordination/balancer.h
@@ -62,48 +62,48 @@
 {
 public:
 	/// @param[in] dataCentre Where this gateway runs; it settles ties.
-	explicit Balancer(std::string dataCentre) : m_dataCentre(std::move(dataCentre))
+	explicit Balancer(std::string _dataCentre) : m_dataCentre(std::move(_dataCentre))
 	{
 	}
 
 	/// Chooses among backend servers.
 	/// @param[in] excluded Ids that the request was sent to before.
-	Placement choose(const std::vector<const KnownBackend*>& candidates, const PlacementRequest& request,
-					 const std::vector<std::string>& excluded, Micros now);
+	Placement choose(const std::vector<const KnownBackend*>& _candidates, const PlacementRequest& _request,
+					 const std::vector<std::string>& _excluded, Micros _now);
 
 	/// A request was sent.
-	void onSent(const std::string& id, const PlacementRequest& request);
+	void onSent(const std::string& _id, const PlacementRequest& _request);
 
 	/// Its first event, or its answer, came.
-	void onFirstEvent(const std::string& id, const PlacementRequest& request);
+	void onFirstEvent(const std::string& _id, const PlacementRequest& _request);
 
 	/// Its attempt ended.
 	/// @param[in] hadFirstEvent Whether onFirstEvent() was called for it.
-	void onEnded(const std::string& id, const PlacementRequest& request, bool hadFirstEvent);
+	void onEnded(const std::string& _id, const PlacementRequest& _request, bool _hadFirstEvent);
 
 	/// An attempt succeeded or failed for a reason that lies with the backend server.
-	void onOutcome(const std::string& id, bool succeeded, Micros now);
+	void onOutcome(const std::string& _id, bool _succeeded, Micros _now);
 
 	/// Replaces what a peer says of its own load.
-	void setPeerLoads(const std::string& peer, std::vector<BackendLoad> loads, Micros now);
+	void setPeerLoads(const std::string& _peer, std::vector<BackendLoad> _loads, Micros _now);
 
 	/// What a peer said of its load is counted for this long after it was heard.
-	void setPeerLoadLife(Micros life)
+	void setPeerLoadLife(Micros _life)
 	{
-		m_peerLoadLife = life;
+		m_peerLoadLife = _life;
 	}
 
 	/// Forgets what peers said that were not heard of late; to be called several times a second.
-	void expirePeerLoads(Micros now);
+	void expirePeerLoads(Micros _now);
 
 	/// @returns this gateway's own load, for its peers.
 	std::vector<BackendLoad> ownLoads() const;
 
 	/// @returns requests of all gateways at a backend server.
-	unsigned totalInFlight(const std::string& id) const;
+	unsigned totalInFlight(const std::string& _id) const;
 
 	/// Forgets backend servers that are no longer known.
-	void retain(const std::map<std::string, KnownBackend>& known);
+	void retain(const std::map<std::string, KnownBackend>& _known);
 
 private:
 	struct Health
@@ -121,10 +121,11 @@
 		std::vector<BackendLoad> loads;
 	};
 
-	bool ejected(const std::string& id, Micros now) const;
-	BackendLoad totalLoad(const std::string& id) const;
-	double costOf(const KnownBackend& backend, const PlacementRequest& request, bool preferred, Micros now) const;
-	void removeFromTotals(const std::vector<BackendLoad>& loads);
+	bool ejected(const std::string& _id, Micros _now) const;
+	BackendLoad totalLoad(const std::string& _id) const;
+	double costOf(const KnownBackend& _backend, const PlacementRequest& _request, bool _preferred,
+				  Micros _now) const;
+	void removeFromTotals(const std::vector<BackendLoad>& _loads);
 
 	std::string m_dataCentre;
 	Micros m_peerLoadLife = kSecond;
--- a/src/coordination/capacityplanner.cpp
+++ b/src/coordination/capacityplanner.cpp
@@ -23,48 +23,48 @@
 constexpr double kSaturated = 0.85; ///< Share of slots held from which the load cannot be read off them any more.
 constexpr double kGrowth = 1.5;     ///< Of what stands, where it is saturated.
 
-double priceOf(const ScalingSettings& scaling, const std::string& zone)
+double priceOf(const ScalingSettings& _scaling, const std::string& _zone)
 {
-	const auto it = scaling.zonePrices.find(zone);
-	return it == scaling.zonePrices.end() ? 1.0 : it->second;
+	const auto it = _scaling.zonePrices.find(_zone);
+	return it == _scaling.zonePrices.end() ? 1.0 : it->second;
 }
 
-std::vector<std::string> byPrice(const ScalingSettings& scaling, const std::map<std::string, ZoneCapacity>& zones)
+std::vector<std::string> byPrice(const ScalingSettings& _scaling, const std::map<std::string, ZoneCapacity>& _zones)
 {
 	std::vector<std::string> names;
-	names.reserve(zones.size());
-	for (const auto& [name, capacity] : zones)
+	names.reserve(_zones.size());
+	for (const auto& [name, capacity] : _zones)
 	{
 		names.push_back(name);
 	}
 	std::stable_sort(names.begin(), names.end(),
-					 [&](const std::string& left, const std::string& right)
-					 { return priceOf(scaling, left) < priceOf(scaling, right); });
+					 [&](const std::string& _left, const std::string& _right)
+					 { return priceOf(_scaling, _left) < priceOf(_scaling, _right); });
 	return names;
 }
 } // namespace
 
-double CapacityPlanner::combinedWork(double reading, double occupied, unsigned standing)
+double CapacityPlanner::combinedWork(double _reading, double _occupied, unsigned _standing)
 {
 	// Reading slows the tokens of requests beside it down, so that these hold their slots for longer than they
 	// will where the reading is spread over enough backend servers.
-	const double present = std::max(1u, standing);
-	const double pace = std::clamp(1.0 - reading / present, kLeastPace, 1.0);
-	const double work = reading + occupied * pace / kSlotUse;
-	return occupied >= kSaturated * present ? std::max(work, kGrowth * present) : work;
+	const double present = std::max(1u, _standing);
+	const double pace = std::clamp(1.0 - _reading / present, kLeastPace, 1.0);
+	const double work = _reading + _occupied * pace / kSlotUse;
+	return _occupied >= kSaturated * present ? std::max(work, kGrowth * present) : work;
 }
 
-unsigned CapacityPlanner::serversFor(double work)
+unsigned CapacityPlanner::serversFor(double _work)
 {
-	const double forVariation = kSpareFactor * std::sqrt(std::max(0.0, work)) + kSpareServers;
-	return static_cast<unsigned>(std::ceil(work + std::max(forVariation, kSpareShare * work)));
+	const double forVariation = kSpareFactor * std::sqrt(std::max(0.0, _work)) + kSpareServers;
+	return static_cast<unsigned>(std::ceil(_work + std::max(forVariation, kSpareShare * _work)));
 }
 
-unsigned CapacityPlanner::firstGuess(const ScalingSettings& scaling)
+unsigned CapacityPlanner::firstGuess(const ScalingSettings& _scaling)
 {
-	const auto perZone = static_cast<unsigned>(std::lround(scaling.maximum * kFirstShare));
-	const auto zones = static_cast<unsigned>(scaling.zonePrices.size());
-	return std::max({1u, scaling.minimum, perZone}) * std::max(1u, zones);
+	const auto perZone = static_cast<unsigned>(std::lround(_scaling.maximum * kFirstShare));
+	const auto zones = static_cast<unsigned>(_scaling.zonePrices.size());
+	return std::max({1u, _scaling.minimum, perZone}) * std::max(1u, zones);
 }
 
 CapacityPlanner::Need CapacityPlanner::needFor(const ScalingSettings& _scaling, const Observation& _seen)
@@ -85,24 +85,24 @@
 	return need;
 }
 
-unsigned CapacityPlanner::serversRequired(double work)
+unsigned CapacityPlanner::serversRequired(double _work)
 {
 	return static_cast<unsigned>(
-		std::ceil(work + kRequiredFactor * std::sqrt(std::max(0.0, work)) + kRequiredServers));
+		std::ceil(_work + kRequiredFactor * std::sqrt(std::max(0.0, _work)) + kRequiredServers));
 }
 
-std::map<std::string, unsigned> CapacityPlanner::spreadSpot(const ScalingSettings& scaling,
-															const std::map<std::string, ZoneCapacity>& zones,
-															unsigned needed) const
+std::map<std::string, unsigned> CapacityPlanner::spreadSpot(const ScalingSettings& _scaling,
+															const std::map<std::string, ZoneCapacity>& _zones,
+															unsigned _needed) const
 {
 	std::map<std::string, unsigned> spread;
-	const std::vector<std::string> names = byPrice(scaling, zones);
-	const auto most = static_cast<unsigned>(names.size()) * scaling.maximum;
-	unsigned left = std::min(needed, most);
+	const std::vector<std::string> names = byPrice(_scaling, _zones);
+	const auto most = static_cast<unsigned>(names.size()) * _scaling.maximum;
+	unsigned left = std::min(_needed, most);
 	std::vector<std::string> open;
 	for (const std::string& name : names)
 	{
-		spread[name] = std::min(std::max(1u, scaling.minimum), scaling.maximum);
+		spread[name] = std::min(std::max(1u, _scaling.minimum), _scaling.maximum);
 		const auto zone = m_zones.find(name);
 		if (zone == m_zones.end() || !zone->second.spotDry)
 		{
@@ -118,7 +118,7 @@
 		bool placed = false;
 		for (const std::string& name : takers)
 		{
-			if (left > 0 && spread[name] < scaling.maximum)
+			if (left > 0 && spread[name] < _scaling.maximum)
 			{
 				++spread[name];
 				--left;
@@ -133,126 +133,128 @@
 	return spread;
 }
 
-void CapacityPlanner::Held::update(unsigned wanted, Micros releaseDelay, Micros now)
+void CapacityPlanner::Held::update(unsigned _wanted, Micros _releaseDelay, Micros _now)
 {
-	if (wanted >= count || now - needed > releaseDelay)
+	if (_wanted >= count || _now - needed > _releaseDelay)
 	{
-		count = wanted;
+		count = _wanted;
 	}
-	if (wanted >= count)
+	if (_wanted >= count)
 	{
-		needed = now;
+		needed = _now;
 	}
 }
 
-bool CapacityPlanner::due(const Ordered& ordered, unsigned wanted, unsigned standing, Micros bootTime,
-						  Micros now) const
+bool CapacityPlanner::due(const Ordered& _ordered, unsigned _wanted, unsigned _standing, Micros _bootTime,
+						  Micros _now) const
 {
-	if (!ordered.known || ordered.count != wanted)
+	if (!_ordered.known || _ordered.count != _wanted)
 	{
-		return now - ordered.at >= kResend || ordered.count != wanted;
+		return _now - _ordered.at >= kResend || _ordered.count != _wanted;
 	}
-	return standing != wanted && now - ordered.at > bootTime + kBootSlack;
+	return _standing != _wanted && _now - _ordered.at > _bootTime + kBootSlack;
 }
 
-bool CapacityPlanner::onItsWay(const Ordered& ordered, Micros bootTime, Micros now) const
+bool CapacityPlanner::onItsWay(const Ordered& _ordered, Micros _bootTime, Micros _now) const
 {
-	return ordered.known && now - ordered.at <= bootTime + kBootSlack;
+	return _ordered.known && _now - _ordered.at <= _bootTime + kBootSlack;
 }
 
-std::vector<CapacityOrder> CapacityPlanner::plan(const ScalingSettings& scaling,
-												 const std::map<std::string, ZoneCapacity>& zones, const Need& need,
-												 Micros now)
+std::vector<CapacityOrder> CapacityPlanner::plan(const ScalingSettings& _scaling,
+												 const std::map<std::string, ZoneCapacity>& _zones,
+												 const Need& _need, Micros _now)
 {
 	std::vector<CapacityOrder> orders;
-	const unsigned standing = planSpot(scaling, zones, need, now, orders);
+	const unsigned standing = planSpot(_scaling, _zones, _need, _now, orders);
 	const bool unanswered = std::any_of(m_zones.begin(), m_zones.end(),
-										[](const auto& entry) { return entry.second.spot.at == kLongAgo; });
-	if (need.known && !(need.idle && unanswered))
+										[](const auto& _entry) { return _entry.second.spot.at == kLongAgo; });
+	if (_need.known && !(_need.idle && unanswered))
 	{
-		const unsigned missing = need.required > standing ? need.required - standing : 0;
-		planOnDemand(scaling, zones, missing, now, orders);
+		const unsigned missing = _need.required > standing ? _need.required - standing : 0;
+		planOnDemand(_scaling, _zones, missing, _now, orders);
 	}
 	return orders;
 }
 
-unsigned CapacityPlanner::planSpot(const ScalingSettings& scaling, const std::map<std::string, ZoneCapacity>& zones,
-								   const Need& need, Micros now, std::vector<CapacityOrder>& orders)
+unsigned CapacityPlanner::planSpot(const ScalingSettings& _scaling,
+								   const std::map<std::string, ZoneCapacity>& _zones, const Need& _need,
+								   Micros _now, std::vector<CapacityOrder>& _orders)
 {
 	unsigned standing = 0;
 	const unsigned evenShare =
-		std::min(need.wished / std::max(1u, static_cast<unsigned>(zones.size())), scaling.maximum);
-	for (const auto& [name, wanted] : spreadSpot(scaling, zones, need.wished))
+		std::min(_need.wished / std::max(1u, static_cast<unsigned>(_zones.size())), _scaling.maximum);
+	for (const auto& [name, wanted] : spreadSpot(_scaling, _zones, _need.wished))
 	{
-		const ZoneCapacity& capacity = zones.at(name);
+		const ZoneCapacity& capacity = _zones.at(name);
 		ZonePlan& zone = m_zones[name];
-		const bool expected = need.idle && onItsWay(zone.spot, scaling.bootTime, now);
+		const bool expected = _need.idle && onItsWay(zone.spot, _scaling.bootTime, _now);
 		standing += expected ? std::max(capacity.spot, zone.spot.count) : capacity.spot;
 		if (capacity.reclaiming)
 		{
-			zone.spotBlockedUntil = std::max(zone.spotBlockedUntil, now + kSpotRetry);
+			zone.spotBlockedUntil = std::max(zone.spotBlockedUntil, _now + kSpotRetry);
 			zone.spotDry = true;
 		}
 		// A dry data centre is asked for what it would give were it not dry.
-		zone.spotHeld.update(zone.spotDry ? std::max(wanted, evenShare) : wanted, kSpotRelease, now);
-		const bool blocked = zone.spotBlockedUntil > now;
-		if (!blocked && due(zone.spot, zone.spotHeld.count, capacity.spot, scaling.bootTime, now))
+		zone.spotHeld.update(zone.spotDry ? std::max(wanted, evenShare) : wanted, kSpotRelease, _now);
+		const bool blocked = zone.spotBlockedUntil > _now;
+		if (!blocked && due(zone.spot, zone.spotHeld.count, capacity.spot, _scaling.bootTime, _now))
 		{
-			orders.push_back({name, true, zone.spotHeld.count});
+			_orders.push_back({name, true, zone.spotHeld.count});
 		}
 	}
 	return standing;
 }
 
-void CapacityPlanner::planOnDemand(const ScalingSettings& scaling, const std::map<std::string, ZoneCapacity>& zones,
-								   unsigned missing, Micros now, std::vector<CapacityOrder>& orders)
+void CapacityPlanner::planOnDemand(const ScalingSettings& _scaling,
+								   const std::map<std::string, ZoneCapacity>& _zones, unsigned _missing,
+								   Micros _now, std::vector<CapacityOrder>& _orders)
 {
-	for (const auto& [name, wanted] : makeUp(scaling, zones, missing))
+	for (const auto& [name, wanted] : makeUp(_scaling, _zones, _missing))
 	{
 		ZonePlan& zone = m_zones[name];
-		zone.onDemandHeld.update(wanted, kOnDemandRelease, now);
-		if (due(zone.onDemand, zone.onDemandHeld.count, zones.at(name).onDemand, scaling.bootTime, now))
+		zone.onDemandHeld.update(wanted, kOnDemandRelease, _now);
+		if (due(zone.onDemand, zone.onDemandHeld.count, _zones.at(name).onDemand, _scaling.bootTime, _now))
 		{
-			orders.push_back({name, false, zone.onDemandHeld.count});
+			_orders.push_back({name, false, zone.onDemandHeld.count});
 		}
 	}
 }
 
-std::map<std::string, unsigned> CapacityPlanner::makeUp(const ScalingSettings& scaling,
-														const std::map<std::string, ZoneCapacity>& zones,
-														unsigned missing)
+std::map<std::string, unsigned> CapacityPlanner::makeUp(const ScalingSettings& _scaling,
+														const std::map<std::string, ZoneCapacity>& _zones,
+														unsigned _missing)
 {
 	std::map<std::string, unsigned> counts;
-	const std::vector<std::string> names = byPrice(scaling, zones);
+	const std::vector<std::string> names = byPrice(_scaling, _zones);
 	// What stands is kept before anything new is started.
 	for (const std::string& name : names)
 	{
-		const unsigned kept = std::min(missing, zones.at(name).onDemand);
+		const unsigned kept = std::min(_missing, _zones.at(name).onDemand);
 		counts[name] = kept;
-		missing -= kept;
+		_missing -= kept;
 	}
 	for (const std::string& name : names)
 	{
-		const unsigned taken = zones.at(name).spot + counts[name];
-		const unsigned room = scaling.maximum - std::min(scaling.maximum, taken);
-		const unsigned added = std::min(missing, room);
+		const unsigned taken = _zones.at(name).spot + counts[name];
+		const unsigned room = _scaling.maximum - std::min(_scaling.maximum, taken);
+		const unsigned added = std::min(_missing, room);
 		counts[name] += added;
-		missing -= added;
+		_missing -= added;
 	}
 	return counts;
 }
 
-void CapacityPlanner::onAnswer(const CapacityOrder& order, bool taken, bool refused, Micros now)
+void CapacityPlanner::onAnswer(const CapacityOrder& _order, bool _taken, bool _refused, Micros _now)
 {
-	ZonePlan& zone = m_zones[order.dataCentre];
-	Ordered& ordered = order.spot ? zone.spot : zone.onDemand;
-	ordered = {order.count, taken, now};
-	if (refused && order.spot)
+	ZonePlan& zone = m_zones[_order.dataCentre];
+	Ordered& ordered = _order.spot ? zone.spot : zone.onDemand;
+	ordered = {_order.count, _taken, _now};
+	if (_refused && _order.spot)
 	{
-		zone.spotBlockedUntil = now + kSpotRetry;
+		zone.spotBlockedUntil = _now + kSpotRetry;
 		zone.spotDry = true;
 	}
-	if (taken && order.spot)
+	if (_taken && _order.spot)
 	{
 		zone.spotDry = false;
 	}
--- a/src/coordination/capacityplanner.h
+++ b/src/coordination/capacityplanner.h
@@ -102,17 +102,17 @@
 	/// @param[in] occupied Backend servers whose slots are all held, at the present pace of tokens.
 	/// @param[in] standing Backend servers there are, over which the reading is spread.
 	/// @returns backend servers that the load would keep busy all the time.
-	static double combinedWork(double reading, double occupied, unsigned standing);
+	static double combinedWork(double _reading, double _occupied, unsigned _standing);
 
 	/// @param[in] work Backend servers that the present load would keep busy all the time.
 	/// @returns backend servers to have at the price of spot, so that a burst or a lost data centre is borne.
-	static unsigned serversFor(double work);
+	static unsigned serversFor(double _work);
 
 	/// @returns backend servers to have at any price.
-	static unsigned serversRequired(double work);
+	static unsigned serversRequired(double _work);
 
 	/// @returns backend servers to begin with, before there is any load to go by.
-	static unsigned firstGuess(const ScalingSettings& scaling);
+	static unsigned firstGuess(const ScalingSettings& _scaling);
 
 	/// What a load calls for.
 	struct Need
@@ -138,12 +138,13 @@
 	static Need needFor(const ScalingSettings& _scaling, const Observation& _seen);
 
 	/// @returns what is to be ordered now; each order is returned again after a while as long as it does not stand.
-	std::vector<CapacityOrder> plan(const ScalingSettings& scaling,
-									const std::map<std::string, ZoneCapacity>& zones, const Need& need, Micros now);
+	std::vector<CapacityOrder> plan(const ScalingSettings& _scaling,
+									const std::map<std::string, ZoneCapacity>& _zones, const Need& _need,
+									Micros _now);
 
 	/// An order was answered.
 	/// @param[in] refused There is none to be had at present.
-	void onAnswer(const CapacityOrder& order, bool taken, bool refused, Micros now);
+	void onAnswer(const CapacityOrder& _order, bool _taken, bool _refused, Micros _now);
 
 private:
 	struct Ordered
@@ -159,7 +160,7 @@
 		unsigned count = 0;
 		Micros needed = kLongAgo; ///< When that many were needed last.
 
-		void update(unsigned wanted, Micros releaseDelay, Micros now);
+		void update(unsigned _wanted, Micros _releaseDelay, Micros _now);
 	};
 
 	struct ZonePlan
@@ -173,17 +174,17 @@
 	};
 
 	/// @returns the spot capacity that stands.
-	unsigned planSpot(const ScalingSettings& scaling, const std::map<std::string, ZoneCapacity>& zones,
-					  const Need& need, Micros now, std::vector<CapacityOrder>& orders);
-	void planOnDemand(const ScalingSettings& scaling, const std::map<std::string, ZoneCapacity>& zones,
-					  unsigned missing, Micros now, std::vector<CapacityOrder>& orders);
-	std::map<std::string, unsigned> spreadSpot(const ScalingSettings& scaling,
-											   const std::map<std::string, ZoneCapacity>& zones,
-											   unsigned needed) const;
+	unsigned planSpot(const ScalingSettings& _scaling, const std::map<std::string, ZoneCapacity>& _zones,
+					  const Need& _need, Micros _now, std::vector<CapacityOrder>& _orders);
+	void planOnDemand(const ScalingSettings& _scaling, const std::map<std::string, ZoneCapacity>& _zones,
+					  unsigned _missing, Micros _now, std::vector<CapacityOrder>& _orders);
+	std::map<std::string, unsigned> spreadSpot(const ScalingSettings& _scaling,
+											   const std::map<std::string, ZoneCapacity>& _zones,
+											   unsigned _needed) const;
 	static std::map<std::string, unsigned>
-	makeUp(const ScalingSettings& scaling, const std::map<std::string, ZoneCapacity>& zones, unsigned missing);
-	bool onItsWay(const Ordered& ordered, Micros bootTime, Micros now) const;
-	bool due(const Ordered& ordered, unsigned wanted, unsigned standing, Micros bootTime, Micros now) const;
+	makeUp(const ScalingSettings& _scaling, const std::map<std::string, ZoneCapacity>& _zones, unsigned _missing);
+	bool onItsWay(const Ordered& _ordered, Micros _bootTime, Micros _now) const;
+	bool due(const Ordered& _ordered, unsigned _wanted, unsigned _standing, Micros _bootTime, Micros _now) const;
 
 	std::map<std::string, ZonePlan> m_zones;
 };
--- a/src/coordination/demandmeter.cpp
+++ b/src/coordination/demandmeter.cpp
@@ -15,98 +15,98 @@
 constexpr double kPeakSeconds = 10.0; ///< A peak is remembered for about this long.
 } // namespace
 
-void DemandMeter::Average::step(double passed)
+void DemandMeter::Average::step(double _passed)
 {
-	const double weight = 1.0 - std::exp(-passed / kAveragingSeconds);
-	rate += weight * (fresh / passed - rate);
-	recentPeak = std::max(rate, recentPeak * std::exp(-passed / kPeakSeconds));
+	const double weight = 1.0 - std::exp(-_passed / kAveragingSeconds);
+	rate += weight * (fresh / _passed - rate);
+	recentPeak = std::max(rate, recentPeak * std::exp(-_passed / kPeakSeconds));
 	fresh = 0.0;
 }
 
-void DemandMeter::onPrompt(const std::string& service, double readingSeconds)
+void DemandMeter::onPrompt(const std::string& _service, double _readingSeconds)
 {
-	Service& entry = m_services[service];
-	entry.ownWork += readingSeconds;
-	entry.work.fresh += readingSeconds;
+	Service& entry = m_services[_service];
+	entry.ownWork += _readingSeconds;
+	entry.work.fresh += _readingSeconds;
 }
 
-void DemandMeter::onSlotHeld(const std::string& service, Micros duration, unsigned slots)
+void DemandMeter::onSlotHeld(const std::string& _service, Micros _duration, unsigned _slots)
 {
-	const double held = secondsOf(duration) / static_cast<double>(std::max(1u, slots));
-	Service& entry = m_services[service];
+	const double held = secondsOf(_duration) / static_cast<double>(std::max(1u, _slots));
+	Service& entry = m_services[_service];
 	entry.ownOccupied += held;
 	entry.occupied.fresh += held;
 }
 
-void DemandMeter::onCall(const std::string& service, Micros duration, unsigned slots)
+void DemandMeter::onCall(const std::string& _service, Micros _duration, unsigned _slots)
 {
-	const double work = secondsOf(duration) / (static_cast<double>(std::max(1u, slots)) * kCallUse);
-	Service& entry = m_services[service];
+	const double work = secondsOf(_duration) / (static_cast<double>(std::max(1u, _slots)) * kCallUse);
+	Service& entry = m_services[_service];
 	entry.ownWork += work;
 	entry.work.fresh += work;
 }
 
-void DemandMeter::addGrowth(Average& average, double& known, double reported)
+void DemandMeter::addGrowth(Average& _average, double& _known, double _reported)
 {
-	if (reported > known)
+	if (_reported > _known)
 	{
-		average.fresh += reported - known;
-		known = reported;
+		_average.fresh += _reported - _known;
+		_known = _reported;
 	}
 }
 
-void DemandMeter::onReport(const std::string& peer, std::uint64_t incarnation, const DemandReport& report)
+void DemandMeter::onReport(const std::string& _peer, std::uint64_t _incarnation, const DemandReport& _report)
 {
-	Service& entry = m_services[report.service];
-	PeerWork& known = entry.peers[peer];
-	if (incarnation < known.incarnation)
+	Service& entry = m_services[_report.service];
+	PeerWork& known = entry.peers[_peer];
+	if (_incarnation < known.incarnation)
 	{
 		return;
 	}
-	if (incarnation > known.incarnation)
+	if (_incarnation > known.incarnation)
 	{
 		// What it brought before it was known cannot be told apart from old work.
-		known = {incarnation, report.work, report.occupied};
+		known = {_incarnation, _report.work, _report.occupied};
 		return;
 	}
-	addGrowth(entry.work, known.work, report.work);
-	addGrowth(entry.occupied, known.occupied, report.occupied);
+	addGrowth(entry.work, known.work, _report.work);
+	addGrowth(entry.occupied, known.occupied, _report.occupied);
 }
 
-void DemandMeter::advance(Micros now)
+void DemandMeter::advance(Micros _now)
 {
-	const double passed = secondsOf(now - m_advanced);
+	const double passed = secondsOf(_now - m_advanced);
 	if (m_advanced != 0 && passed > 0.0)
 	{
 		for (auto& [name, service] : m_services)
 		{
 			if (service.work.fresh > 0.0 && service.firstWork == kNever)
 			{
-				service.firstWork = now;
+				service.firstWork = _now;
 			}
 			service.work.step(passed);
 			service.occupied.step(passed);
 		}
 	}
-	m_advanced = now;
+	m_advanced = _now;
 }
 
-double DemandMeter::work(const std::string& service) const
+double DemandMeter::work(const std::string& _service) const
 {
-	const auto it = m_services.find(service);
+	const auto it = m_services.find(_service);
 	return it == m_services.end() ? 0.0 : it->second.work.recentPeak;
 }
 
-double DemandMeter::occupied(const std::string& service) const
+double DemandMeter::occupied(const std::string& _service) const
 {
-	const auto it = m_services.find(service);
+	const auto it = m_services.find(_service);
 	return it == m_services.end() ? 0.0 : it->second.occupied.recentPeak;
 }
 
-bool DemandMeter::settled(const std::string& service, Micros now) const
+bool DemandMeter::settled(const std::string& _service, Micros _now) const
 {
-	const auto it = m_services.find(service);
-	return it != m_services.end() && it->second.firstWork != kNever && now - it->second.firstWork > kSettling;
+	const auto it = m_services.find(_service);
+	return it != m_services.end() && it->second.firstWork != kNever && _now - it->second.firstWork > kSettling;
 }
 
 std::vector<DemandReport> DemandMeter::ownReports() const
--- a/src/coordination/demandmeter.h
+++ b/src/coordination/demandmeter.h
@@ -33,29 +33,29 @@
 
 	/// A prompt was sent to an engine.
 	/// @param[in] readingSeconds For which it keeps the engine busy.
-	void onPrompt(const std::string& service, double readingSeconds);
+	void onPrompt(const std::string& _service, double _readingSeconds);
 
 	/// A request at an engine ended.
 	/// @param[in] duration For which it held a slot.
-	void onSlotHeld(const std::string& service, Micros duration, unsigned slots);
+	void onSlotHeld(const std::string& _service, Micros _duration, unsigned _slots);
 
 	/// A call at a plain service ended.
-	void onCall(const std::string& service, Micros duration, unsigned slots);
+	void onCall(const std::string& _service, Micros _duration, unsigned _slots);
 
 	/// A peer says how much it has brought.
-	void onReport(const std::string& peer, std::uint64_t incarnation, const DemandReport& report);
+	void onReport(const std::string& _peer, std::uint64_t _incarnation, const DemandReport& _report);
 
 	/// Lets time pass; to be called several times a second.
-	void advance(Micros now);
+	void advance(Micros _now);
 
 	/// @returns backend servers that the present load keeps busy.
-	double work(const std::string& service) const;
+	double work(const std::string& _service) const;
 
 	/// @returns backend servers whose slots the present load holds all the time.
-	double occupied(const std::string& service) const;
+	double occupied(const std::string& _service) const;
 
 	/// @returns whether work was seen for long enough.
-	bool settled(const std::string& service, Micros now) const;
+	bool settled(const std::string& _service, Micros _now) const;
 
 	/// @returns what this gateway has brought.
 	std::vector<DemandReport> ownReports() const;
@@ -68,7 +68,7 @@
 		double rate = 0.0;
 		double recentPeak = 0.0;
 
-		void step(double passed);
+		void step(double _passed);
 	};
 
 	struct PeerWork
@@ -88,7 +88,7 @@
 		std::map<std::string, PeerWork> peers;
 	};
 
-	static void addGrowth(Average& average, double& known, double reported);
+	static void addGrowth(Average& _average, double& _known, double _reported);
 
 	std::map<std::string, Service> m_services;
 	Micros m_advanced = 0;
--- a/src/coordination/directory.cpp
+++ b/src/coordination/directory.cpp
@@ -9,9 +9,9 @@
 
 namespace beacongate
 {
-std::string_view toString(LeavingSign sign)
+std::string_view toString(LeavingSign _sign)
 {
-	switch (sign)
+	switch (_sign)
 	{
 	case LeavingSign::Record:
 		return "record";
@@ -23,55 +23,55 @@
 	return "unknown";
 }
 
-bool Directory::apply(const StoreSnapshot& snapshot, Micros now)
+bool Directory::apply(const StoreSnapshot& _snapshot, Micros _now)
 {
-	if (snapshot.revision < m_revision)
+	if (_snapshot.revision < m_revision)
 	{
 		// A watch was faster than this read. What is known holds all that the read found, so the read confirms it:
 		// at the holder of the duties, reads that a watch outran had left the list unconfirmed for 3.9 s.
-		confirm(snapshot.confirmed);
-		onUnchanged(snapshot.confirmed);
+		confirm(_snapshot.confirmed);
+		onUnchanged(_snapshot.confirmed);
 		return false;
 	}
-	m_revision = snapshot.revision;
-	m_confirmed = std::max(m_confirmed, snapshot.confirmed);
-	applyList({snapshot.revision, snapshot.backends, snapshot.confirmed}, now);
-	const bool newer = snapshot.config && (!m_config || snapshot.config->version > m_config->version);
+	m_revision = _snapshot.revision;
+	m_confirmed = std::max(m_confirmed, _snapshot.confirmed);
+	applyList({_snapshot.revision, _snapshot.backends, _snapshot.confirmed}, _now);
+	const bool newer = _snapshot.config && (!m_config || _snapshot.config->version > m_config->version);
 	if (newer)
 	{
-		m_config = snapshot.config;
+		m_config = _snapshot.config;
 	}
 	return newer;
 }
 
-void Directory::applyList(const BackendList& list, Micros now)
+void Directory::applyList(const BackendList& _list, Micros _now)
 {
-	if (list.revision < m_listRevision)
+	if (_list.revision < m_listRevision)
 	{
 		// A read of the whole store that began earlier: it would bring records back that have gone since.
-		onUnchanged(list.confirmed);
+		onUnchanged(_list.confirmed);
 		return;
 	}
 	// A list may also grow old because it comes slowly; records lapse only where the store could not be reached.
 	const bool failedSince = m_listConfirmed != kLongAgo && m_storeFailed > m_listConfirmed;
-	if (failedSince && now - m_listConfirmed > kOutage)
+	if (failedSince && _now - m_listConfirmed > kOutage)
 	{
-		m_outageEnded = now;
+		m_outageEnded = _now;
 	}
-	m_listRevision = list.revision;
-	m_listConfirmed = std::max(m_listConfirmed, list.confirmed);
-	mergeBackends(list.records, now);
+	m_listRevision = _list.revision;
+	m_listConfirmed = std::max(m_listConfirmed, _list.confirmed);
+	mergeBackends(_list.records, _now);
 }
 
-void Directory::onUnchanged(Micros confirmed)
+void Directory::onUnchanged(Micros _confirmed)
 {
-	m_listConfirmed = std::max(m_listConfirmed, confirmed);
+	m_listConfirmed = std::max(m_listConfirmed, _confirmed);
 }
 
-void Directory::mergeBackends(const std::vector<BackendRecord>& records, Micros now)
+void Directory::mergeBackends(const std::vector<BackendRecord>& _records, Micros _now)
 {
 	std::set<std::string> present;
-	for (const BackendRecord& record : records)
+	for (const BackendRecord& record : _records)
 	{
 		present.insert(record.id);
 		KnownBackend& known = m_backends[record.id];
@@ -81,54 +81,54 @@
 		known.record.draining = record.draining || wasDraining;
 		if (known.record.draining && known.drainingSince == kNever)
 		{
-			known.drainingSince = now;
+			known.drainingSince = _now;
 			m_leavingNotices.push_back({record.id, LeavingSign::Record});
 		}
 		known.vanishedAt = kNever;
 		known.lapsedUntil = 0;
 		if (newlyLeaving)
 		{
-			known.leavesAt = now + *record.leaves;
+			known.leavesAt = _now + *record.leaves;
 		}
-		known.coldUntil = record.coldRemaining > 0 ? now + record.coldRemaining : known.coldUntil;
+		known.coldUntil = record.coldRemaining > 0 ? _now + record.coldRemaining : known.coldUntil;
 	}
 	for (auto it = m_backends.begin(); it != m_backends.end();)
 	{
 		KnownBackend& known = it->second;
 		if (!present.count(it->first) && known.vanishedAt == kNever)
 		{
-			known.vanishedAt = now;
+			known.vanishedAt = _now;
 			m_leavingNotices.push_back({it->first, LeavingSign::Missing});
-			const bool mayHaveLapsed = now - m_outageEnded < kLapseReturn;
+			const bool mayHaveLapsed = _now - m_outageEnded < kLapseReturn;
 			known.lapsedUntil = mayHaveLapsed ? m_outageEnded + kLapseReturn : 0;
 		}
-		const bool forgotten = known.vanishedAt != kNever && now - known.vanishedAt > kVanishedMemory;
+		const bool forgotten = known.vanishedAt != kNever && _now - known.vanishedAt > kVanishedMemory;
 		it = forgotten ? m_backends.erase(it) : std::next(it);
 	}
 }
 
-void Directory::confirm(Micros confirmed)
+void Directory::confirm(Micros _confirmed)
 {
-	m_confirmed = std::max(m_confirmed, confirmed);
+	m_confirmed = std::max(m_confirmed, _confirmed);
 }
 
-void Directory::markMisdirected(const std::string& id)
+void Directory::markMisdirected(const std::string& _id)
 {
-	const auto it = m_backends.find(id);
+	const auto it = m_backends.find(_id);
 	if (it != m_backends.end())
 	{
 		it->second.misdirected = true;
 	}
 }
 
-void Directory::markDraining(const std::string& id, Micros now)
+void Directory::markDraining(const std::string& _id, Micros _now)
 {
-	const auto it = m_backends.find(id);
+	const auto it = m_backends.find(_id);
 	if (it != m_backends.end() && !it->second.record.draining)
 	{
 		it->second.record.draining = true;
-		it->second.drainingSince = now;
-		m_leavingNotices.push_back({id, LeavingSign::Peer});
+		it->second.drainingSince = _now;
+		m_leavingNotices.push_back({_id, LeavingSign::Peer});
 	}
 }
 
@@ -137,12 +137,12 @@
 	return std::exchange(m_leavingNotices, {});
 }
 
-std::vector<std::string> Directory::drainingSince(Micros moment) const
+std::vector<std::string> Directory::drainingSince(Micros _moment) const
 {
 	std::vector<std::string> ids;
 	for (const auto& [id, known] : m_backends)
 	{
-		if (known.drainingSince != kNever && known.drainingSince >= moment)
+		if (known.drainingSince != kNever && known.drainingSince >= _moment)
 		{
 			ids.push_back(id);
 		}
@@ -150,37 +150,37 @@
 	return ids;
 }
 
-Micros Directory::age(Micros now) const
+Micros Directory::age(Micros _now) const
 {
-	return now - m_confirmed;
+	return _now - m_confirmed;
 }
 
-bool Directory::takesWork(const std::string& id, Micros now) const
+bool Directory::takesWork(const std::string& _id, Micros _now) const
 {
-	const auto it = m_backends.find(id);
+	const auto it = m_backends.find(_id);
 	if (it == m_backends.end() || it->second.record.draining || it->second.misdirected)
 	{
 		return false;
 	}
 	const KnownBackend& known = it->second;
-	return known.vanishedAt == kNever || now < known.lapsedUntil || now - known.vanishedAt < kVanishedGrace;
+	return known.vanishedAt == kNever || _now < known.lapsedUntil || _now - known.vanishedAt < kVanishedGrace;
 }
 
-std::vector<const KnownBackend*> Directory::usableOf(const std::string& service, Micros now) const
+std::vector<const KnownBackend*> Directory::usableOf(const std::string& _service, Micros _now) const
 {
 	std::vector<const KnownBackend*> usable;
 	std::vector<const KnownBackend*> vanished;
 	for (const auto& [id, known] : m_backends)
 	{
-		if (known.record.service != service || known.record.draining || known.misdirected)
+		if (known.record.service != _service || known.record.draining || known.misdirected)
 		{
 			continue;
 		}
-		if (known.vanishedAt == kNever || now < known.lapsedUntil)
+		if (known.vanishedAt == kNever || _now < known.lapsedUntil)
 		{
 			usable.push_back(&known);
 		}
-		else if (now - known.vanishedAt < kVanishedGrace)
+		else if (_now - known.vanishedAt < kVanishedGrace)
 		{
 			vanished.push_back(&known);
 		}
--- a/src/coordination/directory.h
+++ b/src/coordination/directory.h
@@ -62,7 +62,7 @@
 };
 
 /// @returns a short name for logs.
-std::string_view toString(LeavingSign sign);
+std::string_view toString(LeavingSign _sign);
 
 /// A backend server was first found to be leaving.
 struct LeavingNotice
@@ -87,33 +87,33 @@
 
 	/// Takes in what was read.
 	/// @returns whether the configuration's version rose.
-	bool apply(const StoreSnapshot& snapshot, Micros now);
+	bool apply(const StoreSnapshot& _snapshot, Micros _now);
 
 	/// Takes in a list that was read by itself. An older one changes nothing.
-	void applyList(const BackendList& list, Micros now);
+	void applyList(const BackendList& _list, Micros _now);
 
 	/// The present configuration was confirmed as the newest.
 	/// @param[in] confirmed Steady time at which it certainly was.
-	void confirm(Micros confirmed);
+	void confirm(Micros _confirmed);
 
 	/// The present snapshot was found to be still the newest.
 	/// @param[in] confirmed Steady time at which it certainly was.
-	void onUnchanged(Micros confirmed);
+	void onUnchanged(Micros _confirmed);
 
 	/// A read of the store failed, so that records may lapse without their backend servers' doing.
-	void onStoreFailed(Micros now)
+	void onStoreFailed(Micros _now)
 	{
-		m_storeFailed = now;
+		m_storeFailed = _now;
 	}
 
 	/// A backend server answered that it is not the one that was meant.
-	void markMisdirected(const std::string& id);
+	void markMisdirected(const std::string& _id);
 
 	/// A backend server is known from elsewhere to be leaving.
-	void markDraining(const std::string& id, Micros now);
+	void markDraining(const std::string& _id, Micros _now);
 
 	/// @returns backend servers that were found to be leaving within a span.
-	std::vector<std::string> drainingSince(Micros moment) const;
+	std::vector<std::string> drainingSince(Micros _moment) const;
 
 	/// @returns what was found out about leaving backend servers since the last call, for the log.
 	std::vector<LeavingNotice> takeLeavingNotices();
@@ -131,16 +131,16 @@
 	}
 
 	/// @returns for how long the configuration has not been confirmed.
-	Micros age(Micros now) const;
+	Micros age(Micros _now) const;
 
 	/// @returns for how long the list of backend servers has not been confirmed.
-	Micros listAge(Micros now) const
+	Micros listAge(Micros _now) const
 	{
-		return now - m_listConfirmed;
+		return _now - m_listConfirmed;
 	}
 
 	/// @returns whether a request that was meant for a backend server may still be sent to it.
-	bool takesWork(const std::string& id, Micros now) const;
+	bool takesWork(const std::string& _id, Micros _now) const;
 
 	/// @returns all backend servers by id, also those that take no new work.
 	const std::map<std::string, KnownBackend>& backends() const
@@ -149,10 +149,10 @@
 	}
 
 	/// @returns ids of a service's backend servers that take new work.
-	std::vector<const KnownBackend*> usableOf(const std::string& service, Micros now) const;
+	std::vector<const KnownBackend*> usableOf(const std::string& _service, Micros _now) const;
 
 private:
-	void mergeBackends(const std::vector<BackendRecord>& records, Micros now);
+	void mergeBackends(const std::vector<BackendRecord>& _records, Micros _now);
 
 	RoutingConfigPtr m_config;
 	std::uint64_t m_revision = 0;
--- a/src/coordination/dutylease.h
+++ b/src/coordination/dutylease.h
@@ -22,19 +22,19 @@
 
 	/// The lease was taken.
 	/// @param[in] sent When the call that opened or renewed the lease was sent.
-	void onAcquired(std::uint64_t fence, Micros sent, Micros span)
+	void onAcquired(std::uint64_t _fence, Micros _sent, Micros _span)
 	{
-		m_fence = fence;
-		m_validUntil = sent + span;
+		m_fence = _fence;
+		m_validUntil = _sent + _span;
 		m_held = true;
 	}
 
 	/// The lease was renewed.
-	void onRenewed(Micros sent, Micros span)
+	void onRenewed(Micros _sent, Micros _span)
 	{
-		if (m_held && sent + span > m_validUntil)
+		if (m_held && _sent + _span > m_validUntil)
 		{
-			m_validUntil = sent + span;
+			m_validUntil = _sent + _span;
 		}
 	}
 
@@ -45,15 +45,15 @@
 	}
 
 	/// @returns whether an order may leave now.
-	bool mayAct(Micros now) const
+	bool mayAct(Micros _now) const
 	{
-		return m_held && now + kMargin < m_validUntil;
+		return m_held && _now + kMargin < m_validUntil;
 	}
 
 	/// @returns whether the lease was taken and has not ended for sure.
-	bool held(Micros now) const
+	bool held(Micros _now) const
 	{
-		return m_held && now < m_validUntil;
+		return m_held && _now < m_validUntil;
 	}
 
 	/// @returns the fencing token: larger than that of each holder before.
--- a/src/coordination/peertable.cpp
+++ b/src/coordination/peertable.cpp
@@ -5,10 +5,10 @@
 
 namespace beacongate
 {
-void PeerTable::setSeeds(const std::vector<Address>& seeds)
+void PeerTable::setSeeds(const std::vector<Address>& _seeds)
 {
 	m_seeds.clear();
-	for (const Address& seed : seeds)
+	for (const Address& seed : _seeds)
 	{
 		if (seed.host != m_ownHost)
 		{
@@ -17,63 +17,63 @@
 	}
 }
 
-void PeerTable::setRegistered(std::set<std::string> hosts)
+void PeerTable::setRegistered(std::set<std::string> _hosts)
 {
-	m_registered = std::move(hosts);
+	m_registered = std::move(_hosts);
 	m_registered.erase(m_ownHost);
 }
 
-bool PeerTable::onMessage(const GossipMessage& message, Micros now)
+bool PeerTable::onMessage(const GossipMessage& _message, Micros _now)
 {
-	if (message.host == m_ownHost)
+	if (_message.host == m_ownHost)
 	{
 		return false;
 	}
-	Peer& peer = m_peers[message.host];
-	if (message.run.incarnation < peer.incarnation)
+	Peer& peer = m_peers[_message.host];
+	if (_message.run.incarnation < peer.incarnation)
 	{
 		return false;
 	}
-	peer.name = message.run.name;
-	peer.incarnation = message.run.incarnation;
-	peer.newestStamp = std::max(peer.newestStamp, message.sent);
-	for (const std::string& host : message.members)
+	peer.name = _message.run.name;
+	peer.incarnation = _message.run.incarnation;
+	peer.newestStamp = std::max(peer.newestStamp, _message.sent);
+	for (const std::string& host : _message.members)
 	{
 		if (host != m_ownHost)
 		{
-			m_mentioned[host] = now;
+			m_mentioned[host] = _now;
 		}
 	}
-	const bool fresh = message.echo > 0 && message.echo <= now && now - message.echo <= kFresh;
+	const bool fresh = _message.echo > 0 && _message.echo <= _now && _now - _message.echo <= kFresh;
 	if (!fresh)
 	{
 		return false;
 	}
-	peer.heard = now;
-	peer.leaving = message.leaving;
-	peer.configVersion = message.configVersion;
-	if (message.configAge < kSecond * 3600)
+	peer.heard = _now;
+	peer.leaving = _message.leaving;
+	peer.configVersion = _message.configVersion;
+	if (_message.configAge < kSecond * 3600)
 	{
 		// The peer spoke after it had heard the echoed stamp, so its word is at least as new as that.
-		peer.confirmed = std::max(peer.confirmed, message.echo - message.configAge);
+		peer.confirmed = std::max(peer.confirmed, _message.echo - _message.configAge);
 	}
 	return true;
 }
 
-std::vector<std::string> PeerTable::targets(Micros now) const
+std::vector<std::string> PeerTable::targets(Micros _now) const
 {
 	std::set<std::string> hosts = m_seeds;
 	hosts.insert(m_registered.begin(), m_registered.end());
 	for (const auto& [host, when] : m_mentioned)
 	{
-		if (now - when <= kMemory)
+		if (_now - when <= kMemory)
 		{
 			hosts.insert(host);
 		}
 	}
 	for (const auto& [host, peer] : m_peers)
 	{
-		if (now - peer.heard <= kMemory || peer.heard == kLongAgo)
+		if (_now - peer.heard <= kMemory || peer.heard == kLongAgo)
 		{
 			hosts.insert(host);
 		}
@@ -81,12 +81,12 @@
 	return {hosts.begin(), hosts.end()};
 }
 
-std::vector<std::string> PeerTable::heardHosts(Micros now) const
+std::vector<std::string> PeerTable::heardHosts(Micros _now) const
 {
 	std::vector<std::string> hosts;
 	for (const auto& [host, peer] : m_peers)
 	{
-		if (now - peer.heard <= kMemory)
+		if (_now - peer.heard <= kMemory)
 		{
 			hosts.push_back(host);
 		}
@@ -94,29 +94,29 @@
 	return hosts;
 }
 
-Micros PeerTable::echoFor(const std::string& host) const
+Micros PeerTable::echoFor(const std::string& _host) const
 {
-	const auto it = m_peers.find(host);
+	const auto it = m_peers.find(_host);
 	return it == m_peers.end() ? 0 : it->second.newestStamp;
 }
 
-std::size_t PeerTable::memberCount(Micros now) const
+std::size_t PeerTable::memberCount(Micros _now) const
 {
 	std::set<std::string> hosts = m_registered;
-	for (const std::string& host : heardHosts(now))
+	for (const std::string& host : heardHosts(_now))
 	{
 		hosts.insert(host);
 	}
 	return hosts.size() + 1;
 }
 
-std::optional<std::string> PeerTable::freshestAfter(Micros moment, Micros now) const
+std::optional<std::string> PeerTable::freshestAfter(Micros _moment, Micros _now) const
 {
 	std::optional<std::string> best;
-	Micros newest = moment;
+	Micros newest = _moment;
 	for (const auto& [host, peer] : m_peers)
 	{
-		if (now - peer.heard <= kFresh && peer.confirmed > newest)
+		if (_now - peer.heard <= kFresh && peer.confirmed > newest)
 		{
 			newest = peer.confirmed;
 			best = host;
--- a/src/coordination/peertable.h
+++ b/src/coordination/peertable.h
@@ -39,34 +39,34 @@
 	static constexpr Micros kMemory = 12 * kSecond;
 
 	/// @param[in] ownHost Never taken for a peer.
-	explicit PeerTable(std::string ownHost) : m_ownHost(std::move(ownHost))
+	explicit PeerTable(std::string _ownHost) : m_ownHost(std::move(_ownHost))
 	{
 	}
 
 	/// Hosts that are always tried.
-	void setSeeds(const std::vector<Address>& seeds);
+	void setSeeds(const std::vector<Address>& _seeds);
 
 	/// Hosts that the store lists.
-	void setRegistered(std::set<std::string> hosts);
+	void setRegistered(std::set<std::string> _hosts);
 
 	/// Takes in a message.
 	/// @returns whether it is new for sure.
-	bool onMessage(const GossipMessage& message, Micros now);
+	bool onMessage(const GossipMessage& _message, Micros _now);
 
 	/// @returns hosts to send to.
-	std::vector<std::string> targets(Micros now) const;
+	std::vector<std::string> targets(Micros _now) const;
 
 	/// @returns hosts that were heard of late.
-	std::vector<std::string> heardHosts(Micros now) const;
+	std::vector<std::string> heardHosts(Micros _now) const;
 
 	/// @returns what is to be echoed to a host.
-	Micros echoFor(const std::string& host) const;
+	Micros echoFor(const std::string& _host) const;
 
 	/// @returns the gateways there may be, this one included.
-	std::size_t memberCount(Micros now) const;
+	std::size_t memberCount(Micros _now) const;
 
 	/// @returns the host whose configuration was confirmed last, if that is later than a moment.
-	std::optional<std::string> freshestAfter(Micros moment, Micros now) const;
+	std::optional<std::string> freshestAfter(Micros _moment, Micros _now) const;
 
 	/// @returns all peers by host.
 	const std::map<std::string, Peer>& peers() const
--- a/src/coordination/quotaledger.cpp
+++ b/src/coordination/quotaledger.cpp
@@ -21,24 +21,25 @@
 constexpr double kMostDebt = 2.0;  ///< Bursts. Late news must not shut a team out for longer.
 } // namespace
 
-void QuotaLedger::configure(const RoutingConfig& config, Micros now)
+void QuotaLedger::configure(const RoutingConfig& _config, Micros _now)
 {
-	for (const TeamAccess& access : config.teams)
+	for (const TeamAccess& access : _config.teams)
 	{
 		const auto [it, added] = m_teams.try_emplace(access.name);
 		Team& team = it->second;
 		const bool unlimitedBefore = added || !team.bucket.limited();
-		recordSilentShare(team, now);
+		recordSilentShare(team, _now);
 		team.bucket.setLimits(access.ratePerSecond, access.burst);
 		if (unlimitedBefore && team.bucket.limited())
 		{
-			team.bucket.record(access.burst - startLevel(access), now);
+			team.bucket.record(access.burst - startLevel(access), _now);
 		}
 	}
 	for (auto& [name, team] : m_teams)
 	{
-		const bool present = std::any_of(config.teams.begin(), config.teams.end(),
-										 [&name = name](const TeamAccess& access) { return access.name == name; });
+		const bool present =
+			std::any_of(_config.teams.begin(), _config.teams.end(),
+						[&name = name](const TeamAccess& _access) { return _access.name == name; });
 		if (!present)
 		{
 			team.bucket.setLimits(0.0, 0.0);
@@ -46,16 +47,16 @@
 	}
 }
 
-double QuotaLedger::startLevel(const TeamAccess& team) const
+double QuotaLedger::startLevel(const TeamAccess& _team) const
 {
 	if (m_firstStart)
 	{
 		// All gateways start at once and do not hear each other yet.
-		return kStartShare * team.burst / static_cast<double>(m_members);
+		return kStartShare * _team.burst / static_cast<double>(m_members);
 	}
-	const auto kept = m_keptLevels.find(team.name);
+	const auto kept = m_keptLevels.find(_team.name);
 	const double level = kept == m_keptLevels.end() ? 0.0 : static_cast<double>(kept->second);
-	return kKeptShare * std::min(level, team.burst);
+	return kKeptShare * std::min(level, _team.burst);
 }
 
 std::map<std::string, std::uint64_t> QuotaLedger::levels(Micros _now) const
@@ -71,9 +72,9 @@
 	return levels;
 }
 
-void QuotaLedger::setMembers(std::size_t members)
+void QuotaLedger::setMembers(std::size_t _members)
 {
-	m_members = std::max<std::size_t>(1, members);
+	m_members = std::max<std::size_t>(1, _members);
 }
 
 Micros QuotaLedger::silence() const
@@ -81,18 +82,18 @@
 	return std::max(kSilence, 2 * GossipPlan::hearingSpan(m_members));
 }
 
-double QuotaLedger::leftToPeer(const TokenBucket& bucket, Micros lastHeard, Micros now) const
+double QuotaLedger::leftToPeer(const TokenBucket& _bucket, Micros _lastHeard, Micros _now) const
 {
-	const Micros silent = std::max<Micros>(0, now - lastHeard - silence());
-	return bucket.rate() * secondsOf(silent) / static_cast<double>(m_members);
+	const Micros silent = std::max<Micros>(0, _now - _lastHeard - silence());
+	return _bucket.rate() * secondsOf(silent) / static_cast<double>(m_members);
 }
 
-double QuotaLedger::silentShare(Micros now) const
+double QuotaLedger::silentShare(Micros _now) const
 {
 	std::size_t heard = 1;
 	for (const auto& [peer, last] : m_heard)
 	{
-		heard += now - last <= silence() ? 1 : 0;
+		heard += _now - last <= silence() ? 1 : 0;
 	}
 	const std::size_t members = std::max(m_members, heard);
 	return static_cast<double>(members - heard) / static_cast<double>(members);
@@ -104,36 +105,36 @@
 	recentFaded = _now;
 }
 
-double QuotaLedger::unheard(const Team& team, Micros now) const
+double QuotaLedger::unheard(const Team& _team, Micros _now) const
 {
-	const double rate = team.recent * std::exp(-secondsOf(now - team.recentFaded));
+	const double rate = _team.recent * std::exp(-secondsOf(_now - _team.recentFaded));
 	return rate * kMeanDelay * secondsOf(GossipPlan::hearingSpan(m_members));
 }
 
-void QuotaLedger::recordSilentShare(Team& team, Micros now) const
+void QuotaLedger::recordSilentShare(Team& _team, Micros _now) const
 {
-	const Micros since = team.advanced;
-	team.advanced = now;
-	const double share = silentShare(now);
+	const Micros since = _team.advanced;
+	_team.advanced = _now;
+	const double share = silentShare(_now);
 	if (since != kLongAgo && share > 0.0)
 	{
 		// Who is silent now need not have been so for long.
-		const Micros span = std::min(now - since, kMostAtOnce);
-		team.bucket.record(team.bucket.rate() * share * secondsOf(span), now);
+		const Micros span = std::min(_now - since, kMostAtOnce);
+		_team.bucket.record(_team.bucket.rate() * share * secondsOf(span), _now);
 	}
 }
 
-void QuotaLedger::advance(Micros now)
+void QuotaLedger::advance(Micros _now)
 {
 	for (auto& [name, team] : m_teams)
 	{
-		recordSilentShare(team, now);
+		recordSilentShare(team, _now);
 	}
 }
 
-Micros QuotaLedger::take(const std::string& team, double amount, Micros now)
+Micros QuotaLedger::take(const std::string& _team, double _amount, Micros _now)
 {
-	const auto it = m_teams.find(team);
+	const auto it = m_teams.find(_team);
 	if (it == m_teams.end())
 	{
 		return 0;
@@ -141,76 +142,76 @@
 	TokenBucket& bucket = it->second.bucket;
 	if (!bucket.limited())
 	{
-		it->second.takenHere += amount;
+		it->second.takenHere += _amount;
 		return 0;
 	}
-	recordSilentShare(it->second, now);
+	recordSilentShare(it->second, _now);
 	// Any request passes while something is left, and what it takes beyond that is owed: a bucket that is nearly
 	// empty would else let small requests through and never a large one.
-	const double level = bucket.level(now) - unheard(it->second, now);
+	const double level = bucket.level(_now) - unheard(it->second, _now);
 	if (level <= 0.0)
 	{
-		const double wait = (-level + kReadyShare * std::min(amount, bucket.burst())) / bucket.rate();
+		const double wait = (-level + kReadyShare * std::min(_amount, bucket.burst())) / bucket.rate();
 		return std::clamp<Micros>(static_cast<Micros>(wait * static_cast<double>(kSecond)), kMillisecond,
 								  kLongestWait);
 	}
-	bucket.record(amount, now);
-	it->second.recordRecent(amount, now);
-	it->second.takenHere += amount;
+	bucket.record(_amount, _now);
+	it->second.recordRecent(_amount, _now);
+	it->second.takenHere += _amount;
 	return 0;
 }
 
-void QuotaLedger::giveBack(const std::string& team, double amount, Micros now)
+void QuotaLedger::giveBack(const std::string& _team, double _amount, Micros _now)
 {
-	const auto it = m_teams.find(team);
+	const auto it = m_teams.find(_team);
 	if (it != m_teams.end())
 	{
 		// Only this copy is corrected: what was said to others stays said.
-		it->second.bucket.record(-amount, now);
+		it->second.bucket.record(-_amount, _now);
 	}
 }
 
-void QuotaLedger::onReport(const std::string& peer, std::uint64_t incarnation, const QuotaReport& report,
-						   Micros now, Micros uptime)
+void QuotaLedger::onReport(const std::string& _peer, std::uint64_t _incarnation, const QuotaReport& _report,
+						   Micros _now, Micros _uptime)
 {
-	PeerCount& count = m_peerCounts[peer][report.team];
-	if (incarnation < count.incarnation)
+	PeerCount& count = m_peerCounts[_peer][_report.team];
+	if (_incarnation < count.incarnation)
 	{
 		return;
 	}
-	const auto heard = m_heard.find(peer);
+	const auto heard = m_heard.find(_peer);
 	const bool firstHeard = heard == m_heard.end();
-	if (firstHeard && uptime > TokenBucket::kHistory)
+	if (firstHeard && _uptime > TokenBucket::kHistory)
 	{
 		// What it took before it was known cannot be told apart from old work.
-		count = {incarnation, report.taken};
+		count = {_incarnation, _report.taken};
 		return;
 	}
-	const double before = incarnation > count.incarnation ? 0.0 : count.taken;
-	const double taken = report.taken - before;
-	count = {incarnation, std::max(before, report.taken)};
-	const auto it = m_teams.find(report.team);
+	const double before = _incarnation > count.incarnation ? 0.0 : count.taken;
+	const double taken = _report.taken - before;
+	count = {_incarnation, std::max(before, _report.taken)};
+	const auto it = m_teams.find(_report.team);
 	if (taken <= 0.0 || it == m_teams.end() || !it->second.bucket.limited())
 	{
 		return;
 	}
 	TokenBucket& bucket = it->second.bucket;
-	recordSilentShare(it->second, now);
+	recordSilentShare(it->second, _now);
 	// While it was silent, its share of the rate was left to it and is recorded already.
-	const double owed = std::max(0.0, taken - (firstHeard ? 0.0 : leftToPeer(bucket, heard->second, now)));
-	const double most = std::max(0.0, bucket.level(now) + kMostDebt * bucket.burst());
-	bucket.record(std::min(owed, most), now);
-	it->second.recordRecent(owed, now);
+	const double owed = std::max(0.0, taken - (firstHeard ? 0.0 : leftToPeer(bucket, heard->second, _now)));
+	const double most = std::max(0.0, bucket.level(_now) + kMostDebt * bucket.burst());
+	bucket.record(std::min(owed, most), _now);
+	it->second.recordRecent(owed, _now);
 }
 
-void QuotaLedger::onHeard(const std::string& peer, Micros now)
+void QuotaLedger::onHeard(const std::string& _peer, Micros _now)
 {
-	m_heard[peer] = now;
+	m_heard[_peer] = _now;
 }
 
-double QuotaLedger::takenHere(const std::string& team) const
+double QuotaLedger::takenHere(const std::string& _team) const
 {
-	const auto it = m_teams.find(team);
+	const auto it = m_teams.find(_team);
 	return it == m_teams.end() ? 0.0 : it->second.takenHere;
 }
 } // namespace beacongate
--- a/src/coordination/quotaledger.h
+++ b/src/coordination/quotaledger.h
@@ -51,33 +51,33 @@
 	std::map<std::string, std::uint64_t> levels(Micros _now) const;
 
 	/// Sets the limits in force. A team without one takes freely.
-	void configure(const RoutingConfig& config, Micros now);
+	void configure(const RoutingConfig& _config, Micros _now);
 
 	/// Names the gateways there are, this one included; to be called before configure(), since those that start
 	/// together share what a bucket begins with.
-	void setMembers(std::size_t members);
+	void setMembers(std::size_t _members);
 
 	/// Lets time pass; to be called several times a second, since who is silent changes.
-	void advance(Micros now);
+	void advance(Micros _now);
 
 	/// Takes an amount for a request.
 	/// @returns 0 where it was taken, else the span until it is likely to be there.
-	Micros take(const std::string& team, double amount, Micros now);
+	Micros take(const std::string& _team, double _amount, Micros _now);
 
 	/// Gives back what a request took that did not run.
-	void giveBack(const std::string& team, double amount, Micros now);
+	void giveBack(const std::string& _team, double _amount, Micros _now);
 
 	/// A peer says what it has taken; to be called before onHeard() for the same message.
 	/// @param[in] incarnation The peer's run: its counts begin at 0.
 	/// @param[in] uptime For how long the peer has been running: all that a young one took is recent.
-	void onReport(const std::string& peer, std::uint64_t incarnation, const QuotaReport& report, Micros now,
-				  Micros uptime = kNever);
+	void onReport(const std::string& _peer, std::uint64_t _incarnation, const QuotaReport& _report, Micros _now,
+				  Micros _uptime = kNever);
 
 	/// A peer was heard.
-	void onHeard(const std::string& peer, Micros now);
+	void onHeard(const std::string& _peer, Micros _now);
 
 	/// @returns what this gateway has taken for a team since it started.
-	double takenHere(const std::string& team) const;
+	double takenHere(const std::string& _team) const;
 
 private:
 	struct Team
@@ -101,15 +101,15 @@
 	/// @returns for how long a peer is silent before it is taken for cut off.
 	Micros silence() const;
 	/// @returns the part of the gateways that are not heard.
-	double silentShare(Micros now) const;
-	double leftToPeer(const TokenBucket& bucket, Micros lastHeard, Micros now) const;
+	double silentShare(Micros _now) const;
+	double leftToPeer(const TokenBucket& _bucket, Micros _lastHeard, Micros _now) const;
 	/// @returns what is likely to have been taken without word of it yet. All gateways reckon with the whole, so
 	/// that none of them gets ahead by having taken most of it itself.
-	double unheard(const Team& team, Micros now) const;
+	double unheard(const Team& _team, Micros _now) const;
 	/// Counts the share of the rate that is left to silent gateways as taken.
-	void recordSilentShare(Team& team, Micros now) const;
+	void recordSilentShare(Team& _team, Micros _now) const;
 	/// @returns what a bucket holds as this gateway first hears of it.
-	double startLevel(const TeamAccess& team) const;
+	double startLevel(const TeamAccess& _team) const;
 
 	std::map<std::string, std::uint64_t> m_keptLevels;
 	std::map<std::string, Team> m_teams;
--- a/src/coordination/sharedretrybudget.h
+++ b/src/coordination/sharedretrybudget.h
@@ -31,38 +31,38 @@
 	/// Part of the whole that is ever used, since windows slide and gateways restart.
 	static constexpr double kUsedPart = 0.6;
 
-	void configure(const RetryBudgetSettings& settings)
+	void configure(const RetryBudgetSettings& _settings)
 	{
-		m_settings = settings;
+		m_settings = _settings;
 	}
 
 	/// Names the gateways there are, this one included.
-	void setMembers(std::size_t members)
+	void setMembers(std::size_t _members)
 	{
-		m_members = members == 0 ? 1 : members;
+		m_members = _members == 0 ? 1 : _members;
 	}
 
 	/// Counts a request that is sent for the first time.
-	void onRequest(const std::string& service, Micros now)
+	void onRequest(const std::string& _service, Micros _now)
 	{
-		m_services[service].requests.push_back(now);
+		m_services[_service].requests.push_back(_now);
 	}
 
 	/// @returns whether a repeat may be sent now.
-	bool allows(const std::string& service, Micros now)
+	bool allows(const std::string& _service, Micros _now)
 	{
-		Counts& counts = m_services[service];
-		forget(counts.requests, now);
-		forget(counts.repeats, now);
+		Counts& counts = m_services[_service];
+		forget(counts.requests, _now);
+		forget(counts.repeats, _now);
 		const double share = m_settings.slack / static_cast<double>(m_members);
 		const double room = m_settings.ratio * static_cast<double>(counts.requests.size()) + share;
 		return static_cast<double>(counts.repeats.size()) + 1.0 <= kUsedPart * room;
 	}
 
 	/// Counts a repeat that is sent.
-	void onRepeat(const std::string& service, Micros now)
+	void onRepeat(const std::string& _service, Micros _now)
 	{
-		m_services[service].repeats.push_back(now);
+		m_services[_service].repeats.push_back(_now);
 	}
 
 private:
@@ -72,11 +72,11 @@
 		std::deque<Micros> repeats;
 	};
 
-	void forget(std::deque<Micros>& times, Micros now) const
+	void forget(std::deque<Micros>& _times, Micros _now) const
 	{
-		while (!times.empty() && now - times.front() > m_settings.window)
+		while (!_times.empty() && _now - _times.front() > m_settings.window)
 		{
-			times.pop_front();
+			_times.pop_front();
 		}
 	}
 
--- a/src/coordination/stoppolicy.h
+++ b/src/coordination/stoppolicy.h
@@ -22,27 +22,27 @@
 	/// Left before the process would be killed.
 	static constexpr Micros kKillMargin = 250 * kMillisecond;
 
-	explicit StopPolicy(Micros grace) : m_grace(grace)
+	explicit StopPolicy(Micros _grace) : m_grace(_grace)
 	{
 	}
 
 	/// @returns whether a request that arrives now is run; later ones are refused, since they might not end in
 	/// time.
-	bool takesRequests(Micros elapsed) const
+	bool takesRequests(Micros _elapsed) const
 	{
-		return elapsed < std::min(kTakeSpan, m_grace * 3 / 8);
+		return _elapsed < std::min(kTakeSpan, m_grace * 3 / 8);
 	}
 
 	/// @returns whether connections without a request are closed and new ones are turned away.
-	bool closesIdle(Micros elapsed) const
+	bool closesIdle(Micros _elapsed) const
 	{
-		return elapsed >= m_grace / 2;
+		return _elapsed >= m_grace / 2;
 	}
 
 	/// @returns whether what still runs has to be cut off.
-	bool mustEnd(Micros elapsed) const
+	bool mustEnd(Micros _elapsed) const
 	{
-		return elapsed >= m_grace - std::min(kKillMargin, m_grace / 8);
+		return _elapsed >= m_grace - std::min(kKillMargin, m_grace / 8);
 	}
 
 private:
--- a/src/coordination/usageledger.h
+++ b/src/coordination/usageledger.h
@@ -41,25 +41,25 @@
 	/// Windows that are remembered.
 	static constexpr std::uint64_t kRemembered = 6;
 
-	explicit UsageLedger(GatewayRun self) : m_self(std::move(self))
+	explicit UsageLedger(GatewayRun _self) : m_self(std::move(_self))
 	{
 	}
 
 	/// A request of a team began to run here.
-	void onBegan(std::uint64_t window, const std::string& team)
+	void onBegan(std::uint64_t _window, const std::string& _team)
 	{
-		++m_counts[{window, m_self, team}];
+		++m_counts[{_window, m_self, _team}];
 	}
 
 	/// A run says, or is said, to have counted this much.
-	void onReport(const GatewayRun& run, const UsageCount& report)
+	void onReport(const GatewayRun& _run, const UsageCount& _report)
 	{
-		if (run == m_self || report.window + kRemembered < m_newest)
+		if (_run == m_self || _report.window + kRemembered < m_newest)
 		{
 			return;
 		}
-		std::uint64_t& count = m_counts[{report.window, run, report.team}];
-		count = std::max(count, report.count);
+		std::uint64_t& count = m_counts[{_report.window, _run, _report.team}];
+		count = std::max(count, _report.count);
 	}
 
 	/// @returns this run's counts of the windows that are remembered.
@@ -77,12 +77,12 @@
 	}
 
 	/// @returns counts of all runs from a window on, to be kept where they outlive all gateways.
-	std::vector<std::pair<GatewayRun, UsageCount>> allCounts(std::uint64_t fromWindow) const
+	std::vector<std::pair<GatewayRun, UsageCount>> allCounts(std::uint64_t _fromWindow) const
 	{
 		std::vector<std::pair<GatewayRun, UsageCount>> counts;
 		for (const auto& [key, count] : m_counts)
 		{
-			if (std::get<0>(key) >= fromWindow)
+			if (std::get<0>(key) >= _fromWindow)
 			{
 				counts.emplace_back(std::get<GatewayRun>(key),
 									UsageCount{std::get<0>(key), std::get<std::string>(key), count});
@@ -92,12 +92,12 @@
 	}
 
 	/// @returns counts of all runs in a window, by team.
-	std::map<std::string, std::uint64_t> totals(std::uint64_t window) const
+	std::map<std::string, std::uint64_t> totals(std::uint64_t _window) const
 	{
 		std::map<std::string, std::uint64_t> sums;
 		for (const auto& [key, count] : m_counts)
 		{
-			if (std::get<0>(key) == window)
+			if (std::get<0>(key) == _window)
 			{
 				sums[std::get<std::string>(key)] += count;
 			}
@@ -106,11 +106,11 @@
 	}
 
 	/// Forgets old windows.
-	void advance(std::uint64_t window)
+	void advance(std::uint64_t _window)
 	{
-		m_newest = std::max(m_newest, window);
+		m_newest = std::max(m_newest, _window);
 		std::erase_if(m_counts,
-					  [this](const auto& entry) { return std::get<0>(entry.first) + kRemembered < m_newest; });
+					  [this](const auto& _entry) { return std::get<0>(_entry.first) + kRemembered < m_newest; });
 	}
 
 private:
--- a/src/daemon/logging.cpp
+++ b/src/daemon/logging.cpp
@@ -38,7 +38,7 @@
 	google::InitGoogleLogging(_program);
 }
 
-void initStdoutLogging(const char* program)
+void initStdoutLogging(const char* _program)
 {
 	FLAGS_logtostderr = false;
 	FLAGS_stderrthreshold = google::GLOG_FATAL;
@@ -46,7 +46,7 @@
 	{
 		google::SetLogDestination(static_cast<google::LogSeverity>(severity), "");
 	}
-	google::InitGoogleLogging(program);
+	google::InitGoogleLogging(_program);
 	google::AddLogSink(&StdoutSink::instance());
 }
 
--- a/src/daemon/logging.h
+++ b/src/daemon/logging.h
@@ -34,7 +34,7 @@
 
 /// Starts logging to standard output without ever waiting for its reader: lines that do not fit a bounded
 /// buffer are left out, and a line says how many.
-void initStdoutLogging(const char* program);
+void initStdoutLogging(const char* _program);
 
 /// Writes what is buffered, as far as the reader takes it.
 void flushStdoutLogging();
--- a/src/daemon/stdoutsink.cpp
+++ b/src/daemon/stdoutsink.cpp
@@ -15,16 +15,16 @@
 {
 constexpr std::size_t kPendingBytes = 256u << 10;
 
-char severityLetter(google::LogSeverity severity)
+char severityLetter(google::LogSeverity _severity)
 {
-	return severity >= google::GLOG_ERROR ? 'E' : severity == google::GLOG_WARNING ? 'W' : 'I';
+	return _severity >= google::GLOG_ERROR ? 'E' : _severity == google::GLOG_WARNING ? 'W' : 'I';
 }
 
-std::string timeText(const google::LogMessageTime& time)
+std::string timeText(const google::LogMessageTime& _time)
 {
 	char text[32];
-	std::snprintf(text, sizeof text, "%02d:%02d:%02d.%06d", time.hour(), time.min(), time.sec(),
-				  static_cast<int>(time.usec()));
+	std::snprintf(text, sizeof text, "%02d:%02d:%02d.%06d", _time.hour(), _time.min(), _time.sec(),
+				  static_cast<int>(_time.usec()));
 	return text;
 }
 } // namespace
@@ -35,11 +35,11 @@
 	return sink;
 }
 
-void StdoutSink::send(google::LogSeverity severity, const char* /*fullFilename*/, const char* /*baseFilename*/,
-					  int /*line*/, const google::LogMessageTime& time, const char* message, std::size_t length)
+void StdoutSink::send(google::LogSeverity _severity, const char* /*fullFilename*/, const char* /*baseFilename*/,
+					  int /*line*/, const google::LogMessageTime& _time, const char* _message, std::size_t _length)
 {
 	const std::lock_guard<std::mutex> guard(m_mutex);
-	if (m_pending.size() + length > kPendingBytes)
+	if (m_pending.size() + _length > kPendingBytes)
 	{
 		++m_dropped;
 		writePending();
@@ -50,11 +50,11 @@
 		m_pending += "W event=log-lines-left-out total=" + std::to_string(m_dropped) + "\n";
 		m_droppedTold = m_dropped;
 	}
-	m_pending += severityLetter(severity);
+	m_pending += severityLetter(_severity);
 	m_pending += ' ';
-	m_pending += timeText(time);
+	m_pending += timeText(_time);
 	m_pending += ' ';
-	m_pending.append(message, length);
+	m_pending.append(_message, _length);
 	m_pending += '\n';
 	writePending();
 }
--- a/src/daemon/stdoutsink.h
+++ b/src/daemon/stdoutsink.h
@@ -23,12 +23,12 @@
 	static StdoutSink& instance();
 
 	/// @param[in] descriptor Where lines go; not changed to non-blocking, since others may share it.
-	explicit StdoutSink(int descriptor) : m_descriptor(descriptor)
+	explicit StdoutSink(int _descriptor) : m_descriptor(_descriptor)
 	{
 	}
 
-	void send(google::LogSeverity severity, const char* fullFilename, const char* baseFilename, int line,
-			  const google::LogMessageTime& time, const char* message, std::size_t length) override;
+	void send(google::LogSeverity _severity, const char* _fullFilename, const char* _baseFilename, int _line,
+			  const google::LogMessageTime& _time, const char* _message, std::size_t _length) override;
 
 	/// Writes what the reader takes now.
 	void flush();
--- a/src/gateway/backendlistsync.cpp
+++ b/src/gateway/backendlistsync.cpp
@@ -22,10 +22,10 @@
 constexpr Micros kRetry = 200 * kMillisecond;   ///< After a read that failed.
 } // namespace
 
-BackendListSync::BackendListSync(GatewayContext& context)
-	: m_context(context), m_reader(std::make_shared<RangeReader>(context.loop, context.settings.store,
-																 platform::backendPrefix(), kSilence, kLongest)),
-	  m_timer(context.loop)
+BackendListSync::BackendListSync(GatewayContext& _context)
+	: m_context(_context), m_reader(std::make_shared<RangeReader>(_context.loop, _context.settings.store,
+																  platform::backendPrefix(), kSilence, kLongest)),
+	  m_timer(_context.loop)
 {
 }
 
@@ -41,13 +41,13 @@
 	m_reader->close();
 }
 
-void BackendListSync::schedule(Micros span)
+void BackendListSync::schedule(Micros _span)
 {
-	m_timer.expires_after(std::chrono::microseconds(std::max(span, kPauseMin)));
+	m_timer.expires_after(std::chrono::microseconds(std::max(_span, kPauseMin)));
 	m_timer.async_wait(
-		[self = shared_from_this()](const boost::system::error_code& error)
+		[self = shared_from_this()](const boost::system::error_code& _error)
 		{
-			if (!error && !self->m_closed)
+			if (!_error && !self->m_closed)
 			{
 				self->check();
 			}
@@ -70,14 +70,14 @@
 		schedule(kRetry);
 		return;
 	}
-	m_reader->read([self = shared_from_this()](std::optional<StoreContent> content)
-				   { self->onList(std::move(content)); });
+	m_reader->read([self = shared_from_this()](std::optional<StoreContent> _content)
+				   { self->onList(std::move(_content)); });
 }
 
-void BackendListSync::onList(std::optional<StoreContent> content)
+void BackendListSync::onList(std::optional<StoreContent> _content)
 {
 	const Micros now = monotonicNow();
-	if (!content)
+	if (!_content)
 	{
 		logEvent(LogLevel::Warning, "backend-list-unread",
 				 {{"list_age_ms", millisText(m_context.directory.listAge(now))}});
@@ -85,7 +85,7 @@
 		return;
 	}
 	m_context.directory.applyList(
-		{content->revision, m_context.backendRecords.read(content->items), content->confirmed}, now);
+		{_content->revision, m_context.backendRecords.read(_content->items), _content->confirmed}, now);
 	m_context.metrics.onListRead();
 	if (m_context.onDirectoryChanged)
 	{
--- a/src/gateway/backendlistsync.h
+++ b/src/gateway/backendlistsync.h
@@ -24,7 +24,7 @@
 class BackendListSync : public std::enable_shared_from_this<BackendListSync>
 {
 public:
-	explicit BackendListSync(GatewayContext& context);
+	explicit BackendListSync(GatewayContext& _context);
 
 	/// Begins to watch the list's age.
 	void init();
@@ -33,9 +33,9 @@
 	void shutdown();
 
 private:
-	void schedule(Micros span);
+	void schedule(Micros _span);
 	void check();
-	void onList(std::optional<StoreContent> content);
+	void onList(std::optional<StoreContent> _content);
 
 	GatewayContext& m_context;
 	std::shared_ptr<RangeReader> m_reader;
--- a/src/gateway/backendrecords.cpp
+++ b/src/gateway/backendrecords.cpp
@@ -10,11 +10,11 @@
 
 namespace beacongate
 {
-std::vector<BackendRecord> BackendRecords::read(const std::map<std::string, KvItem>& items)
+std::vector<BackendRecord> BackendRecords::read(const std::map<std::string, KvItem>& _items)
 {
 	std::vector<BackendRecord> records;
 	std::set<std::string> present;
-	for (const auto& [key, item] : items)
+	for (const auto& [key, item] : _items)
 	{
 		const auto id = platform::backendIdOf(item);
 		if (!id)
@@ -28,26 +28,26 @@
 			records.push_back(*parsed.record);
 		}
 	}
-	std::erase_if(m_parsed, [&present](const auto& entry) { return !present.count(entry.first); });
+	std::erase_if(m_parsed, [&present](const auto& _entry) { return !present.count(_entry.first); });
 	return records;
 }
 
-const BackendRecords::Parsed& BackendRecords::parse(const std::string& id, const KvItem& item)
+const BackendRecords::Parsed& BackendRecords::parse(const std::string& _id, const KvItem& _item)
 {
-	Parsed& parsed = m_parsed[id];
-	if (parsed.revision == item.revision)
+	Parsed& parsed = m_parsed[_id];
+	if (parsed.revision == _item.revision)
 	{
 		return parsed;
 	}
-	parsed.revision = item.revision;
+	parsed.revision = _item.revision;
 	parsed.record.reset();
 	try
 	{
-		parsed.record = platform::readBackend(id, item.value);
+		parsed.record = platform::readBackend(_id, _item.value);
 	}
 	catch (const std::exception& error)
 	{
-		logEvent(LogLevel::Warning, "backend-refused", {{"backend", id}, {"detail", error.what()}});
+		logEvent(LogLevel::Warning, "backend-refused", {{"backend", _id}, {"detail", error.what()}});
 	}
 	return parsed;
 }
--- a/src/gateway/backendrecords.h
+++ b/src/gateway/backendrecords.h
@@ -23,7 +23,7 @@
 {
 public:
 	/// @returns the records among a store's items.
-	std::vector<BackendRecord> read(const std::map<std::string, KvItem>& items);
+	std::vector<BackendRecord> read(const std::map<std::string, KvItem>& _items);
 
 private:
 	/// A record as it stood at a revision; none where it could not be read.
@@ -33,7 +33,7 @@
 		std::optional<BackendRecord> record;
 	};
 
-	const Parsed& parse(const std::string& id, const KvItem& item);
+	const Parsed& parse(const std::string& _id, const KvItem& _item);
 
 	std::map<std::string, Parsed> m_parsed; ///< By backend server, of the last items that were read.
 };
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -13,25 +13,25 @@
 constexpr Micros kWakeDelay = 10 * kMillisecond; ///< Calls that come together are answered by one round.
 } // namespace
 
-Dispatcher::Dispatcher(GatewayContext& context) : m_context(context), m_timer(context.loop)
+Dispatcher::Dispatcher(GatewayContext& _context) : m_context(_context), m_timer(_context.loop)
 {
 }
 
-void Dispatcher::enqueue(ExchangePtr exchange)
+void Dispatcher::enqueue(ExchangePtr _exchange)
 {
-	const auto later = [&](const ExchangePtr& other)
+	const auto later = [&](const ExchangePtr& _other)
 	{
-		return other->priority() > exchange->priority() ||
-			   (other->priority() == exchange->priority() && other->received() > exchange->received());
+		return _other->priority() > _exchange->priority() ||
+			   (_other->priority() == _exchange->priority() && _other->received() > _exchange->received());
 	};
 	const auto place = std::find_if(m_waiting.begin(), m_waiting.end(), later);
-	m_waiting.insert(place, std::move(exchange));
+	m_waiting.insert(place, std::move(_exchange));
 	wake();
 }
 
-void Dispatcher::remove(const Exchange* exchange)
+void Dispatcher::remove(const Exchange* _exchange)
 {
-	std::erase_if(m_waiting, [exchange](const ExchangePtr& other) { return other.get() == exchange; });
+	std::erase_if(m_waiting, [_exchange](const ExchangePtr& _other) { return _other.get() == _exchange; });
 }
 
 void Dispatcher::wake()
@@ -43,10 +43,10 @@
 	m_wakePending = true;
 	m_timer.expires_after(std::chrono::microseconds(kWakeDelay));
 	m_timer.async_wait(
-		[this](const boost::system::error_code& error)
+		[this](const boost::system::error_code& _error)
 		{
 			m_wakePending = false;
-			if (!error)
+			if (!_error)
 			{
 				tryAll();
 			}
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -20,13 +20,13 @@
 class Dispatcher
 {
 public:
-	explicit Dispatcher(GatewayContext& context);
+	explicit Dispatcher(GatewayContext& _context);
 
 	/// Keeps a request until room is found.
-	void enqueue(ExchangePtr exchange);
+	void enqueue(ExchangePtr _exchange);
 
 	/// Forgets a request.
-	void remove(const Exchange* exchange);
+	void remove(const Exchange* _exchange);
 
 	/// Tries the requests that wait; done soon, once for many calls.
 	void wake();
--- a/src/gateway/dutyholder.cpp
+++ b/src/gateway/dutyholder.cpp
@@ -25,20 +25,20 @@
 constexpr std::uint64_t kWindowsKept = 8;
 constexpr std::size_t kAnswerBytes = 1u << 20;
 
-std::uint64_t readFence(const std::string& text)
+std::uint64_t readFence(const std::string& _text)
 {
-	return text.empty() ? 0 : std::strtoull(text.c_str(), nullptr, 10);
+	return _text.empty() ? 0 : std::strtoull(_text.c_str(), nullptr, 10);
 }
 
 } // namespace
 
-DutyHolder::DutyHolder(GatewayContext& context)
-	: m_context(context),
-	  m_leaseChannel(std::make_shared<HttpChannel>(context.loop, context.settings.store, kAnswerBytes)),
-	  m_storeChannel(std::make_shared<HttpChannel>(context.loop, context.settings.store, kAnswerBytes)),
-	  m_countsChannel(std::make_shared<HttpChannel>(context.loop, context.settings.store, kAnswerBytes)),
-	  m_dutyChannel(std::make_shared<HttpChannel>(context.loop, *context.settings.dutyApi, kAnswerBytes)),
-	  m_timer(context.loop)
+DutyHolder::DutyHolder(GatewayContext& _context)
+	: m_context(_context),
+	  m_leaseChannel(std::make_shared<HttpChannel>(_context.loop, _context.settings.store, kAnswerBytes)),
+	  m_storeChannel(std::make_shared<HttpChannel>(_context.loop, _context.settings.store, kAnswerBytes)),
+	  m_countsChannel(std::make_shared<HttpChannel>(_context.loop, _context.settings.store, kAnswerBytes)),
+	  m_dutyChannel(std::make_shared<HttpChannel>(_context.loop, *_context.settings.dutyApi, kAnswerBytes)),
+	  m_timer(_context.loop)
 {
 }
 
@@ -66,9 +66,9 @@
 {
 	m_timer.expires_after(std::chrono::microseconds(m_context.jittered(kTick)));
 	m_timer.async_wait(
-		[self = shared_from_this()](const boost::system::error_code& error)
+		[self = shared_from_this()](const boost::system::error_code& _error)
 		{
-			if (!error && !self->m_closed)
+			if (!_error && !self->m_closed)
 			{
 				self->tick();
 				self->schedule();
@@ -110,9 +110,9 @@
 	}
 }
 
-std::uint64_t DutyHolder::revisionOf(const std::string& key) const
+std::uint64_t DutyHolder::revisionOf(const std::string& _key) const
 {
-	const auto it = m_context.content.items.find(key);
+	const auto it = m_context.content.items.find(_key);
 	return it == m_context.content.items.end() ? 0 : it->second.revision;
 }
 
@@ -128,9 +128,9 @@
 	const Micros sent = monotonicNow();
 	const Micros span = std::max(m_context.settings.leaseSpan, m_context.settings.leaseMinimum);
 	m_leaseChannel->call(platform::leaseCall(span), kStoreTimeout,
-						 [self = shared_from_this(), sent](const std::optional<HttpAnswer>& answer)
+						 [self = shared_from_this(), sent](const std::optional<HttpAnswer>& _answer)
 						 {
-							 const auto lease = platform::readLease(answer);
+							 const auto lease = platform::readLease(_answer);
 							 if (!lease)
 							 {
 								 self->m_competing = false;
@@ -140,7 +140,7 @@
 						 });
 }
 
-void DutyHolder::take(std::uint64_t lease, Micros span, Micros sent)
+void DutyHolder::take(std::uint64_t _lease, Micros _span, Micros _sent)
 {
 	const auto fenceItem = m_context.content.items.find(kFenceKey);
 	const std::uint64_t before =
@@ -148,23 +148,23 @@
 	const std::uint64_t fence = before + 1;
 	KvTransaction change;
 	change.conditions = {{kHolderKey, 0}, {kFenceKey, revisionOf(kFenceKey)}};
-	change.puts = {{kHolderKey, m_context.settings.name + ' ' + std::to_string(m_context.run.incarnation), lease},
+	change.puts = {{kHolderKey, m_context.settings.name + ' ' + std::to_string(m_context.run.incarnation), _lease},
 				   {kFenceKey, std::to_string(fence), 0}};
 	m_leaseChannel->call(
 		platform::transactionCall(change), kStoreTimeout,
-		[self = shared_from_this(), lease, span, sent, fence](const std::optional<HttpAnswer>& answer)
+		[self = shared_from_this(), _lease, _span, _sent, fence](const std::optional<HttpAnswer>& _answer)
 		{
 			self->m_competing = false;
-			const KvResult result = platform::readTransaction(answer);
+			const KvResult result = platform::readTransaction(_answer);
 			if (result.outcome != KvOutcome::Done)
 			{
 				// Where it may have been done, nobody acts until that lease has run out.
 				return;
 			}
-			self->m_leaseId = lease;
-			self->m_renewed = sent;
+			self->m_leaseId = _lease;
+			self->m_renewed = _sent;
 			self->m_taken = monotonicNow();
-			self->m_lease.onAcquired(fence, sent, span);
+			self->m_lease.onAcquired(fence, _sent, _span);
 			logEvent(LogLevel::Info, "duty-taken", {{"fence", std::to_string(fence)}});
 		});
 }
@@ -179,14 +179,14 @@
 	const Micros sent = monotonicNow();
 	m_leaseChannel->call(
 		platform::renewCall(m_leaseId), kStoreTimeout,
-		[self = shared_from_this(), sent, lease = m_leaseId](const std::optional<HttpAnswer>& answer)
+		[self = shared_from_this(), sent, lease = m_leaseId](const std::optional<HttpAnswer>& _answer)
 		{
 			self->m_renewing = false;
 			if (self->m_leaseId != lease)
 			{
 				return;
 			}
-			const platform::RenewedLease renewal = platform::readRenewal(answer);
+			const platform::RenewedLease renewal = platform::readRenewal(_answer);
 			if (renewal.gone)
 			{
 				self->m_lease.onLost();
@@ -199,25 +199,25 @@
 		});
 }
 
-bool DutyHolder::tookOver(Micros now) const
+bool DutyHolder::tookOver(Micros _now) const
 {
 	// The kept counts are large, so that a relay leaves them out: a read of the store itself has to follow, and the
 	// other gateways have to hear who holds the duties now.
-	return m_context.content.confirmed > m_taken && now - m_taken > kSettle;
+	return m_context.content.confirmed > m_taken && _now - m_taken > kSettle;
 }
 
-void DutyHolder::reportUsage(Micros now)
+void DutyHolder::reportUsage(Micros _now)
 {
-	if (!m_lease.mayAct(now))
+	if (!m_lease.mayAct(_now))
 	{
 		return;
 	}
-	const std::uint64_t current = m_context.currentWindow(now);
-	std::erase_if(m_reported, [current](std::uint64_t window) { return window + kWindowsKept < current; });
+	const std::uint64_t current = m_context.currentWindow(_now);
+	std::erase_if(m_reported, [current](std::uint64_t _window) { return _window + kWindowsKept < current; });
 	for (std::uint64_t window = current - kWindowsBack; window < current; ++window)
 	{
 		const Micros windowEnd = static_cast<Micros>(window + 1) * m_context.settings.usageWindow;
-		const bool settled = m_context.clock.trueTime(now) >= windowEnd + kSettle;
+		const bool settled = m_context.clock.trueTime(_now) >= windowEnd + kSettle;
 		if (!settled || m_reported.count(window) || m_inWork.count(window))
 		{
 			continue;
@@ -235,39 +235,39 @@
 	}
 }
 
-void DutyHolder::keepCounts(Micros now)
+void DutyHolder::keepCounts(Micros _now)
 {
-	if (m_keepingCounts || now - m_countsKept < kKeepInterval || !m_lease.mayAct(now))
+	if (m_keepingCounts || _now - m_countsKept < kKeepInterval || !m_lease.mayAct(_now))
 	{
 		return;
 	}
-	const std::uint64_t current = m_context.currentWindow(now);
+	const std::uint64_t current = m_context.currentWindow(_now);
 	std::string text = encodeRunCounts(m_context.usage.allCounts(current - std::min<std::uint64_t>(current, 1)));
 	if (text == m_keptCounts)
 	{
 		return;
 	}
 	m_keepingCounts = true;
-	m_countsKept = now;
+	m_countsKept = _now;
 	KvTransaction change;
 	// Counts only grow and are merged by the larger, so a put that is done late does no harm. Levels are a hint for
 	// gateways that start.
-	change.puts = {{kCountsKey, text, 0}, {kLevelsKey, encodeTotals(m_context.quotas.levels(now)), 0}};
+	change.puts = {{kCountsKey, text, 0}, {kLevelsKey, encodeTotals(m_context.quotas.levels(_now)), 0}};
 	m_countsChannel->call(
 		platform::transactionCall(change), kStoreTimeout,
-		[self = shared_from_this(), text = std::move(text)](const std::optional<HttpAnswer>& answer)
+		[self = shared_from_this(), text = std::move(text)](const std::optional<HttpAnswer>& _answer)
 		{
 			self->m_keepingCounts = false;
-			if (platform::readTransaction(answer).outcome == KvOutcome::Done)
+			if (platform::readTransaction(_answer).outcome == KvOutcome::Done)
 			{
 				self->m_keptCounts = text;
 			}
 		});
 }
 
-void DutyHolder::fixWindow(std::uint64_t window)
+void DutyHolder::fixWindow(std::uint64_t _window)
 {
-	std::map<std::string, std::uint64_t> counts = m_context.usage.totals(window);
+	std::map<std::string, std::uint64_t> counts = m_context.usage.totals(_window);
 	if (m_context.directory.config())
 	{
 		for (const TeamAccess& team : m_context.directory.config()->teams)
@@ -276,68 +276,68 @@
 		}
 	}
 	KvTransaction change;
-	change.conditions = {{usageKey(window), 0}};
-	change.puts = {{usageKey(window), encodeTotals(counts), 0}};
+	change.conditions = {{usageKey(_window), 0}};
+	change.puts = {{usageKey(_window), encodeTotals(counts), 0}};
 	for (const auto& [key, item] : m_context.content.items)
 	{
 		const bool isUsage = key.compare(0, kUsagePrefix.size(), kUsagePrefix) == 0;
-		if (isUsage && std::strtoull(key.c_str() + kUsagePrefix.size(), nullptr, 10) + kWindowsKept < window)
+		if (isUsage && std::strtoull(key.c_str() + kUsagePrefix.size(), nullptr, 10) + kWindowsKept < _window)
 		{
 			change.removes.push_back(key);
 		}
 	}
-	m_inWork.insert(window);
+	m_inWork.insert(_window);
 	m_storeChannel->call(platform::transactionCall(change), kStoreTimeout,
-						 [self = shared_from_this(), window, counts](const std::optional<HttpAnswer>& answer)
+						 [self = shared_from_this(), _window, counts](const std::optional<HttpAnswer>& _answer)
 						 {
-							 self->m_inWork.erase(window);
-							 const KvResult result = platform::readTransaction(answer);
+							 self->m_inWork.erase(_window);
+							 const KvResult result = platform::readTransaction(_answer);
 							 if (result.outcome == KvOutcome::Done)
 							 {
-								 self->sendWindow(window, counts);
+								 self->sendWindow(_window, counts);
 								 return;
 							 }
 							 for (const KvItem& item : result.items)
 							 {
-								 if (item.key == usageKey(window) && item.revision != 0)
+								 if (item.key == usageKey(_window) && item.revision != 0)
 								 {
-									 self->sendWindow(window, decodeTotals(item.value));
+									 self->sendWindow(_window, decodeTotals(item.value));
 								 }
 							 }
 						 });
 }
 
-void DutyHolder::sendWindow(std::uint64_t window, const std::map<std::string, std::uint64_t>& counts)
+void DutyHolder::sendWindow(std::uint64_t _window, const std::map<std::string, std::uint64_t>& _counts)
 {
-	if (m_inWork.count(window))
+	if (m_inWork.count(_window))
 	{
 		return;
 	}
-	m_inWork.insert(window);
+	m_inWork.insert(_window);
 	const platform::DutyHolder holder{m_context.settings.name, m_lease.fence()};
 	m_dutyChannel->call(
-		platform::usageCall(holder, window, counts), kDutyTimeout,
-		[self = shared_from_this(), window, fence = m_lease.fence()](const std::optional<HttpAnswer>& answer)
+		platform::usageCall(holder, _window, _counts), kDutyTimeout,
+		[self = shared_from_this(), _window, fence = m_lease.fence()](const std::optional<HttpAnswer>& _answer)
 		{
-			self->m_inWork.erase(window);
-			const bool taken = answer && answer->status == 200;
+			self->m_inWork.erase(_window);
+			const bool taken = _answer && _answer->status == 200;
 			if (taken)
 			{
-				self->m_reported.insert(window);
+				self->m_reported.insert(_window);
 			}
 			logEvent(taken ? LogLevel::Info : LogLevel::Warning, "usage-report",
-					 {{"window", std::to_string(window)},
+					 {{"window", std::to_string(_window)},
 					  {"fence", std::to_string(fence)},
-					  {"status", answer ? std::to_string(answer->status) : "none"}});
+					  {"status", _answer ? std::to_string(_answer->status) : "none"}});
 		},
 		[self = shared_from_this(), fence = m_lease.fence()]
 		{ return self->m_lease.fence() == fence && self->m_lease.mayAct(monotonicNow()); });
 }
 
-void DutyHolder::orderCapacity(Micros now)
+void DutyHolder::orderCapacity(Micros _now)
 {
 	const auto& config = m_context.directory.config();
-	if (!config || !m_lease.mayAct(now) || m_openOrders > 0)
+	if (!config || !m_lease.mayAct(_now) || m_openOrders > 0)
 	{
 		return;
 	}
@@ -345,15 +345,15 @@
 	{
 		if (service.scaling)
 		{
-			orderFor(service, now);
+			orderFor(service, _now);
 		}
 	}
 }
 
-void DutyHolder::orderFor(const PooledService& service, Micros now)
+void DutyHolder::orderFor(const PooledService& _service, Micros _now)
 {
 	std::map<std::string, ZoneCapacity> zones;
-	for (const auto& [zone, price] : service.scaling->zonePrices)
+	for (const auto& [zone, price] : _service.scaling->zonePrices)
 	{
 		zones[zone];
 	}
@@ -362,8 +362,8 @@
 	for (const auto& [id, known] : m_context.directory.backends())
 	{
 		// Records lapse together while the store is down and come back with the next heartbeat.
-		const bool gone = known.vanishedAt != kNever && now - known.vanishedAt > kLapseSpan;
-		if (known.record.service != service.name || gone)
+		const bool gone = known.vanishedAt != kNever && _now - known.vanishedAt > kLapseSpan;
+		if (known.record.service != _service.name || gone)
 		{
 			continue;
 		}
@@ -381,56 +381,56 @@
 	{
 		return;
 	}
-	const CapacityPlanner::Need need = needOf(service, standing, onDemand, now);
-	for (const CapacityOrder& order : m_planners[service.name].plan(*service.scaling, zones, need, now))
+	const CapacityPlanner::Need need = needOf(_service, standing, onDemand, _now);
+	for (const CapacityOrder& order : m_planners[_service.name].plan(*_service.scaling, zones, need, _now))
 	{
 		logEvent(LogLevel::Info, "capacity-order",
-				 {{"service", service.name},
+				 {{"service", _service.name},
 				  {"data_centre", order.dataCentre},
 				  {"kind", order.spot ? "spot" : "on-demand"},
 				  {"count", std::to_string(order.count)},
-				  {"work", std::to_string(m_context.demand.work(service.name))},
-				  {"occupied", std::to_string(m_context.demand.occupied(service.name))},
+				  {"work", std::to_string(m_context.demand.work(_service.name))},
+				  {"occupied", std::to_string(m_context.demand.occupied(_service.name))},
 				  {"wished", std::to_string(need.wished)},
 				  {"required", std::to_string(need.required)},
 				  {"standing", std::to_string(standing)},
 				  {"fence", std::to_string(m_lease.fence())}});
-		sendOrder(service.name, order);
+		sendOrder(_service.name, order);
 	}
 }
 
-CapacityPlanner::Need DutyHolder::needOf(const PooledService& service, unsigned standing, unsigned onDemand,
-										 Micros now)
+CapacityPlanner::Need DutyHolder::needOf(const PooledService& _service, unsigned _standing, unsigned _onDemand,
+										 Micros _now)
 {
-	const double work = CapacityPlanner::combinedWork(m_context.demand.work(service.name),
-													  m_context.demand.occupied(service.name), standing);
+	const double work = CapacityPlanner::combinedWork(m_context.demand.work(_service.name),
+													  m_context.demand.occupied(_service.name), _standing);
 	CapacityPlanner::Observation seen;
 	seen.work = work;
-	seen.settled = m_context.demand.settled(service.name, now);
+	seen.settled = m_context.demand.settled(_service.name, _now);
 	seen.firstStart = m_context.settings.firstStart;
-	seen.listed = m_startListings[service.name].complete(onDemand, now, standing);
-	seen.standing = m_startListings[service.name].standing();
-	return CapacityPlanner::needFor(*service.scaling, seen);
+	seen.listed = m_startListings[_service.name].complete(_onDemand, _now, _standing);
+	seen.standing = m_startListings[_service.name].standing();
+	return CapacityPlanner::needFor(*_service.scaling, seen);
 }
 
-void DutyHolder::sendOrder(const std::string& service, const CapacityOrder& order)
+void DutyHolder::sendOrder(const std::string& _service, const CapacityOrder& _order)
 {
 	const platform::DutyHolder holder{m_context.settings.name, m_lease.fence()};
 	++m_openOrders;
 	m_dutyChannel->call(
-		platform::capacityCall(holder, service, order.dataCentre, order.count, order.spot), kDutyTimeout,
-		[self = shared_from_this(), service, order](const std::optional<HttpAnswer>& answer)
+		platform::capacityCall(holder, _service, _order.dataCentre, _order.count, _order.spot), kDutyTimeout,
+		[self = shared_from_this(), _service, _order](const std::optional<HttpAnswer>& _answer)
 		{
 			--self->m_openOrders;
-			const bool taken = answer && answer->status == 200;
-			const bool refused = answer && answer->status == 409;
-			self->m_planners[service].onAnswer(order, taken, refused, monotonicNow());
+			const bool taken = _answer && _answer->status == 200;
+			const bool refused = _answer && _answer->status == 409;
+			self->m_planners[_service].onAnswer(_order, taken, refused, monotonicNow());
 			if (!taken)
 			{
 				logEvent(LogLevel::Warning, "capacity-order-failed",
-						 {{"service", service},
-						  {"data_centre", order.dataCentre},
-						  {"status", answer ? std::to_string(answer->status) : "none"}});
+						 {{"service", _service},
+						  {"data_centre", _order.dataCentre},
+						  {"status", _answer ? std::to_string(_answer->status) : "none"}});
 			}
 		},
 		[self = shared_from_this(), fence = m_lease.fence()]
--- a/src/gateway/dutyholder.h
+++ b/src/gateway/dutyholder.h
@@ -25,7 +25,7 @@
 class DutyHolder : public std::enable_shared_from_this<DutyHolder>
 {
 public:
-	explicit DutyHolder(GatewayContext& context);
+	explicit DutyHolder(GatewayContext& _context);
 
 	/// Begins to compete.
 	void init();
@@ -46,19 +46,20 @@
 	void schedule();
 	void tick();
 	void compete();
-	void take(std::uint64_t lease, Micros span, Micros sent);
+	void take(std::uint64_t _lease, Micros _span, Micros _sent);
 	void renew();
 	/// @returns whether this holder knows what the one before left in the store.
-	bool tookOver(Micros now) const;
-	void keepCounts(Micros now);
-	void reportUsage(Micros now);
-	void fixWindow(std::uint64_t window);
-	void sendWindow(std::uint64_t window, const std::map<std::string, std::uint64_t>& counts);
-	void orderCapacity(Micros now);
-	void orderFor(const PooledService& service, Micros now);
-	CapacityPlanner::Need needOf(const PooledService& service, unsigned standing, unsigned onDemand, Micros now);
-	void sendOrder(const std::string& service, const CapacityOrder& order);
-	std::uint64_t revisionOf(const std::string& key) const;
+	bool tookOver(Micros _now) const;
+	void keepCounts(Micros _now);
+	void reportUsage(Micros _now);
+	void fixWindow(std::uint64_t _window);
+	void sendWindow(std::uint64_t _window, const std::map<std::string, std::uint64_t>& _counts);
+	void orderCapacity(Micros _now);
+	void orderFor(const PooledService& _service, Micros _now);
+	CapacityPlanner::Need needOf(const PooledService& _service, unsigned _standing, unsigned _onDemand,
+								 Micros _now);
+	void sendOrder(const std::string& _service, const CapacityOrder& _order);
+	std::uint64_t revisionOf(const std::string& _key) const;
 
 	GatewayContext& m_context;
 	std::shared_ptr<HttpChannel> m_leaseChannel;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -26,10 +26,10 @@
 constexpr double kMillisPerSecond = 1000.0;
 } // namespace
 
-Exchange::Exchange(GatewayContext& context, Dispatcher& dispatcher, ServerSessionPtr session,
-				   IncomingRequest&& request)
-	: m_context(context), m_dispatcher(dispatcher), m_session(std::move(session)), m_request(std::move(request)),
-	  m_timer(context.loop)
+Exchange::Exchange(GatewayContext& _context, Dispatcher& _dispatcher, ServerSessionPtr _session,
+				   IncomingRequest&& _request)
+	: m_context(_context), m_dispatcher(_dispatcher), m_session(std::move(_session)),
+	  m_request(std::move(_request)), m_timer(_context.loop)
 {
 	++m_context.openExchanges;
 }
@@ -55,10 +55,10 @@
 	}
 	m_timer.expires_after(std::chrono::microseconds(timeLeft(monotonicNow())));
 	m_timer.async_wait(
-		[weak = weak_from_this()](const boost::system::error_code& error)
+		[weak = weak_from_this()](const boost::system::error_code& _error)
 		{
 			const auto self = weak.lock();
-			if (!error && self)
+			if (!_error && self)
 			{
 				self->onTimeout();
 			}
@@ -140,17 +140,17 @@
 	return true;
 }
 
-bool Exchange::keyMayBeRevoked(Micros now) const
+bool Exchange::keyMayBeRevoked(Micros _now) const
 {
 	return m_team && m_context.settings.strictRevocation &&
-		   m_context.directory.age(now) > m_context.settings.revocationSpan - kRevocationMargin;
+		   m_context.directory.age(_now) > m_context.settings.revocationSpan - kRevocationMargin;
 }
 
 void Exchange::chooseService()
 {
-	const auto allowed = [this](const WeightedService& part)
+	const auto allowed = [this](const WeightedService& _part)
 	{
-		return part.service == m_service;
+		return _part.service == m_service;
 	};
 	if (std::any_of(m_route->split.begin(), m_route->split.end(), allowed))
 	{
@@ -201,9 +201,9 @@
 	return true;
 }
 
-Micros Exchange::timeLeft(Micros now) const
+Micros Exchange::timeLeft(Micros _now) const
 {
-	return m_holdUntil - now;
+	return m_holdUntil - _now;
 }
 
 bool Exchange::tryDispatch()
@@ -244,7 +244,7 @@
 	return true;
 }
 
-void Exchange::send(const KnownBackend& backend)
+void Exchange::send(const KnownBackend& _backend)
 {
 	const Micros now = monotonicNow();
 	if (m_queued)
@@ -253,18 +253,18 @@
 	}
 	m_queued = false;
 	m_attempt = {};
-	m_attempt.backendId = backend.record.id;
+	m_attempt.backendId = _backend.record.id;
 	m_attempt.sent = now;
-	m_tried.push_back(backend.record.id);
-	m_attempt.slots = backend.record.slots;
+	m_tried.push_back(_backend.record.id);
+	m_attempt.slots = _backend.record.slots;
 	m_attempt.resumed = m_lastEvent.has_value() || !m_info.lastEventId.empty();
-	m_context.balancer.onSent(backend.record.id, m_placement);
+	m_context.balancer.onSent(_backend.record.id, m_placement);
 	if (m_placement.promptTokens > 0)
 	{
 		m_context.demand.onPrompt(m_service, m_context.engines.readingSeconds(m_service, m_placement.promptTokens));
 	}
 	CallOptions options;
-	options.address = backend.record.address;
+	options.address = _backend.record.address;
 	options.connectSpan = std::clamp(m_route->targetLatency / 4, kConnectMin, kConnectMax);
 	options.userTimeout = kBackendUserTimeout;
 	options.noBody = m_request.head.method == "HEAD";
@@ -290,30 +290,30 @@
 		}
 		++self->m_sent;
 	};
-	handlers.onHead = [self](const MessageHead& head)
+	handlers.onHead = [self](const MessageHead& _head)
 	{
-		self->onHead(head);
+		self->onHead(_head);
 	};
-	handlers.onBody = [self](std::string_view bytes)
+	handlers.onBody = [self](std::string_view _bytes)
 	{
-		self->onBody(bytes);
+		self->onBody(_bytes);
 	};
 	handlers.onDone = [self]
 	{
 		self->onDone();
 	};
-	handlers.onFault = [self](CallFault fault)
+	handlers.onFault = [self](CallFault _fault)
 	{
-		self->onFault(fault);
+		self->onFault(_fault);
 	};
-	m_attempt.call = OutgoingCall::start(m_context.loop, options, formatForward(backend), std::move(handlers));
+	m_attempt.call = OutgoingCall::start(m_context.loop, options, formatForward(_backend), std::move(handlers));
 }
 
-std::string Exchange::formatForward(const KnownBackend& backend) const
+std::string Exchange::formatForward(const KnownBackend& _backend) const
 {
 	ForwardFields fields;
 	fields.timeLeft = timeLeft(monotonicNow());
-	fields.backendId = backend.record.id;
+	fields.backendId = _backend.record.id;
 	fields.team = m_team ? m_team->name : "";
 	fields.lastEventId = m_lastEvent ? std::to_string(*m_lastEvent) : "";
 	const PooledService* service = m_config->findService(m_service);
@@ -333,15 +333,15 @@
 	return bytes;
 }
 
-void Exchange::refuse(Failure failure, const std::string& detail, Micros retryAfter)
+void Exchange::refuse(Failure _failure, const std::string& _detail, Micros _retryAfter)
 {
-	unsigned status = failureInfo(failure).status;
+	unsigned status = failureInfo(_failure).status;
 	// Whether it ran is not known: no promise may be made.
-	status = m_mayHaveRun && failureInfo(failure).outcome == Outcome::NotRun ? 502 : status;
-	answerOwn(status, failure, detail, m_mayHaveRun ? 0 : retryAfter);
+	status = m_mayHaveRun && failureInfo(_failure).outcome == Outcome::NotRun ? 502 : status;
+	answerOwn(status, _failure, _detail, m_mayHaveRun ? 0 : _retryAfter);
 }
 
-void Exchange::answerOwn(unsigned status, Failure failure, const std::string& detail, Micros retryAfter)
+void Exchange::answerOwn(unsigned _status, Failure _failure, const std::string& _detail, Micros _retryAfter)
 {
 	if (m_finished)
 	{
@@ -356,8 +356,9 @@
 	{
 		m_context.quotas.giveBack(m_team->name, m_quotaTaken, monotonicNow());
 	}
-	m_session->answer(makeOwnAnswer(status, failure, detail, retryAfter, platform::ownAnswerHeaders(m_info.id)));
-	finish(std::string(failureInfo(failure).type), status, detail);
+	m_session->answer(
+		makeOwnAnswer(_status, _failure, _detail, _retryAfter, platform::ownAnswerHeaders(m_info.id)));
+	finish(std::string(failureInfo(_failure).type), _status, _detail);
 }
 
 void Exchange::onCallerGone()
@@ -385,7 +386,7 @@
 	refuse(Failure::NoBackend, "no backend server had room in time", kShortRetryAfter);
 }
 
-void Exchange::finish(const std::string& outcome, unsigned status, const std::string& detail)
+void Exchange::finish(const std::string& _outcome, unsigned _status, const std::string& _detail)
 {
 	if (m_finished)
 	{
@@ -405,17 +406,17 @@
 		m_dispatcher.remove(this);
 	}
 	const Micros now = monotonicNow();
-	m_context.metrics.onRequest({m_route ? m_route->name : "-", m_team ? m_team->name : "-", outcome, status},
+	m_context.metrics.onRequest({m_route ? m_route->name : "-", m_team ? m_team->name : "-", _outcome, _status},
 								now - m_request.received);
 	logEvent(LogLevel::Info, "request",
 			 {{"request", m_info.id},
 			  {"route", m_route ? m_route->name : "-"},
 			  {"team", m_team ? m_team->name : "-"},
-			  {"outcome", outcome},
-			  {"status", std::to_string(status)},
+			  {"outcome", _outcome},
+			  {"status", std::to_string(_status)},
 			  {"backend", m_attempt.backendId.empty() ? "-" : m_attempt.backendId},
 			  {"sent", std::to_string(m_sent)},
-			  {"detail", detail.empty() ? "-" : detail},
+			  {"detail", _detail.empty() ? "-" : _detail},
 			  {"ms", millisText(now - m_request.received)},
 			  {"config", m_config ? std::to_string(m_config->version) : "-"},
 			  {"config_age_ms", millisText(m_context.directory.age(now))},
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -30,7 +30,8 @@
 class Exchange : public std::enable_shared_from_this<Exchange>
 {
 public:
-	Exchange(GatewayContext& context, Dispatcher& dispatcher, ServerSessionPtr session, IncomingRequest&& request);
+	Exchange(GatewayContext& _context, Dispatcher& _dispatcher, ServerSessionPtr _session,
+			 IncomingRequest&& _request);
 	~Exchange();
 	Exchange(const Exchange&) = delete;
 	Exchange& operator=(const Exchange&) = delete;
@@ -78,27 +79,27 @@
 	void chooseService();
 	bool takeQuota();
 	double quotaAmount() const;
-	Micros timeLeft(Micros now) const;
-	bool keyMayBeRevoked(Micros now) const;
-	void send(const KnownBackend& backend);
-	std::string formatForward(const KnownBackend& backend) const;
-	void onHead(const MessageHead& head);
-	void onBody(std::string_view bytes);
-	void onEvents(std::string_view bytes);
+	Micros timeLeft(Micros _now) const;
+	bool keyMayBeRevoked(Micros _now) const;
+	void send(const KnownBackend& _backend);
+	std::string formatForward(const KnownBackend& _backend) const;
+	void onHead(const MessageHead& _head);
+	void onBody(std::string_view _bytes);
+	void onEvents(std::string_view _bytes);
 	void onDone();
-	void onFault(CallFault fault);
-	void endAttempt(AttemptResult result);
-	void closeAttempt(bool succeeded);
+	void onFault(CallFault _fault);
+	void endAttempt(AttemptResult _result);
+	void closeAttempt(bool _succeeded);
 	void releaseBackend();
 	void countBegin();
 	void passAnswer();
 	void finishStream();
 	void streamBroke();
-	void refuse(Failure failure, const std::string& detail, Micros retryAfter = 0);
-	void answerOwn(unsigned status, Failure failure, const std::string& detail, Micros retryAfter);
+	void refuse(Failure _failure, const std::string& _detail, Micros _retryAfter = 0);
+	void answerOwn(unsigned _status, Failure _failure, const std::string& _detail, Micros _retryAfter);
 	void onCallerGone();
 	void onTimeout();
-	void finish(const std::string& outcome, unsigned status, const std::string& detail = {});
+	void finish(const std::string& _outcome, unsigned _status, const std::string& _detail = {});
 
 	GatewayContext& m_context;
 	Dispatcher& m_dispatcher;
--- a/src/gateway/exchangeanswers.cpp
+++ b/src/gateway/exchangeanswers.cpp
@@ -20,10 +20,10 @@
 constexpr unsigned kServerErrors = 500;
 } // namespace
 
-void Exchange::onHead(const MessageHead& head)
+void Exchange::onHead(const MessageHead& _head)
 {
-	m_attempt.head = head;
-	m_attempt.info = platform::readAnswer(head);
+	m_attempt.head = _head;
+	m_attempt.info = platform::readAnswer(_head);
 	const bool ownAnswer = m_attempt.info.id == m_info.id;
 	if (!ownAnswer)
 	{
@@ -31,7 +31,7 @@
 		endAttempt(AttemptResult::Broken);
 		return;
 	}
-	const bool successStatus = head.status >= kOk && head.status < kMultipleChoices;
+	const bool successStatus = _head.status >= kOk && _head.status < kMultipleChoices;
 	if (successStatus && (!m_attempt.info.stamped || m_attempt.info.encoded))
 	{
 		endAttempt(AttemptResult::Broken);
@@ -57,24 +57,24 @@
 	m_context.usage.onBegan(m_context.currentWindow(began), m_team->name);
 }
 
-void Exchange::onBody(std::string_view bytes)
+void Exchange::onBody(std::string_view _bytes)
 {
 	if (m_attempt.success && m_route->kind == RouteKind::Stream)
 	{
-		onEvents(bytes);
+		onEvents(_bytes);
 		return;
 	}
-	m_attempt.body += bytes;
+	m_attempt.body += _bytes;
 	if (m_attempt.body.size() > limits::kGatewayAnswerBytes)
 	{
 		endAttempt(AttemptResult::Broken);
 	}
 }
 
-void Exchange::onEvents(std::string_view bytes)
+void Exchange::onEvents(std::string_view _bytes)
 {
 	std::string whole;
-	for (const StreamEvent& event : m_attempt.events.add(bytes))
+	for (const StreamEvent& event : m_attempt.events.add(_bytes))
 	{
 		// A stream that goes on elsewhere may begin with events that the caller has.
 		if (event.id && m_lastEvent && *event.id <= *m_lastEvent)
@@ -167,12 +167,12 @@
 	finish("done", m_attempt.head.status);
 }
 
-void Exchange::onFault(CallFault fault)
+void Exchange::onFault(CallFault _fault)
 {
-	endAttempt(fault == CallFault::NotSent ? AttemptResult::NotSent : AttemptResult::Broken);
+	endAttempt(_fault == CallFault::NotSent ? AttemptResult::NotSent : AttemptResult::Broken);
 }
 
-void Exchange::closeAttempt(bool succeeded)
+void Exchange::closeAttempt(bool _succeeded)
 {
 	if (!m_attempt.call)
 	{
@@ -181,7 +181,7 @@
 	m_attempt.call->cancel();
 	m_attempt.call = nullptr;
 	releaseBackend();
-	m_context.balancer.onOutcome(m_attempt.backendId, succeeded, monotonicNow());
+	m_context.balancer.onOutcome(m_attempt.backendId, _succeeded, monotonicNow());
 	m_dispatcher.wake();
 }
 
@@ -203,21 +203,21 @@
 	}
 }
 
-void Exchange::endAttempt(AttemptResult result)
+void Exchange::endAttempt(AttemptResult _result)
 {
 	if (m_finished)
 	{
 		return;
 	}
 	const Micros now = monotonicNow();
-	const bool innocent = result == AttemptResult::Misdirected;
-	if (result == AttemptResult::Broken && m_attempt.onTheWire)
+	const bool innocent = _result == AttemptResult::Misdirected;
+	if (_result == AttemptResult::Broken && m_attempt.onTheWire)
 	{
 		// Answers get lost more often than engines fail before they begin.
 		countBegin();
 	}
 	closeAttempt(innocent);
-	m_unsentTries += result == AttemptResult::NotSent ? 1 : 0;
+	m_unsentTries += _result == AttemptResult::NotSent ? 1 : 0;
 	AttemptContext attempts;
 	attempts.repeatable = m_route->repeatable();
 	attempts.mayHaveRun = m_mayHaveRun;
@@ -228,13 +228,13 @@
 	attempts.timeLeft = timeLeft(now) > kAttemptMin;
 	const auto candidates = m_context.directory.usableOf(m_service, now);
 	attempts.anotherBackend = m_context.balancer.choose(candidates, m_placement, m_tried, now).backend != nullptr;
-	const AttemptDecision decision = decideAfterAttempt(result, attempts);
-	m_context.metrics.onFailedAttempt(m_service, toString(result));
-	m_mayHaveRun = m_mayHaveRun || mayHaveRunAfter(result);
+	const AttemptDecision decision = decideAfterAttempt(_result, attempts);
+	m_context.metrics.onFailedAttempt(m_service, toString(_result));
+	m_mayHaveRun = m_mayHaveRun || mayHaveRunAfter(_result);
 	logEvent(LogLevel::Info, "attempt-failed",
 			 {{"request", m_info.id},
 			  {"backend", m_attempt.backendId},
-			  {"result", std::string(toString(result))},
+			  {"result", std::string(toString(_result))},
 			  {"status", std::to_string(m_attempt.head.status)},
 			  {"sent", std::to_string(m_sent)},
 			  {"ms", millisText(now - m_attempt.sent)},
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -21,9 +21,9 @@
 constexpr const char* kStatePath = "/state";
 constexpr const char* kMetricsPath = "/metrics";
 
-HttpAnswer malformedAnswer(ParseFault fault)
+HttpAnswer malformedAnswer(ParseFault _fault)
 {
-	switch (fault)
+	switch (_fault)
 	{
 	case ParseFault::HeaderTooLarge:
 		return makeOwnAnswer(431, Failure::HeaderTooLarge, "the header is too large", 0);
@@ -35,8 +35,8 @@
 }
 } // namespace
 
-Gateway::Gateway(GatewaySettings settings, std::function<GatewaySettings()> reload)
-	: m_context(std::move(settings)), m_reload(std::move(reload)), m_dispatcher(m_context),
+Gateway::Gateway(GatewaySettings _settings, std::function<GatewaySettings()> _reload)
+	: m_context(std::move(_settings)), m_reload(std::move(_reload)), m_dispatcher(m_context),
 	  m_signals(m_context.loop, SIGTERM, SIGINT, SIGHUP), m_stopTimer(m_context.loop)
 {
 	m_context.onDirectoryChanged = [this]
@@ -64,19 +64,19 @@
 void Gateway::init()
 {
 	m_callers = makeContext();
-	m_callers->onRequest = [this](const ServerSessionPtr& session, IncomingRequest&& request)
+	m_callers->onRequest = [this](const ServerSessionPtr& _session, IncomingRequest&& _request)
 	{
-		onCallerRequest(session, std::move(request));
+		onCallerRequest(_session, std::move(_request));
 	};
 	m_questions = makeContext();
-	m_questions->onRequest = [this](const ServerSessionPtr& session, IncomingRequest&& request)
+	m_questions->onRequest = [this](const ServerSessionPtr& _session, IncomingRequest&& _request)
 	{
-		if (platform::asksReadiness(request.head))
+		if (platform::asksReadiness(_request.head))
 		{
-			onReadinessRequest(session, request);
+			onReadinessRequest(_session, _request);
 			return;
 		}
-		onControlRequest(session, request);
+		onControlRequest(_session, _request);
 	};
 	m_callerListener = std::make_unique<ServerListener>(m_context.loop, m_context.settings.callers, m_callers);
 	m_readinessListener =
@@ -118,9 +118,9 @@
 	m_context.loop.run();
 }
 
-void Gateway::post(std::function<void()> function)
+void Gateway::post(std::function<void()> _function)
 {
-	boost::asio::post(m_context.loop, std::move(function));
+	boost::asio::post(m_context.loop, std::move(_function));
 }
 
 RequestLimits Gateway::limitsInForce() const
@@ -129,15 +129,15 @@
 	return config ? config->limits : RequestLimits();
 }
 
-void Gateway::onCallerRequest(const ServerSessionPtr& session, IncomingRequest&& request)
+void Gateway::onCallerRequest(const ServerSessionPtr& _session, IncomingRequest&& _request)
 {
 	const Micros elapsed = m_context.stopping ? monotonicNow() - m_context.stopRequested : 0;
 	if (m_context.stopping && !StopPolicy(m_context.settings.grace).takesRequests(elapsed))
 	{
-		session->answer(makeOwnAnswer(503, Failure::Stopping, "this gateway is stopping", kStopRetryAfter), true);
+		_session->answer(makeOwnAnswer(503, Failure::Stopping, "this gateway is stopping", kStopRetryAfter), true);
 		return;
 	}
-	std::make_shared<Exchange>(m_context, m_dispatcher, session, std::move(request))->start();
+	std::make_shared<Exchange>(m_context, m_dispatcher, _session, std::move(_request))->start();
 }
 
 bool Gateway::ready() const
@@ -150,50 +150,51 @@
 	return !mayExpire || m_context.directory.age(monotonicNow()) < m_context.settings.revocationSpan * 6 / 10;
 }
 
-void Gateway::onReadinessRequest(const ServerSessionPtr& session, const IncomingRequest& /*request*/)
+void Gateway::onReadinessRequest(const ServerSessionPtr& _session, const IncomingRequest& /*request*/)
 {
 	if (ready())
 	{
-		session->answer(HttpAnswer{});
+		_session->answer(HttpAnswer{});
 		return;
 	}
 	const bool stopping = m_context.stopping;
-	session->answer(makeOwnAnswer(503, stopping ? Failure::Stopping : Failure::StoreUnavailable,
-								  stopping ? "this gateway is stopping" : "the configuration is not confirmed", 0));
+	_session->answer(makeOwnAnswer(503, stopping ? Failure::Stopping : Failure::StoreUnavailable,
+								   stopping ? "this gateway is stopping" : "the configuration is not confirmed",
+								   0));
 }
 
-void Gateway::onControlRequest(const ServerSessionPtr& session, const IncomingRequest& request)
+void Gateway::onControlRequest(const ServerSessionPtr& _session, const IncomingRequest& _request)
 {
-	if (request.head.target == kContentPath)
+	if (_request.head.target == kContentPath)
 	{
 		HttpAnswer answer;
 		answer.body = m_store->wholeContent();
 		answer.status = answer.body.empty() ? 503 : 200;
-		session->answer(answer);
+		_session->answer(answer);
 		return;
 	}
-	if (const auto revision = readUpdatePath(request.head.target))
+	if (const auto revision = readUpdatePath(_request.head.target))
 	{
 		HttpAnswer answer;
 		answer.body = m_store->contentSince(*revision);
 		answer.status = answer.body.empty() ? 404 : 200;
-		session->answer(answer);
+		_session->answer(answer);
 		return;
 	}
-	if (request.head.target == kStatePath)
+	if (_request.head.target == kStatePath)
 	{
 		HttpAnswer answer;
 		answer.headers = {{"Content-Type", "application/json"}};
 		answer.body = describeState(m_context, m_dispatcher.waiting(), m_duties && m_duties->holds());
-		session->answer(answer);
+		_session->answer(answer);
 		return;
 	}
-	if (request.head.target == kMetricsPath)
+	if (_request.head.target == kMetricsPath)
 	{
-		session->answer(HttpAnswer{200, {{"Content-Type", "text/plain; version=0.0.4"}}, formatMetrics()});
+		_session->answer(HttpAnswer{200, {{"Content-Type", "text/plain; version=0.0.4"}}, formatMetrics()});
 		return;
 	}
-	session->answer(makeOwnAnswer(404, Failure::NoRoute, "no such page", 0));
+	_session->answer(makeOwnAnswer(404, Failure::NoRoute, "no such page", 0));
 }
 
 std::string Gateway::formatMetrics()
@@ -223,13 +224,13 @@
 void Gateway::waitForSignal()
 {
 	m_signals.async_wait(
-		[this](const boost::system::error_code& error, int signal)
+		[this](const boost::system::error_code& _error, int _signal)
 		{
-			if (error)
+			if (_error)
 			{
 				return;
 			}
-			if (signal == SIGHUP)
+			if (_signal == SIGHUP)
 			{
 				reloadSettings();
 			}
@@ -296,9 +297,9 @@
 	}
 	m_stopTimer.expires_after(std::chrono::microseconds(kStopStep));
 	m_stopTimer.async_wait(
-		[this](const boost::system::error_code& error)
+		[this](const boost::system::error_code& _error)
 		{
-			if (!error)
+			if (!_error)
 			{
 				stopStep();
 			}
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -28,7 +28,7 @@
 {
 public:
 	/// @param[in] reload Reads the settings anew; its failure leaves the present ones in force.
-	Gateway(GatewaySettings settings, std::function<GatewaySettings()> reload);
+	Gateway(GatewaySettings _settings, std::function<GatewaySettings()> _reload);
 
 	/// Listens and begins to talk to the store and to peers.
 	/// @throws Error SettingInvalid where an address cannot be bound.
@@ -38,16 +38,16 @@
 	void run();
 
 	/// Runs a function on the event loop's thread, at some later time.
-	void post(std::function<void()> function);
+	void post(std::function<void()> _function);
 
 	/// Stops: takes requests until the balancer has noticed, ends what runs, and ends.
 	void requestStop();
 
 private:
 	std::shared_ptr<ServerContext> makeContext();
-	void onCallerRequest(const ServerSessionPtr& session, IncomingRequest&& request);
-	void onReadinessRequest(const ServerSessionPtr& session, const IncomingRequest& request);
-	void onControlRequest(const ServerSessionPtr& session, const IncomingRequest& request);
+	void onCallerRequest(const ServerSessionPtr& _session, IncomingRequest&& _request);
+	void onReadinessRequest(const ServerSessionPtr& _session, const IncomingRequest& _request);
+	void onControlRequest(const ServerSessionPtr& _session, const IncomingRequest& _request);
 	std::string formatMetrics();
 	bool ready() const;
 	void waitForSignal();
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -36,8 +36,8 @@
 /// State of one gateway.
 struct GatewayContext
 {
-	explicit GatewayContext(GatewaySettings configured)
-		: settings(std::move(configured)), run{settings.name, newIncarnation()}, balancer(settings.dataCentre),
+	explicit GatewayContext(GatewaySettings _configured)
+		: settings(std::move(_configured)), run{settings.name, newIncarnation()}, balancer(settings.dataCentre),
 		  peers(settings.callers.host), relays({settings.callers.host, settings.dataCentre}), usage(run),
 		  random(static_cast<std::mt19937::result_type>(run.incarnation))
 	{
@@ -47,15 +47,15 @@
 	}
 
 	/// @returns a span within a quarter of the given one.
-	Micros jittered(Micros span)
+	Micros jittered(Micros _span)
 	{
-		return span * 3 / 4 + static_cast<Micros>(random() % static_cast<std::uint64_t>(span / 2 + 1));
+		return _span * 3 / 4 + static_cast<Micros>(random() % static_cast<std::uint64_t>(_span / 2 + 1));
 	}
 
 	/// @returns number of the usage window that is open now.
-	std::uint64_t currentWindow(Micros now) const
+	std::uint64_t currentWindow(Micros _now) const
 	{
-		return static_cast<std::uint64_t>(clock.trueTime(now) / settings.usageWindow);
+		return static_cast<std::uint64_t>(clock.trueTime(_now) / settings.usageWindow);
 	}
 
 	boost::asio::io_context loop{1};
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -23,10 +23,10 @@
 constexpr const char* kOther = "other"; ///< Stands for label sets beyond the bound.
 
 /// Escapes a label's value.
-std::string quoted(std::string_view text)
+std::string quoted(std::string_view _text)
 {
 	std::string value = "\"";
-	for (const char c : text)
+	for (const char c : _text)
 	{
 		if (c == '"' || c == '\\')
 		{
@@ -48,12 +48,12 @@
 	{
 	}
 
-	void add(double seconds)
+	void add(double _seconds)
 	{
-		set(seconds);
+		set(_seconds);
 		for (std::size_t index = 0; index < kBoundsSeconds.size(); ++index)
 		{
-			buckets[index] += seconds <= kBoundsSeconds[index] ? 1 : 0;
+			buckets[index] += _seconds <= kBoundsSeconds[index] ? 1 : 0;
 		}
 	}
 
@@ -63,25 +63,25 @@
 
 namespace
 {
-void formatLatencies(std::ostream& out, const std::string& name, const char* label,
-					 const std::map<std::string, std::unique_ptr<LatencySummary>>& latencies)
+void formatLatencies(std::ostream& _out, const std::string& _name, const char* _label,
+					 const std::map<std::string, std::unique_ptr<LatencySummary>>& _latencies)
 {
-	out << "# TYPE " << name << " histogram\n";
-	for (const auto& [value, summary] : latencies)
+	_out << "# TYPE " << _name << " histogram\n";
+	for (const auto& [value, summary] : _latencies)
 	{
-		const std::string labels = std::string(label) + '=' + quoted(value);
+		const std::string labels = std::string(_label) + '=' + quoted(value);
 		for (std::size_t index = 0; index < kBoundsSeconds.size(); ++index)
 		{
-			out << name << "_bucket{" << labels << ",le=\"" << kBoundsSeconds[index] << "\"} "
-				<< summary->buckets[index] << '\n';
+			_out << _name << "_bucket{" << labels << ",le=\"" << kBoundsSeconds[index] << "\"} "
+				 << summary->buckets[index] << '\n';
 		}
-		out << name << "_bucket{" << labels << ",le=\"+Inf\"} " << acc::count(summary->set) << '\n';
-		out << name << "_sum{" << labels << "} " << acc::sum(summary->set) << '\n';
-		out << name << "_count{" << labels << "} " << acc::count(summary->set) << '\n';
+		_out << _name << "_bucket{" << labels << ",le=\"+Inf\"} " << acc::count(summary->set) << '\n';
+		_out << _name << "_sum{" << labels << "} " << acc::sum(summary->set) << '\n';
+		_out << _name << "_count{" << labels << "} " << acc::count(summary->set) << '\n';
 		for (std::size_t index = 0; index < kQuantiles.size(); ++index)
 		{
-			out << name << "_quantile{" << labels << ",quantile=\"" << kQuantiles[index] << "\"} "
-				<< acc::extended_p_square(summary->set)[static_cast<std::ptrdiff_t>(index)] << '\n';
+			_out << _name << "_quantile{" << labels << ",quantile=\"" << kQuantiles[index] << "\"} "
+				 << acc::extended_p_square(summary->set)[static_cast<std::ptrdiff_t>(index)] << '\n';
 		}
 	}
 }
@@ -90,52 +90,52 @@
 GatewayMetrics::GatewayMetrics() = default;
 GatewayMetrics::~GatewayMetrics() = default;
 
-void GatewayMetrics::record(Latencies& latencies, const std::string& label, Micros span)
+void GatewayMetrics::record(Latencies& _latencies, const std::string& _label, Micros _span)
 {
-	const bool full = latencies.size() >= kMostSeries && !latencies.count(label);
-	std::unique_ptr<LatencySummary>& summary = latencies[full ? kOther : label];
+	const bool full = _latencies.size() >= kMostSeries && !_latencies.count(_label);
+	std::unique_ptr<LatencySummary>& summary = _latencies[full ? kOther : _label];
 	if (!summary)
 	{
 		summary = std::make_unique<LatencySummary>();
 	}
-	summary->add(secondsOf(span));
+	summary->add(secondsOf(_span));
 }
 
-void GatewayMetrics::onRequest(const RequestLabels& labels, Micros duration)
+void GatewayMetrics::onRequest(const RequestLabels& _labels, Micros _duration)
 {
-	const bool full = m_requests.size() >= kMostSeries && !m_requests.count(labels);
-	++m_requests[full ? RequestLabels{kOther, kOther, labels.outcome, labels.status} : labels];
-	record(m_durations, labels.route, duration);
+	const bool full = m_requests.size() >= kMostSeries && !m_requests.count(_labels);
+	++m_requests[full ? RequestLabels{kOther, kOther, _labels.outcome, _labels.status} : _labels];
+	record(m_durations, _labels.route, _duration);
 }
 
-void GatewayMetrics::onFirstByte(const std::string& service, Micros sinceArrival)
+void GatewayMetrics::onFirstByte(const std::string& _service, Micros _sinceArrival)
 {
-	record(m_firstBytes, service, sinceArrival);
+	record(m_firstBytes, _service, _sinceArrival);
 }
 
-void GatewayMetrics::onQueued(const std::string& service, Micros waited)
+void GatewayMetrics::onQueued(const std::string& _service, Micros _waited)
 {
-	record(m_waits, service, waited);
+	record(m_waits, _service, _waited);
 }
 
-void GatewayMetrics::onSent(const std::string& service, Micros listAge)
+void GatewayMetrics::onSent(const std::string& _service, Micros _listAge)
 {
-	record(m_listAges, service, listAge);
+	record(m_listAges, _service, _listAge);
 }
 
-void GatewayMetrics::onLoopDelay(Micros delay)
+void GatewayMetrics::onLoopDelay(Micros _delay)
 {
-	record(m_loopDelays, "main", delay);
+	record(m_loopDelays, "main", _delay);
 }
 
-void GatewayMetrics::onFailedAttempt(const std::string& service, std::string_view result)
+void GatewayMetrics::onFailedAttempt(const std::string& _service, std::string_view _result)
 {
-	++m_failedAttempts[{service, std::string(result)}];
+	++m_failedAttempts[{_service, std::string(_result)}];
 }
 
-void GatewayMetrics::setGauge(const std::string& name, double value)
+void GatewayMetrics::setGauge(const std::string& _name, double _value)
 {
-	m_gauges[name] = value;
+	m_gauges[_name] = _value;
 }
 
 std::string GatewayMetrics::format() const
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -42,17 +42,17 @@
 	GatewayMetrics& operator=(const GatewayMetrics&) = delete;
 
 	/// A request got its final answer.
-	void onRequest(const RequestLabels& labels, Micros duration);
+	void onRequest(const RequestLabels& _labels, Micros _duration);
 
 	/// The first event, or the whole answer of a call, came from a backend server.
-	void onFirstByte(const std::string& service, Micros sinceArrival);
+	void onFirstByte(const std::string& _service, Micros _sinceArrival);
 
 	/// A request was sent to a backend server after waiting for room.
-	void onQueued(const std::string& service, Micros waited);
+	void onQueued(const std::string& _service, Micros _waited);
 
 	/// A request went out to a backend server.
 	/// @param[in] listAge How old the list of backend servers was at that moment.
-	void onSent(const std::string& service, Micros listAge);
+	void onSent(const std::string& _service, Micros _listAge);
 
 	/// The list of backend servers was read by itself, since it had grown old.
 	void onListRead()
@@ -62,13 +62,13 @@
 
 	/// A timer of the event loop ran.
 	/// @param[in] delay How much later than asked.
-	void onLoopDelay(Micros delay);
+	void onLoopDelay(Micros _delay);
 
 	/// An attempt at a backend server ended without an answer for the caller.
-	void onFailedAttempt(const std::string& service, std::string_view result);
+	void onFailedAttempt(const std::string& _service, std::string_view _result);
 
 	/// Sets a value that is told as it is.
-	void setGauge(const std::string& name, double value);
+	void setGauge(const std::string& _name, double _value);
 
 	/// @returns all figures as text.
 	std::string format() const;
@@ -76,7 +76,7 @@
 private:
 	using Latencies = std::map<std::string, std::unique_ptr<LatencySummary>>;
 
-	static void record(Latencies& latencies, const std::string& label, Micros span);
+	static void record(Latencies& _latencies, const std::string& _label, Micros _span);
 
 	std::map<RequestLabels, std::uint64_t> m_requests;
 	std::map<std::pair<std::string, std::string>, std::uint64_t> m_failedAttempts;
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -9,10 +9,10 @@
 {
 namespace
 {
-Json describeBackends(const GatewayContext& context)
+Json describeBackends(const GatewayContext& _context)
 {
 	Json list = Json::array();
-	for (const auto& [id, known] : context.directory.backends())
+	for (const auto& [id, known] : _context.directory.backends())
 	{
 		list.push_back({{"id", id},
 						{"service", known.record.service},
@@ -20,43 +20,43 @@
 						{"usable", known.usable()},
 						{"draining", known.record.draining},
 						{"spot", known.record.spot},
-						{"inFlight", context.balancer.totalInFlight(id)}});
+						{"inFlight", _context.balancer.totalInFlight(id)}});
 	}
 	return list;
 }
 
-Json describePeers(const GatewayContext& context, Micros now)
+Json describePeers(const GatewayContext& _context, Micros _now)
 {
 	Json list = Json::array();
-	for (const auto& [host, peer] : context.peers.peers())
+	for (const auto& [host, peer] : _context.peers.peers())
 	{
 		list.push_back({{"host", host},
 						{"name", peer.name},
 						{"incarnation", peer.incarnation},
-						{"heardMsAgo", (now - peer.heard) / kMillisecond},
+						{"heardMsAgo", (_now - peer.heard) / kMillisecond},
 						{"configVersion", peer.configVersion}});
 	}
 	return list;
 }
 } // namespace
 
-std::string describeState(const GatewayContext& context, std::size_t waiting, bool holdsDuties)
+std::string describeState(const GatewayContext& _context, std::size_t _waiting, bool _holdsDuties)
 {
 	const Micros now = monotonicNow();
-	const auto& config = context.directory.config();
-	const Json state{{"name", context.settings.name},
-					 {"incarnation", context.run.incarnation},
+	const auto& config = _context.directory.config();
+	const Json state{{"name", _context.settings.name},
+					 {"incarnation", _context.run.incarnation},
 					 {"configVersion", config ? config->version : 0},
-					 {"configAgeMs", context.directory.age(now) / kMillisecond},
-					 {"storeRevision", context.directory.revision()},
-					 {"open", context.openExchanges},
-					 {"waiting", waiting},
-					 {"stopping", context.stopping},
-					 {"holdsDuties", holdsDuties},
-					 {"members", context.peers.memberCount(now)},
-					 {"readingTokensPerSecond", context.engines.speeds()},
-					 {"backends", describeBackends(context)},
-					 {"peers", describePeers(context, now)}};
+					 {"configAgeMs", _context.directory.age(now) / kMillisecond},
+					 {"storeRevision", _context.directory.revision()},
+					 {"open", _context.openExchanges},
+					 {"waiting", _waiting},
+					 {"stopping", _context.stopping},
+					 {"holdsDuties", _holdsDuties},
+					 {"members", _context.peers.memberCount(now)},
+					 {"readingTokensPerSecond", _context.engines.speeds()},
+					 {"backends", describeBackends(_context)},
+					 {"peers", describePeers(_context, now)}};
 	return state.dump(2);
 }
 
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -14,7 +14,7 @@
 namespace beacongate
 {
 /// @returns the state as JSON; keys of teams are left out.
-std::string describeState(const GatewayContext& context, std::size_t waiting, bool holdsDuties);
+std::string describeState(const GatewayContext& _context, std::size_t _waiting, bool _holdsDuties);
 
 } // namespace beacongate
 
--- a/src/gateway/gossiper.cpp
+++ b/src/gateway/gossiper.cpp
@@ -33,13 +33,13 @@
 }
 } // namespace
 
-Gossiper::Gossiper(GatewayContext& context)
-	: m_context(context), m_socket(context.loop), m_timer(context.loop), m_buffer(limits::kGossipBytes)
+Gossiper::Gossiper(GatewayContext& _context)
+	: m_context(_context), m_socket(_context.loop), m_timer(_context.loop), m_buffer(limits::kGossipBytes)
 {
 	try
 	{
-		const udp::endpoint endpoint(asio::ip::make_address(context.settings.callers.host),
-									 context.settings.gossipPort);
+		const udp::endpoint endpoint(asio::ip::make_address(_context.settings.callers.host),
+									 _context.settings.gossipPort);
 		m_socket.open(endpoint.protocol());
 		m_socket.bind(endpoint);
 		m_socket.non_blocking(true);
@@ -47,7 +47,8 @@
 	catch (const boost::system::system_error& error)
 	{
 		throw Error(Failure::SettingInvalid, "cannot bind the gossip port " +
-												 std::to_string(context.settings.gossipPort) + ": " + error.what());
+												 std::to_string(_context.settings.gossipPort) + ": " +
+												 error.what());
 	}
 }
 
@@ -65,23 +66,23 @@
 	m_socket.close(ignored);
 }
 
-GossipMessage Gossiper::describe(Micros now) const
+GossipMessage Gossiper::describe(Micros _now) const
 {
 	GossipMessage message;
 	message.run = m_context.run;
 	message.host = m_context.settings.callers.host;
-	message.sent = now;
+	message.sent = _now;
 	message.wallClock = wallClockNow();
-	message.uptime = now - m_context.started;
+	message.uptime = _now - m_context.started;
 	message.storeRevision = m_context.directory.revision();
 	message.configVersion = m_context.directory.config() ? m_context.directory.config()->version : 0;
-	message.configAge = m_context.directory.age(now);
+	message.configAge = m_context.directory.age(_now);
 	message.leaving = m_context.stopping;
-	message.members = m_context.peers.heardHosts(now);
+	message.members = m_context.peers.heardHosts(_now);
 	message.loads = m_context.balancer.ownLoads();
 	message.usage = m_context.usage.ownCounts();
 	message.demand = m_context.demand.ownReports();
-	message.draining = m_context.directory.drainingSince(now - kDrainingNews);
+	message.draining = m_context.directory.drainingSince(_now - kDrainingNews);
 	if (m_context.directory.config())
 	{
 		for (const TeamAccess& team : m_context.directory.config()->teams)
@@ -111,9 +112,9 @@
 	m_due = now + pause;
 	m_timer.expires_after(std::chrono::microseconds(pause));
 	m_timer.async_wait(
-		[this](const BoostError& error)
+		[this](const BoostError& _error)
 		{
-			if (!error)
+			if (!_error)
 			{
 				tick();
 			}
@@ -133,13 +134,13 @@
 	}
 }
 
-void Gossiper::reportDelay(Micros now)
+void Gossiper::reportDelay(Micros _now)
 {
 	if (m_due == kNever)
 	{
 		return;
 	}
-	const Micros delay = std::max<Micros>(0, now - m_due);
+	const Micros delay = std::max<Micros>(0, _now - m_due);
 	m_context.metrics.onLoopDelay(delay);
 	if (delay > kLoopDelayLogged)
 	{
@@ -161,14 +162,14 @@
 	return member == items.end() ? std::nullopt : std::optional(decodeMember(member->second.value).host);
 }
 
-void Gossiper::sendRound(Micros now)
+void Gossiper::sendRound(Micros _now)
 {
 	const std::optional<std::string> holder = holderHost();
-	std::vector<std::string> known = m_context.peers.targets(now);
+	std::vector<std::string> known = m_context.peers.targets(_now);
 	const bool crowded = known.size() > limits::kGossipPeers;
 	const std::vector<std::string> targets =
 		GossipPlan::targets(std::move(known), holder, limits::kGossipPeers, m_context.random);
-	const GossipMessage whole = describe(now);
+	const GossipMessage whole = describe(_now);
 	for (const std::string& host : targets)
 	{
 		GossipMessage message = whole;
@@ -193,9 +194,9 @@
 void Gossiper::receive()
 {
 	m_socket.async_wait(udp::socket::wait_read,
-						[this](const BoostError& error)
+						[this](const BoostError& _error)
 						{
-							if (error)
+							if (_error)
 							{
 								return;
 							}
@@ -218,9 +219,9 @@
 	}
 }
 
-void Gossiper::onDatagram(std::string_view bytes)
+void Gossiper::onDatagram(std::string_view _bytes)
 {
-	const std::optional<GossipMessage> message = decodeGossip(bytes);
+	const std::optional<GossipMessage> message = decodeGossip(_bytes);
 	if (!message)
 	{
 		return;
--- a/src/gateway/gossiper.h
+++ b/src/gateway/gossiper.h
@@ -25,7 +25,7 @@
 {
 public:
 	/// @throws Error SettingInvalid where the port cannot be bound.
-	explicit Gossiper(GatewayContext& context);
+	explicit Gossiper(GatewayContext& _context);
 
 	/// Begins to send and receive.
 	void init();
@@ -35,14 +35,14 @@
 
 private:
 	void tick();
-	void reportDelay(Micros now);
+	void reportDelay(Micros _now);
 	void logLeavingNotices();
-	void sendRound(Micros now);
+	void sendRound(Micros _now);
 	std::optional<std::string> holderHost() const;
 	void receive();
 	void readDatagrams();
-	void onDatagram(std::string_view bytes);
-	GossipMessage describe(Micros now) const;
+	void onDatagram(std::string_view _bytes);
+	GossipMessage describe(Micros _now) const;
 
 	GatewayContext& m_context;
 	boost::asio::ip::udp::socket m_socket;
--- a/src/gateway/memberkeys.h
+++ b/src/gateway/memberkeys.h
@@ -24,34 +24,34 @@
 inline constexpr const char* kCountsKey = "beacongate/counts"; ///< Usage counts of all gateways.
 
 /// @returns whether a key registers a gateway.
-inline bool isMemberKey(std::string_view key)
+inline bool isMemberKey(std::string_view _key)
 {
-	return key.substr(0, kMemberPrefix.size()) == kMemberPrefix;
+	return _key.substr(0, kMemberPrefix.size()) == kMemberPrefix;
 }
 
 /// @returns the key that registers a gateway.
-inline std::string memberKey(const std::string& name)
+inline std::string memberKey(const std::string& _name)
 {
-	return std::string(kMemberPrefix) + name;
+	return std::string(kMemberPrefix) + _name;
 }
 
 /// @returns the value that registers a gateway: its host, a space and its data centre.
-inline std::string encodeMember(const MemberRecord& member)
+inline std::string encodeMember(const MemberRecord& _member)
 {
-	return member.host + ' ' + member.dataCentre;
+	return _member.host + ' ' + _member.dataCentre;
 }
 
 /// @returns the record in a value.
-inline MemberRecord decodeMember(const std::string& value)
+inline MemberRecord decodeMember(const std::string& _value)
 {
-	const std::size_t space = value.find(' ');
-	return {value.substr(0, space), space == std::string::npos ? "" : value.substr(space + 1)};
+	const std::size_t space = _value.find(' ');
+	return {_value.substr(0, space), space == std::string::npos ? "" : _value.substr(space + 1)};
 }
 
 /// @returns the key under which a window's counts are fixed.
-inline std::string usageKey(std::uint64_t window)
+inline std::string usageKey(std::uint64_t _window)
 {
-	return std::string(kUsagePrefix) + std::to_string(window);
+	return std::string(kUsagePrefix) + std::to_string(_window);
 }
 
 } // namespace beacongate
--- a/src/gateway/ownanswers.cpp
+++ b/src/gateway/ownanswers.cpp
@@ -11,26 +11,27 @@
 {
 namespace
 {
-std::string secondsText(Micros span)
+std::string secondsText(Micros _span)
 {
 	char text[32];
-	std::snprintf(text, sizeof text, "%.3f", static_cast<double>(span) / static_cast<double>(kSecond));
+	std::snprintf(text, sizeof text, "%.3f", static_cast<double>(_span) / static_cast<double>(kSecond));
 	return text;
 }
 } // namespace
 
-HttpAnswer makeOwnAnswer(unsigned status, Failure failure, const std::string& detail, Micros retryAfter,
-						 HttpHeaders headers)
+HttpAnswer makeOwnAnswer(unsigned _status, Failure _failure, const std::string& _detail, Micros _retryAfter,
+						 HttpHeaders _headers)
 {
 	HttpAnswer answer;
-	answer.status = status;
-	answer.headers = std::move(headers);
+	answer.status = _status;
+	answer.headers = std::move(_headers);
 	answer.headers.emplace_back("Content-Type", "application/problem+json");
-	if (retryAfter > 0)
+	if (_retryAfter > 0)
 	{
-		answer.headers.emplace_back("Retry-After", secondsText(retryAfter));
+		answer.headers.emplace_back("Retry-After", secondsText(_retryAfter));
 	}
-	answer.body = Json{{"type", "beacongate:" + std::string(failureInfo(failure).type)}, {"detail", detail}}.dump();
+	answer.body =
+		Json{{"type", "beacongate:" + std::string(failureInfo(_failure).type)}, {"detail", _detail}}.dump();
 	return answer;
 }
 
--- a/src/gateway/ownanswers.h
+++ b/src/gateway/ownanswers.h
@@ -16,8 +16,8 @@
 {
 /// Makes a problem document.
 /// @param[in] retryAfter When the caller may come again; 0 where nothing is said of it.
-HttpAnswer makeOwnAnswer(unsigned status, Failure failure, const std::string& detail, Micros retryAfter,
-						 HttpHeaders headers = {});
+HttpAnswer makeOwnAnswer(unsigned _status, Failure _failure, const std::string& _detail, Micros _retryAfter,
+						 HttpHeaders _headers = {});
 
 } // namespace beacongate
 
--- a/src/gateway/rangereader.cpp
+++ b/src/gateway/rangereader.cpp
@@ -11,16 +11,16 @@
 
 namespace beacongate
 {
-RangeReader::RangeReader(boost::asio::io_context& loop, const Address& store, std::string prefix, Micros silence,
-						 Micros longest)
-	: m_channel(std::make_shared<HttpChannel>(loop, store, limits::kSnapshotBytes)), m_prefix(std::move(prefix)),
-	  m_silence(silence), m_longest(longest)
+RangeReader::RangeReader(boost::asio::io_context& _loop, const Address& _store, std::string _prefix,
+						 Micros _silence, Micros _longest)
+	: m_channel(std::make_shared<HttpChannel>(_loop, _store, limits::kSnapshotBytes)), m_prefix(std::move(_prefix)),
+	  m_silence(_silence), m_longest(_longest)
 {
 }
 
-void RangeReader::read(Handler handler)
+void RangeReader::read(Handler _handler)
 {
-	m_handler = std::move(handler);
+	m_handler = std::move(_handler);
 	m_content = {};
 	m_content.confirmed = monotonicNow();
 	readPage("");
@@ -33,38 +33,38 @@
 	m_handler = nullptr;
 }
 
-void RangeReader::readPage(const std::string& afterKey)
+void RangeReader::readPage(const std::string& _afterKey)
 {
-	ChannelRequest request = platform::rangeCall(m_prefix, afterKey);
+	ChannelRequest request = platform::rangeCall(m_prefix, _afterKey);
 	request.longest = m_longest;
 	m_channel->call(std::move(request), m_silence,
-					[self = shared_from_this()](const std::optional<HttpAnswer>& answer)
+					[self = shared_from_this()](const std::optional<HttpAnswer>& _answer)
 					{
 						if (!self->m_closed)
 						{
-							self->onPage(platform::readRange(answer));
+							self->onPage(platform::readRange(_answer));
 						}
 					});
 }
 
-void RangeReader::onPage(const std::optional<KvPage>& page)
+void RangeReader::onPage(const std::optional<KvPage>& _page)
 {
-	if (!page)
+	if (!_page)
 	{
 		std::exchange(m_handler, nullptr)(std::nullopt);
 		return;
 	}
 	if (m_content.items.empty())
 	{
-		m_content.revision = page->revision;
+		m_content.revision = _page->revision;
 	}
-	for (const KvItem& item : page->items)
+	for (const KvItem& item : _page->items)
 	{
 		m_content.items[item.key] = item;
 	}
-	if (page->more && !page->items.empty())
+	if (_page->more && !_page->items.empty())
 	{
-		readPage(page->items.back().key);
+		readPage(_page->items.back().key);
 		return;
 	}
 	std::exchange(m_handler, nullptr)(std::move(m_content));
--- a/src/gateway/rangereader.h
+++ b/src/gateway/rangereader.h
@@ -29,18 +29,18 @@
 
 	/// @param[in] silence A page that brings no bytes for this long has failed.
 	/// @param[in] longest A page that is not whole after this span has failed.
-	RangeReader(boost::asio::io_context& loop, const Address& store, std::string prefix, Micros silence,
-				Micros longest);
+	RangeReader(boost::asio::io_context& _loop, const Address& _store, std::string _prefix, Micros _silence,
+				Micros _longest);
 
 	/// Begins to read. Nothing else may be being read.
-	void read(Handler handler);
+	void read(Handler _handler);
 
 	/// Ends all calls; no handler is called any more.
 	void close();
 
 private:
-	void readPage(const std::string& afterKey);
-	void onPage(const std::optional<KvPage>& page);
+	void readPage(const std::string& _afterKey);
+	void onPage(const std::optional<KvPage>& _page);
 
 	std::shared_ptr<HttpChannel> m_channel;
 	std::string m_prefix;
--- a/src/gateway/registration.cpp
+++ b/src/gateway/registration.cpp
@@ -17,10 +17,10 @@
 constexpr std::size_t kAnswerBytes = 64u << 10;
 } // namespace
 
-Registration::Registration(GatewayContext& context)
-	: m_context(context),
-	  m_channel(std::make_shared<HttpChannel>(context.loop, context.settings.store, kAnswerBytes)),
-	  m_timer(context.loop)
+Registration::Registration(GatewayContext& _context)
+	: m_context(_context),
+	  m_channel(std::make_shared<HttpChannel>(_context.loop, _context.settings.store, kAnswerBytes)),
+	  m_timer(_context.loop)
 {
 }
 
@@ -36,13 +36,13 @@
 	m_channel->close();
 }
 
-void Registration::schedule(Micros span)
+void Registration::schedule(Micros _span)
 {
-	m_timer.expires_after(std::chrono::microseconds(m_context.jittered(span)));
+	m_timer.expires_after(std::chrono::microseconds(m_context.jittered(_span)));
 	m_timer.async_wait(
-		[self = shared_from_this()](const boost::system::error_code& error)
+		[self = shared_from_this()](const boost::system::error_code& _error)
 		{
-			if (error || self->m_closed)
+			if (_error || self->m_closed)
 			{
 				return;
 			}
@@ -64,9 +64,9 @@
 void Registration::openLease()
 {
 	m_channel->call(platform::leaseCall(kLeaseSpan), kCallTimeout,
-					[self = shared_from_this()](const std::optional<HttpAnswer>& answer)
+					[self = shared_from_this()](const std::optional<HttpAnswer>& _answer)
 					{
-						const auto lease = platform::readLease(answer);
+						const auto lease = platform::readLease(_answer);
 						if (!lease)
 						{
 							self->schedule(kRetryInterval);
@@ -84,9 +84,9 @@
 	const MemberRecord record{m_context.settings.callers.host, m_context.settings.dataCentre};
 	change.puts.push_back({memberKey(m_context.settings.name), encodeMember(record), m_lease});
 	m_channel->call(platform::transactionCall(change), kCallTimeout,
-					[self = shared_from_this()](const std::optional<HttpAnswer>& answer)
+					[self = shared_from_this()](const std::optional<HttpAnswer>& _answer)
 					{
-						const KvResult result = platform::readTransaction(answer);
+						const KvResult result = platform::readTransaction(_answer);
 						self->m_written = result.outcome == KvOutcome::Done;
 						if (result.outcome == KvOutcome::LeaseGone)
 						{
@@ -99,9 +99,9 @@
 void Registration::renew()
 {
 	m_channel->call(platform::renewCall(m_lease), kCallTimeout,
-					[self = shared_from_this()](const std::optional<HttpAnswer>& answer)
+					[self = shared_from_this()](const std::optional<HttpAnswer>& _answer)
 					{
-						const platform::RenewedLease renewal = platform::readRenewal(answer);
+						const platform::RenewedLease renewal = platform::readRenewal(_answer);
 						if (renewal.gone)
 						{
 							self->m_lease = 0;
--- a/src/gateway/registration.h
+++ b/src/gateway/registration.h
@@ -20,7 +20,7 @@
 class Registration : public std::enable_shared_from_this<Registration>
 {
 public:
-	explicit Registration(GatewayContext& context);
+	explicit Registration(GatewayContext& _context);
 
 	/// Begins to register.
 	void init();
@@ -29,7 +29,7 @@
 	void shutdown();
 
 private:
-	void schedule(Micros span);
+	void schedule(Micros _span);
 	void openLease();
 	void write();
 	void renew();
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -39,13 +39,13 @@
 constexpr unsigned kNotFound = 404; ///< A peer does not know what changed since so old a revision.
 constexpr Micros kAskPeersAfter = 1800 * kMillisecond; ///< Age of the content from which peers are asked.
 
-template <typename Handler> void after(boost::asio::steady_timer& timer, Micros span, Handler handler)
+template <typename Handler> void after(boost::asio::steady_timer& _timer, Micros _span, Handler _handler)
 {
-	timer.expires_after(std::chrono::microseconds(span));
-	timer.async_wait(
-		[handler = std::move(handler)](const boost::system::error_code& error)
+	_timer.expires_after(std::chrono::microseconds(_span));
+	_timer.async_wait(
+		[handler = std::move(_handler)](const boost::system::error_code& _error)
 		{
-			if (!error)
+			if (!_error)
 			{
 				handler();
 			}
@@ -53,11 +53,11 @@
 }
 } // namespace
 
-StoreSync::StoreSync(GatewayContext& context)
-	: m_context(context),
-	  m_reads(std::make_shared<RangeReader>(context.loop, context.settings.store, "", kReadSilence, kReadLongest)),
-	  m_watches(std::make_shared<HttpChannel>(context.loop, context.settings.store, limits::kSnapshotBytes)),
-	  m_readTimer(context.loop), m_watchTimer(context.loop), m_peerTimer(context.loop)
+StoreSync::StoreSync(GatewayContext& _context)
+	: m_context(_context), m_reads(std::make_shared<RangeReader>(_context.loop, _context.settings.store, "",
+																 kReadSilence, kReadLongest)),
+	  m_watches(std::make_shared<HttpChannel>(_context.loop, _context.settings.store, limits::kSnapshotBytes)),
+	  m_readTimer(_context.loop), m_watchTimer(_context.loop), m_peerTimer(_context.loop)
 {
 }
 
@@ -104,9 +104,9 @@
 	readStore();
 }
 
-void StoreSync::scheduleRead(Micros span)
+void StoreSync::scheduleRead(Micros _span)
 {
-	after(m_readTimer, m_context.jittered(span), [self = shared_from_this()] { self->read(); });
+	after(m_readTimer, m_context.jittered(_span), [self = shared_from_this()] { self->read(); });
 }
 
 void StoreSync::read()
@@ -127,38 +127,38 @@
 	readStore();
 }
 
-void StoreSync::askRelay(const std::string& host)
+void StoreSync::askRelay(const std::string& _host)
 {
-	if (!m_relayChannel || m_relayHost != host)
+	if (!m_relayChannel || m_relayHost != _host)
 	{
 		if (m_relayChannel)
 		{
 			m_relayChannel->close();
 		}
-		const Address address{host, m_context.settings.control->port};
+		const Address address{_host, m_context.settings.control->port};
 		m_relayChannel = std::make_shared<HttpChannel>(m_context.loop, address, limits::kSnapshotBytes);
-		m_relayHost = host;
+		m_relayHost = _host;
 	}
 	ChannelRequest request;
 	request.target = std::string(kUpdatePath) + std::to_string(m_context.content.revision);
 	request.longest = kReadSilence;
 	const Micros asked = monotonicNow();
 	m_relayChannel->call(std::move(request), kRelayTimeout,
-						 [self = shared_from_this(), asked](const std::optional<HttpAnswer>& answer)
+						 [self = shared_from_this(), asked](const std::optional<HttpAnswer>& _answer)
 						 {
 							 if (!self->m_closed)
 							 {
-								 self->onRelayAnswer(asked, answer);
+								 self->onRelayAnswer(asked, _answer);
 							 }
 						 });
 }
 
-void StoreSync::onRelayAnswer(Micros asked, const std::optional<HttpAnswer>& answer)
+void StoreSync::onRelayAnswer(Micros _asked, const std::optional<HttpAnswer>& _answer)
 {
-	const bool tooOld = answer && answer->status == kNotFound;
-	const auto update = answer && answer->status == kOk ? decodeUpdate(answer->body) : std::nullopt;
+	const bool tooOld = _answer && _answer->status == kNotFound;
+	const auto update = _answer && _answer->status == kOk ? decodeUpdate(_answer->body) : std::nullopt;
 	m_relayFailed = !tooOld && (!update || update->age > kRelayAge);
-	const bool taken = update && !m_relayFailed && takeUpdate(asked, *update);
+	const bool taken = update && !m_relayFailed && takeUpdate(_asked, *update);
 	if (!taken || m_readAgain)
 	{
 		readStore();
@@ -168,52 +168,52 @@
 	scheduleRead(kRelayInterval);
 }
 
-bool StoreSync::takeUpdate(Micros asked, const ContentUpdate& update)
+bool StoreSync::takeUpdate(Micros _asked, const ContentUpdate& _update)
 {
 	const auto& config = m_context.directory.config();
-	if (config && config->version == update.configVersion)
+	if (config && config->version == _update.configVersion)
 	{
-		m_context.directory.confirm(asked - update.age);
+		m_context.directory.confirm(_asked - _update.age);
 	}
-	const bool fits = update.since == m_context.content.revision || update.revision <= m_context.content.revision;
+	const bool fits = _update.since == m_context.content.revision || _update.revision <= m_context.content.revision;
 	const bool configLeftOut = std::any_of(
-		update.leftOut.begin(), update.leftOut.end(),
-		[this](const KvItem& item) { return platform::isConfig(item) && item.revision != m_parsedRevision; });
+		_update.leftOut.begin(), _update.leftOut.end(),
+		[this](const KvItem& _item) { return platform::isConfig(_item) && _item.revision != m_parsedRevision; });
 	if (!fits || configLeftOut)
 	{
 		return false;
 	}
-	if (update.revision <= m_context.content.revision)
+	if (_update.revision <= m_context.content.revision)
 	{
-		confirmUnchanged(update.revision, asked - update.age);
+		confirmUnchanged(_update.revision, _asked - _update.age);
 		return true;
 	}
 	StoreContent content = m_context.content;
-	applyUpdate(content, update);
-	content.confirmed = asked - update.age;
+	applyUpdate(content, _update);
+	content.confirmed = _asked - _update.age;
 	apply(std::move(content), true);
 	return true;
 }
 
-void StoreSync::confirmUnchanged(std::uint64_t revision, Micros confirmed)
+void StoreSync::confirmUnchanged(std::uint64_t _revision, Micros _confirmed)
 {
-	if (revision == m_context.content.revision)
+	if (_revision == m_context.content.revision)
 	{
-		m_context.content.confirmed = std::max(m_context.content.confirmed, confirmed);
-		m_context.directory.onUnchanged(confirmed);
+		m_context.content.confirmed = std::max(m_context.content.confirmed, _confirmed);
+		m_context.directory.onUnchanged(_confirmed);
 	}
 }
 
 void StoreSync::readStore()
 {
 	m_readAgain = false;
-	m_reads->read([self = shared_from_this()](std::optional<StoreContent> content)
-				  { self->onRead(std::move(content)); });
+	m_reads->read([self = shared_from_this()](std::optional<StoreContent> _content)
+				  { self->onRead(std::move(_content)); });
 }
 
-void StoreSync::onRead(std::optional<StoreContent> content)
+void StoreSync::onRead(std::optional<StoreContent> _content)
 {
-	if (!content)
+	if (!_content)
 	{
 		onReadFailed();
 		return;
@@ -223,7 +223,7 @@
 	if (!m_context.storeReachable)
 	{
 		m_context.storeReachable = true;
-		logEvent(LogLevel::Info, "store-regained", {{"revision", std::to_string(content->revision)}});
+		logEvent(LogLevel::Info, "store-regained", {{"revision", std::to_string(_content->revision)}});
 	}
 	if (m_relayFailed)
 	{
@@ -231,7 +231,7 @@
 		m_context.relays.onFailed(m_relayHost, monotonicNow());
 		m_relayFailed = false;
 	}
-	apply(std::move(*content), false);
+	apply(std::move(*_content), false);
 	if (!m_watching)
 	{
 		watch();
@@ -271,19 +271,19 @@
 	ChannelRequest request = platform::watchCall("", m_context.directory.revision(), kWatchSpan);
 	request.longest = kWatchTimeout + kReadLongest;
 	m_watches->call(std::move(request), kWatchTimeout,
-					[self = shared_from_this()](const std::optional<HttpAnswer>& answer)
+					[self = shared_from_this()](const std::optional<HttpAnswer>& _answer)
 					{
 						if (!self->m_closed)
 						{
-							self->onWatch(answer);
+							self->onWatch(_answer);
 						}
 					});
 }
 
-void StoreSync::onWatch(const std::optional<HttpAnswer>& answer)
+void StoreSync::onWatch(const std::optional<HttpAnswer>& _answer)
 {
 	m_watching = false;
-	const std::optional<KvEvents> events = platform::readWatch(answer);
+	const std::optional<KvEvents> events = platform::readWatch(_answer);
 	if (!events)
 	{
 		after(m_watchTimer, m_context.jittered(kWatchRetry),
@@ -306,15 +306,15 @@
 	watch();
 }
 
-void StoreSync::applyEvents(const KvEvents& events)
+void StoreSync::applyEvents(const KvEvents& _events)
 {
-	if (events.items.empty() || events.revision <= m_context.content.revision)
+	if (_events.items.empty() || _events.revision <= m_context.content.revision)
 	{
 		return;
 	}
 	StoreContent content = m_context.content;
-	content.revision = events.revision;
-	for (const KvItem& item : events.items)
+	content.revision = _events.revision;
+	for (const KvItem& item : _events.items)
 	{
 		if (item.revision == 0)
 		{
@@ -330,34 +330,34 @@
 	apply(std::move(content), false);
 }
 
-RoutingConfigPtr StoreSync::configOf(const KvItem& item)
+RoutingConfigPtr StoreSync::configOf(const KvItem& _item)
 {
-	if (item.revision == m_parsedRevision || item.revision == m_rejectedRevision)
+	if (_item.revision == m_parsedRevision || _item.revision == m_rejectedRevision)
 	{
 		return m_parsed;
 	}
 	try
 	{
-		m_parsed = platform::readConfig(item.value);
-		m_parsedRevision = item.revision;
+		m_parsed = platform::readConfig(_item.value);
+		m_parsedRevision = _item.revision;
 	}
 	catch (const std::exception& error)
 	{
-		m_rejectedRevision = item.revision;
+		m_rejectedRevision = _item.revision;
 		logEvent(LogLevel::Error, "config-refused",
-				 {{"revision", std::to_string(item.revision)}, {"detail", error.what()}});
+				 {{"revision", std::to_string(_item.revision)}, {"detail", error.what()}});
 	}
 	return m_parsed;
 }
 
-void StoreSync::apply(StoreContent content, bool fromPeer)
+void StoreSync::apply(StoreContent _content, bool _fromPeer)
 {
 	const Micros now = monotonicNow();
 	StoreSnapshot snapshot;
-	snapshot.revision = content.revision;
-	snapshot.confirmed = content.confirmed;
+	snapshot.revision = _content.revision;
+	snapshot.confirmed = _content.confirmed;
 	std::set<MemberRecord> members;
-	for (const auto& [key, item] : content.items)
+	for (const auto& [key, item] : _content.items)
 	{
 		if (platform::isConfig(item))
 		{
@@ -376,13 +376,13 @@
 			members.insert(decodeMember(item.value));
 		}
 	}
-	if (content.revision < m_context.directory.revision())
+	if (_content.revision < m_context.directory.revision())
 	{
 		m_context.directory.apply(snapshot, now);
-		m_context.content.confirmed = std::max(m_context.content.confirmed, content.confirmed);
+		m_context.content.confirmed = std::max(m_context.content.confirmed, _content.confirmed);
 		return;
 	}
-	snapshot.backends = m_context.backendRecords.read(content.items);
+	snapshot.backends = m_context.backendRecords.read(_content.items);
 	m_context.relays.setMembers(members);
 	std::set<std::string> hosts;
 	for (const MemberRecord& member : members)
@@ -396,26 +396,26 @@
 		m_context.quotas.configure(*m_context.directory.config(), now);
 		logEvent(LogLevel::Info, "config-in-force",
 				 {{"version", std::to_string(m_context.directory.config()->version)},
-				  {"revision", std::to_string(content.revision)},
-				  {"from", fromPeer ? "peer" : "store"},
+				  {"revision", std::to_string(_content.revision)},
+				  {"from", _fromPeer ? "peer" : "store"},
 				  {"backends", std::to_string(snapshot.backends.size())}});
 	}
 	const auto& known = m_context.directory.backends();
 	m_context.balancer.retain(known);
-	m_context.history.onReplaced(m_context.content, content);
-	content.confirmed = std::max(content.confirmed, m_context.content.confirmed);
-	m_context.content = std::move(content);
+	m_context.history.onReplaced(m_context.content, _content);
+	_content.confirmed = std::max(_content.confirmed, m_context.content.confirmed);
+	m_context.content = std::move(_content);
 	if (m_context.onDirectoryChanged)
 	{
 		m_context.onDirectoryChanged();
 	}
 }
 
-void StoreSync::learnLevels(const KvItem& item)
+void StoreSync::learnLevels(const KvItem& _item)
 {
 	try
 	{
-		m_context.quotas.setKeptLevels(decodeTotals(item.value));
+		m_context.quotas.setKeptLevels(decodeTotals(_item.value));
 	}
 	catch (const Error& error)
 	{
@@ -423,14 +423,14 @@
 	}
 }
 
-void StoreSync::learnCounts(const KvItem& item)
+void StoreSync::learnCounts(const KvItem& _item)
 {
-	if (item.revision == m_countsRevision)
+	if (_item.revision == m_countsRevision)
 	{
 		return;
 	}
-	m_countsRevision = item.revision;
-	for (const auto& [run, count] : decodeRunCounts(item.value))
+	m_countsRevision = _item.revision;
+	for (const auto& [run, count] : decodeRunCounts(_item.value))
 	{
 		m_context.usage.onReport(run, count);
 	}
@@ -467,52 +467,52 @@
 	askPeer(*host, m_context.content.revision == 0);
 }
 
-void StoreSync::askPeer(const std::string& host, bool whole)
+void StoreSync::askPeer(const std::string& _host, bool _whole)
 {
-	const Address address{host, m_context.settings.control->port};
+	const Address address{_host, m_context.settings.control->port};
 	m_peerChannel = std::make_shared<HttpChannel>(m_context.loop, address, limits::kSnapshotBytes);
 	ChannelRequest request;
 	request.target =
-		whole ? std::string(kContentPath) : std::string(kUpdatePath) + std::to_string(m_context.content.revision);
+		_whole ? std::string(kContentPath) : std::string(kUpdatePath) + std::to_string(m_context.content.revision);
 	request.headers = {{"Connection", "close"}};
 	request.longest = kReadLongest;
 	const Micros asked = monotonicNow();
 	m_peerChannel->call(std::move(request), kPeerTimeout,
-						[self = shared_from_this(), asked, host, whole](const std::optional<HttpAnswer>& answer)
+						[self = shared_from_this(), asked, _host, _whole](const std::optional<HttpAnswer>& _answer)
 						{
 							if (self->m_closed)
 							{
 								return;
 							}
-							if (whole)
+							if (_whole)
 							{
 								self->schedulePeers();
-								self->onPeerContent(asked, answer);
+								self->onPeerContent(asked, _answer);
 								return;
 							}
-							self->onPeerUpdate(asked, host, answer);
+							self->onPeerUpdate(asked, _host, _answer);
 						});
 }
 
-void StoreSync::onPeerUpdate(Micros asked, const std::string& host, const std::optional<HttpAnswer>& answer)
+void StoreSync::onPeerUpdate(Micros _asked, const std::string& _host, const std::optional<HttpAnswer>& _answer)
 {
-	const auto update = answer && answer->status == kOk ? decodeUpdate(answer->body) : std::nullopt;
-	const bool tooOld = answer && answer->status == kNotFound;
-	if (tooOld || (update && !takeUpdate(asked, *update)))
+	const auto update = _answer && _answer->status == kOk ? decodeUpdate(_answer->body) : std::nullopt;
+	const bool tooOld = _answer && _answer->status == kNotFound;
+	if (tooOld || (update && !takeUpdate(_asked, *update)))
 	{
-		askPeer(host, true);
+		askPeer(_host, true);
 		return;
 	}
 	schedulePeers();
 }
 
-void StoreSync::onPeerContent(Micros asked, const std::optional<HttpAnswer>& answer)
+void StoreSync::onPeerContent(Micros _asked, const std::optional<HttpAnswer>& _answer)
 {
-	if (!answer || answer->status != kOk)
+	if (!_answer || _answer->status != kOk)
 	{
 		return;
 	}
-	std::optional<StoreContent> content = decodeContent(answer->body, asked);
+	std::optional<StoreContent> content = decodeContent(_answer->body, _asked);
 	if (!content)
 	{
 		logEvent(LogLevel::Warning, "peer-content-refused", {});
@@ -536,13 +536,13 @@
 	return encodeContent(m_context.content, monotonicNow() - m_context.content.confirmed);
 }
 
-std::string StoreSync::contentSince(std::uint64_t revision) const
+std::string StoreSync::contentSince(std::uint64_t _revision) const
 {
-	if (!m_context.history.covers(revision))
+	if (!m_context.history.covers(_revision))
 	{
 		return "";
 	}
-	ContentUpdate update = m_context.history.updateSince(m_context.content, revision);
+	ContentUpdate update = m_context.history.updateSince(m_context.content, _revision);
 	update.age = monotonicNow() - m_context.content.confirmed;
 	update.configVersion = m_context.directory.config() ? m_context.directory.config()->version : 0;
 	return encodeUpdate(update);
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -25,7 +25,7 @@
 class StoreSync : public std::enable_shared_from_this<StoreSync>
 {
 public:
-	explicit StoreSync(GatewayContext& context);
+	explicit StoreSync(GatewayContext& _context);
 
 	/// Begins to read.
 	void init();
@@ -37,32 +37,32 @@
 	std::string wholeContent() const;
 
 	/// @returns what changed since a revision, as MessagePack; empty where that is not known.
-	std::string contentSince(std::uint64_t revision) const;
+	std::string contentSince(std::uint64_t _revision) const;
 
 	/// Reads at once, or as soon as the read that runs has ended.
 	void refresh();
 
 private:
-	void scheduleRead(Micros span);
+	void scheduleRead(Micros _span);
 	void read();
-	void askRelay(const std::string& host);
-	void onRelayAnswer(Micros asked, const std::optional<HttpAnswer>& answer);
-	void confirmUnchanged(std::uint64_t revision, Micros confirmed);
-	bool takeUpdate(Micros asked, const ContentUpdate& update);
+	void askRelay(const std::string& _host);
+	void onRelayAnswer(Micros _asked, const std::optional<HttpAnswer>& _answer);
+	void confirmUnchanged(std::uint64_t _revision, Micros _confirmed);
+	bool takeUpdate(Micros _asked, const ContentUpdate& _update);
 	void readStore();
-	void onRead(std::optional<StoreContent> content);
+	void onRead(std::optional<StoreContent> _content);
 	void onReadFailed();
 	void watch();
-	void onWatch(const std::optional<HttpAnswer>& answer);
-	void applyEvents(const KvEvents& events);
-	void apply(StoreContent content, bool fromPeer);
-	RoutingConfigPtr configOf(const KvItem& item);
+	void onWatch(const std::optional<HttpAnswer>& _answer);
+	void applyEvents(const KvEvents& _events);
+	void apply(StoreContent _content, bool _fromPeer);
+	RoutingConfigPtr configOf(const KvItem& _item);
 	void learnFromPeers();
-	void askPeer(const std::string& host, bool whole);
-	void onPeerUpdate(Micros asked, const std::string& host, const std::optional<HttpAnswer>& answer);
-	void onPeerContent(Micros asked, const std::optional<HttpAnswer>& answer);
-	void learnLevels(const KvItem& item);
-	void learnCounts(const KvItem& item);
+	void askPeer(const std::string& _host, bool _whole);
+	void onPeerUpdate(Micros _asked, const std::string& _host, const std::optional<HttpAnswer>& _answer);
+	void onPeerContent(Micros _asked, const std::optional<HttpAnswer>& _answer);
+	void learnLevels(const KvItem& _item);
+	void learnCounts(const KvItem& _item);
 	void schedulePeers();
 
 	GatewayContext& m_context;
--- a/src/protocol/base64.cpp
+++ b/src/protocol/base64.cpp
@@ -31,17 +31,17 @@
 constexpr std::array<std::int8_t, 256> kDigits = makeDigits();
 } // namespace
 
-std::string toBase64(std::string_view bytes)
+std::string toBase64(std::string_view _bytes)
 {
 	std::string text;
-	text.reserve((bytes.size() + 2) / 3 * 4);
-	for (std::size_t start = 0; start < bytes.size(); start += 3)
+	text.reserve((_bytes.size() + 2) / 3 * 4);
+	for (std::size_t start = 0; start < _bytes.size(); start += 3)
 	{
-		const std::size_t count = std::min<std::size_t>(3, bytes.size() - start);
+		const std::size_t count = std::min<std::size_t>(3, _bytes.size() - start);
 		std::uint32_t group = 0;
 		for (std::size_t offset = 0; offset < 3; ++offset)
 		{
-			group = group << 8 | (offset < count ? static_cast<unsigned char>(bytes[start + offset]) : 0u);
+			group = group << 8 | (offset < count ? static_cast<unsigned char>(_bytes[start + offset]) : 0u);
 		}
 		for (std::size_t digit = 0; digit < 4; ++digit)
 		{
@@ -51,13 +51,13 @@
 	return text;
 }
 
-std::string fromBase64(std::string_view text)
+std::string fromBase64(std::string_view _text)
 {
 	std::string bytes;
-	bytes.reserve(text.size() / 4 * 3);
+	bytes.reserve(_text.size() / 4 * 3);
 	std::uint32_t group = 0;
 	unsigned bits = 0;
-	for (const char c : text)
+	for (const char c : _text)
 	{
 		if (c == kPadding)
 		{
--- a/src/protocol/base64.h
+++ b/src/protocol/base64.h
@@ -13,10 +13,10 @@
 namespace beacongate
 {
 /// @returns the bytes as base64 with padding.
-std::string toBase64(std::string_view bytes);
+std::string toBase64(std::string_view _bytes);
 
 /// @throws Error MalformedRequest where the text is no base64.
-std::string fromBase64(std::string_view text);
+std::string fromBase64(std::string_view _text);
 
 } // namespace beacongate
 
--- a/src/protocol/eventstream.cpp
+++ b/src/protocol/eventstream.cpp
@@ -10,17 +10,17 @@
 namespace
 {
 /// @returns the length of the first event with its blank line, or 0.
-std::size_t firstEventLength(std::string_view text)
+std::size_t firstEventLength(std::string_view _text)
 {
 	std::size_t lineStart = 0;
-	while (lineStart < text.size())
+	while (lineStart < _text.size())
 	{
-		const std::size_t lineEnd = text.find('\n', lineStart);
+		const std::size_t lineEnd = _text.find('\n', lineStart);
 		if (lineEnd == std::string_view::npos)
 		{
 			return 0;
 		}
-		const std::string_view line = text.substr(lineStart, lineEnd - lineStart);
+		const std::string_view line = _text.substr(lineStart, lineEnd - lineStart);
 		const bool blank = line.empty() || line == "\r";
 		if (blank)
 		{
@@ -31,15 +31,15 @@
 	return 0;
 }
 
-std::optional<std::uint64_t> idOf(std::string_view event)
+std::optional<std::uint64_t> idOf(std::string_view _event)
 {
 	constexpr std::string_view kField = "id:";
 	std::size_t start = 0;
-	while (start < event.size())
+	while (start < _event.size())
 	{
-		std::size_t end = event.find('\n', start);
-		end = end == std::string_view::npos ? event.size() : end;
-		std::string_view line = event.substr(start, end - start);
+		std::size_t end = _event.find('\n', start);
+		end = end == std::string_view::npos ? _event.size() : end;
+		std::string_view line = _event.substr(start, end - start);
 		start = end + 1;
 		if (line.substr(0, kField.size()) != kField)
 		{
@@ -61,9 +61,9 @@
 }
 } // namespace
 
-std::vector<StreamEvent> EventSplitter::add(std::string_view bytes)
+std::vector<StreamEvent> EventSplitter::add(std::string_view _bytes)
 {
-	m_pending += bytes;
+	m_pending += _bytes;
 	std::vector<StreamEvent> events;
 	std::size_t taken = 0;
 	while (const std::size_t length = firstEventLength(std::string_view(m_pending).substr(taken)))
--- a/src/protocol/eventstream.h
+++ b/src/protocol/eventstream.h
@@ -28,7 +28,7 @@
 public:
 	/// Adds bytes.
 	/// @returns the events that are complete now.
-	std::vector<StreamEvent> add(std::string_view bytes);
+	std::vector<StreamEvent> add(std::string_view _bytes);
 
 	/// @returns bytes of an event that is not complete.
 	std::size_t pending() const
--- a/src/protocol/gossipcodec.cpp
+++ b/src/protocol/gossipcodec.cpp
@@ -11,80 +11,80 @@
 {
 constexpr int kFormat = 4; ///< Raised when the layout changes.
 
-Json encodeQuotas(const std::vector<QuotaReport>& quotas)
+Json encodeQuotas(const std::vector<QuotaReport>& _quotas)
 {
 	Json list = Json::array();
-	for (const QuotaReport& quota : quotas)
+	for (const QuotaReport& quota : _quotas)
 	{
 		list.push_back(Json::array({quota.team, quota.taken}));
 	}
 	return list;
 }
 
-Json encodeLoads(const std::vector<BackendLoad>& loads)
+Json encodeLoads(const std::vector<BackendLoad>& _loads)
 {
 	Json list = Json::array();
-	for (const BackendLoad& load : loads)
+	for (const BackendLoad& load : _loads)
 	{
 		list.push_back(Json::array({load.id, load.inFlight, load.pendingTokens}));
 	}
 	return list;
 }
 
-Json encodeUsage(const std::vector<UsageCount>& usage)
+Json encodeUsage(const std::vector<UsageCount>& _usage)
 {
 	Json list = Json::array();
-	for (const UsageCount& count : usage)
+	for (const UsageCount& count : _usage)
 	{
 		list.push_back(Json::array({count.window, count.team, count.count}));
 	}
 	return list;
 }
 
-Json encodeDemand(const std::vector<DemandReport>& demand)
+Json encodeDemand(const std::vector<DemandReport>& _demand)
 {
 	Json list = Json::array();
-	for (const DemandReport& report : demand)
+	for (const DemandReport& report : _demand)
 	{
 		list.push_back(Json::array({report.service, report.work, report.occupied}));
 	}
 	return list;
 }
 
-void decodeLists(const Json& quotas, const Json& loads, const Json& usage, GossipMessage& message)
+void decodeLists(const Json& _quotas, const Json& _loads, const Json& _usage, GossipMessage& _message)
 {
-	for (const Json& quota : quotas)
+	for (const Json& quota : _quotas)
 	{
-		message.quotas.push_back({quota.at(0).get<std::string>(), quota.at(1).get<double>()});
+		_message.quotas.push_back({quota.at(0).get<std::string>(), quota.at(1).get<double>()});
 	}
-	for (const Json& load : loads)
+	for (const Json& load : _loads)
 	{
-		message.loads.push_back(
+		_message.loads.push_back(
 			{load.at(0).get<std::string>(), load.at(1).get<unsigned>(), load.at(2).get<std::uint64_t>()});
 	}
-	for (const Json& count : usage)
+	for (const Json& count : _usage)
 	{
-		message.usage.push_back(
+		_message.usage.push_back(
 			{count.at(0).get<std::uint64_t>(), count.at(1).get<std::string>(), count.at(2).get<std::uint64_t>()});
 	}
 }
 } // namespace
 
-std::string encodeGossip(const GossipMessage& message)
+std::string encodeGossip(const GossipMessage& _message)
 {
-	const Json fields =
-		Json::array({kFormat, message.run.name, message.run.incarnation, message.host, message.sent, message.echo,
-					 message.wallClock, message.configVersion, message.storeRevision, message.configAge,
-					 message.leaving, message.members, encodeQuotas(message.quotas), encodeLoads(message.loads),
-					 encodeUsage(message.usage), encodeDemand(message.demand), message.draining, message.uptime});
+	const Json fields = Json::array(
+		{kFormat, _message.run.name, _message.run.incarnation, _message.host, _message.sent, _message.echo,
+		 _message.wallClock, _message.configVersion, _message.storeRevision, _message.configAge, _message.leaving,
+		 _message.members, encodeQuotas(_message.quotas), encodeLoads(_message.loads), encodeUsage(_message.usage),
+		 encodeDemand(_message.demand), _message.draining, _message.uptime});
 	std::string bytes;
 	Json::to_msgpack(fields, bytes);
 	return bytes;
 }
 
-std::optional<GossipMessage> decodeGossip(std::string_view bytes)
+std::optional<GossipMessage> decodeGossip(std::string_view _bytes)
 {
-	const Json fields = Json::from_msgpack(bytes.begin(), bytes.end(), true, false);
+	const Json fields = Json::from_msgpack(_bytes.begin(), _bytes.end(), true, false);
 	if (!fields.is_array() || fields.size() < 18 || fields[0] != kFormat)
 	{
 		return std::nullopt;
--- a/src/protocol/gossipcodec.h
+++ b/src/protocol/gossipcodec.h
@@ -16,10 +16,10 @@
 namespace beacongate
 {
 /// @returns the datagram's bytes.
-std::string encodeGossip(const GossipMessage& message);
+std::string encodeGossip(const GossipMessage& _message);
 
 /// @returns the message, or nothing where the bytes are none.
-std::optional<GossipMessage> decodeGossip(std::string_view bytes);
+std::optional<GossipMessage> decodeGossip(std::string_view _bytes);
 
 } // namespace beacongate
 
--- a/src/protocol/usagecodec.h
+++ b/src/protocol/usagecodec.h
@@ -21,16 +21,16 @@
 using RunCounts = std::vector<std::pair<GatewayRun, UsageCount>>;
 
 /// @returns the counts of all runs as text.
-std::string encodeRunCounts(const RunCounts& counts);
+std::string encodeRunCounts(const RunCounts& _counts);
 
 /// @returns the counts; none where the text makes no sense.
-RunCounts decodeRunCounts(std::string_view text);
+RunCounts decodeRunCounts(std::string_view _text);
 
 /// @returns a window's totals by team as text.
-std::string encodeTotals(const std::map<std::string, std::uint64_t>& totals);
+std::string encodeTotals(const std::map<std::string, std::uint64_t>& _totals);
 
 /// @throws Error StoreUnavailable where the text makes no sense.
-std::map<std::string, std::uint64_t> decodeTotals(std::string_view text);
+std::map<std::string, std::uint64_t> decodeTotals(std::string_view _text);
 
 } // namespace beacongate
 
--- a/src/state/routing.cpp
+++ b/src/state/routing.cpp
@@ -10,12 +10,12 @@
 {
 namespace
 {
-std::string hostWithoutPort(std::string_view host)
+std::string hostWithoutPort(std::string_view _host)
 {
-	const std::size_t colon = host.rfind(':');
-	std::string name(host.substr(0, colon));
+	const std::size_t colon = _host.rfind(':');
+	std::string name(_host.substr(0, colon));
 	std::transform(name.begin(), name.end(), name.begin(),
-				   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+				   [](unsigned char _c) { return static_cast<char>(std::tolower(_c)); });
 	return name;
 }
 } // namespace
@@ -32,8 +32,8 @@
 	for (auto& [host, indices] : m_routesByHost)
 	{
 		std::stable_sort(indices.begin(), indices.end(),
-						 [this](std::size_t left, std::size_t right)
-						 { return routes[left].pathPrefix.size() > routes[right].pathPrefix.size(); });
+						 [this](std::size_t _left, std::size_t _right)
+						 { return routes[_left].pathPrefix.size() > routes[_right].pathPrefix.size(); });
 	}
 	for (std::size_t index = 0; index < teams.size(); ++index)
 	{
@@ -44,16 +44,16 @@
 	}
 }
 
-const Route* RoutingConfig::findRoute(std::string_view host, std::string_view path) const
+const Route* RoutingConfig::findRoute(std::string_view _host, std::string_view _path) const
 {
-	const auto it = m_routesByHost.find(hostWithoutPort(host));
+	const auto it = m_routesByHost.find(hostWithoutPort(_host));
 	if (it == m_routesByHost.end())
 	{
 		return nullptr;
 	}
 	for (const std::size_t index : it->second)
 	{
-		if (path.substr(0, routes[index].pathPrefix.size()) == routes[index].pathPrefix)
+		if (_path.substr(0, routes[index].pathPrefix.size()) == routes[index].pathPrefix)
 		{
 			return &routes[index];
 		}
@@ -61,16 +61,16 @@
 	return nullptr;
 }
 
-const TeamAccess* RoutingConfig::findTeamByKey(std::string_view key) const
+const TeamAccess* RoutingConfig::findTeamByKey(std::string_view _key) const
 {
-	const auto it = m_teamByKey.find(std::string(key));
+	const auto it = m_teamByKey.find(std::string(_key));
 	return it == m_teamByKey.end() ? nullptr : &teams[it->second];
 }
 
-const PooledService* RoutingConfig::findService(std::string_view name) const
+const PooledService* RoutingConfig::findService(std::string_view _name) const
 {
 	const auto it = std::find_if(services.begin(), services.end(),
-								 [&](const PooledService& service) { return service.name == name; });
+								 [&](const PooledService& _service) { return _service.name == _name; });
 	return it == services.end() ? nullptr : &*it;
 }
 
--- a/src/transport/forwarding.cpp
+++ b/src/transport/forwarding.cpp
@@ -23,25 +23,25 @@
 /// Answered by this side already.
 constexpr std::string_view kExpect = "Expect";
 
-bool concernsConnection(std::string_view name)
+bool concernsConnection(std::string_view _name)
 {
-	const auto same = [name](std::string_view other)
+	const auto same = [_name](std::string_view _other)
 	{
-		return sameHeader(name, other);
+		return sameHeader(_name, _other);
 	};
 	return std::any_of(kConnectionHeaders.begin(), kConnectionHeaders.end(), same) || same(kExpect);
 }
 } // namespace
 
-bool sameHeader(std::string_view left, std::string_view right)
+bool sameHeader(std::string_view _left, std::string_view _right)
 {
-	return beast::iequals({left.data(), left.size()}, {right.data(), right.size()});
+	return beast::iequals({_left.data(), _left.size()}, {_right.data(), _right.size()});
 }
 
-HttpHeaders endToEndHeaders(const HttpHeaders& headers)
+HttpHeaders endToEndHeaders(const HttpHeaders& _headers)
 {
 	std::vector<std::string> named;
-	for (const auto& [name, value] : headers)
+	for (const auto& [name, value] : _headers)
 	{
 		if (sameHeader(name, "Connection"))
 		{
@@ -51,25 +51,26 @@
 			}
 		}
 	}
-	const auto isNamed = [&named](std::string_view name)
+	const auto isNamed = [&named](std::string_view _name)
 	{
 		return std::any_of(named.begin(), named.end(),
-						   [name](const auto& token) { return sameHeader(name, token); });
+						   [_name](const auto& _token) { return sameHeader(_name, _token); });
 	};
 	HttpHeaders kept;
-	std::copy_if(headers.begin(), headers.end(), std::back_inserter(kept),
-				 [&](const auto& header) { return !concernsConnection(header.first) && !isNamed(header.first); });
+	std::copy_if(_headers.begin(), _headers.end(), std::back_inserter(kept),
+				 [&](const auto& _header)
+				 { return !concernsConnection(_header.first) && !isNamed(_header.first); });
 	return kept;
 }
 
-void appendHeaders(std::string& bytes, const HttpHeaders& headers)
+void appendHeaders(std::string& _bytes, const HttpHeaders& _headers)
 {
-	for (const auto& [name, value] : headers)
+	for (const auto& [name, value] : _headers)
 	{
-		bytes += name;
-		bytes += ": ";
-		bytes += value;
-		bytes += "\r\n";
+		_bytes += name;
+		_bytes += ": ";
+		_bytes += value;
+		_bytes += "\r\n";
 	}
 }
 
--- a/src/transport/forwarding.h
+++ b/src/transport/forwarding.h
@@ -14,13 +14,13 @@
 namespace beacongate
 {
 /// @returns whether two header names, or tokens, are the same but for case.
-bool sameHeader(std::string_view left, std::string_view right);
+bool sameHeader(std::string_view _left, std::string_view _right);
 
 /// @returns the headers without those that concern one connection or the body's framing.
-HttpHeaders endToEndHeaders(const HttpHeaders& headers);
+HttpHeaders endToEndHeaders(const HttpHeaders& _headers);
 
 /// Appends header lines as they go on the wire.
-void appendHeaders(std::string& bytes, const HttpHeaders& headers);
+void appendHeaders(std::string& _bytes, const HttpHeaders& _headers);
 
 } // namespace beacongate
 
--- a/src/transport/httpchannel.cpp
+++ b/src/transport/httpchannel.cpp
@@ -18,33 +18,33 @@
 constexpr std::size_t kAnswerHeaderBytes = 16u << 10;
 } // namespace
 
-std::string formatRequest(const ChannelRequest& request, const Address& address)
+std::string formatRequest(const ChannelRequest& _request, const Address& _address)
 {
-	std::string bytes = request.method + ' ' + request.target + " HTTP/1.1\r\n";
-	bytes += "Host: " + address.host + ':' + std::to_string(address.port) + "\r\n";
-	appendHeaders(bytes, request.headers);
-	if (!request.body.empty() || request.method == "POST")
+	std::string bytes = _request.method + ' ' + _request.target + " HTTP/1.1\r\n";
+	bytes += "Host: " + _address.host + ':' + std::to_string(_address.port) + "\r\n";
+	appendHeaders(bytes, _request.headers);
+	if (!_request.body.empty() || _request.method == "POST")
 	{
-		bytes += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+		bytes += "Content-Length: " + std::to_string(_request.body.size()) + "\r\n";
 	}
 	bytes += "\r\n";
-	bytes += request.body;
+	bytes += _request.body;
 	return bytes;
 }
 
-HttpChannel::HttpChannel(asio::io_context& context, Address address, std::size_t answerLimit)
-	: m_context(context), m_address(std::move(address)), m_answerLimit(answerLimit), m_timer(context)
+HttpChannel::HttpChannel(asio::io_context& _context, Address _address, std::size_t _answerLimit)
+	: m_context(_context), m_address(std::move(_address)), m_answerLimit(_answerLimit), m_timer(_context)
 {
 }
 
-void HttpChannel::call(ChannelRequest request, Micros span, Handler handler, MaySend maySend)
+void HttpChannel::call(ChannelRequest _request, Micros _span, Handler _handler, MaySend _maySend)
 {
 	if (m_closed || m_queue.size() >= limits::kPendingCalls)
 	{
-		asio::post(m_context, [handler = std::move(handler)] { handler(std::nullopt); });
+		asio::post(m_context, [handler = std::move(_handler)] { handler(std::nullopt); });
 		return;
 	}
-	m_queue.push_back({std::move(request), span, std::move(handler), std::move(maySend)});
+	m_queue.push_back({std::move(_request), _span, std::move(_handler), std::move(_maySend)});
 	if (!m_busy)
 	{
 		m_busy = true;
@@ -83,10 +83,10 @@
 {
 	m_timer.expires_after(std::chrono::microseconds(m_queue.front().span));
 	m_timer.async_wait(
-		[weak = weak_from_this(), turn = m_turn](const BoostError& error)
+		[weak = weak_from_this(), turn = m_turn](const BoostError& _error)
 		{
 			const auto self = weak.lock();
-			if (!error && self && self->m_busy && self->m_turn == turn)
+			if (!_error && self && self->m_busy && self->m_turn == turn)
 			{
 				self->dropConnection();
 				self->finish(std::nullopt);
@@ -97,39 +97,39 @@
 void HttpChannel::connect()
 {
 	TcpConnection::open(m_context, m_address, m_queue.front().span, 2 * kSecond,
-						[self = shared_from_this(), turn = m_turn](const TcpConnection::Ptr& connection)
+						[self = shared_from_this(), turn = m_turn](const TcpConnection::Ptr& _connection)
 						{
 							if (self->m_closed || self->m_turn != turn || !self->m_busy)
 							{
-								if (connection)
+								if (_connection)
 								{
-									connection->close();
+									_connection->close();
 								}
 								return;
 							}
-							if (!connection)
+							if (!_connection)
 							{
 								self->finish(std::nullopt);
 								return;
 							}
-							self->m_connection = connection;
+							self->m_connection = _connection;
 							ConnectionHandlers handlers;
 							std::weak_ptr<HttpChannel> weak = self;
-							handlers.onBytes = [weak](std::string_view bytes)
+							handlers.onBytes = [weak](std::string_view _bytes)
 							{
 								if (const auto channel = weak.lock())
 								{
-									channel->onBytes(bytes);
+									channel->onBytes(_bytes);
 								}
 							};
-							handlers.onEnd = [weak](ConnectionEnd how)
+							handlers.onEnd = [weak](ConnectionEnd _how)
 							{
 								if (const auto channel = weak.lock())
 								{
-									channel->onEnd(how);
+									channel->onEnd(_how);
 								}
 							};
-							connection->start(std::move(handlers));
+							_connection->start(std::move(handlers));
 							self->transmit();
 						});
 }
@@ -148,7 +148,7 @@
 	m_connection->send(formatRequest(pending.request, m_address));
 }
 
-void HttpChannel::onBytes(std::string_view bytes)
+void HttpChannel::onBytes(std::string_view _bytes)
 {
 	if (!m_busy || !m_parser)
 	{
@@ -156,7 +156,7 @@
 		dropConnection();
 		return;
 	}
-	m_input.append(bytes);
+	m_input.append(_bytes);
 	const std::size_t consumed = m_parser->consume(m_input, m_body);
 	m_input.erase(0, consumed);
 	if (m_parser->fault() != ParseFault::None)
@@ -184,10 +184,10 @@
 	finish(std::move(answer));
 }
 
-void HttpChannel::onEnd(ConnectionEnd how)
+void HttpChannel::onEnd(ConnectionEnd _how)
 {
 	const bool unanswered = m_busy && m_parser;
-	const bool wholeAtEnd = unanswered && how == ConnectionEnd::Closed && m_parser->headDone();
+	const bool wholeAtEnd = unanswered && _how == ConnectionEnd::Closed && m_parser->headDone();
 	m_connection = nullptr;
 	if (!unanswered)
 	{
@@ -218,7 +218,7 @@
 	finish(std::nullopt);
 }
 
-void HttpChannel::finish(std::optional<HttpAnswer> answer)
+void HttpChannel::finish(std::optional<HttpAnswer> _answer)
 {
 	m_timer.cancel();
 	m_parser = nullptr;
@@ -229,7 +229,7 @@
 	m_queue.pop_front();
 	++m_turn;
 	const auto self = shared_from_this();
-	handler(std::move(answer));
+	handler(std::move(_answer));
 	asio::post(m_context, [self] { self->next(); });
 }
 
