--- a/src/transport/httpchannel.h
+++ b/src/transport/httpchannel.h
@@ -31,7 +31,7 @@
 };
 
 /// Formats a request with its Host and Content-Length.
-std::string formatRequest(const ChannelRequest& request, const Address& address);
+std::string formatRequest(const ChannelRequest& _request, const Address& _address);
 
 /// Sends calls in order.
 class HttpChannel : public std::enable_shared_from_this<HttpChannel>
@@ -42,12 +42,12 @@
 	/// Asked right before a call is sent; a call that may not go is answered with nothing.
 	using MaySend = std::function<bool()>;
 
-	HttpChannel(boost::asio::io_context& context, Address address, std::size_t answerLimit);
+	HttpChannel(boost::asio::io_context& _context, Address _address, std::size_t _answerLimit);
 
 	/// Sends a call once those before it have ended. The handler never runs inside this function.
 	/// @param[in] span Time for the call, from the moment that it is its turn, and again from each piece of its
 	/// answer until the request's `longest` has passed.
-	void call(ChannelRequest request, Micros span, Handler handler, MaySend maySend = nullptr);
+	void call(ChannelRequest _request, Micros _span, Handler _handler, MaySend _maySend = nullptr);
 
 	/// Closes the connection; calls that wait get nothing and no handler runs any more.
 	void close();
@@ -65,9 +65,9 @@
 	void armTimer();
 	void connect();
 	void transmit();
-	void onBytes(std::string_view bytes);
-	void onEnd(ConnectionEnd how);
-	void finish(std::optional<HttpAnswer> answer);
+	void onBytes(std::string_view _bytes);
+	void onEnd(ConnectionEnd _how);
+	void finish(std::optional<HttpAnswer> _answer);
 	void dropConnection();
 
 	boost::asio::io_context& m_context;
--- a/src/transport/messageparser.cpp
+++ b/src/transport/messageparser.cpp
@@ -21,74 +21,75 @@
 template <bool IsRequest> class Collector : public http::basic_parser<IsRequest>
 {
 public:
-	explicit Collector(MessageHead& head) : m_head(head)
+	explicit Collector(MessageHead& _head) : m_head(_head)
 	{
 	}
 
-	void setBody(std::string* body)
+	void setBody(std::string* _body)
 	{
-		m_body = body;
+		m_body = _body;
 	}
 
 private:
-	void on_request_impl(http::verb /*method*/, beast::string_view method, beast::string_view target, int version,
-						 BoostError& error) override
+	void on_request_impl(http::verb /*method*/, beast::string_view _method, beast::string_view _target,
+						 int _version, BoostError& _error) override
 	{
-		error = {};
-		m_head.method.assign(method.data(), method.size());
-		m_head.target.assign(target.data(), target.size());
-		m_head.version = static_cast<unsigned>(version);
+		_error = {};
+		m_head.method.assign(_method.data(), _method.size());
+		m_head.target.assign(_target.data(), _target.size());
+		m_head.version = static_cast<unsigned>(_version);
 	}
 
-	void on_response_impl(int status, beast::string_view /*reason*/, int version, BoostError& error) override
+	void on_response_impl(int _status, beast::string_view /*reason*/, int _version, BoostError& _error) override
 	{
-		error = {};
-		m_head.status = static_cast<unsigned>(status);
-		m_head.version = static_cast<unsigned>(version);
+		_error = {};
+		m_head.status = static_cast<unsigned>(_status);
+		m_head.version = static_cast<unsigned>(_version);
 	}
 
-	void on_field_impl(http::field /*field*/, beast::string_view name, beast::string_view value,
-					   BoostError& error) override
+	void on_field_impl(http::field /*field*/, beast::string_view _name, beast::string_view _value,
+					   BoostError& _error) override
 	{
-		error = {};
+		_error = {};
 		if (!m_headDone)
 		{
-			m_head.headers.emplace_back(std::string(name.data(), name.size()),
-										std::string(value.data(), value.size()));
+			m_head.headers.emplace_back(std::string(_name.data(), _name.size()),
+										std::string(_value.data(), _value.size()));
 		}
 	}
 
-	void on_header_impl(BoostError& error) override
+	void on_header_impl(BoostError& _error) override
 	{
-		error = {};
+		_error = {};
 		m_headDone = true;
 	}
 
-	void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/, BoostError& error) override
+	void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/, BoostError& _error) override
 	{
-		error = {};
+		_error = {};
 	}
 
-	std::size_t on_body_impl(beast::string_view bytes, BoostError& error) override
+	std::size_t on_body_impl(beast::string_view _bytes, BoostError& _error) override
 	{
-		error = {};
-		m_body->append(bytes.data(), bytes.size());
-		return bytes.size();
+		_error = {};
+		m_body->append(_bytes.data(), _bytes.size());
+		return _bytes.size();
 	}
 
-	void on_chunk_header_impl(std::uint64_t /*size*/, beast::string_view /*extensions*/, BoostError& error) override
+	void on_chunk_header_impl(std::uint64_t /*size*/, beast::string_view /*extensions*/,
+							  BoostError& _error) override
 	{
-		error = {};
+		_error = {};
 	}
 
-	std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, beast::string_view bytes, BoostError& error) override
+	std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, beast::string_view _bytes, BoostError& _error) override
 	{
-		return on_body_impl(bytes, error);
+		return on_body_impl(_bytes, _error);
 	}
 
-	void on_finish_impl(BoostError& error) override
+	void on_finish_impl(BoostError& _error) override
 	{
-		error = {};
+		_error = {};
 	}
 
 	MessageHead& m_head;
@@ -96,13 +97,13 @@
 	bool m_headDone = false;
 };
 
-ParseFault toFault(const BoostError& error)
+ParseFault toFault(const BoostError& _error)
 {
-	if (error == http::error::header_limit)
+	if (_error == http::error::header_limit)
 	{
 		return ParseFault::HeaderTooLarge;
 	}
-	if (error == http::error::body_limit)
+	if (_error == http::error::body_limit)
 	{
 		return ParseFault::BodyTooLarge;
 	}
@@ -112,19 +113,19 @@
 
 struct MessageParserImpl
 {
-	template <typename Visitor> void visit(Visitor visitor)
+	template <typename Visitor> void visit(Visitor _visitor)
 	{
 		if (auto* request = std::get_if<Collector<true>>(&parser))
 		{
-			visitor(*request);
+			_visitor(*request);
 			return;
 		}
-		visitor(std::get<Collector<false>>(parser));
+		_visitor(std::get<Collector<false>>(parser));
 	}
 
-	MessageParserImpl(MessageKind kind, std::size_t headerLimit, std::size_t bodyLimit)
+	MessageParserImpl(MessageKind _kind, std::size_t _headerLimit, std::size_t _bodyLimit)
 	{
-		if (kind == MessageKind::Request)
+		if (_kind == MessageKind::Request)
 		{
 			parser.emplace<Collector<true>>(head);
 		}
@@ -133,11 +134,11 @@
 			parser.emplace<Collector<false>>(head);
 		}
 		visit(
-			[&](auto& collector)
+			[&](auto& _collector)
 			{
-				collector.eager(true);
-				collector.header_limit(static_cast<std::uint32_t>(headerLimit));
-				collector.body_limit(static_cast<std::uint64_t>(bodyLimit));
+				_collector.eager(true);
+				_collector.header_limit(static_cast<std::uint32_t>(_headerLimit));
+				_collector.body_limit(static_cast<std::uint64_t>(_bodyLimit));
 			});
 	}
 
@@ -149,8 +150,8 @@
 	bool done = false;
 };
 
-MessageParser::MessageParser(MessageKind kind, std::size_t headerLimit, std::size_t bodyLimit)
-	: m_impl(std::make_unique<MessageParserImpl>(kind, headerLimit, bodyLimit))
+MessageParser::MessageParser(MessageKind _kind, std::size_t _headerLimit, std::size_t _bodyLimit)
+	: m_impl(std::make_unique<MessageParserImpl>(_kind, _headerLimit, _bodyLimit))
 {
 }
 
@@ -158,23 +159,23 @@
 
 void MessageParser::expectNoBody()
 {
-	m_impl->visit([](auto& collector) { collector.skip(true); });
+	m_impl->visit([](auto& _collector) { _collector.skip(true); });
 }
 
-std::size_t MessageParser::consume(std::string_view bytes, std::string& body)
+std::size_t MessageParser::consume(std::string_view _bytes, std::string& _body)
 {
 	MessageParserImpl& impl = *m_impl;
 	std::size_t consumed = 0;
-	impl.started = impl.started || !bytes.empty();
+	impl.started = impl.started || !_bytes.empty();
 	impl.visit(
-		[&](auto& collector)
+		[&](auto& _collector)
 		{
-			collector.setBody(&body);
-			while (consumed < bytes.size() && !collector.is_done() && impl.fault == ParseFault::None)
+			_collector.setBody(&_body);
+			while (consumed < _bytes.size() && !_collector.is_done() && impl.fault == ParseFault::None)
 			{
 				BoostError error;
-				const asio::const_buffer rest(bytes.data() + consumed, bytes.size() - consumed);
-				const std::size_t used = collector.put(rest, error);
+				const asio::const_buffer rest(_bytes.data() + consumed, _bytes.size() - consumed);
+				const std::size_t used = _collector.put(rest, error);
 				consumed += used;
 				if (error == http::error::need_more || (!error && used == 0))
 				{
@@ -185,13 +186,13 @@
 					impl.fault = toFault(error);
 				}
 			}
-			impl.done = collector.is_done();
-			if (!impl.headDone && collector.is_header_done())
+			impl.done = _collector.is_done();
+			if (!impl.headDone && _collector.is_header_done())
 			{
 				impl.headDone = true;
-				impl.head.keepAlive = collector.keep_alive();
-				impl.head.chunked = collector.chunked();
-				impl.head.untilClose = !impl.done && collector.need_eof();
+				impl.head.keepAlive = _collector.keep_alive();
+				impl.head.chunked = _collector.chunked();
+				impl.head.untilClose = !impl.done && _collector.need_eof();
 			}
 		});
 	return consumed;
--- a/src/transport/messageparser.h
+++ b/src/transport/messageparser.h
@@ -54,7 +54,7 @@
 public:
 	/// @param[in] headerLimit Bytes of the head.
 	/// @param[in] bodyLimit Bytes of the body.
-	MessageParser(MessageKind kind, std::size_t headerLimit, std::size_t bodyLimit);
+	MessageParser(MessageKind _kind, std::size_t _headerLimit, std::size_t _bodyLimit);
 	~MessageParser();
 	MessageParser(const MessageParser&) = delete;
 	MessageParser& operator=(const MessageParser&) = delete;
@@ -66,7 +66,7 @@
 	/// @param[in] bytes What has come and is not consumed yet, from the first unconsumed byte.
 	/// @param[out] body Gets the body's bytes appended.
 	/// @returns bytes consumed; the rest has to be given again with what follows.
-	std::size_t consume(std::string_view bytes, std::string& body);
+	std::size_t consume(std::string_view _bytes, std::string& _body);
 
 	/// Tells that the connection ended in order.
 	void finishAtEnd();
--- a/src/transport/outgoingcall.cpp
+++ b/src/transport/outgoingcall.cpp
@@ -13,87 +13,87 @@
 {
 constexpr std::size_t kAnswerHeaderBytes = 32u << 10;
 
-std::unique_ptr<MessageParser> makeParser(bool noBody)
+std::unique_ptr<MessageParser> makeParser(bool _noBody)
 {
 	auto parser = std::make_unique<MessageParser>(MessageKind::Answer, kAnswerHeaderBytes,
 												  std::numeric_limits<std::size_t>::max());
-	if (noBody)
+	if (_noBody)
 	{
 		parser->expectNoBody();
 	}
 	return parser;
 }
 
-bool isInterim(const MessageHead& head)
+bool isInterim(const MessageHead& _head)
 {
-	return head.status >= 100 && head.status < 200;
+	return _head.status >= 100 && _head.status < 200;
 }
 } // namespace
 
-OutgoingCall::OutgoingCall(CallHandlers handlers) : m_handlers(std::move(handlers))
+OutgoingCall::OutgoingCall(CallHandlers _handlers) : m_handlers(std::move(_handlers))
 {
 }
 
-OutgoingCall::Ptr OutgoingCall::start(boost::asio::io_context& context, const CallOptions& options,
-									  std::string bytes, CallHandlers handlers)
+OutgoingCall::Ptr OutgoingCall::start(boost::asio::io_context& _context, const CallOptions& _options,
+									  std::string _bytes, CallHandlers _handlers)
 {
-	auto call = std::make_shared<OutgoingCall>(std::move(handlers));
+	auto call = std::make_shared<OutgoingCall>(std::move(_handlers));
 	TcpConnection::open(
-		context, options.address, options.connectSpan, options.userTimeout,
-		[call, bytes = std::move(bytes), noBody = options.noBody](const TcpConnection::Ptr& connection)
-		{ call->onConnected(connection, bytes, noBody); });
+		_context, _options.address, _options.connectSpan, _options.userTimeout,
+		[call, bytes = std::move(_bytes), noBody = _options.noBody](const TcpConnection::Ptr& _connection)
+		{ call->onConnected(_connection, bytes, noBody); });
 	return call;
 }
 
-void OutgoingCall::onConnected(const TcpConnection::Ptr& connection, const std::string& bytes, bool noBody)
+void OutgoingCall::onConnected(const TcpConnection::Ptr& _connection, const std::string& _bytes, bool _noBody)
 {
 	if (m_ended)
 	{
-		if (connection)
+		if (_connection)
 		{
-			connection->close();
+			_connection->close();
 		}
 		return;
 	}
-	if (!connection)
+	if (!_connection)
 	{
 		fail(CallFault::NotSent);
 		return;
 	}
 	if (m_handlers.maySend && !m_handlers.maySend())
 	{
-		connection->close();
+		_connection->close();
 		fail(CallFault::NotSent);
 		return;
 	}
-	m_connection = connection;
-	m_noBody = noBody;
-	m_parser = makeParser(noBody);
+	m_connection = _connection;
+	m_noBody = _noBody;
+	m_parser = makeParser(_noBody);
 	ConnectionHandlers handlers;
 	const auto self = shared_from_this();
-	handlers.onBytes = [self](std::string_view received)
+	handlers.onBytes = [self](std::string_view _received)
 	{
-		self->onBytes(received);
+		self->onBytes(_received);
 	};
-	handlers.onEnd = [self](ConnectionEnd how)
+	handlers.onEnd = [self](ConnectionEnd _how)
 	{
-		self->onEnd(how);
+		self->onEnd(_how);
 	};
 	m_connection->start(std::move(handlers));
-	m_connection->send(bytes);
+	m_connection->send(_bytes);
 	if (m_handlers.onSent)
 	{
 		m_handlers.onSent();
 	}
 }
 
-void OutgoingCall::onBytes(std::string_view bytes)
+void OutgoingCall::onBytes(std::string_view _bytes)
 {
 	if (m_ended)
 	{
 		return;
 	}
-	m_input.append(bytes);
+	m_input.append(_bytes);
 	parse();
 }
 
@@ -135,13 +135,13 @@
 	}
 }
 
-void OutgoingCall::onEnd(ConnectionEnd how)
+void OutgoingCall::onEnd(ConnectionEnd _how)
 {
 	if (m_ended)
 	{
 		return;
 	}
-	if (how == ConnectionEnd::Closed)
+	if (_how == ConnectionEnd::Closed)
 	{
 		m_parser->finishAtEnd();
 		if (m_parser->done())
@@ -153,11 +153,11 @@
 	fail(CallFault::Broken);
 }
 
-void OutgoingCall::fail(CallFault fault)
+void OutgoingCall::fail(CallFault _fault)
 {
 	const auto handler = std::move(m_handlers.onFault);
 	cancel();
-	handler(fault);
+	handler(_fault);
 }
 
 void OutgoingCall::finish()
--- a/src/transport/outgoingcall.h
+++ b/src/transport/outgoingcall.h
@@ -54,10 +54,10 @@
 
 	/// Begins a call. No handler runs before this returns.
 	/// @param[in] bytes The request as it goes on the wire.
-	static Ptr start(boost::asio::io_context& context, const CallOptions& options, std::string bytes,
-					 CallHandlers handlers);
+	static Ptr start(boost::asio::io_context& _context, const CallOptions& _options, std::string _bytes,
+					 CallHandlers _handlers);
 
-	explicit OutgoingCall(CallHandlers handlers);
+	explicit OutgoingCall(CallHandlers _handlers);
 
 	/// Ends the call; its connection is closed.
 	void cancel();
@@ -69,11 +69,11 @@
 	void resume();
 
 private:
-	void onConnected(const TcpConnection::Ptr& connection, const std::string& bytes, bool noBody);
-	void onBytes(std::string_view bytes);
-	void onEnd(ConnectionEnd how);
+	void onConnected(const TcpConnection::Ptr& _connection, const std::string& _bytes, bool _noBody);
+	void onBytes(std::string_view _bytes);
+	void onEnd(ConnectionEnd _how);
 	void parse();
-	void fail(CallFault fault);
+	void fail(CallFault _fault);
 	void finish();
 
 	CallHandlers m_handlers;
--- a/src/transport/serversession.cpp
+++ b/src/transport/serversession.cpp
@@ -26,28 +26,28 @@
 constexpr Micros kAcceptRetry = 50 * kMillisecond;
 constexpr std::size_t kPipelinedBytes = 64u << 10;
 
-void appendChunk(std::string& out, std::string_view bytes)
+void appendChunk(std::string& _out, std::string_view _bytes)
 {
-	if (bytes.empty())
+	if (_bytes.empty())
 	{
 		return;
 	}
 	char digits[16];
-	const auto written = std::to_chars(digits, digits + sizeof digits, bytes.size(), 16);
-	out.append(digits, written.ptr);
-	out += "\r\n";
-	out += bytes;
-	out += "\r\n";
+	const auto written = std::to_chars(digits, digits + sizeof digits, _bytes.size(), 16);
+	_out.append(digits, written.ptr);
+	_out += "\r\n";
+	_out += _bytes;
+	_out += "\r\n";
 }
 
-bool hasNoBody(unsigned status)
+bool hasNoBody(unsigned _status)
 {
-	return status == 204 || status == 304 || (status >= 100 && status < 200);
+	return _status == 204 || _status == 304 || (_status >= 100 && _status < 200);
 }
 } // namespace
 
-ServerSession::ServerSession(std::shared_ptr<ServerContext> context, TcpConnection::Ptr connection)
-	: m_context(std::move(context)), m_connection(std::move(connection)), m_timer(m_connection->executor())
+ServerSession::ServerSession(std::shared_ptr<ServerContext> _context, TcpConnection::Ptr _connection)
+	: m_context(std::move(_context)), m_connection(std::move(_connection)), m_timer(m_connection->executor())
 {
 }
 
@@ -56,9 +56,9 @@
 	m_context->sessions.insert(shared_from_this());
 	ConnectionHandlers handlers;
 	const auto self = shared_from_this();
-	handlers.onBytes = [self](std::string_view bytes)
+	handlers.onBytes = [self](std::string_view _bytes)
 	{
-		self->onBytes(bytes);
+		self->onBytes(_bytes);
 	};
 	handlers.onEnd = [self](ConnectionEnd /*how*/)
 	{
@@ -75,14 +75,14 @@
 	m_connection->start(std::move(handlers));
 }
 
-void ServerSession::setGoneHandler(std::function<void()> onGone)
+void ServerSession::setGoneHandler(std::function<void()> _onGone)
 {
-	m_onGone = std::move(onGone);
+	m_onGone = std::move(_onGone);
 }
 
-void ServerSession::setDrainedHandler(std::function<void()> onDrained)
+void ServerSession::setDrainedHandler(std::function<void()> _onDrained)
 {
-	m_onDrained = std::move(onDrained);
+	m_onDrained = std::move(_onDrained);
 }
 
 void ServerSession::nextRequest()
@@ -100,14 +100,14 @@
 	armTimer(limits.idleTimeout);
 }
 
-void ServerSession::armTimer(Micros span)
+void ServerSession::armTimer(Micros _span)
 {
-	m_timer.expires_after(std::chrono::microseconds(span));
+	m_timer.expires_after(std::chrono::microseconds(_span));
 	m_timer.async_wait(
-		[weak = weak_from_this()](const BoostError& error)
+		[weak = weak_from_this()](const BoostError& _error)
 		{
 			const auto self = weak.lock();
-			if (!error && self)
+			if (!_error && self)
 			{
 				self->onTimer();
 			}
@@ -129,9 +129,9 @@
 	refuse(m_context->onTimeout());
 }
 
-void ServerSession::onBytes(std::string_view bytes)
+void ServerSession::onBytes(std::string_view _bytes)
 {
-	m_input.append(bytes);
+	m_input.append(_bytes);
 	if (m_phase == Phase::Reading)
 	{
 		parse();
@@ -203,26 +203,26 @@
 	}
 }
 
-void ServerSession::refuse(const HttpAnswer& answer)
+void ServerSession::refuse(const HttpAnswer& _answer)
 {
 	m_phase = Phase::Working;
 	m_requestKeepsAlive = false;
-	this->answer(answer, true);
+	this->answer(_answer, true);
 }
 
-bool ServerSession::mayKeepAlive(bool closeAfter) const
+bool ServerSession::mayKeepAlive(bool _closeAfter) const
 {
-	return m_requestKeepsAlive && !closeAfter && !m_context->stopping;
+	return m_requestKeepsAlive && !_closeAfter && !m_context->stopping;
 }
 
-std::string ServerSession::formatHead(unsigned status, const HttpHeaders& headers, bool keepAlive) const
+std::string ServerSession::formatHead(unsigned _status, const HttpHeaders& _headers, bool _keepAlive) const
 {
-	std::string head = "HTTP/1.1 " + std::to_string(status) + ' ';
-	const auto reason = beast::http::obsolete_reason(static_cast<beast::http::status>(status));
+	std::string head = "HTTP/1.1 " + std::to_string(_status) + ' ';
+	const auto reason = beast::http::obsolete_reason(static_cast<beast::http::status>(_status));
 	head.append(reason.data(), reason.size());
 	head += "\r\n";
-	appendHeaders(head, headers);
-	if (!keepAlive)
+	appendHeaders(head, _headers);
+	if (!_keepAlive)
 	{
 		head += "Connection: close\r\n";
 	}
@@ -233,22 +233,22 @@
 	return head;
 }
 
-void ServerSession::answer(const HttpAnswer& answer, bool closeAfter)
+void ServerSession::answer(const HttpAnswer& _answer, bool _closeAfter)
 {
 	if (m_phase != Phase::Working)
 	{
 		return;
 	}
-	const bool keepAlive = mayKeepAlive(closeAfter);
-	std::string bytes = formatHead(answer.status, answer.headers, keepAlive);
-	if (!hasNoBody(answer.status))
+	const bool keepAlive = mayKeepAlive(_closeAfter);
+	std::string bytes = formatHead(_answer.status, _answer.headers, keepAlive);
+	if (!hasNoBody(_answer.status))
 	{
-		bytes += "Content-Length: " + std::to_string(answer.body.size()) + "\r\n";
+		bytes += "Content-Length: " + std::to_string(_answer.body.size()) + "\r\n";
 	}
 	bytes += "\r\n";
-	if (!m_noBody && !hasNoBody(answer.status))
+	if (!m_noBody && !hasNoBody(_answer.status))
 	{
-		bytes += answer.body;
+		bytes += _answer.body;
 	}
 	m_connection->send(bytes);
 	m_keepAlive = keepAlive;
@@ -256,7 +256,7 @@
 	finishAnswer();
 }
 
-void ServerSession::startAnswer(unsigned status, const HttpHeaders& headers, std::string_view firstBytes)
+void ServerSession::startAnswer(unsigned _status, const HttpHeaders& _headers, std::string_view _firstBytes)
 {
 	if (m_phase != Phase::Working)
 	{
@@ -264,23 +264,23 @@
 	}
 	// A caller that speaks 1.0 knows no chunks: its answer ends with the connection.
 	m_keepAlive = mayKeepAlive(false) && m_version == 11;
-	std::string bytes = formatHead(status, headers, m_keepAlive);
+	std::string bytes = formatHead(_status, _headers, m_keepAlive);
 	if (m_version == 11)
 	{
 		bytes += "Transfer-Encoding: chunked\r\n\r\n";
-		appendChunk(bytes, firstBytes);
+		appendChunk(bytes, _firstBytes);
 	}
 	else
 	{
 		bytes += "\r\n";
-		bytes += firstBytes;
+		bytes += _firstBytes;
 	}
 	m_phase = Phase::Answering;
 	m_chunked = m_version == 11;
 	m_connection->send(bytes);
 }
 
-void ServerSession::sendPiece(std::string_view bytes)
+void ServerSession::sendPiece(std::string_view _bytes)
 {
 	if (m_phase != Phase::Answering)
 	{
@@ -289,11 +289,11 @@
 	std::string framed;
 	if (m_chunked)
 	{
-		appendChunk(framed, bytes);
+		appendChunk(framed, _bytes);
 	}
 	else
 	{
-		framed = bytes;
+		framed = _bytes;
 	}
 	m_connection->send(framed);
 }
@@ -384,13 +384,13 @@
 	}
 }
 
-ServerListener::ServerListener(asio::io_context& context, const Address& address,
-							   std::shared_ptr<ServerContext> shared)
-	: m_loop(context), m_acceptor(context), m_shared(std::move(shared)), m_retryTimer(context)
+ServerListener::ServerListener(asio::io_context& _context, const Address& _address,
+							   std::shared_ptr<ServerContext> _shared)
+	: m_loop(_context), m_acceptor(_context), m_shared(std::move(_shared)), m_retryTimer(_context)
 {
 	try
 	{
-		const tcp::endpoint endpoint(asio::ip::make_address(address.host), address.port);
+		const tcp::endpoint endpoint(asio::ip::make_address(_address.host), _address.port);
 		m_acceptor.open(endpoint.protocol());
 		m_acceptor.set_option(tcp::acceptor::reuse_address(true));
 		m_acceptor.bind(endpoint);
@@ -398,8 +398,8 @@
 	}
 	catch (const boost::system::system_error& error)
 	{
-		throw Error(Failure::SettingInvalid,
-					"cannot listen on " + address.host + ":" + std::to_string(address.port) + ": " + error.what());
+		throw Error(Failure::SettingInvalid, "cannot listen on " + _address.host + ":" +
+												 std::to_string(_address.port) + ": " + error.what());
 	}
 	accept();
 }
@@ -419,27 +419,27 @@
 void ServerListener::accept()
 {
 	m_acceptor.async_accept(
-		[this](const BoostError& error, tcp::socket socket)
+		[this](const BoostError& _error, tcp::socket _socket)
 		{
-			if (error == asio::error::operation_aborted || !m_acceptor.is_open())
+			if (_error == asio::error::operation_aborted || !m_acceptor.is_open())
 			{
 				return;
 			}
-			if (error)
+			if (_error)
 			{
 				// Most likely out of descriptors: others end meanwhile.
 				m_retryTimer.expires_after(std::chrono::microseconds(kAcceptRetry));
 				m_retryTimer.async_wait(
-					[this](const BoostError& stopped)
+					[this](const BoostError& _stopped)
 					{
-						if (!stopped)
+						if (!_stopped)
 						{
 							accept();
 						}
 					});
 				return;
 			}
-			const auto connection = std::make_shared<TcpConnection>(std::move(socket), kCallerUserTimeout);
+			const auto connection = std::make_shared<TcpConnection>(std::move(_socket), kCallerUserTimeout);
 			std::make_shared<ServerSession>(m_shared, connection)->start();
 			accept();
 		});
--- a/src/transport/serversession.h
+++ b/src/transport/serversession.h
@@ -51,26 +51,26 @@
 class ServerSession : public std::enable_shared_from_this<ServerSession>
 {
 public:
-	ServerSession(std::shared_ptr<ServerContext> context, TcpConnection::Ptr connection);
+	ServerSession(std::shared_ptr<ServerContext> _context, TcpConnection::Ptr _connection);
 
 	/// Begins to read requests.
 	void start();
 
 	/// Sets what is called when the caller leaves before its answer is whole; cleared by the answer's end.
-	void setGoneHandler(std::function<void()> onGone);
+	void setGoneHandler(std::function<void()> _onGone);
 
 	/// Sets what is called when the caller has taken all bytes that were sent.
-	void setDrainedHandler(std::function<void()> onDrained);
+	void setDrainedHandler(std::function<void()> _onDrained);
 
 	/// Answers the present request whole.
 	/// @param[in] closeAfter The connection ends with this answer.
-	void answer(const HttpAnswer& answer, bool closeAfter = false);
+	void answer(const HttpAnswer& _answer, bool _closeAfter = false);
 
 	/// Starts an answer of unknown length.
-	void startAnswer(unsigned status, const HttpHeaders& headers, std::string_view firstBytes);
+	void startAnswer(unsigned _status, const HttpHeaders& _headers, std::string_view _firstBytes);
 
 	/// Adds bytes to an answer that was started.
-	void sendPiece(std::string_view bytes);
+	void sendPiece(std::string_view _bytes);
 
 	/// Ends an answer that was started.
 	void finishAnswer();
@@ -96,16 +96,16 @@
 		Ended,
 	};
 
-	void onBytes(std::string_view bytes);
+	void onBytes(std::string_view _bytes);
 	void parse();
 	void onHead();
-	void refuse(const HttpAnswer& answer);
+	void refuse(const HttpAnswer& _answer);
 	void onTimer();
-	void armTimer(Micros span);
+	void armTimer(Micros _span);
 	void nextRequest();
 	void end();
-	std::string formatHead(unsigned status, const HttpHeaders& headers, bool keepAlive) const;
-	bool mayKeepAlive(bool closeAfter) const;
+	std::string formatHead(unsigned _status, const HttpHeaders& _headers, bool _keepAlive) const;
+	bool mayKeepAlive(bool _closeAfter) const;
 
 	std::shared_ptr<ServerContext> m_context;
 	TcpConnection::Ptr m_connection;
@@ -131,7 +131,8 @@
 public:
 	/// Binds and listens.
 	/// @throws Error SettingInvalid where the address cannot be bound.
-	ServerListener(boost::asio::io_context& context, const Address& address, std::shared_ptr<ServerContext> shared);
+	ServerListener(boost::asio::io_context& _context, const Address& _address,
+				   std::shared_ptr<ServerContext> _shared);
 
 	/// Takes no further connections.
 	void close();
--- a/src/transport/tcpconnection.cpp
+++ b/src/transport/tcpconnection.cpp
@@ -27,36 +27,36 @@
 	return buffer;
 }
 
-void setSocketOptions(tcp::socket& socket, Micros userTimeout)
+void setSocketOptions(tcp::socket& _socket, Micros _userTimeout)
 {
 	BoostError ignored;
-	socket.non_blocking(true, ignored);
-	socket.set_option(tcp::no_delay(true), ignored);
-	const int millis = static_cast<int>(userTimeout / kMillisecond);
-	setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &millis, sizeof millis);
+	_socket.non_blocking(true, ignored);
+	_socket.set_option(tcp::no_delay(true), ignored);
+	const int millis = static_cast<int>(_userTimeout / kMillisecond);
+	setsockopt(_socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &millis, sizeof millis);
 }
 } // namespace
 
-TcpConnection::TcpConnection(Socket socket, Micros userTimeout)
-	: m_socket(std::move(socket)), m_lingerTimer(m_socket.get_executor())
+TcpConnection::TcpConnection(Socket _socket, Micros _userTimeout)
+	: m_socket(std::move(_socket)), m_lingerTimer(m_socket.get_executor())
 {
-	setSocketOptions(m_socket, userTimeout);
+	setSocketOptions(m_socket, _userTimeout);
 }
 
-void TcpConnection::open(asio::io_context& context, const Address& address, Micros span, Micros userTimeout,
-						 ConnectHandler done)
+void TcpConnection::open(asio::io_context& _context, const Address& _address, Micros _span, Micros _userTimeout,
+						 ConnectHandler _done)
 {
 	struct Opening
 	{
-		explicit Opening(asio::io_context& loop) : socket(loop), timer(loop)
+		explicit Opening(asio::io_context& _loop) : socket(_loop), timer(_loop)
 		{
 		}
 		tcp::socket socket;
 		asio::steady_timer timer;
 		bool ended = false;
 	};
-	const auto opening = std::make_shared<Opening>(context);
-	const auto finish = [opening, done = std::move(done), userTimeout](bool connected)
+	const auto opening = std::make_shared<Opening>(_context);
+	const auto finish = [opening, done = std::move(_done), _userTimeout](bool _connected)
 	{
 		if (opening->ended)
 		{
@@ -64,37 +64,37 @@
 		}
 		opening->ended = true;
 		opening->timer.cancel();
-		if (!connected)
+		if (!_connected)
 		{
 			BoostError ignored;
 			opening->socket.close(ignored);
 			done(nullptr);
 			return;
 		}
-		done(std::make_shared<TcpConnection>(std::move(opening->socket), userTimeout));
+		done(std::make_shared<TcpConnection>(std::move(opening->socket), _userTimeout));
 	};
-	opening->timer.expires_after(std::chrono::microseconds(span));
+	opening->timer.expires_after(std::chrono::microseconds(_span));
 	opening->timer.async_wait(
-		[finish](const BoostError& error)
+		[finish](const BoostError& _error)
 		{
-			if (!error)
+			if (!_error)
 			{
 				finish(false);
 			}
 		});
 	BoostError failed;
-	const tcp::endpoint endpoint(asio::ip::make_address(address.host, failed), address.port);
+	const tcp::endpoint endpoint(asio::ip::make_address(_address.host, failed), _address.port);
 	if (failed)
 	{
-		asio::post(context, [finish] { finish(false); });
+		asio::post(_context, [finish] { finish(false); });
 		return;
 	}
-	opening->socket.async_connect(endpoint, [finish](const BoostError& error) { finish(!error); });
+	opening->socket.async_connect(endpoint, [finish](const BoostError& _error) { finish(!_error); });
 }
 
-void TcpConnection::start(ConnectionHandlers handlers)
+void TcpConnection::start(ConnectionHandlers _handlers)
 {
-	m_handlers = std::move(handlers);
+	m_handlers = std::move(_handlers);
 	waitForBytes();
 }
 
@@ -117,10 +117,10 @@
 	}
 	m_reading = true;
 	m_socket.async_wait(tcp::socket::wait_read,
-						[self = shared_from_this()](const BoostError& error)
+						[self = shared_from_this()](const BoostError& _error)
 						{
 							self->m_reading = false;
-							if (error)
+							if (_error)
 							{
 								self->end(ConnectionEnd::Broken);
 								return;
@@ -158,13 +158,13 @@
 	waitForBytes();
 }
 
-void TcpConnection::send(std::string_view bytes)
+void TcpConnection::send(std::string_view _bytes)
 {
 	if (m_closed || m_lingering)
 	{
 		return;
 	}
-	m_unsent += bytes;
+	m_unsent += _bytes;
 	if (!m_writing)
 	{
 		writeBytes();
@@ -198,10 +198,10 @@
 {
 	m_writing = true;
 	m_socket.async_wait(tcp::socket::wait_write,
-						[self = shared_from_this()](const BoostError& error)
+						[self = shared_from_this()](const BoostError& _error)
 						{
 							self->m_writing = false;
-							if (error || self->m_closed)
+							if (_error || self->m_closed)
 							{
 								return;
 							}
@@ -253,9 +253,9 @@
 	waitForBytes();
 	m_lingerTimer.expires_after(std::chrono::microseconds(kLinger));
 	m_lingerTimer.async_wait(
-		[self = shared_from_this()](const BoostError& error)
+		[self = shared_from_this()](const BoostError& _error)
 		{
-			if (!error)
+			if (!_error)
 			{
 				self->close();
 			}
@@ -272,7 +272,7 @@
 	m_socket.shutdown(tcp::socket::shutdown_send, ignored);
 }
 
-void TcpConnection::end(ConnectionEnd how)
+void TcpConnection::end(ConnectionEnd _how)
 {
 	if (m_closed)
 	{
@@ -283,7 +283,7 @@
 	close();
 	if (handler)
 	{
-		handler(how);
+		handler(_how);
 	}
 }
 
--- a/src/transport/tcpconnection.h
+++ b/src/transport/tcpconnection.h
@@ -46,16 +46,16 @@
 
 	/// Takes over an open socket.
 	/// @param[in] userTimeout How long sent bytes may stay unacknowledged.
-	TcpConnection(Socket socket, Micros userTimeout);
+	TcpConnection(Socket _socket, Micros _userTimeout);
 
 	/// Opens a connection.
 	/// @param[in] done Gets the connection, or nullptr where none came up within the span. Never called
 	/// from inside this function.
-	static void open(boost::asio::io_context& context, const Address& address, Micros span, Micros userTimeout,
-					 ConnectHandler done);
+	static void open(boost::asio::io_context& _context, const Address& _address, Micros _span, Micros _userTimeout,
+					 ConnectHandler _done);
 
 	/// Sets the handlers and begins to read.
-	void start(ConnectionHandlers handlers);
+	void start(ConnectionHandlers _handlers);
 
 	/// Stops reading after the present bytes; the end of the connection is not noticed meanwhile.
 	void pauseReading();
@@ -64,7 +64,7 @@
 	void resumeReading();
 
 	/// Sends bytes, in order.
-	void send(std::string_view bytes);
+	void send(std::string_view _bytes);
 
 	/// @returns bytes that the system has not taken yet.
 	std::size_t unsent() const
@@ -100,7 +100,7 @@
 	void waitForSpace();
 	void writeBytes();
 	void shutdownSending();
-	void end(ConnectionEnd how);
+	void end(ConnectionEnd _how);
 
 	Socket m_socket;
 	boost::asio::steady_timer m_lingerTimer;
--- a/tests/capacitytest.cpp
+++ b/tests/capacitytest.cpp
@@ -39,7 +39,7 @@
 		scaling.zonePrices = {{"a", 1.0}, {"b", 0.8}, {"c", 1.25}, {"d", 0.9}};
 	}
 
-	void step(const CapacityPlanner::Need& need)
+	void step(const CapacityPlanner::Need& _need)
 	{
 		now += kTick;
 		for (auto& [key, pool] : pools)
@@ -57,7 +57,7 @@
 			zones[zone].spot = pools[{zone, true}].standing;
 			zones[zone].reclaiming = reclaiming.count(zone) > 0 && now < reclaiming[zone];
 		}
-		for (const CapacityOrder& order : planner.plan(scaling, zones, need, now))
+		for (const CapacityOrder& order : planner.plan(scaling, zones, _need, now))
 		{
 			++orders;
 			const bool refused = order.spot && (dryUntil > now || dryZones[order.dataCentre] > now);
@@ -69,35 +69,35 @@
 		}
 	}
 
-	void run(const CapacityPlanner::Need& need, Micros span)
+	void run(const CapacityPlanner::Need& _need, Micros _span)
 	{
-		for (const Micros until = now + span; now < until;)
+		for (const Micros until = now + _span; now < until;)
 		{
-			step(need);
+			step(_need);
 		}
 	}
 
-	void reclaim(const std::string& zone, Micros dry)
+	void reclaim(const std::string& _zone, Micros _dry)
 	{
-		pools[{zone, true}] = {};
-		reclaiming[zone] = now + 2 * kSecond;
-		dryUntil = now + dry;
+		pools[{_zone, true}] = {};
+		reclaiming[_zone] = now + 2 * kSecond;
+		dryUntil = now + _dry;
 	}
 
 	/// As reclaim(), and the other zones go on giving spot capacity.
-	void reclaimAlone(const std::string& zone, Micros dry)
+	void reclaimAlone(const std::string& _zone, Micros _dry)
 	{
-		pools[{zone, true}] = {};
-		reclaiming[zone] = now + 2 * kSecond;
-		dryZones[zone] = now + dry;
+		pools[{_zone, true}] = {};
+		reclaiming[_zone] = now + 2 * kSecond;
+		dryZones[_zone] = now + _dry;
 	}
 
-	unsigned count(bool spot) const
+	unsigned count(bool _spot) const
 	{
 		unsigned sum = 0;
 		for (const auto& [key, pool] : pools)
 		{
-			sum += key.second == spot ? pool.standing : 0;
+			sum += key.second == _spot ? pool.standing : 0;
 		}
 		return sum;
 	}
@@ -112,15 +112,15 @@
 	unsigned orders = 0;
 
 private:
-	void fill(const CapacityOrder& order)
+	void fill(const CapacityOrder& _order)
 	{
-		Pool& pool = pools[{order.dataCentre, order.spot}];
-		while (pool.standing + pool.booting.size() > order.count && !pool.booting.empty())
+		Pool& pool = pools[{_order.dataCentre, _order.spot}];
+		while (pool.standing + pool.booting.size() > _order.count && !pool.booting.empty())
 		{
 			pool.booting.pop_back();
 		}
-		pool.standing = std::min(pool.standing, order.count);
-		while (pool.standing + pool.booting.size() < order.count)
+		pool.standing = std::min(pool.standing, _order.count);
+		while (pool.standing + pool.booting.size() < _order.count)
 		{
 			pool.booting.push_back(now + scaling.bootTime);
 		}
@@ -250,9 +250,9 @@
 	EXPECT_LE(platform.orders - orders, 5u) << "only the dry zone is asked again";
 	platform.run({12, 6, true}, 25 * kSecond);
 	EXPECT_EQ(platform.count(true), 12u);
-	const auto placed = [&](const char* zone)
+	const auto placed = [&](const char* _zone)
 	{
-		return platform.pools[{zone, true}].standing;
+		return platform.pools[{_zone, true}].standing;
 	};
 	EXPECT_EQ(placed("a"), 3u);
 }
--- a/tests/contenttest.cpp
+++ b/tests/contenttest.cpp
@@ -18,20 +18,20 @@
 {
 namespace
 {
-RoutingConfigPtr configOf(std::uint64_t version)
+RoutingConfigPtr configOf(std::uint64_t _version)
 {
 	auto config = std::make_shared<RoutingConfig>();
-	config->version = version;
+	config->version = _version;
 	config->buildIndex();
 	return config;
 }
 
-BackendRecord backendOf(const std::string& id, bool draining = false)
+BackendRecord backendOf(const std::string& _id, bool _draining = false)
 {
 	BackendRecord record;
-	record.id = id;
+	record.id = _id;
 	record.service = "model";
-	record.draining = draining;
+	record.draining = _draining;
 	return record;
 }
 } // namespace
--- a/tests/gatewaydraintest.cpp
+++ b/tests/gatewaydraintest.cpp
@@ -33,12 +33,12 @@
 constexpr unsigned kManyRoutes = 4'000;     ///< 1.1 MB as the store sends them: 2.2 s over that link.
 constexpr Micros kDrainBound = 2 * kSecond; ///< From a departure's record until no request may arrive.
 
-std::string largeConfig(std::uint64_t version, const std::string& key)
+std::string largeConfig(std::uint64_t _version, const std::string& _key)
 {
 	standin::SiteConfig made;
-	made.version = version;
+	made.version = _version;
 	made.host = "h.example";
-	made.keys = {key};
+	made.keys = {_key};
 	made.routes = {{"/safe/", "safe", 2}};
 	for (unsigned number = 0; number < kManyRoutes; ++number)
 	{
@@ -64,13 +64,13 @@
 
 	/// Calls the second gateway some times.
 	/// @returns how many of the calls the first worker ran.
-	std::size_t runsAtFirstWorker(const std::string& name)
+	std::size_t runsAtFirstWorker(const std::string& _name)
 	{
 		constexpr int kCalls = 12;
 		const std::size_t before = workers[0]->runs().size();
 		for (int number = 0; number < kCalls; ++number)
 		{
-			EXPECT_EQ(statusOf(call("GET", "/safe/", name + std::to_string(number), "key", 2)), 200u);
+			EXPECT_EQ(statusOf(call("GET", "/safe/", _name + std::to_string(number), "key", 2)), 200u);
 		}
 		return workers[0]->runs().size() - before;
 	}
--- a/tests/gatewayfixture.h
+++ b/tests/gatewayfixture.h
@@ -39,12 +39,12 @@
 class Caller
 {
 public:
-	explicit Caller(const Address& address) : m_socket(socket(AF_INET, SOCK_STREAM, 0))
+	explicit Caller(const Address& _address) : m_socket(socket(AF_INET, SOCK_STREAM, 0))
 	{
 		sockaddr_in target{};
 		target.sin_family = AF_INET;
-		target.sin_port = htons(address.port);
-		inet_pton(AF_INET, address.host.c_str(), &target.sin_addr);
+		target.sin_port = htons(_address.port);
+		inet_pton(AF_INET, _address.host.c_str(), &target.sin_addr);
 		connected = connect(m_socket, reinterpret_cast<const sockaddr*>(&target), sizeof target) == 0;
 	}
 
@@ -65,17 +65,17 @@
 		}
 	}
 
-	void say(const std::string& bytes) const
+	void say(const std::string& _bytes) const
 	{
-		::send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+		::send(m_socket, _bytes.data(), _bytes.size(), MSG_NOSIGNAL);
 	}
 
 	/// Reads until a text has come, the connection ends, or the span is over.
-	std::string hear(const std::string& until, Micros span = 10 * kSecond)
+	std::string hear(const std::string& _until, Micros _span = 10 * kSecond)
 	{
 		std::string heard;
-		const Micros end = monotonicNow() + span;
-		while (monotonicNow() < end && (until.empty() || heard.find(until) == std::string::npos))
+		const Micros end = monotonicNow() + _span;
+		while (monotonicNow() < end && (_until.empty() || heard.find(_until) == std::string::npos))
 		{
 			pollfd ready{m_socket, POLLIN, 0};
 			if (poll(&ready, 1, 20) != 1)
@@ -107,8 +107,8 @@
 class RunningGateway
 {
 public:
-	explicit RunningGateway(const GatewaySettings& settings)
-		: m_gateway(settings, [settings] { return settings; }), m_thread([this] { serve(); })
+	explicit RunningGateway(const GatewaySettings& _settings)
+		: m_gateway(_settings, [_settings] { return _settings; }), m_thread([this] { serve(); })
 	{
 	}
 
@@ -162,29 +162,29 @@
 		store->put(platform::kConfigKey, config(1));
 	}
 
-	std::string host(unsigned number) const
+	std::string host(unsigned _number) const
 	{
-		return m_net + std::to_string(number);
+		return m_net + std::to_string(_number);
 	}
 
-	static std::string workerId(unsigned number)
+	static std::string workerId(unsigned _number)
 	{
-		return "w" + std::to_string(number);
+		return "w" + std::to_string(_number);
 	}
 
-	void registerWorker(unsigned number, const std::string& state)
+	void registerWorker(unsigned _number, const std::string& _state)
 	{
 		constexpr unsigned kSlots = 4;
-		const Address address{host(100 + number), kWorkerPort};
-		store->put("servers/" + workerId(number), standin::formatRecord(address, kSlots, state));
+		const Address address{host(100 + _number), kWorkerPort};
+		store->put("servers/" + workerId(_number), standin::formatRecord(address, kSlots, _state));
 	}
 
-	static std::string config(std::uint64_t version, const std::vector<std::string>& keys = {"key"})
+	static std::string config(std::uint64_t _version, const std::vector<std::string>& _keys = {"key"})
 	{
 		standin::SiteConfig made;
-		made.version = version;
+		made.version = _version;
 		made.host = "h.example";
-		made.keys = keys;
+		made.keys = _keys;
 		made.routes = {{"/safe/", "safe", 2},
 					   {"/unsafe/", "unsafe", 1},
 					   {"/stream/once/", "streaming", 1},
@@ -193,14 +193,14 @@
 		return standin::formatConfig(made);
 	}
 
-	GatewaySettings settings(unsigned number) const
+	GatewaySettings settings(unsigned _number) const
 	{
 		GatewaySettings made;
-		made.name = "g" + std::to_string(number);
+		made.name = "g" + std::to_string(_number);
 		made.dataCentre = "z1";
-		made.callers = {host(number), kCallerPort};
-		made.readiness = {host(number), kReadyPort};
-		made.control = Address{host(number), kControlPort};
+		made.callers = {host(_number), kCallerPort};
+		made.readiness = {host(_number), kReadyPort};
+		made.control = Address{host(_number), kControlPort};
 		made.gossipPort = kGossipPort;
 		made.seeds = {{host(1), kControlPort}, {host(2), kControlPort}};
 		made.store = {host(200), kStorePort};
@@ -214,62 +214,62 @@
 		return made;
 	}
 
-	void startGateway(const GatewaySettings& chosen)
+	void startGateway(const GatewaySettings& _chosen)
 	{
-		gateways.push_back(std::make_unique<RunningGateway>(chosen));
-		ASSERT_TRUE(await([&] { return isReady(chosen.readiness); })) << chosen.name << " did not get ready";
+		gateways.push_back(std::make_unique<RunningGateway>(_chosen));
+		ASSERT_TRUE(await([&] { return isReady(_chosen.readiness); })) << _chosen.name << " did not get ready";
 	}
 
-	static bool isReady(const Address& address)
+	static bool isReady(const Address& _address)
 	{
-		Caller caller(address);
+		Caller caller(_address);
 		caller.say("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
 		return caller.hear("\r\n\r\n", kSecond).find("HTTP/1.1 200") == 0;
 	}
 
-	static std::string request(const std::string& method, const std::string& path, const std::string& id,
-							   const std::string& more = "", const std::string& body = "")
+	static std::string request(const std::string& _method, const std::string& _path, const std::string& _id,
+							   const std::string& _more = "", const std::string& _body = "")
 	{
-		std::string bytes = method + ' ' + path + " HTTP/1.1\r\nHost: h.example\r\n" + platform::kRequestId + ": " +
-							id + "\r\n" + platform::kDeadline + ": 5000\r\n" + more;
-		if (!body.empty())
+		std::string bytes = _method + ' ' + _path + " HTTP/1.1\r\nHost: h.example\r\n" + platform::kRequestId +
+							": " + _id + "\r\n" + platform::kDeadline + ": 5000\r\n" + _more;
+		if (!_body.empty())
 		{
-			bytes += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+			bytes += "Content-Length: " + std::to_string(_body.size()) + "\r\n";
 		}
-		return bytes + "\r\n" + body;
+		return bytes + "\r\n" + _body;
 	}
 
 	/// Sends one request and reads the whole answer.
-	std::string call(const std::string& method, const std::string& path, const std::string& id,
-					 const std::string& key = "key", unsigned gateway = 1)
+	std::string call(const std::string& _method, const std::string& _path, const std::string& _id,
+					 const std::string& _key = "key", unsigned _gateway = 1)
 	{
-		Caller caller({host(gateway), kCallerPort});
-		const std::string header = key.empty() ? "" : std::string(platform::kApiKey) + ": " + key + "\r\n";
-		caller.say(request(method, path, id, header + "Connection: close\r\n", method == "POST" ? "body" : ""));
+		Caller caller({host(_gateway), kCallerPort});
+		const std::string header = _key.empty() ? "" : std::string(platform::kApiKey) + ": " + _key + "\r\n";
+		caller.say(request(_method, _path, _id, header + "Connection: close\r\n", _method == "POST" ? "body" : ""));
 		return caller.hear("");
 	}
 
-	unsigned runsOf(const std::string& id)
+	unsigned runsOf(const std::string& _id)
 	{
-		return workers[0]->runsOf(id) + workers[1]->runsOf(id);
+		return workers[0]->runsOf(_id) + workers[1]->runsOf(_id);
 	}
 
-	void setFaults(standin::WorkerFault fault)
+	void setFaults(standin::WorkerFault _fault)
 	{
 		for (auto& worker : workers)
 		{
-			worker->setFault(fault);
+			worker->setFault(_fault);
 		}
 	}
 
-	static unsigned statusOf(const std::string& answer)
+	static unsigned statusOf(const std::string& _answer)
 	{
-		return answer.size() < 12 ? 0 : static_cast<unsigned>(std::atoi(answer.c_str() + 9));
+		return _answer.size() < 12 ? 0 : static_cast<unsigned>(std::atoi(_answer.c_str() + 9));
 	}
 
-	static bool has(const std::string& answer, const std::string& text)
+	static bool has(const std::string& _answer, const std::string& _text)
 	{
-		return answer.find(text) != std::string::npos;
+		return _answer.find(_text) != std::string::npos;
 	}
 
 	std::unique_ptr<standin::PlatformStore> store;
--- a/tests/gatewayprotocoltest.cpp
+++ b/tests/gatewayprotocoltest.cpp
@@ -37,30 +37,30 @@
 };
 
 /// Feeds bytes in pieces of the given sizes, the last one again and again.
-Parsed parse(MessageKind kind, const std::string& bytes, const std::vector<std::uint8_t>& sizes = {},
-			 std::size_t bodyLimit = kBodyLimit)
+Parsed parse(MessageKind _kind, const std::string& _bytes, const std::vector<std::uint8_t>& _sizes = {},
+			 std::size_t _bodyLimit = kBodyLimit)
 {
-	MessageParser parser(kind, kHeaderLimit, bodyLimit);
+	MessageParser parser(_kind, kHeaderLimit, _bodyLimit);
 	Parsed parsed;
 	std::string input;
 	std::size_t given = 0;
 	std::size_t turn = 0;
-	while (given < bytes.size() && !parser.done() && parser.fault() == ParseFault::None)
+	while (given < _bytes.size() && !parser.done() && parser.fault() == ParseFault::None)
 	{
-		const std::size_t size = sizes.empty() ? bytes.size() : 1 + sizes[turn++ % sizes.size()] % 40;
-		const std::size_t count = std::min(size, bytes.size() - given);
-		input += bytes.substr(given, count);
+		const std::size_t size = _sizes.empty() ? _bytes.size() : 1 + _sizes[turn++ % _sizes.size()] % 40;
+		const std::size_t count = std::min(size, _bytes.size() - given);
+		input += _bytes.substr(given, count);
 		given += count;
 		input.erase(0, parser.consume(input, parsed.body));
 	}
 	parsed.fault = parser.fault();
 	parsed.done = parser.done();
 	parsed.head = parser.head();
-	parsed.rest = input + bytes.substr(given);
+	parsed.rest = input + _bytes.substr(given);
 	return parsed;
 }
 
-std::string settingsText(const std::string& change = "")
+std::string settingsText(const std::string& _change = "")
 {
 	Json settings = parseJson(R"({"nodeName": "front-1", "zone": "z1", "zones": {"z1": "r", "z2": "r"},
 		"listen": {"frontend": "10.0.0.1:80", "readiness": "10.0.0.1:81", "control": "10.0.0.1:82"},
@@ -69,9 +69,9 @@
 		"platform": {"address": "10.0.1.1:90"},
 		"cloudApi": {"address": "10.0.1.2:90", "duties": ["usage_reporting"]}})",
 							  Failure::SettingInvalid);
-	if (!change.empty())
+	if (!_change.empty())
 	{
-		settings.merge_patch(parseJson(change, Failure::SettingInvalid));
+		settings.merge_patch(parseJson(_change, Failure::SettingInvalid));
 	}
 	return settings.dump();
 }
--- a/tests/gatewaystoretest.cpp
+++ b/tests/gatewaystoretest.cpp
@@ -60,10 +60,10 @@
 TEST_F(GatewayTest, oneGatewayOfADataCentreReadsTheStoreForTheOthers)
 {
 	constexpr int kGateways = 4;
-	const auto callsIn = [&](Micros span)
+	const auto callsIn = [&](Micros _span)
 	{
 		const unsigned before = store->calls();
-		std::this_thread::sleep_for(std::chrono::microseconds(span));
+		std::this_thread::sleep_for(std::chrono::microseconds(_span));
 		return store->calls() - before;
 	};
 	startGateway(settings(1));
--- a/tests/httpchanneltest.cpp
+++ b/tests/httpchanneltest.cpp
@@ -42,18 +42,18 @@
 	}
 
 	/// @returns whether the answer came whole.
-	bool readWithin(Micros span, Micros longest)
+	bool readWithin(Micros _span, Micros _longest)
 	{
 		ChannelRequest request;
 		request.target = "/kv-range?pathPrefix=";
-		request.longest = longest;
+		request.longest = _longest;
 		std::promise<bool> whole;
 		m_loop.run(
 			[&]
 			{
-				m_channel->call(request, span,
-								[&whole](const std::optional<HttpAnswer>& answer)
-								{ whole.set_value(answer && answer->body.size() > kValueBytes); });
+				m_channel->call(request, _span,
+								[&whole](const std::optional<HttpAnswer>& _answer)
+								{ whole.set_value(_answer && _answer->body.size() > kValueBytes); });
 			});
 		return whole.get_future().get();
 	}
--- a/tests/quotatest.cpp
+++ b/tests/quotatest.cpp
@@ -18,14 +18,14 @@
 {
 namespace
 {
-RoutingConfigPtr limitedConfig(double rate, double burst)
+RoutingConfigPtr limitedConfig(double _rate, double _burst)
 {
 	auto config = std::make_shared<RoutingConfig>();
 	TeamAccess team;
 	team.name = "team";
 	team.keys = {"key"};
-	team.ratePerSecond = rate;
-	team.burst = burst;
+	team.ratePerSecond = _rate;
+	team.burst = _burst;
 	config->teams = {team};
 	config->buildIndex();
 	return config;
@@ -198,16 +198,16 @@
 	std::minstd_rand random(7);
 	std::uint64_t incarnation = 0;
 	Micros started = 0;
-	const auto start = [&](Micros now)
+	const auto start = [&](Micros _now)
 	{
 		++incarnation;
-		started = now;
+		started = _now;
 		ledgers.assign(kGateways, QuotaLedger());
 		for (QuotaLedger& ledger : ledgers)
 		{
 			ledger.setFirstStart(incarnation == 1);
 			ledger.setMembers(kGateways);
-			ledger.configure(*config, now);
+			ledger.configure(*config, _now);
 		}
 	};
 	Micros now = kSecond;
@@ -373,11 +373,11 @@
 TEST(QuotaLedger, oneThatIsRestartedGoesOnWithAPartOfWhatWasLeft)
 {
 	const RoutingConfigPtr config = limitedConfig(1000.0, 800.0);
-	const auto taken = [&config](std::map<std::string, std::uint64_t> kept)
+	const auto taken = [&config](std::map<std::string, std::uint64_t> _kept)
 	{
 		QuotaLedger ledger;
 		ledger.setFirstStart(false);
-		ledger.setKeptLevels(std::move(kept));
+		ledger.setKeptLevels(std::move(_kept));
 		ledger.configure(*config, kSecond);
 		double sum = 0.0;
 		while (ledger.take("team", 10.0, kSecond) == 0)
--- a/tools/standin/platform.cpp
+++ b/tools/standin/platform.cpp
@@ -25,39 +25,39 @@
 constexpr std::size_t kHeaderBytes = 64u << 10;
 constexpr std::size_t kBodyBytes = 8u << 20;
 
-HttpAnswer jsonAnswer(unsigned status, const Json& body)
+HttpAnswer jsonAnswer(unsigned _status, const Json& _body)
 {
-	return HttpAnswer{status, {{"Content-Type", "application/json"}}, body.dump()};
+	return HttpAnswer{_status, {{"Content-Type", "application/json"}}, _body.dump()};
 }
 
-std::string queryField(const std::string& target, const std::string& name)
+std::string queryField(const std::string& _target, const std::string& _name)
 {
-	const std::string marked = name + "=";
-	std::size_t at = target.find('?');
+	const std::string marked = _name + "=";
+	std::size_t at = _target.find('?');
 	while (at != std::string::npos)
 	{
 		const std::size_t start = at + 1;
-		at = target.find('&', start);
-		if (target.compare(start, marked.size(), marked) == 0)
+		at = _target.find('&', start);
+		if (_target.compare(start, marked.size(), marked) == 0)
 		{
-			return target.substr(start + marked.size(), at == std::string::npos ? at : at - start - marked.size());
+			return _target.substr(start + marked.size(), at == std::string::npos ? at : at - start - marked.size());
 		}
 	}
 	return "";
 }
 
-std::uint64_t numberAfter(const std::string& target, const std::string& prefix)
+std::uint64_t numberAfter(const std::string& _target, const std::string& _prefix)
 {
-	return std::strtoull(target.c_str() + prefix.size(), nullptr, 10);
+	return std::strtoull(_target.c_str() + _prefix.size(), nullptr, 10);
 }
 
 std::shared_ptr<ServerContext>
-makeContext(const std::function<void(const ServerSessionPtr&, const IncomingRequest&)>& onRequest)
+makeContext(const std::function<void(const ServerSessionPtr&, const IncomingRequest&)>& _onRequest)
 {
 	auto context = std::make_shared<ServerContext>();
-	context->onRequest = [onRequest](const ServerSessionPtr& session, IncomingRequest&& request)
+	context->onRequest = [_onRequest](const ServerSessionPtr& _session, IncomingRequest&& _request)
 	{
-		onRequest(session, request);
+		_onRequest(_session, _request);
 	};
 	context->onMalformed = [](ParseFault)
 	{
@@ -90,26 +90,26 @@
 	m_thread.join();
 }
 
-void LoopThread::run(const std::function<void()>& function)
+void LoopThread::run(const std::function<void()>& _function)
 {
 	std::promise<void> done;
 	asio::post(m_context,
 			   [&]
 			   {
-				   function();
+				   _function();
 				   done.set_value();
 			   });
 	done.get_future().wait();
 }
 
-PlatformStore::PlatformStore(const Address& address) : m_timer(m_loop.context())
+PlatformStore::PlatformStore(const Address& _address) : m_timer(m_loop.context())
 {
-	m_context = makeContext([this](const ServerSessionPtr& session, const IncomingRequest& request)
-							{ onRequest(session, request); });
+	m_context = makeContext([this](const ServerSessionPtr& _session, const IncomingRequest& _request)
+							{ onRequest(_session, _request); });
 	m_loop.run(
 		[&]
 		{
-			m_listener = std::make_unique<ServerListener>(m_loop.context(), address, m_context);
+			m_listener = std::make_unique<ServerListener>(m_loop.context(), _address, m_context);
 			scheduleExpiry();
 		});
 }
@@ -125,34 +125,34 @@
 		});
 }
 
-void PlatformStore::put(const std::string& key, const std::string& value)
+void PlatformStore::put(const std::string& _key, const std::string& _value)
 {
 	m_loop.run(
 		[&]
 		{
-			change(key, &value, 0);
+			change(_key, &_value, 0);
 			wakeWatches();
 		});
 }
 
-void PlatformStore::remove(const std::string& key)
+void PlatformStore::remove(const std::string& _key)
 {
 	m_loop.run(
 		[&]
 		{
-			change(key, nullptr, 0);
+			change(_key, nullptr, 0);
 			wakeWatches();
 		});
 }
 
-std::string PlatformStore::get(const std::string& key)
+std::string PlatformStore::get(const std::string& _key)
 {
 	std::string value;
-	m_loop.run([&] { value = m_items.count(key) ? m_items.at(key).value : ""; });
+	m_loop.run([&] { value = m_items.count(_key) ? m_items.at(_key).value : ""; });
 	return value;
 }
 
-std::vector<std::string> PlatformStore::keys(const std::string& prefix)
+std::vector<std::string> PlatformStore::keys(const std::string& _prefix)
 {
 	std::vector<std::string> found;
 	m_loop.run(
@@ -160,7 +160,7 @@
 		{
 			for (const auto& [key, item] : m_items)
 			{
-				if (key.starts_with(prefix))
+				if (key.starts_with(_prefix))
 				{
 					found.push_back(key);
 				}
@@ -169,45 +169,45 @@
 	return found;
 }
 
-void PlatformStore::setFault(StoreFault fault)
+void PlatformStore::setFault(StoreFault _fault)
 {
-	m_loop.run([&] { m_fault = fault; });
+	m_loop.run([&] { m_fault = _fault; });
 }
 
-void PlatformStore::setReadRate(std::size_t bytesPerSecond)
+void PlatformStore::setReadRate(std::size_t _bytesPerSecond)
 {
-	m_loop.run([&] { m_readRate = bytesPerSecond; });
+	m_loop.run([&] { m_readRate = _bytesPerSecond; });
 }
 
-void PlatformStore::answerRead(const ServerSessionPtr& session, const HttpAnswer& answer)
+void PlatformStore::answerRead(const ServerSessionPtr& _session, const HttpAnswer& _answer)
 {
 	if (m_readRate == 0)
 	{
-		session->answer(answer);
+		_session->answer(_answer);
 		return;
 	}
-	session->startAnswer(answer.status, answer.headers, "");
-	sendRest(session, answer.body);
+	_session->startAnswer(_answer.status, _answer.headers, "");
+	sendRest(_session, _answer.body);
 }
 
-void PlatformStore::sendRest(const ServerSessionPtr& session, std::string rest)
+void PlatformStore::sendRest(const ServerSessionPtr& _session, std::string _rest)
 {
 	const std::size_t piece = std::max<std::size_t>(1, m_readRate * kPieceInterval / kSecond);
-	session->sendPiece(std::string_view(rest).substr(0, piece));
-	rest.erase(0, piece);
-	if (rest.empty())
+	_session->sendPiece(std::string_view(_rest).substr(0, piece));
+	_rest.erase(0, piece);
+	if (_rest.empty())
 	{
-		session->finishAnswer();
+		_session->finishAnswer();
 		return;
 	}
 	const auto timer = std::make_shared<asio::steady_timer>(m_loop.context());
 	timer->expires_after(std::chrono::microseconds(kPieceInterval));
 	timer->async_wait(
-		[this, timer, session, rest = std::move(rest)](const BoostError& error)
+		[this, timer, _session, rest = std::move(_rest)](const BoostError& _error)
 		{
-			if (!error)
+			if (!_error)
 			{
-				sendRest(session, rest);
+				sendRest(_session, rest);
 			}
 		});
 }
@@ -227,39 +227,39 @@
 		});
 }
 
-void PlatformStore::onRequest(const ServerSessionPtr& session, const IncomingRequest& request)
+void PlatformStore::onRequest(const ServerSessionPtr& _session, const IncomingRequest& _request)
 {
 	++m_calls;
-	const std::string& target = request.head.target;
+	const std::string& target = _request.head.target;
 	if (m_fault == StoreFault::Silent)
 	{
 		return;
 	}
 	if (m_fault == StoreFault::Busy)
 	{
-		session->answer(HttpAnswer{503, {}, ""});
+		_session->answer(HttpAnswer{503, {}, ""});
 		return;
 	}
 	if (target.starts_with("/kv-watch"))
 	{
-		watch(session, queryField(target, "pathPrefix"),
+		watch(_session, queryField(target, "pathPrefix"),
 			  std::strtoull(queryField(target, "sinceRevision").c_str(), nullptr, 10),
 			  std::strtoll(queryField(target, "waitMs").c_str(), nullptr, 10) * kMillisecond);
 		return;
 	}
 	if (target.starts_with("/kv-range"))
 	{
-		answerRead(session, range(queryField(target, "pathPrefix"), queryField(target, "sinceRevision")));
+		answerRead(_session, range(queryField(target, "pathPrefix"), queryField(target, "sinceRevision")));
 		return;
 	}
 	HttpAnswer answer{404, {}, ""};
 	if (target == "/kv-txn")
 	{
-		answer = transact(request.body);
+		answer = transact(_request.body);
 	}
 	else if (target == "/kv-lease")
 	{
-		answer = openLease(request.body);
+		answer = openLease(_request.body);
 	}
 	else if (target.starts_with("/kv-keep/"))
 	{
@@ -267,16 +267,16 @@
 	}
 	if (m_fault != StoreFault::LosesWrites)
 	{
-		session->answer(answer);
+		_session->answer(answer);
 	}
 }
 
-HttpAnswer PlatformStore::range(const std::string& prefix, const std::string& after)
+HttpAnswer PlatformStore::range(const std::string& _prefix, const std::string& _after)
 {
 	Json items = Json::array();
 	for (const auto& [key, item] : m_items)
 	{
-		if (key.starts_with(prefix) && key > after)
+		if (key.starts_with(_prefix) && key > _after)
 		{
 			items.push_back({{"key", key}, {"value", toBase64(item.value)}, {"revision", item.revision}});
 		}
@@ -284,9 +284,9 @@
 	return jsonAnswer(200, {{"items", items}, {"more", false}, {"at", m_revision}});
 }
 
-HttpAnswer PlatformStore::transact(const std::string& body)
+HttpAnswer PlatformStore::transact(const std::string& _body)
 {
-	const Json root = parseJson(body, Failure::MalformedRequest);
+	const Json root = parseJson(_body, Failure::MalformedRequest);
 	Json found = Json::array();
 	bool holds = true;
 	for (const Json& condition : root.at("expectedRevision"))
@@ -324,17 +324,17 @@
 	return jsonAnswer(200, {{"revision", m_revision}});
 }
 
-HttpAnswer PlatformStore::openLease(const std::string& body)
+HttpAnswer PlatformStore::openLease(const std::string& _body)
 {
-	const Micros span = parseJson(body, Failure::MalformedRequest).at("ttl_ms").get<Micros>() * kMillisecond;
+	const Micros span = parseJson(_body, Failure::MalformedRequest).at("ttl_ms").get<Micros>() * kMillisecond;
 	const std::uint64_t lease = m_nextLease++;
 	m_leases[lease] = {monotonicNow() + span, span};
 	return jsonAnswer(200, {{"lease", lease}, {"ttl_ms", span / kMillisecond}});
 }
 
-HttpAnswer PlatformStore::renewLease(std::uint64_t lease)
+HttpAnswer PlatformStore::renewLease(std::uint64_t _lease)
 {
-	const auto it = m_leases.find(lease);
+	const auto it = m_leases.find(_lease);
 	if (it == m_leases.end())
 	{
 		return HttpAnswer{404, {}, ""};
@@ -343,25 +343,25 @@
 	return jsonAnswer(200, {{"ttl_ms", it->second.second / kMillisecond}});
 }
 
-void PlatformStore::change(const std::string& key, const std::string* value, std::uint64_t lease)
+void PlatformStore::change(const std::string& _key, const std::string* _value, std::uint64_t _lease)
 {
 	++m_revision;
-	if (value)
+	if (_value)
 	{
-		m_items[key] = {*value, m_revision, lease};
-		m_events.push_back({key, *value, m_revision, false});
+		m_items[_key] = {*_value, m_revision, _lease};
+		m_events.push_back({_key, *_value, m_revision, false});
 		return;
 	}
-	m_items.erase(key);
-	m_events.push_back({key, "", m_revision, true});
+	m_items.erase(_key);
+	m_events.push_back({_key, "", m_revision, true});
 }
 
-HttpAnswer PlatformStore::eventsSince(const std::string& prefix, std::uint64_t since) const
+HttpAnswer PlatformStore::eventsSince(const std::string& _prefix, std::uint64_t _since) const
 {
 	Json events = Json::array();
 	for (const Event& event : m_events)
 	{
-		if (event.revision <= since || !event.key.starts_with(prefix))
+		if (event.revision <= _since || !event.key.starts_with(_prefix))
 		{
 			continue;
 		}
@@ -379,27 +379,27 @@
 	return jsonAnswer(200, {{"events", events}, {"at", m_revision}});
 }
 
-void PlatformStore::watch(const ServerSessionPtr& session, const std::string& prefix, std::uint64_t since,
-						  Micros span)
+void PlatformStore::watch(const ServerSessionPtr& _session, const std::string& _prefix, std::uint64_t _since,
+						  Micros _span)
 {
-	if (since < m_historyStart)
+	if (_since < m_historyStart)
 	{
-		session->answer(HttpAnswer{410, {}, ""});
+		_session->answer(HttpAnswer{410, {}, ""});
 		return;
 	}
-	m_watches.push_back({session, prefix, since});
+	m_watches.push_back({_session, _prefix, _since});
 	wakeWatches();
-	auto timer = std::make_shared<asio::steady_timer>(m_loop.context(), std::chrono::microseconds(span));
+	auto timer = std::make_shared<asio::steady_timer>(m_loop.context(), std::chrono::microseconds(_span));
 	timer->async_wait(
-		[this, timer, session, prefix, since](const BoostError& error)
+		[this, timer, _session, _prefix, _since](const BoostError& _error)
 		{
-			const auto waits = [&](const Watch& watch)
+			const auto waits = [&](const Watch& _watch)
 			{
-				return watch.session == session;
+				return _watch.session == _session;
 			};
-			if (!error && std::erase_if(m_watches, waits) > 0)
+			if (!_error && std::erase_if(m_watches, waits) > 0)
 			{
-				session->answer(eventsSince(prefix, since));
+				_session->answer(eventsSince(_prefix, _since));
 			}
 		});
 }
@@ -409,9 +409,9 @@
 	std::vector<Watch> waiting;
 	for (const Watch& watch : m_watches)
 	{
-		const auto news = [&](const Event& event)
+		const auto news = [&](const Event& _event)
 		{
-			return event.revision > watch.since && event.key.starts_with(watch.prefix);
+			return _event.revision > watch.since && _event.key.starts_with(watch.prefix);
 		};
 		if (std::any_of(m_events.begin(), m_events.end(), news))
 		{
@@ -429,9 +429,9 @@
 {
 	m_timer.expires_after(std::chrono::microseconds(kExpiryInterval));
 	m_timer.async_wait(
-		[this](const BoostError& error)
+		[this](const BoostError& _error)
 		{
-			if (!error)
+			if (!_error)
 			{
 				expireLeases();
 				scheduleExpiry();
@@ -466,24 +466,24 @@
 	}
 }
 
-PlatformDuties::PlatformDuties(const Address& address)
+PlatformDuties::PlatformDuties(const Address& _address)
 {
 	m_context = makeContext(
-		[this](const ServerSessionPtr& session, const IncomingRequest& request)
+		[this](const ServerSessionPtr& _session, const IncomingRequest& _request)
 		{
 			DutyCall call;
-			call.target = request.head.target;
-			call.holder = std::string(findHeader(request.head.headers, platform::kDutyHolder));
-			call.fence =
-				std::strtoull(std::string(findHeader(request.head.headers, platform::kFence)).c_str(), nullptr, 10);
-			call.body = request.body;
+			call.target = _request.head.target;
+			call.holder = std::string(findHeader(_request.head.headers, platform::kDutyHolder));
+			call.fence = std::strtoull(std::string(findHeader(_request.head.headers, platform::kFence)).c_str(),
+									   nullptr, 10);
+			call.body = _request.body;
 			{
 				const std::lock_guard<std::mutex> guard(m_mutex);
 				m_calls.push_back(std::move(call));
 			}
-			session->answer(HttpAnswer{200, {}, ""});
+			_session->answer(HttpAnswer{200, {}, ""});
 		});
-	m_loop.run([&] { m_listener = std::make_unique<ServerListener>(m_loop.context(), address, m_context); });
+	m_loop.run([&] { m_listener = std::make_unique<ServerListener>(m_loop.context(), _address, m_context); });
 }
 
 PlatformDuties::~PlatformDuties()
--- a/tools/standin/platform.h
+++ b/tools/standin/platform.h
@@ -30,7 +30,7 @@
 	LoopThread& operator=(const LoopThread&) = delete;
 
 	/// Runs a function on the loop's thread and waits for it.
-	void run(const std::function<void()>& function);
+	void run(const std::function<void()>& _function);
 
 	boost::asio::io_context& context()
 	{
@@ -56,27 +56,27 @@
 class PlatformStore
 {
 public:
-	explicit PlatformStore(const Address& address);
+	explicit PlatformStore(const Address& _address);
 	~PlatformStore();
 
 	/// Writes as an operator or a worker.
-	void put(const std::string& key, const std::string& value);
+	void put(const std::string& _key, const std::string& _value);
 
 	/// Removes as an operator or a worker.
-	void remove(const std::string& key);
+	void remove(const std::string& _key);
 
 	/// @returns a key's value, or an empty text.
-	std::string get(const std::string& key);
+	std::string get(const std::string& _key);
 
 	/// @returns keys that begin so.
-	std::vector<std::string> keys(const std::string& prefix);
+	std::vector<std::string> keys(const std::string& _prefix);
 
 	/// Changes how the store fails from now on.
-	void setFault(StoreFault fault);
+	void setFault(StoreFault _fault);
 
 	/// Limits how fast answers to reads go out, as a narrow link does.
 	/// @param[in] bytesPerSecond Of each answer; 0 is no limit.
-	void setReadRate(std::size_t bytesPerSecond);
+	void setReadRate(std::size_t _bytesPerSecond);
 
 	/// Forgets the history: watches from before get 410.
 	void forgetHistory();
@@ -110,16 +110,16 @@
 		std::uint64_t since = 0;
 	};
 
-	void onRequest(const ServerSessionPtr& session, const IncomingRequest& request);
-	void answerRead(const ServerSessionPtr& session, const HttpAnswer& answer);
-	void sendRest(const ServerSessionPtr& session, std::string rest);
-	HttpAnswer range(const std::string& prefix, const std::string& after);
-	HttpAnswer transact(const std::string& body);
-	HttpAnswer openLease(const std::string& body);
-	HttpAnswer renewLease(std::uint64_t lease);
-	void watch(const ServerSessionPtr& session, const std::string& prefix, std::uint64_t since, Micros span);
-	HttpAnswer eventsSince(const std::string& prefix, std::uint64_t since) const;
-	void change(const std::string& key, const std::string* value, std::uint64_t lease);
+	void onRequest(const ServerSessionPtr& _session, const IncomingRequest& _request);
+	void answerRead(const ServerSessionPtr& _session, const HttpAnswer& _answer);
+	void sendRest(const ServerSessionPtr& _session, std::string _rest);
+	HttpAnswer range(const std::string& _prefix, const std::string& _after);
+	HttpAnswer transact(const std::string& _body);
+	HttpAnswer openLease(const std::string& _body);
+	HttpAnswer renewLease(std::uint64_t _lease);
+	void watch(const ServerSessionPtr& _session, const std::string& _prefix, std::uint64_t _since, Micros _span);
+	HttpAnswer eventsSince(const std::string& _prefix, std::uint64_t _since) const;
+	void change(const std::string& _key, const std::string* _value, std::uint64_t _lease);
 	void wakeWatches();
 	void expireLeases();
 	void scheduleExpiry();
@@ -176,33 +176,33 @@
 	static constexpr Micros kEventPause = 20 * kMillisecond;
 
 	/// @returns the body of a whole answer to a call.
-	static std::string wholeCall(const std::string& requestId);
+	static std::string wholeCall(const std::string& _requestId);
 
 	/// @returns the events of a whole stream.
-	static std::string wholeStream(const std::string& requestId);
+	static std::string wholeStream(const std::string& _requestId);
 
-	PlatformWorker(std::string id, const Address& address);
+	PlatformWorker(std::string _id, const Address& _address);
 	~PlatformWorker();
 
 	/// Changes what it does with requests from now on.
-	void setFault(WorkerFault fault);
+	void setFault(WorkerFault _fault);
 
 	/// @returns requests that it ran.
 	std::vector<WorkerRun> runs();
 
 	/// @returns requests that it ran, by the id that their caller gave.
-	unsigned runsOf(const std::string& id);
+	unsigned runsOf(const std::string& _id);
 
 private:
 	struct Connection;
 	using ConnectionPtr = std::shared_ptr<Connection>;
 
 	void accept();
-	void onBytes(const ConnectionPtr& connection, std::string_view bytes);
-	void onRequest(const ConnectionPtr& connection);
-	void stream(const ConnectionPtr& connection, unsigned next);
-	static std::string formatEvent(const std::string& requestId, unsigned number);
-	std::string head(const ConnectionPtr& connection, unsigned status, const std::string& more);
+	void onBytes(const ConnectionPtr& _connection, std::string_view _bytes);
+	void onRequest(const ConnectionPtr& _connection);
+	void stream(const ConnectionPtr& _connection, unsigned _next);
+	static std::string formatEvent(const std::string& _requestId, unsigned _number);
+	std::string head(const ConnectionPtr& _connection, unsigned _status, const std::string& _more);
 
 	std::string m_id;
 	LoopThread m_loop;
@@ -225,7 +225,7 @@
 class PlatformDuties
 {
 public:
-	explicit PlatformDuties(const Address& address);
+	explicit PlatformDuties(const Address& _address);
 	~PlatformDuties();
 
 	/// @returns the calls so far.
--- a/tools/standin/platformworker.cpp
+++ b/tools/standin/platformworker.cpp
@@ -35,13 +35,13 @@
 	bool ended = false;
 };
 
-PlatformWorker::PlatformWorker(std::string id, const Address& address)
-	: m_id(std::move(id)), m_acceptor(m_loop.context())
+PlatformWorker::PlatformWorker(std::string _id, const Address& _address)
+	: m_id(std::move(_id)), m_acceptor(m_loop.context())
 {
 	m_loop.run(
 		[&]
 		{
-			const tcp::endpoint endpoint(asio::ip::make_address(address.host), address.port);
+			const tcp::endpoint endpoint(asio::ip::make_address(_address.host), _address.port);
 			m_acceptor.open(endpoint.protocol());
 			m_acceptor.set_option(tcp::acceptor::reuse_address(true));
 			m_acceptor.bind(endpoint);
@@ -60,9 +60,9 @@
 		});
 }
 
-void PlatformWorker::setFault(WorkerFault fault)
+void PlatformWorker::setFault(WorkerFault _fault)
 {
-	m_loop.run([&] { m_fault = fault; });
+	m_loop.run([&] { m_fault = _fault; });
 }
 
 std::vector<WorkerRun> PlatformWorker::runs()
@@ -71,12 +71,12 @@
 	return m_runs;
 }
 
-unsigned PlatformWorker::runsOf(const std::string& id)
+unsigned PlatformWorker::runsOf(const std::string& _id)
 {
 	unsigned count = 0;
 	for (const WorkerRun& run : runs())
 	{
-		count += run.id == id ? 1 : 0;
+		count += run.id == _id ? 1 : 0;
 	}
 	return count;
 }
@@ -84,19 +84,19 @@
 void PlatformWorker::accept()
 {
 	m_acceptor.async_accept(
-		[this](const BoostError& error, tcp::socket socket)
+		[this](const BoostError& _error, tcp::socket _socket)
 		{
-			if (error)
+			if (_error)
 			{
 				return;
 			}
 			const auto connection = std::make_shared<Connection>();
-			connection->tcp = std::make_shared<TcpConnection>(std::move(socket), kUserTimeout);
+			connection->tcp = std::make_shared<TcpConnection>(std::move(_socket), kUserTimeout);
 			connection->parser = std::make_unique<MessageParser>(MessageKind::Request, kHeaderBytes, kBodyBytes);
 			ConnectionHandlers handlers;
-			handlers.onBytes = [this, connection](std::string_view bytes)
+			handlers.onBytes = [this, connection](std::string_view _bytes)
 			{
-				onBytes(connection, bytes);
+				onBytes(connection, _bytes);
 			};
 			handlers.onEnd = [this, connection](ConnectionEnd)
 			{
@@ -112,44 +112,44 @@
 		});
 }
 
-void PlatformWorker::onBytes(const ConnectionPtr& connection, std::string_view bytes)
+void PlatformWorker::onBytes(const ConnectionPtr& _connection, std::string_view _bytes)
 {
-	connection->input.append(bytes);
-	const std::size_t consumed = connection->parser->consume(connection->input, connection->body);
-	connection->input.erase(0, consumed);
-	if (connection->parser->done() && !connection->asked)
+	_connection->input.append(_bytes);
+	const std::size_t consumed = _connection->parser->consume(_connection->input, _connection->body);
+	_connection->input.erase(0, consumed);
+	if (_connection->parser->done() && !_connection->asked)
 	{
-		onRequest(connection);
+		onRequest(_connection);
 	}
 }
 
-std::string PlatformWorker::head(const ConnectionPtr& connection, unsigned status, const std::string& more)
+std::string PlatformWorker::head(const ConnectionPtr& _connection, unsigned _status, const std::string& _more)
 {
-	const std::string id = m_fault == WorkerFault::WrongId ? "another" : connection->requestId;
-	return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + platform::kRequestId + ": " + id + "\r\n" +
-		   platform::kStamp + ": " + m_id + "\r\n" + more + "\r\n";
+	const std::string id = m_fault == WorkerFault::WrongId ? "another" : _connection->requestId;
+	return "HTTP/1.1 " + std::to_string(_status) + " X\r\n" + platform::kRequestId + ": " + id + "\r\n" +
+		   platform::kStamp + ": " + m_id + "\r\n" + _more + "\r\n";
 }
 
-void PlatformWorker::onRequest(const ConnectionPtr& connection)
+void PlatformWorker::onRequest(const ConnectionPtr& _connection)
 {
-	const MessageHead& request = connection->parser->head();
-	connection->requestId = std::string(findHeader(request.headers, platform::kRequestId));
+	const MessageHead& request = _connection->parser->head();
+	_connection->requestId = std::string(findHeader(request.headers, platform::kRequestId));
 	const bool misdirected =
 		m_fault == WorkerFault::Misdirected || findHeader(request.headers, platform::kTarget) != m_id;
 	if (misdirected || m_fault == WorkerFault::Rejects)
 	{
-		connection->ended = true;
+		_connection->ended = true;
 		const unsigned status = misdirected ? 421 : 503;
-		connection->tcp->send(
-			head(connection, status, std::string(platform::kNotExecuted) + ": 1\r\nContent-Length: 0\r\n"));
+		_connection->tcp->send(
+			head(_connection, status, std::string(platform::kNotExecuted) + ": 1\r\nContent-Length: 0\r\n"));
 		return;
 	}
 	{
 		const std::lock_guard<std::mutex> guard(m_mutex);
-		connection->asked = true;
-		connection->run = m_runs.size();
-		m_runs.push_back({connection->requestId, request.method, request.target, connection->body, request.headers,
-						  monotonicNow()});
+		_connection->asked = true;
+		_connection->run = m_runs.size();
+		m_runs.push_back({_connection->requestId, request.method, request.target, _connection->body,
+						  request.headers, monotonicNow()});
 	}
 	if (m_fault == WorkerFault::Hangs)
 	{
@@ -157,75 +157,75 @@
 	}
 	if (m_fault == WorkerFault::Resets)
 	{
-		connection->tcp->reset();
+		_connection->tcp->reset();
 		return;
 	}
 	if (m_fault == WorkerFault::Unframed)
 	{
-		connection->tcp->send(head(connection, 200, "") + "half of it");
-		asio::post(m_loop.context(), [connection] { connection->tcp->reset(); });
+		_connection->tcp->send(head(_connection, 200, "") + "half of it");
+		asio::post(m_loop.context(), [_connection] { _connection->tcp->reset(); });
 		return;
 	}
 	if (request.target.starts_with("/stream/") && m_fault != WorkerFault::Fails)
 	{
 		const std::string_view last = findHeader(request.headers, platform::kLastEvent);
-		connection->tcp->send(
-			head(connection, 200, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
-		stream(connection, last.empty() ? 1 : std::atoi(std::string(last).c_str()) + 1);
+		_connection->tcp->send(
+			head(_connection, 200, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
+		stream(_connection, last.empty() ? 1 : std::atoi(std::string(last).c_str()) + 1);
 		return;
 	}
-	connection->ended = true;
+	_connection->ended = true;
 	const unsigned status = m_fault == WorkerFault::Fails ? 500 : 200;
-	const std::string body = wholeCall(connection->requestId);
+	const std::string body = wholeCall(_connection->requestId);
 	const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n";
-	connection->tcp->send(head(connection, status, length) + body);
+	_connection->tcp->send(head(_connection, status, length) + body);
 }
 
-std::string PlatformWorker::wholeCall(const std::string& requestId)
+std::string PlatformWorker::wholeCall(const std::string& _requestId)
 {
-	return "ok " + requestId;
+	return "ok " + _requestId;
 }
 
-std::string PlatformWorker::formatEvent(const std::string& requestId, unsigned number)
+std::string PlatformWorker::formatEvent(const std::string& _requestId, unsigned _number)
 {
-	return "id: " + std::to_string(number) + "\ndata: piece " + requestId + "\n\n";
+	return "id: " + std::to_string(_number) + "\ndata: piece " + _requestId + "\n\n";
 }
 
-std::string PlatformWorker::wholeStream(const std::string& requestId)
+std::string PlatformWorker::wholeStream(const std::string& _requestId)
 {
 	std::string events;
 	for (unsigned number = 1; number <= kEvents; ++number)
 	{
-		events += formatEvent(requestId, number);
+		events += formatEvent(_requestId, number);
 	}
 	return events;
 }
 
-void PlatformWorker::stream(const ConnectionPtr& connection, unsigned next)
+void PlatformWorker::stream(const ConnectionPtr& _connection, unsigned _next)
 {
-	if (connection->ended)
+	if (_connection->ended)
 	{
 		return;
 	}
-	if (next > kEvents)
+	if (_next > kEvents)
 	{
-		connection->ended = true;
-		connection->tcp->send("0\r\n\r\n");
+		_connection->ended = true;
+		_connection->tcp->send("0\r\n\r\n");
 		return;
 	}
-	const std::string event = formatEvent(connection->requestId, next);
+	const std::string event = formatEvent(_connection->requestId, _next);
 	char size[16];
 	std::snprintf(size, sizeof size, "%zx\r\n", event.size());
-	if (m_fault == WorkerFault::CutsStream && next > kEvents / 2)
+	if (m_fault == WorkerFault::CutsStream && _next > kEvents / 2)
 	{
-		connection->ended = true;
-		connection->tcp->send(size + event.substr(0, event.size() / 2));
-		connection->tcp->closeAfterSending();
+		_connection->ended = true;
+		_connection->tcp->send(size + event.substr(0, event.size() / 2));
+		_connection->tcp->closeAfterSending();
 		return;
 	}
-	connection->tcp->send(size + event + "\r\n");
+	_connection->tcp->send(size + event + "\r\n");
 	auto timer = std::make_shared<asio::steady_timer>(m_loop.context(), std::chrono::microseconds(kEventPause));
-	timer->async_wait([this, timer, connection, next](const BoostError&) { stream(connection, next + 1); });
+	timer->async_wait([this, timer, _connection, _next](const BoostError&) { stream(_connection, _next + 1); });
 }
 
 } // namespace beacongate::standin
