--- a/tools/soak/faultproxy.cpp
+++ b/tools/soak/faultproxy.cpp
@@ -18,7 +18,6 @@
 {
 constexpr Micros kConnectSpan = 1 * kSecond;
 constexpr Micros kUserTimeout = 10 * kSecond;
-constexpr Micros kDelay = 150 * kMillisecond;
 } // namespace
 
 /// Two connections whose bytes are passed to each other.
@@ -61,11 +60,12 @@
 		});
 }
 
-void FaultProxy::setFault(LinkFault _fault)
+void FaultProxy::setFault(LinkFault _fault, Micros _delay)
 {
 	m_loop.run(
 		[&]
 		{
+			m_delay = _delay;
 			const bool lostBytes = m_fault == LinkFault::Silent || m_fault == LinkFault::CutsAnswers;
 			m_fault = _fault;
 			if (_fault != LinkFault::Resets && !lostBytes)
@@ -149,7 +149,7 @@
 		return;
 	}
 	// A piece is never delivered before those that came earlier, also where the fault ends meanwhile.
-	auto timer = std::make_shared<asio::steady_timer>(m_loop.context(), std::chrono::microseconds(kDelay));
+	auto timer = std::make_shared<asio::steady_timer>(m_loop.context(), std::chrono::microseconds(m_delay));
 	timer->async_wait([this, timer, _link, _fromCaller](const BoostError&) { deliverNext(_link, _fromCaller); });
 }
 
--- a/tools/soak/faultproxy.h
+++ b/tools/soak/faultproxy.h
@@ -34,8 +34,12 @@
 	FaultProxy(const FaultProxy&) = delete;
 	FaultProxy& operator=(const FaultProxy&) = delete;
 
+	/// How long a piece waits where nothing else is asked for.
+	static constexpr Micros kDelay = 150 * kMillisecond;
+
 	/// Changes what is done with connections, those that are open included.
-	void setFault(LinkFault _fault);
+	/// @param[in] _delay For how long LinkFault::Delays holds each piece, each way.
+	void setFault(LinkFault _fault, Micros _delay = kDelay);
 
 private:
 	struct Link;
@@ -52,6 +56,7 @@
 	boost::asio::ip::tcp::acceptor m_acceptor;
 	std::list<LinkPtr> m_links;
 	LinkFault m_fault = LinkFault::None;
+	Micros m_delay = kDelay;
 };
 
 } // namespace beacongate::soak
--- a/tools/soak/soak.cpp
+++ b/tools/soak/soak.cpp
@@ -374,6 +374,12 @@
 	const Micros end = monotonicNow() + m_options.span;
 	while (monotonicNow() < end)
 	{
+		if (m_options.profile == SoakProfile::Departures)
+		{
+			injectDeparture();
+			runUntil(monotonicNow() + drawnSpan(50 * kMillisecond, 700 * kMillisecond));
+			continue;
+		}
 		injectOne();
 		// Series that overlap, and now and then a calm span in which all bounds hold.
 		runUntil(monotonicNow() + (drawn(12) == 0 ? drawnSpan(5 * kSecond, 8 * kSecond)
--- a/tools/soak/soak.h
+++ b/tools/soak/soak.h
@@ -23,9 +23,19 @@
 
 namespace beacongate::soak
 {
+/// Which faults a soak draws.
+enum class SoakProfile
+{
+	Mixed, ///< All kinds, few of each.
+	/// Backend servers leave every second or so, half of them without a word, while gateways meet what a sound VM
+	/// meets: a slow way to the store, short spans without processor time, and now and then a real fault.
+	Departures,
+};
+
 /// What a soak is made of.
 struct SoakOptions
 {
+	SoakProfile profile = SoakProfile::Mixed;
 	std::uint64_t seed = 1;
 	unsigned gateways = 3;
 	unsigned callers = 6;
@@ -39,7 +49,7 @@
 {
 public:
 	/// Most gateways of one soak.
-	static constexpr unsigned kMostGateways = 24;
+	static constexpr unsigned kMostGateways = 90;
 
 	explicit Soak(const SoakOptions& _options);
 	~Soak();
@@ -71,10 +81,13 @@
 	void callLoop(unsigned _caller);
 	ObservedRequest makeRequest(std::minstd_rand& _random, unsigned _caller, unsigned _number);
 	void injectOne();
+	void injectDeparture();
 	void killGateway(unsigned _number);
 	void stopGateway(unsigned _number);
 	void pauseGateway(unsigned _number);
+	void holdUpGateway(unsigned _number);
 	void cutStore(unsigned _number);
+	void slowStore(unsigned _number);
 	void failStore();
 	void lapseRecords();
 	void failBackend();
--- a/tools/soak/soak_p.h
+++ b/tools/soak/soak_p.h
@@ -22,6 +22,7 @@
 	std::unique_ptr<GatewayProcess> process;
 	bool asked = false;  ///< Its process was asked to stop.
 	bool paused = false; ///< Its process stands still.
+	bool cut = false;    ///< Something is done to its link to the store.
 	std::size_t stop = 0;
 };
 
--- a/tools/soak/soakfaults.cpp
+++ b/tools/soak/soakfaults.cpp
@@ -61,8 +61,38 @@
 		  });
 }
 
+void Soak::holdUpGateway(unsigned _number)
+{
+	// Sound VMs get no processor time for such a span where others need it: no disruption, all bounds hold.
+	Gateway& gateway = *m_gateways[_number];
+	gateway.paused = true;
+	gateway.process->signal(SIGSTOP);
+	later(drawnSpan(100 * kMillisecond, 500 * kMillisecond),
+		  [&gateway]
+		  {
+			  gateway.paused = false;
+			  gateway.process->signal(SIGCONT);
+		  });
+}
+
+void Soak::slowStore(unsigned _number)
+{
+	// Both ways work and the store is well: no disruption, all bounds hold. An answer takes 0.4 s to 1.1 s, up to half
+	// of the span that bounds new work.
+	Gateway& gateway = *m_gateways[_number];
+	gateway.cut = true;
+	gateway.storeLink->setFault(LinkFault::Delays, drawnSpan(200 * kMillisecond, 550 * kMillisecond));
+	later(drawnSpan(2 * kSecond, 8 * kSecond),
+		  [&gateway]
+		  {
+			  gateway.storeLink->setFault(LinkFault::None);
+			  gateway.cut = false;
+		  });
+}
+
 void Soak::cutStore(unsigned _number)
 {
+	m_gateways[_number]->cut = true;
 	constexpr std::array kFaults = {LinkFault::Delays, LinkFault::Resets, LinkFault::Silent,
 									LinkFault::CutsAnswers};
 	const std::size_t disruption = disrupt("store-link", _number);
@@ -71,6 +101,7 @@
 		  [this, _number, disruption]
 		  {
 			  m_gateways[_number]->storeLink->setFault(LinkFault::None);
+			  m_gateways[_number]->cut = false;
 			  calmDown(disruption);
 		  });
 }
@@ -216,4 +247,34 @@
 	}
 }
 
+void Soak::injectDeparture()
+{
+	const auto number = static_cast<unsigned>(drawn(m_gateways.size()));
+	const Gateway& gateway = *m_gateways[number];
+	const bool steady = !gateway.asked && !gateway.paused && gateway.process->running();
+	switch (drawn(16))
+	{
+	case 0:
+		gateway.cut ? void() : injectOne();
+		break;
+	case 1:
+	case 2:
+	case 3:
+		steady ? holdUpGateway(number) : void();
+		break;
+	case 4:
+	case 5:
+	case 6:
+	case 7:
+		gateway.cut ? void() : slowStore(number);
+		break;
+	case 8:
+		rotateKey();
+		break;
+	default:
+		leaveBackend();
+		break;
+	}
+}
+
 } // namespace beacongate::soak
