Log how a backend server stood on the list at each send, and why a read of the store failed

Cause: with the list's age alone, an old list, a record that went and was still used, and a send that came late after a fresh look could not be told apart, nor a store that says nothing from one that turns calls away.

Change: standing=listed, lapsed or vanished in the line of a request and in beacongate_sends_total; cause=silent or turned-away in store-lost and backend-list-unread. What may be sent is decided as before; the rule that stood twice (takesWork, usableOf) is one function now.

--- a/src/coordination/directory.cpp
+++ b/src/coordination/directory.cpp
@@ -23,6 +23,22 @@
 	return "unknown";
 }
 
+std::string_view toString(Standing _standing)
+{
+	switch (_standing)
+	{
+	case Standing::Listed:
+		return "listed";
+	case Standing::Lapsed:
+		return "lapsed";
+	case Standing::Vanished:
+		return "vanished";
+	case Standing::Gone:
+		return "gone";
+	}
+	return "unknown";
+}
+
 bool Directory::apply(const StoreSnapshot& _snapshot, Micros _now)
 {
 	if (_snapshot.revision < m_revision)
@@ -156,15 +172,32 @@
 	return _now - m_confirmed;
 }
 
-bool Directory::takesWork(const std::string& _id, Micros _now) const
+Standing Directory::standingOf(const KnownBackend& _known, Micros _now)
 {
-	const auto it = m_backends.find(_id);
-	if (it == m_backends.end() || it->second.record.draining || it->second.misdirected)
+	if (_known.record.draining || _known.misdirected)
 	{
-		return false;
+		return Standing::Gone;
+	}
+	if (_known.vanishedAt == kNever)
+	{
+		return Standing::Listed;
 	}
-	const KnownBackend& known = it->second;
-	return known.vanishedAt == kNever || _now < known.lapsedUntil || _now - known.vanishedAt < kVanishedGrace;
+	if (_now < _known.lapsedUntil)
+	{
+		return Standing::Lapsed;
+	}
+	return _now - _known.vanishedAt < kVanishedGrace ? Standing::Vanished : Standing::Gone;
+}
+
+Standing Directory::standing(const std::string& _id, Micros _now) const
+{
+	const auto it = m_backends.find(_id);
+	return it == m_backends.end() ? Standing::Gone : standingOf(it->second, _now);
+}
+
+bool Directory::takesWork(const std::string& _id, Micros _now) const
+{
+	return standing(_id, _now) != Standing::Gone;
 }
 
 std::vector<const KnownBackend*> Directory::usableOf(const std::string& _service, Micros _now) const
@@ -173,15 +206,16 @@
 	std::vector<const KnownBackend*> vanished;
 	for (const auto& [id, known] : m_backends)
 	{
-		if (known.record.service != _service || known.record.draining || known.misdirected)
+		if (known.record.service != _service)
 		{
 			continue;
 		}
-		if (known.vanishedAt == kNever || _now < known.lapsedUntil)
+		const Standing standing = standingOf(known, _now);
+		if (standing == Standing::Listed || standing == Standing::Lapsed)
 		{
 			usable.push_back(&known);
 		}
-		else if (_now - known.vanishedAt < kVanishedGrace)
+		else if (standing == Standing::Vanished)
 		{
 			vanished.push_back(&known);
 		}
--- a/src/coordination/directory.h
+++ b/src/coordination/directory.h
@@ -56,6 +56,18 @@
 	}
 };
 
+/// How a backend server stands on the list of a gateway.
+enum class Standing : std::uint8_t
+{
+	Listed,   ///< It takes work.
+	Lapsed,   ///< Its record went in an outage of the store and may come back: it takes work.
+	Vanished, ///< Its record went a moment ago: it takes work where no other does.
+	Gone,     ///< It takes no work, or is not known.
+};
+
+/// @returns a short name for logs.
+std::string_view toString(Standing _standing);
+
 /// From what a gateway learnt that a backend server takes no new work any more.
 enum class LeavingSign : std::uint8_t
 {
@@ -156,6 +168,9 @@
 		return listAge(_now) > _bound / 5 * 4 && m_storeFailed <= m_listConfirmed;
 	}
 
+	/// @returns how a backend server stands on the list.
+	Standing standing(const std::string& _id, Micros _now) const;
+
 	/// @returns whether a request that was meant for a backend server may still be sent to it.
 	bool takesWork(const std::string& _id, Micros _now) const;
 
@@ -169,6 +184,7 @@
 	std::vector<const KnownBackend*> usableOf(const std::string& _service, Micros _now) const;
 
 private:
+	static Standing standingOf(const KnownBackend& _known, Micros _now);
 	void mergeBackends(const std::vector<BackendRecord>& _records, Micros _now);
 
 	RoutingConfigPtr m_config;
--- a/src/gateway/backendlistsync.cpp
+++ b/src/gateway/backendlistsync.cpp
@@ -81,7 +81,8 @@
 	{
 		m_context.directory.onStoreFailed(now);
 		logEvent(LogLevel::Warning, "backend-list-unread",
-				 {{"list_age_ms", millisText(m_context.directory.listAge(now))}});
+				 {{"cause", std::string(toString(m_reader->fault()))},
+				  {"list_age_ms", millisText(m_context.directory.listAge(now))}});
 		schedule(kRetry);
 		return;
 	}
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -283,8 +283,7 @@
 	handlers.onSent = [self]
 	{
 		self->m_attempt.onTheWire = true;
-		self->m_attempt.listAge = self->m_context.directory.listAge(monotonicNow());
-		self->m_context.metrics.onSent(self->m_service, self->m_attempt.listAge);
+		self->noteStanding();
 		if (self->m_sent == 0)
 		{
 			self->m_context.retryBudget.onRequest(self->m_service, monotonicNow());
@@ -314,6 +313,14 @@
 	m_attempt.call = OutgoingCall::start(m_context.loop, options, formatForward(_backend), std::move(handlers));
 }
 
+void Exchange::noteStanding()
+{
+	const Micros now = monotonicNow();
+	m_attempt.listAge = m_context.directory.listAge(now);
+	m_attempt.standing = m_context.directory.standing(m_attempt.backendId, now);
+	m_context.metrics.onSent(m_service, m_attempt.listAge, m_attempt.standing);
+}
+
 bool Exchange::mayStillSend()
 {
 	// The connection may have taken 0.3 s, and where this VM gets no processor time, timers fire late.
@@ -436,7 +443,8 @@
 			  {"ms", millisText(now - m_request.received)},
 			  {"config", m_config ? std::to_string(m_config->version) : "-"},
 			  {"config_age_ms", millisText(m_context.directory.age(now))},
-			  {"list_age_ms", m_sent == 0 ? "-" : millisText(m_attempt.listAge)}});
+			  {"list_age_ms", m_sent == 0 ? "-" : millisText(m_attempt.listAge)},
+			  {"standing", m_sent == 0 ? "-" : std::string(toString(m_attempt.standing))}});
 }
 
 } // namespace beacongate
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -67,7 +67,8 @@
 		AnswerInfo info;
 		std::string body;
 		EventSplitter events;
-		Micros listAge = 0;    ///< How old the list of backend servers was as the request went out.
+		Micros listAge = 0;                 ///< How old the list of backend servers was as the request went out.
+		Standing standing = Standing::Gone; ///< Of the backend server on that list.
 		bool heldBack = false; ///< It was not sent for a reason that does not lie with the backend server.
 		bool onTheWire = false;
 		bool firstEvent = false;
@@ -85,6 +86,8 @@
 	void send(const KnownBackend& _backend);
 	/// @returns whether the request may go out now that the connection to the backend server is up.
 	bool mayStillSend();
+	/// Notes by which list the request goes out, for the log.
+	void noteStanding();
 	std::string formatForward(const KnownBackend& _backend) const;
 	void onHead(const MessageHead& _head);
 	void onBody(std::string_view _bytes);
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -118,8 +118,9 @@
 	record(m_waits, _service, _waited);
 }
 
-void GatewayMetrics::onSent(const std::string& _service, Micros _listAge)
+void GatewayMetrics::onSent(const std::string& _service, Micros _listAge, Standing _standing)
 {
+	++m_sends[_standing];
 	record(m_listAges, _service, _listAge);
 }
 
@@ -155,6 +156,11 @@
 	}
 	out << "# TYPE beacongate_backend_list_reads_total counter\nbeacongate_backend_list_reads_total " << m_listReads
 		<< '\n';
+	out << "# TYPE beacongate_sends_total counter\n";
+	for (const auto& [standing, count] : m_sends)
+	{
+		out << "beacongate_sends_total{standing=" << quoted(toString(standing)) << "} " << count << '\n';
+	}
 	formatLatencies(out, "beacongate_request_seconds", "route", m_durations);
 	formatLatencies(out, "beacongate_first_byte_seconds", "service", m_firstBytes);
 	formatLatencies(out, "beacongate_queue_seconds", "service", m_waits);
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -8,6 +8,7 @@
 #define BEACONGATE_GATEWAY_GATEWAYMETRICS_H
 
 #include "beacongate/types.h"
+#include "coordination/directory.h"
 
 #include <cstdint>
 #include <map>
@@ -52,7 +53,8 @@
 
 	/// A request went out to a backend server.
 	/// @param[in] listAge How old the list of backend servers was at that moment.
-	void onSent(const std::string& _service, Micros _listAge);
+	/// @param[in] standing Of the backend server on that list.
+	void onSent(const std::string& _service, Micros _listAge, Standing _standing);
 
 	/// The list of backend servers was read by itself, since it had grown old.
 	void onListRead()
@@ -87,6 +89,7 @@
 	Latencies m_waits;
 	Latencies m_listAges;
 	Latencies m_loopDelays;
+	std::map<Standing, std::uint64_t> m_sends;
 };
 
 } // namespace beacongate
--- a/src/gateway/rangereader.cpp
+++ b/src/gateway/rangereader.cpp
@@ -42,6 +42,7 @@
 					{
 						if (!self->m_closed)
 						{
+							self->m_fault = _answer ? ChannelFault::TurnedAway : self->m_channel->fault();
 							self->onPage(platform::readRange(_answer));
 						}
 					});
@@ -54,6 +55,7 @@
 		std::exchange(m_handler, nullptr)(std::nullopt);
 		return;
 	}
+	m_fault = ChannelFault::None;
 	if (m_content.items.empty())
 	{
 		m_content.revision = _page->revision;
--- a/src/gateway/rangereader.h
+++ b/src/gateway/rangereader.h
@@ -35,6 +35,12 @@
 	/// Begins to read. Nothing else may be being read.
 	void read(Handler _handler);
 
+	/// @returns why the last read failed; for its handler. An answer that is no page counts as turned away.
+	ChannelFault fault() const
+	{
+		return m_fault;
+	}
+
 	/// Ends all calls; no handler is called any more.
 	void close();
 
@@ -48,6 +54,7 @@
 	Micros m_longest;
 	StoreContent m_content;
 	Handler m_handler;
+	ChannelFault m_fault = ChannelFault::None;
 	bool m_closed = false;
 };
 
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -275,7 +275,8 @@
 	{
 		m_context.storeReachable = false;
 		logEvent(LogLevel::Warning, "store-lost",
-				 {{"revision", std::to_string(m_context.directory.revision())},
+				 {{"cause", std::string(toString(m_reads->fault()))},
+				  {"revision", std::to_string(m_context.directory.revision())},
 				  {"config_age_ms", std::to_string(m_context.directory.age(monotonicNow()) / kMillisecond)}});
 	}
 	scheduleRead(std::min<Micros>(kRetryMin << std::min(m_failures, 4u), kRetryMax));
--- a/src/transport/httpchannel.cpp
+++ b/src/transport/httpchannel.cpp
@@ -18,6 +18,20 @@
 constexpr std::size_t kAnswerHeaderBytes = 16u << 10;
 } // namespace
 
+std::string_view toString(ChannelFault _fault)
+{
+	switch (_fault)
+	{
+	case ChannelFault::None:
+		return "none";
+	case ChannelFault::Silent:
+		return "silent";
+	case ChannelFault::TurnedAway:
+		return "turned-away";
+	}
+	return "unknown";
+}
+
 std::string formatRequest(const ChannelRequest& _request, const Address& _address)
 {
 	std::string bytes = _request.method + ' ' + _request.target + " HTTP/1.1\r\n";
@@ -89,7 +103,7 @@
 			if (!_error && self && self->m_busy && self->m_turn == turn)
 			{
 				self->dropConnection();
-				self->finish(std::nullopt);
+				self->fail(ChannelFault::Silent);
 			}
 		});
 }
@@ -109,7 +123,8 @@
 							}
 							if (!_connection)
 							{
-								self->finish(std::nullopt);
+								const bool inTime = std::chrono::steady_clock::now() < self->m_timer.expiry();
+								self->fail(inTime ? ChannelFault::TurnedAway : ChannelFault::Silent);
 								return;
 							}
 							self->m_connection = _connection;
@@ -139,7 +154,7 @@
 	const Pending& pending = m_queue.front();
 	if (pending.maySend && !pending.maySend())
 	{
-		finish(std::nullopt);
+		fail(ChannelFault::None);
 		return;
 	}
 	m_input.clear();
@@ -162,7 +177,7 @@
 	if (m_parser->fault() != ParseFault::None)
 	{
 		dropConnection();
-		finish(std::nullopt);
+		fail(ChannelFault::TurnedAway);
 		return;
 	}
 	if (!m_parser->done())
@@ -181,6 +196,7 @@
 	{
 		dropConnection();
 	}
+	m_fault = ChannelFault::None;
 	finish(std::move(answer));
 }
 
@@ -202,6 +218,7 @@
 			answer.status = m_parser->head().status;
 			answer.headers = m_parser->head().headers;
 			answer.body = std::move(m_body);
+			m_fault = ChannelFault::None;
 			finish(std::move(answer));
 			return;
 		}
@@ -215,6 +232,12 @@
 		connect();
 		return;
 	}
+	fail(ChannelFault::TurnedAway);
+}
+
+void HttpChannel::fail(ChannelFault _fault)
+{
+	m_fault = _fault;
 	finish(std::nullopt);
 }
 
--- a/src/transport/httpchannel.h
+++ b/src/transport/httpchannel.h
@@ -11,11 +11,13 @@
 #include "transport/tcpconnection.h"
 
 #include <chrono>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace beacongate
 {
@@ -30,6 +32,17 @@
 	Micros longest = 0;
 };
 
+/// Why a call got no answer.
+enum class ChannelFault : std::uint8_t
+{
+	None,
+	Silent,     ///< Nothing came in time: the other side may be slow, or out of reach.
+	TurnedAway, ///< The connection was refused, or ended before the answer was whole.
+};
+
+/// @returns a short name for logs.
+std::string_view toString(ChannelFault _fault);
+
 /// Formats a request with its Host and Content-Length.
 std::string formatRequest(const ChannelRequest& _request, const Address& _address);
 
@@ -49,6 +62,12 @@
 	/// answer until the request's `longest` has passed.
 	void call(ChannelRequest _request, Micros _span, Handler _handler, MaySend _maySend = nullptr);
 
+	/// @returns why the last call that ended got no answer; for its handler.
+	ChannelFault fault() const
+	{
+		return m_fault;
+	}
+
 	/// Closes the connection; calls that wait get nothing and no handler runs any more.
 	void close();
 
@@ -67,6 +86,7 @@
 	void transmit();
 	void onBytes(std::string_view _bytes);
 	void onEnd(ConnectionEnd _how);
+	void fail(ChannelFault _fault);
 	void finish(std::optional<HttpAnswer> _answer);
 	void dropConnection();
 
@@ -78,6 +98,7 @@
 	bool m_busy = false;
 	bool m_closed = false;
 	bool m_reused = false;
+	ChannelFault m_fault = ChannelFault::None; ///< Of the last call that ended.
 	std::uint64_t m_turn = 0;
 	std::chrono::steady_clock::time_point m_callEnds; ///< From then on, more bytes give the call no more time.
 	TcpConnection::Ptr m_connection;
