--- /dev/null
+++ b/tests/soakrun.h
@@ -0,0 +1,57 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// Runs a seeded soak in a test and reports each promise that was broken.
+
+#ifndef BEACONGATE_TESTS_SOAKRUN_H
+#define BEACONGATE_TESTS_SOAKRUN_H
+
+#include "soak/checker.h"
+#include "soak/soak.h"
+
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <unistd.h>
+
+namespace beacongate::test
+{
+/// What a soak in a test is made of.
+struct SoakCase
+{
+	soak::SoakProfile profile = soak::SoakProfile::Mixed;
+	std::uint64_t seed = 1;
+	unsigned gateways = 3;
+	unsigned callers = 6;
+	Micros span = 20 * kSecond; ///< In which faults are injected.
+};
+
+/// Fails for each promise that was broken; the logs of such a seed are kept.
+inline void keepsPromises(const SoakCase& _case)
+{
+	soak::SoakOptions options;
+	options.profile = _case.profile;
+	options.seed = _case.seed;
+	options.gateways = _case.gateways;
+	options.callers = _case.callers;
+	options.span = _case.span;
+	options.program = std::string(BEACONGATE_BIN) + "/beacongate-gateway";
+	const auto directory = std::filesystem::temp_directory_path() / ("beacongate-soak-" + std::to_string(getpid()));
+	std::filesystem::create_directories(directory);
+	options.directory = directory;
+	const soak::Observations seen = soak::Soak(options).run();
+	EXPECT_GT(seen.requests.size(), 100u);
+	for (const soak::Finding& finding : soak::check(seen))
+	{
+		ADD_FAILURE() << "seed " << _case.seed << ": " << soak::toString(finding.promise) << ": " << finding.detail;
+	}
+	if (!testing::Test::HasFailure())
+	{
+		std::filesystem::remove_all(directory);
+	}
+}
+
+} // namespace beacongate::test
+
+#endif // BEACONGATE_TESTS_SOAKRUN_H
