Tell a slow store from one out of reach by the bound on departures, and bound what follows an outage

Cause: one read that had brought nothing within 0.4 s or 0.9 s was taken for an outage of the store. From it followed that lists of any age were sent by and that servers whose record went were used for two more seconds, though the store was well. The class: a guess about a peer's health from a fixed span that says nothing about the promise that hangs on it. Beside it: a collector sent the age of the content it had with the fingerprint of the content before.

Ruled out: a list that looks fresh and is old (all 195 late sends were standing=lapsed); loops that are held up (25 delays over 0.2 s, the late sends lie in others); a delay between the look and the send.

Change: DrainBudget says how the span from a departure to the last request is spent. StoreContact takes a store for out of reach only once it turned calls away again or one read waited for as long as an answer could be of use, spans in which the process did not run not counted. BackendListSync lets reads overlap instead of dropping them, and no longer waits for StoreSync. A record that went is used by the list that named it last, not by when it was missed. A relay's failed reads prove nothing here any more. StoreSync waits longer for a store that answers slowly. Sums carry fingerprint and age of one moment. Requests held for a list are counted.

In contenttest the lists of aVanishedRecord... were confirmed at 0 s though read at 1 to 3 s, which now means that they are too old to use: they are confirmed when read, the demands are the same; onStoreFailed has its new name. ContentUpdate's field that is gone is not tested any more.

--- a/src/coordination/contenthistory.h
+++ b/src/coordination/contenthistory.h
@@ -24,7 +24,6 @@
 	std::uint64_t revision = 0;
 	Micros age = kNever;             ///< How long ago that revision was certainly the newest.
 	std::uint64_t configVersion = 0; ///< In force at the gateway that says this; 0 is none.
-	Micros storeFailedAge = kNever;  ///< How long ago a read of the store failed there last.
 	std::vector<KvItem> items;       ///< New or changed.
 	std::vector<KvItem> leftOut;     ///< New or changed and large: without their values.
 	std::vector<std::string> removed;
--- a/src/coordination/directory.cpp
+++ b/src/coordination/directory.cpp
@@ -69,14 +69,15 @@
 		return;
 	}
 	// A list may also grow old because it comes slowly; records lapse only where the store could not be reached.
-	const bool failedSince = m_listConfirmed != kLongAgo && m_storeFailed > m_listConfirmed;
-	if (failedSince && _now - m_listConfirmed > kOutage)
+	const bool lostSince = m_listConfirmed != kLongAgo && m_storeLost > m_listConfirmed;
+	if (lostSince && _now - m_listConfirmed > kOutage)
 	{
 		m_outageEnded = _now;
 	}
 	m_listRevision = _list.revision;
+	const Micros lastListed = m_listConfirmed;
 	m_listConfirmed = std::max(m_listConfirmed, _list.confirmed);
-	mergeBackends(_list.records, _now);
+	mergeBackends(_list.records, lastListed, _now);
 }
 
 void Directory::onUnchanged(Micros _confirmed)
@@ -84,7 +85,7 @@
 	m_listConfirmed = std::max(m_listConfirmed, _confirmed);
 }
 
-void Directory::mergeBackends(const std::vector<BackendRecord>& _records, Micros _now)
+void Directory::mergeBackends(const std::vector<BackendRecord>& _records, Micros _lastListed, Micros _now)
 {
 	std::set<std::string> present;
 	for (const BackendRecord& record : _records)
@@ -114,16 +115,22 @@
 		KnownBackend& known = it->second;
 		if (!present.count(it->first) && known.vanishedAt == kNever)
 		{
-			known.vanishedAt = _now;
+			markVanished(known, _lastListed, _now);
 			m_leavingNotices.push_back({it->first, LeavingSign::Missing});
-			const bool mayHaveLapsed = _now - m_outageEnded < kLapseReturn;
-			known.lapsedUntil = mayHaveLapsed ? m_outageEnded + kLapseReturn : 0;
 		}
 		const bool forgotten = known.vanishedAt != kNever && _now - known.vanishedAt > kVanishedMemory;
 		it = forgotten ? m_backends.erase(it) : std::next(it);
 	}
 }
 
+void Directory::markVanished(KnownBackend& _known, Micros _lastListed, Micros _now)
+{
+	_known.vanishedAt = _now;
+	_known.graceUntil = std::min(_now + kVanishedGrace, _lastListed + m_drain.listLife);
+	const bool mayHaveLapsed = _now - m_outageEnded < kLapseReturn;
+	_known.lapsedUntil = mayHaveLapsed ? m_outageEnded + kLapseReturn : 0;
+}
+
 void Directory::confirm(Micros _confirmed)
 {
 	m_confirmed = std::max(m_confirmed, _confirmed);
@@ -186,7 +193,7 @@
 	{
 		return Standing::Lapsed;
 	}
-	return _now - _known.vanishedAt < kVanishedGrace ? Standing::Vanished : Standing::Gone;
+	return _now < _known.graceUntil ? Standing::Vanished : Standing::Gone;
 }
 
 Standing Directory::standing(const std::string& _id, Micros _now) const
--- a/src/coordination/directory.h
+++ b/src/coordination/directory.h
@@ -9,6 +9,7 @@
 
 #include "beacongate/routing.h"
 #include "coordination/backendkey.h"
+#include "coordination/drainbudget.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -45,6 +46,7 @@
 	Micros leavesAt = kNever;      ///< When it is reclaimed.
 	Micros coldUntil = 0;          ///< It is slow until then.
 	Micros vanishedAt = kNever;    ///< When its record was first found missing.
+	Micros graceUntil = 0;         ///< Until then, it is used though its record is missing, where no other is left.
 	Micros lapsedUntil = 0;        ///< Until then, a missing record is taken to have lapsed in an outage.
 	Micros drainingSince = kNever; ///< When it was first known to take no new work.
 	bool misdirected = false;      ///< Another server answered at its address.
@@ -90,8 +92,9 @@
 class Directory
 {
 public:
-	/// A record that vanished without notice is still used for this long where no other is left: records
-	/// lapse while the store is down, and a leaving server may be given work for a short while.
+	/// A record that vanished without notice is still used for this long at most where no other is left: a leaving
+	/// server may be given work for a short while. It may have left right after the list that named it last, so
+	/// that the span that is allowed counts from there, however late its record was found missing.
 	static constexpr Micros kVanishedGrace = 800 * kMillisecond;
 	/// Without a snapshot for longer than this, records may have lapsed though their backend servers live.
 	static constexpr Micros kOutage = 1500 * kMillisecond;
@@ -115,16 +118,18 @@
 	/// @param[in] confirmed Steady time at which it certainly was.
 	void onUnchanged(Micros _confirmed);
 
-	/// A read of the store failed, so that records may lapse without their backend servers' doing.
-	void onStoreFailed(Micros _now)
+	/// Sets the bound on requests to a server that has left.
+	/// @param[in] _bound Time from a departure's record until no request may reach the server.
+	void setDrainBound(Micros _bound)
 	{
-		m_storeFailed = std::max(m_storeFailed, _now);
+		m_drain = DrainBudget(_bound);
 	}
 
-	/// @returns how long ago a read of the store failed last; kNever where none did.
-	Micros storeFailedAge(Micros _now) const
+	/// The store is out of reach of this gateway, as StoreContact tells: records may lapse without their backend
+	/// servers' doing, and no newer list is to be had.
+	void onStoreLost(Micros _now)
 	{
-		return m_storeFailed == kLongAgo ? kNever : _now - m_storeFailed;
+		m_storeLost = std::max(m_storeLost, _now);
 	}
 
 	/// A backend server answered that it is not the one that was meant.
@@ -161,11 +166,10 @@
 	}
 
 	/// @returns whether the list is so old that a backend server on it may have left, though the store can be
-	/// reached.
-	/// @param[in] _bound Time from a departure's record until no request may reach the server.
-	bool listOutdated(Micros _now, Micros _bound) const
+	/// reached: nothing may be sent by it.
+	bool listOutdated(Micros _now) const
 	{
-		return listAge(_now) > _bound / 5 * 4 && m_storeFailed <= m_listConfirmed;
+		return listAge(_now) > m_drain.listLife && m_storeLost <= m_listConfirmed;
 	}
 
 	/// @returns how a backend server stands on the list.
@@ -185,14 +189,17 @@
 
 private:
 	static Standing standingOf(const KnownBackend& _known, Micros _now);
-	void mergeBackends(const std::vector<BackendRecord>& _records, Micros _now);
+	/// @param[in] _lastListed When the list before this one was certainly the newest.
+	void mergeBackends(const std::vector<BackendRecord>& _records, Micros _lastListed, Micros _now);
+	void markVanished(KnownBackend& _known, Micros _lastListed, Micros _now);
 
 	RoutingConfigPtr m_config;
 	std::uint64_t m_revision = 0;
 	Micros m_confirmed = kLongAgo;
 	std::uint64_t m_listRevision = 0;
 	Micros m_listConfirmed = kLongAgo; ///< When the list of backend servers was certainly the newest.
-	Micros m_storeFailed = kLongAgo;   ///< When a read failed last.
+	Micros m_storeLost = kLongAgo;     ///< When the store was found out of reach last.
+	DrainBudget m_drain{2 * kSecond};
 	Micros m_outageEnded = kLongAgo;
 	std::map<std::string, KnownBackend> m_backends;
 	std::vector<LeavingNotice> m_leavingNotices; ///< One at most for each backend server and sign until taken.
--- a/src/gateway/backendlistsync.cpp
+++ b/src/gateway/backendlistsync.cpp
@@ -12,38 +12,42 @@
 {
 namespace
 {
-/// Share of the bound at which the list is read by itself. The rest is for that read, a connection to the backend
-/// server (0.3 s at most) and the way there.
-constexpr Micros kAgeDivisor = 2;
-constexpr Micros kSilence = 400 * kMillisecond; ///< Many times the store's usual answer of 10 ms.
-constexpr Micros kLongest =
-	900 * kMillisecond; ///< 10,000 records of 250 bytes need 2.5 MB: pages of 500 come in time.
-constexpr Micros kPauseMin = 50 * kMillisecond; ///< Between two looks at the age.
-constexpr Micros kRetry = 200 * kMillisecond;   ///< After a read that failed.
+/// 10,000 records of 250 bytes are 2.5 MB: 2 s of a link of 10 Mbit/s that callers' answers share.
+constexpr Micros kLongest = 6 * kSecond;
+constexpr Micros kLook = 50 * kMillisecond;       ///< Between two looks while a list is waited for.
+constexpr Micros kLookAgain = 100 * kMillisecond; ///< The same while the store is out of reach.
+/// While the store is out of reach StoreSync tries it. Where that takes the content from another gateway, nobody
+/// would find out, so this reads after such a pause.
+constexpr Micros kProbePause = 2 * kSecond;
+/// Reads that wait at the same time: as many as begin within the longest patience in use, 2.4 s, but for two.
+constexpr std::size_t kMostReads = 8;
 } // namespace
 
 BackendListSync::BackendListSync(GatewayContext& _context)
-	: m_context(_context), m_reader(std::make_shared<RangeReader>(_context.loop, _context.settings.store,
-																  platform::backendPrefix(), kSilence, kLongest)),
-	  m_timer(_context.loop)
+	: m_context(_context), m_budget(_context.settings.drainSpan), m_timer(_context.loop)
 {
 }
 
 void BackendListSync::init()
 {
-	schedule(m_context.settings.drainSpan / kAgeDivisor);
+	schedule(m_budget.readFrom);
 }
 
 void BackendListSync::shutdown()
 {
 	m_closed = true;
 	m_timer.cancel();
-	m_reader->close();
+	giveUpReads();
+	if (m_spare)
+	{
+		m_spare->close();
+	}
 }
 
 void BackendListSync::schedule(Micros _span)
 {
-	m_timer.expires_after(std::chrono::microseconds(std::max(_span, kPauseMin)));
+	m_due = monotonicNow() + _span;
+	m_timer.expires_after(std::chrono::microseconds(_span));
 	m_timer.async_wait(
 		[self = shared_from_this()](const boost::system::error_code& _error)
 		{
@@ -56,34 +60,122 @@
 
 void BackendListSync::check()
 {
-	const Micros bound = m_context.settings.drainSpan / kAgeDivisor;
-	const Micros age = m_context.directory.listAge(monotonicNow());
+	const Micros now = monotonicNow();
+	m_context.storeContact.onHeldUp(std::max<Micros>(0, now - m_due), now);
 	const bool known = m_context.directory.revision() != 0;
-	if (!known || age < bound)
+	const Micros age = known ? m_context.directory.listAge(now) : 0;
+	if (age < m_budget.readFrom)
 	{
-		schedule(known ? bound - age : bound);
-		return;
+		rest(age);
 	}
-	if (!m_context.storeReachable)
+	else if (m_context.storeContact.outOfReach(now))
 	{
-		// StoreSync finds out when the store answers again; two that try would double the calls of an outage.
-		schedule(kRetry);
-		return;
+		waitOutOfReach(now);
+	}
+	else
+	{
+		readInReach(now);
 	}
-	m_reader->read([self = shared_from_this()](std::optional<StoreContent> _content)
-				   { self->onList(std::move(_content)); });
 }
 
-void BackendListSync::onList(std::optional<StoreContent> _content)
+void BackendListSync::rest(Micros _age)
+{
+	m_context.storeContact.onNotNeeded();
+	schedule(std::max(kLook, m_budget.readFrom - _age));
+}
+
+void BackendListSync::readInReach(Micros _now)
+{
+	if (m_outOfReach)
+	{
+		m_outOfReach = false;
+		logEvent(LogLevel::Info, "store-in-reach",
+				 {{"list_age_ms", millisText(m_context.directory.listAge(_now))}});
+	}
+	if (mayStartRead(_now))
+	{
+		startRead(_now);
+	}
+	schedule(kLook);
+}
+
+void BackendListSync::waitOutOfReach(Micros _now)
+{
+	const StoreContact& contact = m_context.storeContact;
+	m_context.directory.onStoreLost(_now);
+	if (!m_outOfReach)
+	{
+		m_outOfReach = true;
+		logEvent(LogLevel::Warning, "store-out-of-reach",
+				 {{"cause", contact.turnedAway() ? "turned-away" : "silent"},
+				  {"silent_ms", millisText(contact.silence(_now))},
+				  {"list_age_ms", millisText(m_context.directory.listAge(_now))}});
+		// Their connections may be dead, and would keep later reads from beginning.
+		giveUpReads();
+	}
+	if (contact.idle(_now) > kProbePause)
+	{
+		startRead(_now);
+	}
+	schedule(kLookAgain);
+}
+
+bool BackendListSync::mayStartRead(Micros _now) const
+{
+	// While bytes come, another answer would only slow them down.
+	const auto receiving = [](const ReaderPtr& _reader)
+	{
+		return _reader->receiving();
+	};
+	return _now - m_lastRead >= kListReadInterval && m_reads.size() < kMostReads &&
+		   std::none_of(m_reads.begin(), m_reads.end(), receiving);
+}
+
+void BackendListSync::startRead(Micros _now)
+{
+	m_lastRead = _now;
+	ReaderPtr reader = std::exchange(m_spare, nullptr);
+	if (!reader)
+	{
+		reader = std::make_shared<RangeReader>(m_context.loop, m_context.storeContact, m_context.settings.store,
+											   platform::backendPrefix(), kLongest);
+	}
+	m_reads.push_back(reader);
+	// An answer that takes longer would bring a list that is too old to send by.
+	reader->read(m_budget.listLife,
+				 [self = shared_from_this(), weak = std::weak_ptr<RangeReader>(reader)](
+					 std::optional<StoreContent> _content) { self->onList(weak.lock(), std::move(_content)); });
+}
+
+void BackendListSync::giveUpReads()
+{
+	for (const ReaderPtr& reader : m_reads)
+	{
+		reader->close();
+	}
+	m_reads.clear();
+}
+
+void BackendListSync::onList(const ReaderPtr& _reader, std::optional<StoreContent> _content)
 {
 	const Micros now = monotonicNow();
+	std::erase(m_reads, _reader);
 	if (!_content)
 	{
-		m_context.directory.onStoreFailed(now);
 		logEvent(LogLevel::Warning, "backend-list-unread",
-				 {{"cause", std::string(toString(m_reader->fault()))},
+				 {{"cause", std::string(toString(_reader->fault()))},
 				  {"list_age_ms", millisText(m_context.directory.listAge(now))}});
-		schedule(kRetry);
+	}
+	if (m_spare)
+	{
+		_reader->close();
+	}
+	else
+	{
+		m_spare = _reader;
+	}
+	if (!_content)
+	{
 		return;
 	}
 	m_context.directory.applyList(
@@ -93,7 +185,6 @@
 	{
 		m_context.onDirectoryChanged();
 	}
-	schedule(kPauseMin);
 }
 
 } // namespace beacongate
--- a/src/gateway/backendlistsync.h
+++ b/src/gateway/backendlistsync.h
@@ -13,14 +13,18 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <memory>
+#include <vector>
 
 namespace beacongate
 {
-/// Reads the records of backend servers alone as soon as the list that this gateway has is older than half of the
-/// bound on sending to a server that has left. StoreSync reads them together with a configuration that may be large
-/// and slow to come, or has them from a gateway that waits for it; a departure must not wait behind that. Measured
-/// with 87 gateways on links of 10 Mbit/s and a configuration that grew by 2,800 routes: without it, requests were
-/// sent by lists up to 24 s old, where 3 s are allowed. While StoreSync is in time this reads nothing.
+/// Reads the records of backend servers alone as soon as the list that this gateway has is older than DrainBudget
+/// allows for. StoreSync reads them together with a configuration that may be large and slow to come, or has them
+/// from a gateway that waits for it; a departure must not wait behind that. Measured with 87 gateways on links of
+/// 10 Mbit/s and a configuration that grew by 2,800 routes: without it, requests were sent by lists up to 24 s old,
+/// where 3 s are allowed. While StoreSync is in time this reads nothing.
+///
+/// Reads overlap where the store is silent: each goes on until its answer comes, so that a store that takes a
+/// second for an answer still brings a list every kListReadInterval.
 class BackendListSync : public std::enable_shared_from_this<BackendListSync>
 {
 public:
@@ -33,13 +37,29 @@
 	void shutdown();
 
 private:
+	using ReaderPtr = std::shared_ptr<RangeReader>;
+
 	void schedule(Micros _span);
 	void check();
-	void onList(std::optional<StoreContent> _content);
+	/// The list is young enough: nothing has to be read.
+	void rest(Micros _age);
+	/// The list is too old, and the store is in reach as far as is known.
+	void readInReach(Micros _now);
+	/// The list is too old, and there is no newer one to be had.
+	void waitOutOfReach(Micros _now);
+	bool mayStartRead(Micros _now) const;
+	void startRead(Micros _now);
+	void giveUpReads();
+	void onList(const ReaderPtr& _reader, std::optional<StoreContent> _content);
 
 	GatewayContext& m_context;
-	std::shared_ptr<RangeReader> m_reader;
+	DrainBudget m_budget;
+	std::vector<ReaderPtr> m_reads; ///< That wait for their answer.
+	ReaderPtr m_spare;              ///< Keeps its connection for the next read.
 	boost::asio::steady_timer m_timer;
+	Micros m_due = kNever; ///< When the timer should fire.
+	Micros m_lastRead = kLongAgo;
+	bool m_outOfReach = false;
 	bool m_closed = false;
 };
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -226,10 +226,12 @@
 		refuse(Failure::KeyUnconfirmed, "the key cannot be confirmed", kStoreRetryAfter);
 		return true;
 	}
-	if (m_context.directory.listOutdated(now, m_context.settings.drainSpan))
+	if (m_context.directory.listOutdated(now))
 	{
-		// This VM got no processor time for a while. Without a look at the list first, 1 to 12 of 12 requests that
-		// had come meanwhile went to the one of two backend servers that had left.
+		// The store is slow, or this VM got no processor time for a while. Without a look at the list first, 1 to
+		// 12 of 12 requests that had come meanwhile went to the one of two backend servers that had left.
+		m_context.metrics.onHeldForList(m_heldForList);
+		m_heldForList = true;
 		return false;
 	}
 	m_placement.tokensPerMilli = m_context.engines.tokensPerSecond(m_service) / kMillisPerSecond;
@@ -326,8 +328,8 @@
 	// The connection may have taken 0.3 s, and where this VM gets no processor time, timers fire late.
 	const Micros now = monotonicNow();
 	const bool inTime = timeLeft(now) > 0;
-	const bool listed = m_context.directory.takesWork(m_attempt.backendId, now) &&
-						!m_context.directory.listOutdated(now, m_context.settings.drainSpan);
+	const bool listed =
+		m_context.directory.takesWork(m_attempt.backendId, now) && !m_context.directory.listOutdated(now);
 	m_attempt.heldBack = !inTime || !listed;
 	return !m_attempt.heldBack;
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -127,6 +127,7 @@
 	bool m_streaming = false;
 	bool m_finished = false;
 	bool m_queued = false;
+	bool m_heldForList = false; ///< It waited for a newer list of backend servers.
 	bool m_usageCounted = false;
 	double m_quotaTaken = 0.0;
 	std::optional<std::uint64_t> m_lastEvent;
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -19,6 +19,7 @@
 #include "coordination/quotaledger.h"
 #include "coordination/relaychoice.h"
 #include "coordination/sharedretrybudget.h"
+#include "coordination/storecontact.h"
 #include "coordination/usageledger.h"
 #include "daemon/clock.h"
 #include "gateway/backendrecords.h"
@@ -39,10 +40,12 @@
 {
 	explicit GatewayContext(GatewaySettings _configured)
 		: settings(std::move(_configured)), run{settings.name, newIncarnation()},
+		  storeContact(DrainBudget(settings.drainSpan).patience),
 		  balancer(settings.dataCentre, static_cast<std::uint32_t>(run.incarnation)), peers(settings.callers.host),
 		  relays({settings.callers.host, settings.dataCentre, settings.cpuPercent}), usage(run),
 		  random(static_cast<std::mt19937::result_type>(run.incarnation))
 	{
+		directory.setDrainBound(settings.drainSpan);
 		retryBudget.configure(settings.retryBudget);
 		quotas.setFirstStart(settings.firstStart);
 		peers.setSeeds(settings.seeds);
@@ -75,7 +78,7 @@
 	std::uint64_t contentFingerprint = 0; ///< Of content, see fingerprintOf().
 	ContentHistory history;
 	BackendRecords backendRecords;
-	bool storeReachable = true; ///< The last read of the store was answered.
+	StoreContact storeContact;
 	Balancer balancer;
 	QuotaLedger quotas;
 	SharedRetryBudget retryBudget;
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -156,6 +156,8 @@
 	}
 	out << "# TYPE beacongate_backend_list_reads_total counter\nbeacongate_backend_list_reads_total " << m_listReads
 		<< '\n';
+	out << "# TYPE beacongate_held_for_list_total counter\nbeacongate_held_for_list_total " << m_heldForList
+		<< '\n';
 	out << "# TYPE beacongate_sends_total counter\n";
 	for (const auto& [standing, count] : m_sends)
 	{
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -56,6 +56,13 @@
 	/// @param[in] standing Of the backend server on that list.
 	void onSent(const std::string& _service, Micros _listAge, Standing _standing);
 
+	/// A request waits for a newer list of backend servers.
+	/// @param[in] _again It was counted before.
+	void onHeldForList(bool _again)
+	{
+		m_heldForList += _again ? 0 : 1;
+	}
+
 	/// The list of backend servers was read by itself, since it had grown old.
 	void onListRead()
 	{
@@ -84,6 +91,7 @@
 	std::map<std::pair<std::string, std::string>, std::uint64_t> m_failedAttempts;
 	std::map<std::string, double> m_gauges;
 	std::uint64_t m_listReads = 0;
+	std::uint64_t m_heldForList = 0;
 	Latencies m_durations;
 	Latencies m_firstBytes;
 	Latencies m_waits;
--- a/src/gateway/gossiper.cpp
+++ b/src/gateway/gossiper.cpp
@@ -82,16 +82,21 @@
 	message.sent = _now;
 	message.wallClock = wallClockNow();
 	message.uptime = _now - m_context.started;
-	message.storeRevision = m_context.directory.revision();
-	message.configVersion = m_context.directory.config() ? m_context.directory.config()->version : 0;
-	message.configAge = m_context.directory.age(_now);
-	message.contentFingerprint = m_context.contentFingerprint;
-	message.contentAge = _now - m_context.content.confirmed;
+	describeContent(message, _now);
 	message.leaving = m_context.stopping;
 	message.draining = m_context.directory.drainingSince(_now - kDrainingNews);
 	return message;
 }
 
+void Gossiper::describeContent(GossipMessage& _message, Micros _now) const
+{
+	_message.storeRevision = m_context.directory.revision();
+	_message.configVersion = m_context.directory.config() ? m_context.directory.config()->version : 0;
+	_message.configAge = m_context.directory.age(_now);
+	_message.contentFingerprint = m_context.contentFingerprint;
+	_message.contentAge = _now - m_context.content.confirmed;
+}
+
 FleetSums Gossiper::ownSums() const
 {
 	FleetSums sums;
--- a/src/gateway/gossiper.h
+++ b/src/gateway/gossiper.h
@@ -59,6 +59,8 @@
 	bool collects() const;
 	/// @returns a message with what every message says of its sender.
 	GossipMessage describeSender(Micros _now) const;
+	/// Says which content this gateway holds and how old that is, both as of one moment.
+	void describeContent(GossipMessage& _message, Micros _now) const;
 	/// @returns a report of this gateway.
 	GossipMessage describe(Micros _now) const;
 	/// @returns all own counters and loads.
--- a/src/gateway/gossiperreceive.cpp
+++ b/src/gateway/gossiperreceive.cpp
@@ -203,11 +203,12 @@
 		m_sums.loads = std::move(sums.loads);
 		m_sumsMade = _now;
 	}
-	// Ages and clocks are of this moment, whenever the sums were made.
+	// Ages and clocks are of this moment, whenever the sums were made, and so is what they are the ages of: with
+	// the fingerprint of content that had been replaced since, it was confirmed for a moment 0.47 s too late in a
+	// test.
 	m_sums.sent = _now;
 	m_sums.wallClock = m_context.clock.trueTime(_now);
-	m_sums.configAge = m_context.directory.age(_now);
-	m_sums.contentAge = _now - m_context.content.confirmed;
+	describeContent(m_sums, _now);
 	m_sums.echo = m_context.peers.echoFor(_host);
 	send(m_sums, _host);
 }
--- a/src/gateway/rangereader.cpp
+++ b/src/gateway/rangereader.cpp
@@ -11,15 +11,21 @@
 
 namespace beacongate
 {
-RangeReader::RangeReader(boost::asio::io_context& _loop, const Address& _store, std::string _prefix,
-						 Micros _silence, Micros _longest)
-	: m_channel(std::make_shared<HttpChannel>(_loop, _store, limits::kSnapshotBytes)), m_prefix(std::move(_prefix)),
-	  m_silence(_silence), m_longest(_longest)
+namespace
+{
+constexpr unsigned kTooManyCalls = 429; ///< All gateways together ask too often: the store is well.
+} // namespace
+
+RangeReader::RangeReader(boost::asio::io_context& _loop, StoreContact& _contact, const Address& _store,
+						 std::string _prefix, Micros _longest)
+	: m_contact(_contact), m_channel(std::make_shared<HttpChannel>(_loop, _store, limits::kSnapshotBytes)),
+	  m_prefix(std::move(_prefix)), m_longest(_longest)
 {
 }
 
-void RangeReader::read(Handler _handler)
+void RangeReader::read(Micros _silence, Handler _handler)
 {
+	m_silence = _silence;
 	m_handler = std::move(_handler);
 	m_content = {};
 	m_content.confirmed = monotonicNow();
@@ -30,6 +36,10 @@
 {
 	m_closed = true;
 	m_channel->close();
+	if (m_asked != kNever)
+	{
+		m_contact.onGivenUp(std::exchange(m_asked, kNever), monotonicNow());
+	}
 	m_handler = nullptr;
 }
 
@@ -37,17 +47,43 @@
 {
 	ChannelRequest request = platform::rangeCall(m_prefix, _afterKey);
 	request.longest = m_longest;
+	request.onProgress = [this]
+	{
+		// The channel is closed before this reader goes, and calls nothing from then on.
+		m_contact.onHeard(monotonicNow());
+	};
+	m_asked = monotonicNow();
+	m_contact.onAsked(m_asked);
 	m_channel->call(std::move(request), m_silence,
 					[self = shared_from_this()](const std::optional<HttpAnswer>& _answer)
 					{
 						if (!self->m_closed)
 						{
-							self->m_fault = _answer ? ChannelFault::TurnedAway : self->m_channel->fault();
-							self->onPage(platform::readRange(_answer));
+							self->onAnswer(_answer);
 						}
 					});
 }
 
+void RangeReader::onAnswer(const std::optional<HttpAnswer>& _answer)
+{
+	const Micros now = monotonicNow();
+	const std::optional<KvPage> page = platform::readRange(_answer);
+	const bool busy = _answer && _answer->status == kTooManyCalls;
+	const Micros asked = std::exchange(m_asked, kNever);
+	if (page)
+	{
+		m_fault = ChannelFault::None;
+		m_contact.onAnswered(asked, now);
+	}
+	else
+	{
+		const ChannelFault answered = busy ? ChannelFault::Busy : ChannelFault::TurnedAway;
+		m_fault = _answer ? answered : m_channel->fault();
+		m_fault == ChannelFault::TurnedAway ? m_contact.onTurnedAway(asked, now) : m_contact.onGivenUp(asked, now);
+	}
+	onPage(page);
+}
+
 void RangeReader::onPage(const std::optional<KvPage>& _page)
 {
 	if (!_page)
@@ -55,7 +91,6 @@
 		std::exchange(m_handler, nullptr)(std::nullopt);
 		return;
 	}
-	m_fault = ChannelFault::None;
 	if (m_content.items.empty())
 	{
 		m_content.revision = _page->revision;
--- a/src/gateway/rangereader.h
+++ b/src/gateway/rangereader.h
@@ -8,6 +8,7 @@
 #define BEACONGATE_GATEWAY_RANGEREADER_H
 
 #include "coordination/kvtypes.h"
+#include "coordination/storecontact.h"
 #include "transport/httpchannel.h"
 
 #include <boost/asio/io_context.hpp>
@@ -19,7 +20,7 @@
 
 namespace beacongate
 {
-/// One read at a time on a connection of its own.
+/// One read at a time on a connection of its own; what it shows of the store is told to a StoreContact.
 class RangeReader : public std::enable_shared_from_this<RangeReader>
 {
 public:
@@ -27,13 +28,19 @@
 	/// failed.
 	using Handler = std::function<void(std::optional<StoreContent>)>;
 
-	/// @param[in] silence A page that brings no bytes for this long has failed.
-	/// @param[in] longest A page that is not whole after this span has failed.
-	RangeReader(boost::asio::io_context& _loop, const Address& _store, std::string _prefix, Micros _silence,
+	/// @param[in] _longest A page that is not whole after this span has failed.
+	RangeReader(boost::asio::io_context& _loop, StoreContact& _contact, const Address& _store, std::string _prefix,
 				Micros _longest);
 
 	/// Begins to read. Nothing else may be being read.
-	void read(Handler _handler);
+	/// @param[in] _silence A page that brings no bytes for this long has failed.
+	void read(Micros _silence, Handler _handler);
+
+	/// @returns whether bytes of a page are coming.
+	bool receiving() const
+	{
+		return m_channel->receiving();
+	}
 
 	/// @returns why the last read failed; for its handler. An answer that is no page counts as turned away.
 	ChannelFault fault() const
@@ -46,12 +53,15 @@
 
 private:
 	void readPage(const std::string& _afterKey);
+	void onAnswer(const std::optional<HttpAnswer>& _answer);
 	void onPage(const std::optional<KvPage>& _page);
 
+	StoreContact& m_contact;
 	std::shared_ptr<HttpChannel> m_channel;
 	std::string m_prefix;
-	Micros m_silence;
+	Micros m_silence = 0;
 	Micros m_longest;
+	Micros m_asked = kNever; ///< When the page was asked for that has not come yet.
 	StoreContent m_content;
 	Handler m_handler;
 	ChannelFault m_fault = ChannelFault::None;
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -30,7 +30,9 @@
 constexpr Micros kRelayTimeout = 150 * kMillisecond;
 constexpr Micros kRelayAge = 1500 * kMillisecond;    ///< A relay that knows nothing newer than this is of no use.
 constexpr Micros kNewsInterval = 200 * kMillisecond; ///< Between two early reads.
-/// A read that brings no bytes for this long has failed; the store answers within 10 ms.
+/// A read that brings no bytes for this long has failed; the store answers within 10 ms. It is longer after an
+/// answer that took long: with this span alone, a store that answers after a second brought no configuration at
+/// all.
 constexpr Micros kReadSilence = 900 * kMillisecond;
 constexpr Micros kRetryMin = 100 * kMillisecond;
 constexpr Micros kRetryMax = 600 * kMillisecond;
@@ -41,8 +43,8 @@
 } // namespace
 
 StoreSync::StoreSync(GatewayContext& _context)
-	: m_context(_context), m_reads(std::make_shared<RangeReader>(_context.loop, _context.settings.store, "",
-																 kReadSilence, kReadLongest)),
+	: m_context(_context), m_reads(std::make_shared<RangeReader>(_context.loop, _context.storeContact,
+																 _context.settings.store, "", kReadLongest)),
 	  m_watches(std::make_shared<HttpChannel>(_context.loop, _context.settings.store, limits::kSnapshotBytes)),
 	  m_readTimer(_context.loop), m_watchTimer(_context.loop), m_peerTimer(_context.loop)
 {
@@ -188,20 +190,15 @@
 void StoreSync::onStoreReached(std::uint64_t _revision)
 {
 	m_failures = 0;
-	if (!m_context.storeReachable)
+	if (!m_storeReached)
 	{
-		m_context.storeReachable = true;
+		m_storeReached = true;
 		logEvent(LogLevel::Info, "store-regained", {{"revision", std::to_string(_revision)}});
 	}
 }
 
 bool StoreSync::takeUpdate(Micros _asked, const ContentUpdate& _update)
 {
-	if (_update.storeFailedAge != kNever)
-	{
-		// Records may have lapsed in an outage that this gateway has not met itself.
-		m_context.directory.onStoreFailed(_asked - _update.storeFailedAge);
-	}
 	const auto& config = m_context.directory.config();
 	if (config && config->version == _update.configVersion)
 	{
@@ -239,7 +236,8 @@
 void StoreSync::readStore()
 {
 	m_readAgain = false;
-	m_reads->read([self = shared_from_this()](std::optional<StoreContent> _content)
+	m_reads->read(m_context.storeContact.readSilence(kReadSilence),
+				  [self = shared_from_this()](std::optional<StoreContent> _content)
 				  { self->onRead(std::move(_content)); });
 }
 
@@ -270,10 +268,9 @@
 {
 	m_reading = false;
 	++m_failures;
-	m_context.directory.onStoreFailed(monotonicNow());
-	if (m_context.storeReachable)
+	if (m_storeReached)
 	{
-		m_context.storeReachable = false;
+		m_storeReached = false;
 		logEvent(LogLevel::Warning, "store-lost",
 				 {{"cause", std::string(toString(m_reads->fault()))},
 				  {"revision", std::to_string(m_context.directory.revision())},
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -86,6 +86,7 @@
 	Micros m_lastNews = kLongAgo;
 	bool m_watching = false;
 	bool m_closed = false;
+	bool m_storeReached = true; ///< The last read, of this gateway or of one that it asked, was answered.
 	unsigned m_failures = 0;
 	std::uint64_t m_parsedRevision = 0;
 	RoutingConfigPtr m_parsed;
--- a/src/gateway/storesyncpeers.cpp
+++ b/src/gateway/storesyncpeers.cpp
@@ -126,7 +126,6 @@
 	}
 	ContentUpdate update = m_context.history.updateSince(m_context.content, _revision);
 	update.age = monotonicNow() - m_context.content.confirmed;
-	update.storeFailedAge = m_context.directory.storeFailedAge(monotonicNow());
 	update.configVersion = m_context.directory.config() ? m_context.directory.config()->version : 0;
 	return encodeUpdate(update);
 }
--- a/src/transport/httpchannel.cpp
+++ b/src/transport/httpchannel.cpp
@@ -16,6 +16,7 @@
 namespace
 {
 constexpr std::size_t kAnswerHeaderBytes = 16u << 10;
+constexpr unsigned kOk = 200;
 } // namespace
 
 std::string_view toString(ChannelFault _fault)
@@ -26,6 +27,8 @@
 		return "none";
 	case ChannelFault::Silent:
 		return "silent";
+	case ChannelFault::Busy:
+		return "busy";
 	case ChannelFault::TurnedAway:
 		return "turned-away";
 	}
@@ -180,6 +183,11 @@
 		fail(ChannelFault::TurnedAway);
 		return;
 	}
+	const bool good = m_parser->headDone() && m_parser->head().status == kOk;
+	if (good && m_queue.front().request.onProgress)
+	{
+		m_queue.front().request.onProgress();
+	}
 	if (!m_parser->done())
 	{
 		if (std::chrono::steady_clock::now() < m_callEnds)
--- a/src/transport/httpchannel.h
+++ b/src/transport/httpchannel.h
@@ -30,6 +30,8 @@
 	std::string body;
 	/// The answer may take this long as long as its bytes keep coming; 0 is no longer than the call's span.
 	Micros longest = 0;
+	/// Runs whenever bytes of a successful answer came; may be empty.
+	std::function<void()> onProgress;
 };
 
 /// Why a call got no answer.
@@ -37,6 +39,7 @@
 {
 	None,
 	Silent,     ///< Nothing came in time: the other side may be slow, or out of reach.
+	Busy,       ///< The other side is well and takes no more calls for now.
 	TurnedAway, ///< The connection was refused, or ended before the answer was whole.
 };
 
@@ -62,6 +65,12 @@
 	/// answer until the request's `longest` has passed.
 	void call(ChannelRequest _request, Micros _span, Handler _handler, MaySend _maySend = nullptr);
 
+	/// @returns whether bytes of an answer have come to the call whose turn it is.
+	bool receiving() const
+	{
+		return m_busy && m_parser && m_parser->started();
+	}
+
 	/// @returns why the last call that ended got no answer; for its handler.
 	ChannelFault fault() const
 	{
--- a/tests/contenttest.cpp
+++ b/tests/contenttest.cpp
@@ -79,11 +79,11 @@
 TEST(Directory, aVanishedRecordIsOnlyUsedForAShortWhileAndWhereNoOtherIsLeft)
 {
 	Directory directory;
-	directory.apply({1, configOf(1), {backendOf("a"), backendOf("b")}, 0}, kSecond);
-	directory.apply({2, configOf(1), {backendOf("b")}, 0}, 2 * kSecond);
+	directory.apply({1, configOf(1), {backendOf("a"), backendOf("b")}, kSecond}, kSecond);
+	directory.apply({2, configOf(1), {backendOf("b")}, 2 * kSecond}, 2 * kSecond);
 	ASSERT_EQ(directory.usableOf("model", 2 * kSecond).size(), 1u);
 	EXPECT_EQ(directory.usableOf("model", 2 * kSecond)[0]->record.id, "b");
-	directory.apply({3, configOf(1), {}, 0}, 3 * kSecond);
+	directory.apply({3, configOf(1), {}, 3 * kSecond}, 3 * kSecond);
 	EXPECT_FALSE(directory.usableOf("model", 3 * kSecond).empty());
 	EXPECT_TRUE(directory.usableOf("model", 3 * kSecond + Directory::kVanishedGrace).empty());
 }
@@ -105,7 +105,7 @@
 	Directory directory;
 	directory.apply({1, configOf(1), {backendOf("a"), backendOf("b")}, kSecond}, kSecond);
 	const Micros back = kSecond + Directory::kOutage + kMillisecond;
-	directory.onStoreFailed(back - kMillisecond);
+	directory.onStoreLost(back - kMillisecond);
 	directory.apply({5, configOf(1), {}, back}, back);
 	EXPECT_EQ(directory.usableOf("model", back).size(), 2u);
 	// One returns first: it must not get the whole load.
@@ -121,7 +121,7 @@
 	Directory directory;
 	Micros now = kSecond;
 	directory.apply({1, configOf(1), {backendOf("a"), backendOf("b")}, 0}, now);
-	directory.onStoreFailed(now);
+	directory.onStoreLost(now);
 	for (int poll = 0; poll < 10; ++poll)
 	{
 		now += kSecond;
@@ -140,7 +140,7 @@
 	ASSERT_EQ(directory.usableOf("model", late).size(), 1u);
 	EXPECT_FALSE(directory.takesWork("a", late + Directory::kVanishedGrace));
 	// Nor is it one where a read failed before the list was last confirmed.
-	directory.onStoreFailed(late + kMillisecond);
+	directory.onStoreLost(late + kMillisecond);
 	directory.onUnchanged(late + 2 * kMillisecond);
 	directory.apply({6, configOf(1), {}, 2 * late}, 2 * late);
 	EXPECT_FALSE(directory.takesWork("b", 2 * late + Directory::kVanishedGrace));
@@ -183,7 +183,7 @@
 		now += static_cast<Micros>(event % 11) * 100 * kMillisecond;
 		if (event % 7 == 0)
 		{
-			directory.onStoreFailed(now);
+			directory.onStoreLost(now);
 		}
 		std::vector<BackendRecord> backends;
 		if (event % 2 == 0)
@@ -207,7 +207,7 @@
 	Directory directory;
 	directory.apply({1, configOf(1), {backendOf("a", true), backendOf("b")}, kSecond}, kSecond);
 	const Micros back = kSecond + 2 * Directory::kOutage;
-	directory.onStoreFailed(back - kMillisecond);
+	directory.onStoreLost(back - kMillisecond);
 	directory.apply({5, configOf(1), {}, back}, back);
 	ASSERT_EQ(directory.usableOf("model", back).size(), 1u);
 	EXPECT_EQ(directory.usableOf("model", back)[0]->record.id, "b");
--- a/tests/departurestest.cpp
+++ b/tests/departurestest.cpp
@@ -2,13 +2,16 @@
 // Licence: BSD-2-Clause, see LICENSE.
 
 /// @file
-/// For how long a backend server that left may still be used, whatever a gateway knows of the store.
+/// For how long a backend server that left may still be used, and what a gateway takes for an outage of the store.
 
 #include "coordination/directory.h"
+#include "coordination/storecontact.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <deque>
+#include <utility>
 #include <vector>
 
 namespace beacongate::test
@@ -16,6 +19,7 @@
 namespace
 {
 constexpr Micros kDrainBound = 2 * kSecond; ///< That a directory keeps where it is told no other.
+constexpr Micros kPatience = DrainBudget(kDrainBound).patience;
 
 BackendRecord backendOf(const std::string& _id)
 {
@@ -54,4 +58,92 @@
 	}
 }
 
+TEST(StoreContact, oneSilentReadProvesNothingBeforeThePatienceIsOver)
+{
+	StoreContact contact(kPatience);
+	contact.onAsked(kSecond);
+	EXPECT_FALSE(contact.outOfReach(kSecond + kPatience - 1));
+	EXPECT_TRUE(contact.outOfReach(kSecond + kPatience));
+	contact.onHeard(kSecond + kPatience);
+	EXPECT_FALSE(contact.outOfReach(kSecond + kPatience));
+}
+
+TEST(StoreContact, aReadThatWasGivenUpProvesNoMoreThanItWaited)
+{
+	// Reads that are dropped and begun anew never find out about a store that is slower than that.
+	constexpr Micros kDropped = kPatience * 3 / 4;
+	StoreContact contact(kPatience);
+	Micros now = kSecond;
+	for (int read = 0; read < 10; ++read)
+	{
+		contact.onAsked(now);
+		EXPECT_FALSE(contact.outOfReach(now + kDropped));
+		contact.onGivenUp(now, now + kDropped);
+		now += kDropped;
+	}
+	contact.onAsked(now);
+	contact.onGivenUp(now, now + kPatience);
+	EXPECT_TRUE(contact.outOfReach(now + kPatience));
+}
+
+TEST(StoreContact, aStoreThatTurnsCallsAwayIsOutOfReachOnceItDidSoAgain)
+{
+	StoreContact contact(kPatience);
+	contact.onAsked(kSecond);
+	contact.onTurnedAway(kSecond, kSecond);
+	EXPECT_FALSE(contact.outOfReach(2 * kSecond));
+	contact.onAsked(2 * kSecond);
+	contact.onTurnedAway(2 * kSecond, 2 * kSecond);
+	EXPECT_TRUE(contact.outOfReach(2 * kSecond));
+	contact.onAsked(3 * kSecond);
+	EXPECT_TRUE(contact.outOfReach(3 * kSecond));
+	contact.onAnswered(3 * kSecond, 3 * kSecond + kMillisecond);
+	EXPECT_FALSE(contact.outOfReach(3 * kSecond + kMillisecond));
+}
+
+TEST(StoreContact, timeInWhichThisProcessDidNotRunIsNoSilence)
+{
+	StoreContact contact(kPatience);
+	contact.onAsked(kSecond);
+	const Micros woken = kSecond + 2 * kPatience;
+	contact.onHeldUp(2 * kPatience - kMillisecond, woken);
+	EXPECT_FALSE(contact.outOfReach(woken));
+	EXPECT_TRUE(contact.outOfReach(woken + kPatience));
+}
+
+TEST(StoreContact, whatWasFoundLongAgoSaysNothingOnceTheListCameByAnotherWay)
+{
+	StoreContact contact(kPatience);
+	contact.onAsked(kSecond);
+	contact.onGivenUp(kSecond, kSecond + kPatience);
+	ASSERT_TRUE(contact.outOfReach(2 * kSecond + kPatience));
+	contact.onNotNeeded();
+	EXPECT_FALSE(contact.outOfReach(2 * kSecond + kPatience));
+}
+
+RC_GTEST_PROP(StoreContact, aStoreThatAnswersWithinThePatienceIsNeverOutOfReach,
+			  (const std::vector<std::uint8_t>& latencies))
+{
+	// Reads overlap, and answers come in the order of the reads.
+	StoreContact contact(kPatience);
+	std::deque<std::pair<Micros, Micros>> answers; ///< When they come, and when they were asked for.
+	Micros now = kSecond;
+	Micros last = 0;
+	for (const std::uint8_t latency : latencies)
+	{
+		contact.onAsked(now);
+		last = std::max(last, now + kPatience * latency / 256);
+		answers.emplace_back(std::min(last, now + kPatience - 1), now);
+		now += kListReadInterval;
+		while (!answers.empty() && answers.front().first <= now)
+		{
+			const auto [came, asked] = answers.front();
+			answers.pop_front();
+			RC_ASSERT(!contact.outOfReach(came));
+			contact.onAnswered(asked, came);
+		}
+		RC_ASSERT(!contact.outOfReach(now));
+	}
+}
+
 } // namespace beacongate::test
--- a/tests/gatewayprotocoltest.cpp
+++ b/tests/gatewayprotocoltest.cpp
@@ -252,7 +252,6 @@
 	update.items = {{"a", std::string("\0\xff", 2), 8}};
 	update.leftOut = {{"b", "", 9}};
 	update.removed = {"c"};
-	update.storeFailedAge = 40;
 	const auto decoded = decodeUpdate(encodeUpdate(update));
 	ASSERT_TRUE(decoded);
 	EXPECT_EQ(decoded->revision, 9u);
@@ -262,7 +261,6 @@
 	EXPECT_EQ(decoded->items[0].value, update.items[0].value);
 	EXPECT_EQ(decoded->leftOut[0].key, "b");
 	EXPECT_EQ(decoded->removed, update.removed);
-	EXPECT_EQ(decoded->storeFailedAge, 40);
 	StoreContent content;
 	content.revision = 5;
 	content.items["k"] = {"k", "v", 4};
