Look at the list soon after a start, and end the log of an outage also where a peer brings the list

Change: BackendListSync looks every 0.2 s until something is known; store-in-reach is logged in both cases.

--- a/src/gateway/backendlistsync.cpp
+++ b/src/gateway/backendlistsync.cpp
@@ -14,8 +14,10 @@
 {
 /// 10,000 records of 250 bytes are 2.5 MB: 2 s of a link of 10 Mbit/s that callers' answers share.
 constexpr Micros kLongest = 6 * kSecond;
-constexpr Micros kLook = 50 * kMillisecond;       ///< Between two looks while a list is waited for.
-constexpr Micros kLookAgain = 100 * kMillisecond; ///< The same while the store is out of reach.
+/// Between two looks while nothing is known: what a peer tells first may be old.
+constexpr Micros kLookAtStart = 200 * kMillisecond;
+constexpr Micros kLook = 50 * kMillisecond;            ///< Between two looks while a list is waited for.
+constexpr Micros kLookOutOfReach = 100 * kMillisecond; ///< The same while the store is out of reach.
 /// While the store is out of reach StoreSync tries it. Where that takes the content from another gateway, nobody
 /// would find out, so this reads after such a pause.
 constexpr Micros kProbePause = 2 * kSecond;
@@ -30,7 +32,7 @@
 
 void BackendListSync::init()
 {
-	schedule(m_budget.readFrom);
+	schedule(kLookAtStart);
 }
 
 void BackendListSync::shutdown()
@@ -62,8 +64,12 @@
 {
 	const Micros now = monotonicNow();
 	m_context.storeContact.onHeldUp(std::max<Micros>(0, now - m_due), now);
-	const bool known = m_context.directory.revision() != 0;
-	const Micros age = known ? m_context.directory.listAge(now) : 0;
+	if (m_context.directory.revision() == 0)
+	{
+		schedule(kLookAtStart);
+		return;
+	}
+	const Micros age = m_context.directory.listAge(now);
 	if (age < m_budget.readFrom)
 	{
 		rest(age);
@@ -80,18 +86,22 @@
 
 void BackendListSync::rest(Micros _age)
 {
+	noteInReach(_age);
 	m_context.storeContact.onNotNeeded();
 	schedule(std::max(kLook, m_budget.readFrom - _age));
 }
 
-void BackendListSync::readInReach(Micros _now)
+void BackendListSync::noteInReach(Micros _age)
 {
-	if (m_outOfReach)
+	if (std::exchange(m_outOfReach, false))
 	{
-		m_outOfReach = false;
-		logEvent(LogLevel::Info, "store-in-reach",
-				 {{"list_age_ms", millisText(m_context.directory.listAge(_now))}});
+		logEvent(LogLevel::Info, "store-in-reach", {{"list_age_ms", millisText(_age)}});
 	}
+}
+
+void BackendListSync::readInReach(Micros _now)
+{
+	noteInReach(m_context.directory.listAge(_now));
 	if (mayStartRead(_now))
 	{
 		startRead(_now);
@@ -117,7 +127,7 @@
 	{
 		startRead(_now);
 	}
-	schedule(kLookAgain);
+	schedule(kLookOutOfReach);
 }
 
 bool BackendListSync::mayStartRead(Micros _now) const
--- a/src/gateway/backendlistsync.h
+++ b/src/gateway/backendlistsync.h
@@ -43,6 +43,8 @@
 	void check();
 	/// The list is young enough: nothing has to be read.
 	void rest(Micros _age);
+	/// The store is in reach again, or the list came from another gateway.
+	void noteInReach(Micros _age);
 	/// The list is too old, and the store is in reach as far as is known.
 	void readInReach(Micros _now);
 	/// The list is too old, and there is no newer one to be had.
