Ask a silent store for the list twice, not eight times, before it counts as out of reach

Cause: reads of the list every 0.25 s while the store says nothing.

Change: ListReadPace asks every 0.25 s only once the store has answered; before, after a quarter of the drain bound and then after twice as long each time.

--- a/src/coordination/drainbudget.h
+++ b/src/coordination/drainbudget.h
@@ -19,22 +19,26 @@
 {
 	/// @param[in] _bound From a departure's record until no request may reach the server.
 	explicit constexpr DrainBudget(Micros _bound)
-		: readFrom(_bound * 45 / 100), patience(_bound * 60 / 100), listLife(_bound * 75 / 100)
+		: readFrom(_bound * 45 / 100), overlap(_bound * 25 / 100), patience(_bound * 60 / 100),
+		  listLife(_bound * 75 / 100)
 	{
 	}
 
 	/// Age at which the list is read by itself. The usual reads confirm it every 0.8 s at the latest, which is less
 	/// than this with the smallest bound that is in use, 2 s: then nothing is read besides.
 	Micros readFrom;
+	/// Until the list is asked for a second time, where the first read has brought nothing yet.
+	Micros overlap;
 	/// Silence of the store after which it counts as out of reach. An answer that takes so long, and the wait for
 	/// the read that follows it by kListReadInterval, make a list that is still no older than `listLife`: every
-	/// store that is quicker keeps the gateway supplied. A slower one cannot be told from one that is down.
+	/// store that is quicker keeps the gateway supplied, once ListReadPace asks that often. A slower one cannot be
+	/// told from one that is down.
 	Micros patience;
 	/// Greatest age of a list that requests are sent by while the store is in reach.
 	Micros listLife;
 };
 
-/// Between two reads of the list that overlap while the store is slow.
+/// Between two reads of the list that overlap while the store answers slowly.
 inline constexpr Micros kListReadInterval = 250 * kMillisecond;
 
 static_assert(DrainBudget(2 * kSecond).patience + kListReadInterval < DrainBudget(2 * kSecond).listLife);
--- a/src/gateway/backendlistsync.cpp
+++ b/src/gateway/backendlistsync.cpp
@@ -26,7 +26,7 @@
 } // namespace
 
 BackendListSync::BackendListSync(GatewayContext& _context)
-	: m_context(_context), m_budget(_context.settings.drainSpan), m_timer(_context.loop)
+	: m_context(_context), m_budget(_context.settings.drainSpan), m_pace(m_budget), m_timer(_context.loop)
 {
 }
 
@@ -88,6 +88,7 @@
 {
 	noteInReach(_age);
 	m_context.storeContact.onNotNeeded();
+	m_pace.onAnswered();
 	schedule(std::max(kLook, m_budget.readFrom - _age));
 }
 
@@ -137,13 +138,13 @@
 	{
 		return _reader->receiving();
 	};
-	return _now - m_lastRead >= kListReadInterval && m_reads.size() < kMostReads &&
+	return m_pace.due(_now) && m_reads.size() < kMostReads &&
 		   std::none_of(m_reads.begin(), m_reads.end(), receiving);
 }
 
 void BackendListSync::startRead(Micros _now)
 {
-	m_lastRead = _now;
+	m_pace.onBegun(_now);
 	ReaderPtr reader = std::exchange(m_spare, nullptr);
 	if (!reader)
 	{
@@ -170,6 +171,10 @@
 {
 	const Micros now = monotonicNow();
 	std::erase(m_reads, _reader);
+	if (_content || _reader->fault() == ChannelFault::TurnedAway)
+	{
+		m_pace.onAnswered();
+	}
 	if (!_content)
 	{
 		logEvent(LogLevel::Warning, "backend-list-unread",
--- a/src/gateway/backendlistsync.h
+++ b/src/gateway/backendlistsync.h
@@ -7,6 +7,7 @@
 #ifndef BEACONGATE_GATEWAY_BACKENDLISTSYNC_H
 #define BEACONGATE_GATEWAY_BACKENDLISTSYNC_H
 
+#include "coordination/listreadpace.h"
 #include "gateway/gatewaycontext.h"
 #include "gateway/rangereader.h"
 
@@ -23,8 +24,8 @@
 /// 10 Mbit/s and a configuration that grew by 2,800 routes: without it, requests were sent by lists up to 24 s old,
 /// where 3 s are allowed. While StoreSync is in time this reads nothing.
 ///
-/// Reads overlap where the store is silent: each goes on until its answer comes, so that a store that takes a
-/// second for an answer still brings a list every kListReadInterval.
+/// Reads overlap where the store is slow, as ListReadPace says: each goes on until its answer comes, so that a
+/// store that takes a second for an answer still brings a list every kListReadInterval.
 class BackendListSync : public std::enable_shared_from_this<BackendListSync>
 {
 public:
@@ -56,11 +57,11 @@
 
 	GatewayContext& m_context;
 	DrainBudget m_budget;
+	ListReadPace m_pace;
 	std::vector<ReaderPtr> m_reads; ///< That wait for their answer.
 	ReaderPtr m_spare;              ///< Keeps its connection for the next read.
 	boost::asio::steady_timer m_timer;
 	Micros m_due = kNever; ///< When the timer should fire.
-	Micros m_lastRead = kLongAgo;
 	bool m_outOfReach = false;
 	bool m_closed = false;
 };
--- a/tests/departurestest.cpp
+++ b/tests/departurestest.cpp
@@ -5,6 +5,7 @@
 /// For how long a backend server that left may still be used, and what a gateway takes for an outage of the store.
 
 #include "coordination/directory.h"
+#include "coordination/listreadpace.h"
 #include "coordination/storecontact.h"
 
 #include <gtest/gtest.h>
@@ -19,6 +20,7 @@
 namespace
 {
 constexpr Micros kDrainBound = 2 * kSecond; ///< That a directory keeps where it is told no other.
+constexpr Micros kLook = 50 * kMillisecond; ///< Between two looks at whether a read is due.
 constexpr Micros kPatience = DrainBudget(kDrainBound).patience;
 
 BackendRecord backendOf(const std::string& _id)
@@ -146,4 +148,55 @@
 	}
 }
 
+TEST(ListReadPace, asksASilentStoreTwiceUntilItIsOutOfReach)
+{
+	for (const Micros bound : {2 * kSecond, 3 * kSecond, 4 * kSecond})
+	{
+		const DrainBudget budget(bound);
+		ListReadPace pace(budget);
+		unsigned reads = 0;
+		for (Micros now = kSecond; now < kSecond + budget.patience; now += kLook)
+		{
+			if (pace.due(now))
+			{
+				pace.onBegun(now);
+				++reads;
+			}
+		}
+		EXPECT_EQ(reads, 2u) << bound;
+	}
+}
+
+/// The store turns slow between two answers; the list must not get too old to send by.
+TEST(ListReadPace, aStoreThatTakesHalfOfTheBoundKeepsTheListYoungEnough)
+{
+	for (const Micros bound : {2 * kSecond, 3 * kSecond, 4 * kSecond})
+	{
+		const DrainBudget budget(bound);
+		const Micros latency = bound / 2;
+		ListReadPace pace(budget);
+		std::deque<Micros> asked;
+		Micros confirmed = kSecond;
+		Micros oldest = 0;
+		for (Micros now = kSecond + budget.readFrom; now < 20 * kSecond; now += kLook)
+		{
+			// Once the first answer of the slow store has come: until then the list may be as old as it takes.
+			const bool slowKnown = confirmed > kSecond;
+			oldest = slowKnown ? std::max(oldest, now - confirmed) : oldest;
+			while (!asked.empty() && asked.front() + latency <= now)
+			{
+				confirmed = asked.front();
+				asked.pop_front();
+				pace.onAnswered();
+			}
+			if (now - confirmed >= budget.readFrom && pace.due(now))
+			{
+				pace.onBegun(now);
+				asked.push_back(now);
+			}
+		}
+		EXPECT_LE(oldest, budget.listLife + kLook) << bound;
+	}
+}
+
 } // namespace beacongate::test
