Let the soak's checker see by newer keys, not by a refusal alone, that a gateway went back

Trace: g6 refused a key (401) at version 1, since version 2, which brought it, had not come; the operator removed the key meanwhile (version 4); version 2 came from a peer at 22:46:48.05 and the key ran at 22:46:48.28, then version 4. The gateway only went forward, and within the bound on removed keys.

Change: a process has seen the removal if it ran something with a key that the removing version or a later one brought, or refused the key after it had run something with it. The first is seen newly; of the second only the refusal before any run is left out, which cannot be told from a version that is still to come.

--- a/tests/soakcheckertest.cpp
+++ b/tests/soakcheckertest.cpp
@@ -135,6 +135,40 @@
 	EXPECT_EQ(countOf(seen, Promise::ConfigNeverBack), 3u);
 }
 
+TEST(SoakChecker, seesAGatewayThatTookANewerKeyAndGoesBack)
+{
+	Observations seen = sound();
+	seen.keys = {{"k1", 0, 30 * kSecond}, {"k2", 30 * kSecond, kNever}};
+	seen.requests.resize(44);
+	seen.runs.resize(44);
+	seen.settled = kNever;
+	seen.requests[41].key = "k2"; // It has the version that removed k1, and takes k1 twice after that.
+	EXPECT_EQ(countOf(seen, Promise::ConfigNeverBack), 2u);
+	seen.requests[41].start = 2; // Another process.
+	EXPECT_EQ(countOf(seen, Promise::ConfigNeverBack), 0u);
+}
+
+TEST(SoakChecker, aGatewayThatIsBehindMayRefuseAKeyBeforeItTakesIt)
+{
+	// k1 was in force only from 28 s to 30 s; the gateway hears of the version that brought it at 31 s, and then of
+	// the one that removed it. It never goes back.
+	Observations seen = sound();
+	seen.keys = {{"k0", 0, kNever}, {"k1", 28 * kSecond, 30 * kSecond}};
+	seen.requests.resize(44);
+	seen.runs.resize(44);
+	seen.settled = kNever;
+	for (std::size_t number = 0; number < 40; ++number)
+	{
+		seen.requests[number].key = "k0";
+	}
+	seen.requests[40].status = 401;
+	seen.runs.erase(seen.runs.begin() + 40);
+	EXPECT_EQ(countOf(seen, Promise::ConfigNeverBack), 0u);
+	seen.requests[42].status = 401; // It knew k1, refuses it, and takes it once more.
+	seen.runs.erase(seen.runs.begin() + 41);
+	EXPECT_EQ(countOf(seen, Promise::ConfigNeverBack), 1u);
+}
+
 TEST(SoakChecker, seesARemovedKeyThatStillRuns)
 {
 	Observations seen = sound();
--- a/tools/soak/checker.cpp
+++ b/tools/soak/checker.cpp
@@ -15,6 +15,9 @@
 constexpr unsigned kUnauthorized = 401;
 constexpr double kServedShare = 0.9; ///< Of the requests after everything has settled.
 constexpr std::size_t kEnoughRequests = 10;
+/// The version that removes a key brings another; their moments are noted one after the other, less apart than two
+/// versions ever are.
+constexpr Micros kSameVersion = 10 * kMillisecond;
 
 bool promisesNotRun(unsigned _status)
 {
@@ -157,7 +160,6 @@
 
 void checkKey(const Observations& _seen, const Evidence& _evidence, const KeyLife& _key, Findings& _findings)
 {
-	std::map<std::pair<unsigned, std::uint64_t>, Micros> refused;
 	for (const ObservedRequest& request : _seen.requests)
 	{
 		if (request.key != _key.key)
@@ -172,11 +174,6 @@
 															 millis(request.sent - _key.added) +
 															 " after it was added"});
 		}
-		if (request.status == kUnauthorized && request.sent > _key.removed)
-		{
-			Micros& first = refused.try_emplace({request.gateway, request.start}, request.ended).first->second;
-			first = std::min(first, request.ended);
-		}
 		const auto& runs = _evidence.runsOf(request.id);
 		if (_key.removed != kNever && request.sent > _key.removed + _seen.bounds.revocation && !runs.empty())
 		{
@@ -184,14 +181,72 @@
 																 millis(request.sent - _key.removed) + " before"});
 		}
 	}
+}
+
+/// A gateway's process: its number, and which of its starts.
+using Process = std::pair<unsigned, std::uint64_t>;
+
+/// @returns when each process was first seen to have the version that removed a key: it refused that key though it
+/// had run something with it before, or it ran something with a key that this version or a later one brought. A
+/// refusal alone may come from a version before the one that brought the key.
+std::map<Process, Micros> sawRemoval(const Observations& _seen, const Evidence& _evidence, const KeyLife& _key)
+{
+	std::set<std::string> later;
+	for (const KeyLife& other : _seen.keys)
+	{
+		if (other.added >= _key.removed - kSameVersion)
+		{
+			later.insert(other.key);
+		}
+	}
+	std::map<Process, Micros> firstRun;
+	std::map<Process, Micros> seen;
+	const auto note = [](std::map<Process, Micros>& _moments, const ObservedRequest& _request)
+	{
+		Micros& first = _moments.try_emplace({_request.gateway, _request.start}, _request.ended).first->second;
+		first = std::min(first, _request.ended);
+	};
 	for (const ObservedRequest& request : _seen.requests)
 	{
-		const auto first = refused.find({request.gateway, request.start});
-		const bool again = request.key == _key.key && first != refused.end() && request.sent > first->second;
+		const bool ran = !_evidence.runsOf(request.id).empty();
+		if (ran && request.key == _key.key)
+		{
+			note(firstRun, request);
+		}
+		if (ran && later.count(request.key))
+		{
+			note(seen, request);
+		}
+	}
+	for (const ObservedRequest& request : _seen.requests)
+	{
+		const auto run = firstRun.find({request.gateway, request.start});
+		const bool refused =
+			request.key == _key.key && request.status == kUnauthorized && request.sent > _key.removed;
+		if (refused && run != firstRun.end() && run->second <= request.sent)
+		{
+			note(seen, request);
+		}
+	}
+	return seen;
+}
+
+void checkNeverBack(const Observations& _seen, const Evidence& _evidence, const KeyLife& _key, Findings& _findings)
+{
+	if (_key.removed == kNever)
+	{
+		return;
+	}
+	const std::map<Process, Micros> seen = sawRemoval(_seen, _evidence, _key);
+	for (const ObservedRequest& request : _seen.requests)
+	{
+		const auto first = seen.find({request.gateway, request.start});
+		const bool again = request.key == _key.key && first != seen.end() && request.sent > first->second;
 		if (again && !_evidence.runsOf(request.id).empty())
 		{
-			_findings.push_back({Promise::ConfigNeverBack,
-								 "request " + request.id + " ran with a key that its gateway had refused"});
+			_findings.push_back(
+				{Promise::ConfigNeverBack,
+				 "request " + request.id + " ran with a key that its gateway had known to be removed"});
 		}
 	}
 }
@@ -283,6 +338,7 @@
 	for (const KeyLife& key : _seen.keys)
 	{
 		checkKey(_seen, evidence, key, findings);
+		checkNeverBack(_seen, evidence, key, findings);
 	}
 	checkReports(_seen, findings);
 	for (const std::string& name : _seen.unaskedEnds)
--- a/tools/soak/checker.h
+++ b/tools/soak/checker.h
@@ -23,7 +23,7 @@
 	NoWorkForLeaving,  ///< A leaving backend server receives no new work.
 	PlannedStopCuts,   ///< A planned stop cuts no request off.
 	ConfigInForce,     ///< A new key works everywhere within the bound.
-	ConfigNeverBack,   ///< A key that a process refused as removed is not taken by it again.
+	ConfigNeverBack,   ///< A key that a process knew to be removed is not taken by it again.
 	RevocationInForce, ///< A removed key runs nothing beyond the bound, whatever fails.
 	OneReportAWindow,  ///< Two usage reports for one window never differ.
 	OneHolder,         ///< A fencing token has one holder, and never falls.
