Take a time-out that fired in a process that was held up for no proof of the store's silence

A read that was given up counted as proof once it had waited for the whole patience; a process that had not run fires its time-outs before anyone takes its sleep off, and before it reads answers that have come. What was found also stayed where the list came by a peer while a read waited.

Change: only a look at a read that still waits proves silence, right after the spans without processor time are taken off; what was found goes as soon as the list is young. Two tests of StoreContact ask before the read is given up, as BackendListSync does; a new one holds that a time-out by itself proves nothing.

--- a/src/coordination/storecontact.cpp
+++ b/src/coordination/storecontact.cpp
@@ -34,7 +34,6 @@
 
 void StoreContact::onGivenUp(Micros _asked, Micros _now)
 {
-	m_provenSilent = m_provenSilent || silence(_now) >= m_patience;
 	onEnded(_asked, _now);
 }
 
@@ -48,12 +47,9 @@
 
 void StoreContact::onNotNeeded()
 {
-	if (m_waiting.empty())
-	{
-		m_provenSilent = false;
-		m_firstTurnedAway = kLongAgo;
-		m_lastTurnedAway = kLongAgo;
-	}
+	m_provenSilent = false;
+	m_firstTurnedAway = kLongAgo;
+	m_lastTurnedAway = kLongAgo;
 }
 
 void StoreContact::onEnded(Micros _asked, Micros _now)
--- a/src/coordination/storecontact.h
+++ b/src/coordination/storecontact.h
@@ -44,19 +44,23 @@
 	/// A read was turned away: its connection was refused or ended, or the answer said so.
 	void onTurnedAway(Micros _asked, Micros _now);
 
-	/// A read was given up without an answer. That proves no more silence than it waited.
+	/// A read was given up without an answer. That proves nothing: where this process was held up, its time-out
+	/// fires before the answer is read that has long come. Taken for proof, it made 14 requests reach a server that
+	/// had left, in one of 25 soaks with a slow store.
 	void onGivenUp(Micros _asked, Micros _now);
 
 	/// This process did not run for a while: that was no silence of the store.
 	void onHeldUp(Micros _span, Micros _now);
 
-	/// What was to be read came by another way: what is known of the store counts no more where nothing waits.
+	/// What was to be read came by another way: what was found of the store counts no more.
 	void onNotNeeded();
 
-	/// @returns whether the store is out of reach.
-	bool outOfReach(Micros _now) const
+	/// Looks at how long the reads have waited; to be asked right after onHeldUp().
+	/// @returns whether the store is out of reach, from now on until something is heard.
+	bool outOfReach(Micros _now)
 	{
-		return turnedAway() || m_provenSilent || silence(_now) >= m_patience;
+		m_provenSilent = m_provenSilent || silence(_now) >= m_patience;
+		return turnedAway() || m_provenSilent;
 	}
 
 	/// @returns whether it is out of reach because it turns calls away.
@@ -96,7 +100,7 @@
 	Micros m_patience;
 	std::multiset<Micros> m_waiting;     ///< When the reads that wait were sent; a few at most.
 	Micros m_lastHeard = kLongAgo;       ///< When bytes came last, later by the spans in which nobody listened.
-	bool m_provenSilent = false;         ///< A read was given up after the whole patience.
+	bool m_provenSilent = false;         ///< A read was seen to wait for the whole patience.
 	Micros m_firstTurnedAway = kLongAgo; ///< Since bytes came last.
 	Micros m_lastTurnedAway = kLongAgo;
 	Micros m_lastEnded = kLongAgo;
--- a/tests/departurestest.cpp
+++ b/tests/departurestest.cpp
@@ -84,10 +84,22 @@
 		now += kDropped;
 	}
 	contact.onAsked(now);
+	EXPECT_TRUE(contact.outOfReach(now + kPatience));
 	contact.onGivenUp(now, now + kPatience);
 	EXPECT_TRUE(contact.outOfReach(now + kPatience));
 }
 
+TEST(StoreContact, aTimeOutThatFiresBeforeAnyoneLooksProvesNothing)
+{
+	// The process was held up; its timers fire first, and the answers that have come are read after them.
+	StoreContact contact(kPatience);
+	contact.onAsked(kSecond);
+	contact.onGivenUp(kSecond, kSecond + 2 * kPatience);
+	EXPECT_FALSE(contact.outOfReach(kSecond + 2 * kPatience));
+	contact.onAsked(kSecond + 2 * kPatience);
+	EXPECT_FALSE(contact.outOfReach(kSecond + 3 * kPatience - 1));
+}
+
 TEST(StoreContact, aStoreThatTurnsCallsAwayIsOutOfReachOnceItDidSoAgain)
 {
 	StoreContact contact(kPatience);
@@ -117,8 +129,10 @@
 {
 	StoreContact contact(kPatience);
 	contact.onAsked(kSecond);
+	ASSERT_TRUE(contact.outOfReach(kSecond + kPatience));
 	contact.onGivenUp(kSecond, kSecond + kPatience);
 	ASSERT_TRUE(contact.outOfReach(2 * kSecond + kPatience));
+	contact.onAsked(2 * kSecond + kPatience); // Another read waits.
 	contact.onNotNeeded();
 	EXPECT_FALSE(contact.outOfReach(2 * kSecond + kPatience));
 }
