Tell incarnations of a backend server apart, and let a spoiled record name no server

Cause: identity was the id alone, so that a server which starts again under its id kept the departure, the misdirection, the failures and the loads of its earlier incarnation, and any state but "ready", or a field that an other writer spoiled, counted as leaving, which peers are told and is final.

--- a/include/beacongate/limits.h
+++ b/include/beacongate/limits.h
@@ -54,9 +54,12 @@
 inline constexpr std::size_t kGatewayAnswerBytes = 8u << 20; ///< An answer that is kept until it is whole.
 inline constexpr std::size_t kEventBytes = 256u << 10;       ///< One event of a stream.
 inline constexpr std::size_t kSnapshotBytes = 32u << 20;     ///< The store's content as one gateway reads it.
-inline constexpr std::size_t kGossipBytes = 60u << 10;       ///< One datagram between gateways.
-inline constexpr std::size_t kGossipPeers = 16;              ///< Peers that a gateway sends to in one round.
-inline constexpr Micros kGossipRound = 150 * kMillisecond;   ///< Between two rounds.
+/// A backend server's record; a larger one is not kept and makes no sense. Real ones have some 250 bytes.
+inline constexpr std::size_t kBackendRecordBytes = 8u << 10;
+inline constexpr std::size_t kBackendIdBytes = 128;        ///< An id of a backend server.
+inline constexpr std::size_t kGossipBytes = 60u << 10;     ///< One datagram between gateways.
+inline constexpr std::size_t kGossipPeers = 16;            ///< Peers that a gateway sends to in one round.
+inline constexpr Micros kGossipRound = 150 * kMillisecond; ///< Between two rounds.
 /// Between two reports to a collector. A report of 200 B to two collectors and sums of some 1.5 kB from one of them
 /// are 8 kB/s; with 150 ms they would be 13 kB/s.
 inline constexpr Micros kCollectorRound = 250 * kMillisecond;
--- a/include/beacongate/routing.h
+++ b/include/beacongate/routing.h
@@ -137,10 +137,21 @@
 
 using RoutingConfigPtr = std::shared_ptr<const RoutingConfig>;
 
+/// Names one incarnation of a backend server. A server may start again under its id; it then holds and knows
+/// nothing of before, so that nothing that is known of an earlier incarnation says anything of a later one.
+struct BackendIdentity
+{
+	std::string id;
+	std::uint64_t born = 0; ///< Unix milliseconds of its start; 0 where it does not say.
+	auto operator<=>(const BackendIdentity&) const = default;
+	bool operator==(const BackendIdentity&) const = default;
+};
+
 /// What a backend server says of itself in the store.
 struct BackendRecord
 {
-	std::string id; ///< Names one incarnation.
+	std::string id;
+	std::uint64_t born = 0; ///< Unix milliseconds of the incarnation's start; 0 where it does not say.
 	std::string service;
 	Address address;
 	std::string dataCentre;
@@ -149,6 +160,12 @@
 	bool spot = false;            ///< May be reclaimed.
 	std::optional<Micros> leaves; ///< Span until it is gone, as of the record.
 	Micros coldRemaining = 0;
+
+	/// @returns the incarnation that the record is of.
+	BackendIdentity identity() const
+	{
+		return {id, born};
+	}
 };
 
 } // namespace beacongate
--- a/src/coordination/backendkey.h
+++ b/src/coordination/backendkey.h
@@ -7,6 +7,8 @@
 #ifndef BEACONGATE_COORDINATION_BACKENDKEY_H
 #define BEACONGATE_COORDINATION_BACKENDKEY_H
 
+#include "beacongate/routing.h"
+
 #include <xxhash.h>
 
 #include <compare>
@@ -16,14 +18,20 @@
 
 namespace beacongate
 {
-/// A hash of a backend server's id. Two of 10,000 share one in 1 of 100 fleets; their loads are then added up.
+/// A hash of a backend server's id and start, so that loads and failures of an incarnation end with it. Two of
+/// 10,000 share one in 1 of 100 fleets; their loads are then added up.
 struct BackendKey
 {
 	std::uint32_t value = 0;
 
 	BackendKey() = default;
 
-	explicit BackendKey(std::string_view _id) : value(XXH32(_id.data(), _id.size(), 0))
+	explicit BackendKey(std::string_view _id, std::uint64_t _born = 0)
+		: value(XXH32(_id.data(), _id.size(), static_cast<std::uint32_t>(_born ^ (_born >> 32))))
+	{
+	}
+
+	explicit BackendKey(const BackendIdentity& _identity) : BackendKey(_identity.id, _identity.born)
 	{
 	}
 
--- a/src/coordination/balancer.cpp
+++ b/src/coordination/balancer.cpp
@@ -153,33 +153,32 @@
 	return total;
 }
 
-unsigned Balancer::totalInFlight(const std::string& _id) const
+unsigned Balancer::totalInFlight(BackendKey _key) const
 {
-	return totalLoad(BackendKey(_id)).inFlight;
+	return totalLoad(_key).inFlight;
 }
 
-void Balancer::onSent(const std::string& _id, const PlacementRequest& _request)
+void Balancer::onSent(BackendKey _key, const PlacementRequest& _request)
 {
-	const BackendKey key(_id);
-	BackendLoad& load = m_own[key];
-	load.key = key;
+	BackendLoad& load = m_own[_key];
+	load.key = _key;
 	++load.inFlight;
 	load.pendingTokens += _request.promptTokens;
 }
 
-void Balancer::onFirstEvent(const std::string& _id, const PlacementRequest& _request)
+void Balancer::onFirstEvent(BackendKey _key, const PlacementRequest& _request)
 {
-	BackendLoad& load = m_own[BackendKey(_id)];
+	BackendLoad& load = m_own[_key];
 	load.pendingTokens -= std::min(load.pendingTokens, _request.promptTokens);
 }
 
-void Balancer::onEnded(const std::string& _id, const PlacementRequest& _request, bool _hadFirstEvent)
+void Balancer::onEnded(BackendKey _key, const PlacementRequest& _request, bool _hadFirstEvent)
 {
 	if (!_hadFirstEvent)
 	{
-		onFirstEvent(_id, _request);
+		onFirstEvent(_key, _request);
 	}
-	BackendLoad& load = m_own[BackendKey(_id)];
+	BackendLoad& load = m_own[_key];
 	load.inFlight -= std::min(load.inFlight, 1u);
 }
 
@@ -189,9 +188,9 @@
 	return it != m_health.end() && it->second.ejectedUntil > _now;
 }
 
-void Balancer::onOutcome(const std::string& _id, bool _succeeded, Micros _now)
+void Balancer::onOutcome(BackendKey _key, bool _succeeded, Micros _now)
 {
-	Health& health = m_health[BackendKey(_id)];
+	Health& health = m_health[_key];
 	health.failureShare = health.failureShare * kHealthDecay + (_succeeded ? 0.0 : 1.0 - kHealthDecay);
 	++health.samples;
 	health.consecutive = _succeeded ? 0 : health.consecutive + 1;
--- a/src/coordination/balancer.h
+++ b/src/coordination/balancer.h
@@ -85,17 +85,17 @@
 					 const std::vector<std::string>& _excluded, Micros _now);
 
 	/// A request was sent.
-	void onSent(const std::string& _id, const PlacementRequest& _request);
+	void onSent(BackendKey _key, const PlacementRequest& _request);
 
 	/// Its first event, or its answer, came.
-	void onFirstEvent(const std::string& _id, const PlacementRequest& _request);
+	void onFirstEvent(BackendKey _key, const PlacementRequest& _request);
 
 	/// Its attempt ended.
 	/// @param[in] hadFirstEvent Whether onFirstEvent() was called for it.
-	void onEnded(const std::string& _id, const PlacementRequest& _request, bool _hadFirstEvent);
+	void onEnded(BackendKey _key, const PlacementRequest& _request, bool _hadFirstEvent);
 
 	/// An attempt succeeded or failed for a reason that lies with the backend server.
-	void onOutcome(const std::string& _id, bool _succeeded, Micros _now);
+	void onOutcome(BackendKey _key, bool _succeeded, Micros _now);
 
 	/// Replaces what a peer says of its own load.
 	void setPeerLoads(const std::string& _peer, std::vector<BackendLoad> _loads, Micros _now);
@@ -113,7 +113,7 @@
 	std::vector<BackendLoad> ownLoads() const;
 
 	/// @returns requests of all gateways at a backend server.
-	unsigned totalInFlight(const std::string& _id) const;
+	unsigned totalInFlight(BackendKey _key) const;
 
 	/// Forgets backend servers that are no longer known.
 	void retain(const std::map<std::string, KnownBackend>& _known);
--- a/src/coordination/directory.cpp
+++ b/src/coordination/directory.cpp
@@ -17,6 +17,8 @@
 		return "record";
 	case LeavingSign::Missing:
 		return "missing";
+	case LeavingSign::Unreadable:
+		return "unreadable";
 	case LeavingSign::Peer:
 		return "peer";
 	}
@@ -51,7 +53,7 @@
 	}
 	m_revision = _snapshot.revision;
 	m_confirmed = std::max(m_confirmed, _snapshot.confirmed);
-	applyList({_snapshot.revision, _snapshot.backends, _snapshot.confirmed}, _now);
+	applyList({_snapshot.revision, _snapshot.backends, _snapshot.confirmed, _snapshot.unreadable}, _now);
 	const bool newer = _snapshot.config && (!m_config || _snapshot.config->version > m_config->version);
 	if (newer)
 	{
@@ -77,7 +79,7 @@
 	m_listRevision = _list.revision;
 	const Micros lastListed = m_listConfirmed;
 	m_listConfirmed = std::max(m_listConfirmed, _list.confirmed);
-	mergeBackends(_list.records, lastListed, _now);
+	mergeBackends(_list, lastListed, _now);
 }
 
 void Directory::onUnchanged(Micros _confirmed)
@@ -85,30 +87,18 @@
 	m_listConfirmed = std::max(m_listConfirmed, _confirmed);
 }
 
-void Directory::mergeBackends(const std::vector<BackendRecord>& _records, Micros _lastListed, Micros _now)
+void Directory::mergeBackends(const BackendList& _list, Micros _lastListed, Micros _now)
 {
 	std::set<std::string> present;
-	for (const BackendRecord& record : _records)
+	for (const BackendRecord& record : _list.records)
 	{
 		present.insert(record.id);
-		KnownBackend& known = m_backends[record.id];
-		const bool wasDraining = known.record.draining;
-		const bool newlyLeaving = record.leaves && !known.record.leaves;
-		known.record = record;
-		known.key = BackendKey(record.id);
-		known.record.draining = record.draining || wasDraining;
-		if (known.record.draining && known.drainingSince == kNever)
-		{
-			known.drainingSince = _now;
-			m_leavingNotices.push_back({record.id, LeavingSign::Record});
-		}
-		known.vanishedAt = kNever;
-		known.lapsedUntil = 0;
-		if (newlyLeaving)
-		{
-			known.leavesAt = _now + *record.leaves;
-		}
-		known.coldUntil = record.coldRemaining > 0 ? _now + record.coldRemaining : known.coldUntil;
+		mergeRecord(record, _now);
+	}
+	for (const std::string& id : _list.unreadable)
+	{
+		present.insert(id);
+		markUnreadable(id, _now);
 	}
 	for (auto it = m_backends.begin(); it != m_backends.end();)
 	{
@@ -116,13 +106,66 @@
 		if (!present.count(it->first) && known.vanishedAt == kNever)
 		{
 			markVanished(known, _lastListed, _now);
-			m_leavingNotices.push_back({it->first, LeavingSign::Missing});
+			m_leavingNotices.push_back({known.record.identity(), LeavingSign::Missing});
 		}
 		const bool forgotten = known.vanishedAt != kNever && _now - known.vanishedAt > kVanishedMemory;
 		it = forgotten ? m_backends.erase(it) : std::next(it);
 	}
 }
 
+void Directory::mergeRecord(const BackendRecord& _record, Micros _now)
+{
+	KnownBackend& known = m_backends[_record.id];
+	if (_record.born < known.record.born)
+	{
+		// A write of an earlier incarnation that came late: the later one is as it was. One that does not tell its
+		// start is none of the server's own.
+		if (_record.born == 0)
+		{
+			markUnreadable(_record.id, _now);
+		}
+		return;
+	}
+	if (_record.born > known.record.born)
+	{
+		known = KnownBackend();
+	}
+	const bool wasDraining = known.record.draining;
+	const bool newlyLeaving = _record.leaves && !known.record.leaves;
+	known.record = _record;
+	known.key = BackendKey(_record.identity());
+	known.record.draining = _record.draining || wasDraining;
+	if (known.record.draining && known.drainingSince == kNever)
+	{
+		known.drainingSince = _now;
+		m_leavingNotices.push_back({_record.identity(), LeavingSign::Record});
+	}
+	known.vanishedAt = kNever;
+	known.lapsedUntil = 0;
+	if (newlyLeaving)
+	{
+		known.leavesAt = _now + *_record.leaves;
+	}
+	known.coldUntil = _record.coldRemaining > 0 ? _now + _record.coldRemaining : known.coldUntil;
+}
+
+void Directory::markUnreadable(const std::string& _id, Micros _now)
+{
+	const auto it = m_backends.find(_id);
+	if (it == m_backends.end())
+	{
+		return;
+	}
+	KnownBackend& known = it->second;
+	if (known.vanishedAt == kNever)
+	{
+		known.vanishedAt = _now;
+		m_leavingNotices.push_back({known.record.identity(), LeavingSign::Unreadable});
+	}
+	known.graceUntil = 0;
+	known.lapsedUntil = 0;
+}
+
 void Directory::markVanished(KnownBackend& _known, Micros _lastListed, Micros _now)
 {
 	_known.vanishedAt = _now;
@@ -136,23 +179,34 @@
 	m_confirmed = std::max(m_confirmed, _confirmed);
 }
 
-void Directory::markMisdirected(const std::string& _id)
+const KnownBackend* Directory::find(const BackendIdentity& _backend) const
 {
-	const auto it = m_backends.find(_id);
-	if (it != m_backends.end())
+	const auto it = m_backends.find(_backend.id);
+	const bool listed = it != m_backends.end() && it->second.record.born == _backend.born;
+	return listed ? &it->second : nullptr;
+}
+
+KnownBackend* Directory::find(const BackendIdentity& _backend)
+{
+	return const_cast<KnownBackend*>(std::as_const(*this).find(_backend));
+}
+
+void Directory::markMisdirected(const BackendIdentity& _backend)
+{
+	if (KnownBackend* known = find(_backend))
 	{
-		it->second.misdirected = true;
+		known->misdirected = true;
 	}
 }
 
-void Directory::markDraining(const std::string& _id, Micros _now)
+void Directory::markDraining(const BackendIdentity& _backend, Micros _now)
 {
-	const auto it = m_backends.find(_id);
-	if (it != m_backends.end() && !it->second.record.draining)
+	KnownBackend* known = find(_backend);
+	if (known && !known->record.draining)
 	{
-		it->second.record.draining = true;
-		it->second.drainingSince = _now;
-		m_leavingNotices.push_back({_id, LeavingSign::Peer});
+		known->record.draining = true;
+		known->drainingSince = _now;
+		m_leavingNotices.push_back({_backend, LeavingSign::Peer});
 	}
 }
 
@@ -161,17 +215,17 @@
 	return std::exchange(m_leavingNotices, {});
 }
 
-std::vector<std::string> Directory::drainingSince(Micros _moment) const
+std::vector<BackendIdentity> Directory::drainingSince(Micros _moment) const
 {
-	std::vector<std::string> ids;
+	std::vector<BackendIdentity> backends;
 	for (const auto& [id, known] : m_backends)
 	{
 		if (known.drainingSince != kNever && known.drainingSince >= _moment)
 		{
-			ids.push_back(id);
+			backends.push_back(known.record.identity());
 		}
 	}
-	return ids;
+	return backends;
 }
 
 Micros Directory::age(Micros _now) const
@@ -196,15 +250,15 @@
 	return _now < _known.graceUntil ? Standing::Vanished : Standing::Gone;
 }
 
-Standing Directory::standing(const std::string& _id, Micros _now) const
+Standing Directory::standing(const BackendIdentity& _backend, Micros _now) const
 {
-	const auto it = m_backends.find(_id);
-	return it == m_backends.end() ? Standing::Gone : standingOf(it->second, _now);
+	const KnownBackend* known = find(_backend);
+	return known ? standingOf(*known, _now) : Standing::Gone;
 }
 
-bool Directory::takesWork(const std::string& _id, Micros _now) const
+bool Directory::takesWork(const BackendIdentity& _backend, Micros _now) const
 {
-	return standing(_id, _now) != Standing::Gone;
+	return standing(_backend, _now) != Standing::Gone;
 }
 
 std::vector<const KnownBackend*> Directory::usableOf(const std::string& _service, Micros _now) const
--- a/src/coordination/directory.h
+++ b/src/coordination/directory.h
@@ -28,6 +28,7 @@
 	std::vector<BackendRecord> backends;
 	/// Steady time before which the call that read it had not been sent.
 	Micros confirmed = 0;
+	std::vector<std::string> unreadable = {}; ///< See BackendList.
 };
 
 /// The records of all backend servers at one revision, without the rest of the store.
@@ -36,13 +37,16 @@
 	std::uint64_t revision = 0;
 	std::vector<BackendRecord> records;
 	Micros confirmed = 0; ///< Steady time before which the call that read them had not been sent.
+	/// Ids whose records make no sense at present, be it that another writer wrote them: they name no server to
+	/// use.
+	std::vector<std::string> unreadable = {};
 };
 
 /// A backend server as this gateway knows it.
 struct KnownBackend
 {
 	BackendRecord record;
-	BackendKey key;                ///< Of the record's id.
+	BackendKey key;                ///< Of the record's incarnation.
 	Micros leavesAt = kNever;      ///< When it is reclaimed.
 	Micros coldUntil = 0;          ///< It is slow until then.
 	Micros vanishedAt = kNever;    ///< When its record was first found missing.
@@ -73,9 +77,10 @@
 /// From what a gateway learnt that a backend server takes no new work any more.
 enum class LeavingSign : std::uint8_t
 {
-	Record,  ///< Its record says so.
-	Missing, ///< Its record went.
-	Peer,    ///< A peer said so.
+	Record,     ///< Its record says so.
+	Missing,    ///< Its record went.
+	Unreadable, ///< Its record makes no sense any more; a good one lets it take work at once.
+	Peer,       ///< A peer said so.
 };
 
 /// @returns a short name for logs.
@@ -84,7 +89,7 @@
 /// A backend server was first found to be leaving.
 struct LeavingNotice
 {
-	std::string id;
+	BackendIdentity backend;
 	LeavingSign sign = LeavingSign::Record;
 };
 
@@ -132,14 +137,14 @@
 		m_storeLost = std::max(m_storeLost, _now);
 	}
 
-	/// A backend server answered that it is not the one that was meant.
-	void markMisdirected(const std::string& _id);
+	/// A backend server answered that it is not the one that was meant. That says nothing of a later incarnation.
+	void markMisdirected(const BackendIdentity& _backend);
 
-	/// A backend server is known from elsewhere to be leaving.
-	void markDraining(const std::string& _id, Micros _now);
+	/// An incarnation is known from elsewhere to be leaving; nothing changes where another one is listed.
+	void markDraining(const BackendIdentity& _backend, Micros _now);
 
-	/// @returns backend servers that were found to be leaving within a span.
-	std::vector<std::string> drainingSince(Micros _moment) const;
+	/// @returns incarnations that were found to be leaving within a span.
+	std::vector<BackendIdentity> drainingSince(Micros _moment) const;
 
 	/// @returns what was found out about leaving backend servers since the last call, for the log.
 	std::vector<LeavingNotice> takeLeavingNotices();
@@ -172,11 +177,11 @@
 		return listAge(_now) > m_drain.listLife && m_storeLost <= m_listConfirmed;
 	}
 
-	/// @returns how a backend server stands on the list.
-	Standing standing(const std::string& _id, Micros _now) const;
+	/// @returns how an incarnation of a backend server stands on the list.
+	Standing standing(const BackendIdentity& _backend, Micros _now) const;
 
 	/// @returns whether a request that was meant for a backend server may still be sent to it.
-	bool takesWork(const std::string& _id, Micros _now) const;
+	bool takesWork(const BackendIdentity& _backend, Micros _now) const;
 
 	/// @returns all backend servers by id, also those that take no new work.
 	const std::map<std::string, KnownBackend>& backends() const
@@ -190,8 +195,13 @@
 private:
 	static Standing standingOf(const KnownBackend& _known, Micros _now);
 	/// @param[in] _lastListed When the list before this one was certainly the newest.
-	void mergeBackends(const std::vector<BackendRecord>& _records, Micros _lastListed, Micros _now);
+	void mergeBackends(const BackendList& _list, Micros _lastListed, Micros _now);
+	void mergeRecord(const BackendRecord& _record, Micros _now);
 	void markVanished(KnownBackend& _known, Micros _lastListed, Micros _now);
+	void markUnreadable(const std::string& _id, Micros _now);
+	/// @returns the backend server if that incarnation is listed, else nullptr.
+	const KnownBackend* find(const BackendIdentity& _backend) const;
+	KnownBackend* find(const BackendIdentity& _backend);
 
 	RoutingConfigPtr m_config;
 	std::uint64_t m_revision = 0;
--- a/src/coordination/gossip.h
+++ b/src/coordination/gossip.h
@@ -46,14 +46,14 @@
 	std::vector<BackendLoad> loads;
 	std::vector<UsageCount> usage;
 	std::vector<DemandReport> demand;
-	std::string dataCentre;               ///< The sender's.
-	std::uint64_t contentFingerprint = 0; ///< Of the store's content that the sender holds.
-	Micros contentAge = kNever;           ///< How long ago that was certainly the newest.
-	bool whole = true;                    ///< Of a report: no quota that was ever taken from is left out.
-	bool wantsSums = false;               ///< Of a report: the receiver is asked for the fleet's sums.
-	std::size_t gateways = 1;             ///< Of whom the message tells.
-	RunCounts centreUsage;                ///< Of sums over a data centre: see UsageLedger::centreCounts().
-	std::vector<std::string> draining;    ///< Backend servers that were lately found to take no new work.
+	std::string dataCentre;                ///< The sender's.
+	std::uint64_t contentFingerprint = 0;  ///< Of the store's content that the sender holds.
+	Micros contentAge = kNever;            ///< How long ago that was certainly the newest.
+	bool whole = true;                     ///< Of a report: no quota that was ever taken from is left out.
+	bool wantsSums = false;                ///< Of a report: the receiver is asked for the fleet's sums.
+	std::size_t gateways = 1;              ///< Of whom the message tells.
+	RunCounts centreUsage;                 ///< Of sums over a data centre: see UsageLedger::centreCounts().
+	std::vector<BackendIdentity> draining; ///< Backend servers that were lately found to take no new work.
 };
 
 } // namespace beacongate
--- a/src/gateway/backendlistsync.cpp
+++ b/src/gateway/backendlistsync.cpp
@@ -193,8 +193,9 @@
 	{
 		return;
 	}
+	BackendEntries entries = m_context.backendRecords.read(_content->items);
 	m_context.directory.applyList(
-		{_content->revision, m_context.backendRecords.read(_content->items), _content->confirmed}, now);
+		{_content->revision, std::move(entries.records), _content->confirmed, std::move(entries.unreadable)}, now);
 	m_context.metrics.onListRead();
 	if (m_context.onDirectoryChanged)
 	{
--- a/src/gateway/backendrecords.cpp
+++ b/src/gateway/backendrecords.cpp
@@ -6,13 +6,14 @@
 #include "daemon/logging.h"
 #include "platform/documents.h"
 
+#include <algorithm>
 #include <set>
 
 namespace beacongate
 {
-std::vector<BackendRecord> BackendRecords::read(const std::map<std::string, KvItem>& _items)
+BackendEntries BackendRecords::read(const std::map<std::string, KvItem>& _items)
 {
-	std::vector<BackendRecord> records;
+	BackendEntries entries;
 	std::set<std::string> present;
 	for (const auto& [key, item] : _items)
 	{
@@ -25,11 +26,16 @@
 		const Parsed& parsed = parse(*id, item);
 		if (parsed.record)
 		{
-			records.push_back(*parsed.record);
+			entries.records.push_back(*parsed.record);
+		}
+		else
+		{
+			entries.unreadable.push_back(*id);
 		}
 	}
 	std::erase_if(m_parsed, [&present](const auto& _entry) { return !present.count(_entry.first); });
-	return records;
+	leaveOutUnborn(entries);
+	return entries;
 }
 
 const BackendRecords::Parsed& BackendRecords::parse(const std::string& _id, const KvItem& _item)
@@ -47,9 +53,40 @@
 	}
 	catch (const std::exception& error)
 	{
-		logEvent(LogLevel::Warning, "backend-refused", {{"backend", _id}, {"detail", error.what()}});
+		onRefused(_id, error.what());
 	}
 	return parsed;
 }
 
+void BackendRecords::leaveOutUnborn(BackendEntries& _entries)
+{
+	const auto unborn = [](const BackendRecord& _record)
+	{
+		return _record.born == 0;
+	};
+	const auto count = std::count_if(_entries.records.begin(), _entries.records.end(), unborn);
+	if (2 * static_cast<std::size_t>(count) >= _entries.records.size())
+	{
+		return;
+	}
+	for (const BackendRecord& record : _entries.records)
+	{
+		if (unborn(record))
+		{
+			_entries.unreadable.push_back(record.id);
+		}
+	}
+	std::erase_if(_entries.records, unborn);
+}
+
+void BackendRecords::onRefused(const std::string& _id, std::string_view _detail)
+{
+	++m_refusals;
+	if (m_refusals <= kLoggedAll || m_refusals % kLoggedEvery == 0)
+	{
+		logEvent(LogLevel::Warning, "backend-refused",
+				 {{"backend", _id}, {"detail", std::string(_detail)}, {"refusals", std::to_string(m_refusals)}});
+	}
+}
+
 } // namespace beacongate
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -261,12 +261,13 @@
 	}
 	m_queued = false;
 	m_attempt = {};
-	m_attempt.backendId = _backend.record.id;
+	m_attempt.backend = _backend.record.identity();
+	m_attempt.key = _backend.key;
 	m_attempt.sent = now;
 	m_tried.push_back(_backend.record.id);
 	m_attempt.slots = _backend.record.slots;
 	m_attempt.resumed = m_lastEvent.has_value() || !m_info.lastEventId.empty();
-	m_context.balancer.onSent(_backend.record.id, m_placement);
+	m_context.balancer.onSent(_backend.key, m_placement);
 	if (m_placement.promptTokens > 0)
 	{
 		m_context.demand.onPrompt(m_service, m_context.engines.readingSeconds(m_service, m_placement.promptTokens));
@@ -319,7 +320,7 @@
 {
 	const Micros now = monotonicNow();
 	m_attempt.listAge = m_context.directory.listAge(now);
-	m_attempt.standing = m_context.directory.standing(m_attempt.backendId, now);
+	m_attempt.standing = m_context.directory.standing(m_attempt.backend, now);
 	m_context.metrics.onSent(m_service, m_attempt.listAge, m_attempt.standing);
 }
 
@@ -329,7 +330,7 @@
 	const Micros now = monotonicNow();
 	const bool inTime = timeLeft(now) > 0;
 	const bool listed =
-		m_context.directory.takesWork(m_attempt.backendId, now) && !m_context.directory.listOutdated(now);
+		m_context.directory.takesWork(m_attempt.backend, now) && !m_context.directory.listOutdated(now);
 	m_attempt.heldBack = !inTime || !listed;
 	return !m_attempt.heldBack;
 }
@@ -439,7 +440,7 @@
 			  {"team", m_team ? m_team->name : "-"},
 			  {"outcome", _outcome},
 			  {"status", std::to_string(_status)},
-			  {"backend", m_attempt.backendId.empty() ? "-" : m_attempt.backendId},
+			  {"backend", m_attempt.backend.id.empty() ? "-" : m_attempt.backend.id},
 			  {"sent", std::to_string(m_sent)},
 			  {"detail", _detail.empty() ? "-" : _detail},
 			  {"ms", millisText(now - m_request.received)},
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -59,7 +59,8 @@
 	/// What the present attempt has seen.
 	struct Attempt
 	{
-		std::string backendId;
+		BackendIdentity backend;
+		BackendKey key; ///< Of the backend server.
 		OutgoingCall::Ptr call;
 		Micros sent = 0;
 		unsigned slots = 0;
--- a/src/gateway/exchangeanswers.cpp
+++ b/src/gateway/exchangeanswers.cpp
@@ -96,7 +96,7 @@
 	if (!m_attempt.firstEvent)
 	{
 		m_attempt.firstEvent = true;
-		m_context.balancer.onFirstEvent(m_attempt.backendId, m_placement);
+		m_context.balancer.onFirstEvent(m_attempt.key, m_placement);
 		if (!m_attempt.resumed)
 		{
 			m_context.engines.onFirstEvent(m_service, m_placement.ownTokens(), monotonicNow() - m_attempt.sent);
@@ -132,7 +132,7 @@
 {
 	if (m_attempt.info.misdirected)
 	{
-		m_context.directory.markMisdirected(m_attempt.backendId);
+		m_context.directory.markMisdirected(m_attempt.backend);
 		endAttempt(AttemptResult::Misdirected);
 	}
 	else if (m_attempt.info.notExecuted)
@@ -181,13 +181,13 @@
 	m_attempt.call->cancel();
 	m_attempt.call = nullptr;
 	releaseBackend();
-	m_context.balancer.onOutcome(m_attempt.backendId, _succeeded, monotonicNow());
+	m_context.balancer.onOutcome(m_attempt.key, _succeeded, monotonicNow());
 	m_dispatcher.wake();
 }
 
 void Exchange::releaseBackend()
 {
-	m_context.balancer.onEnded(m_attempt.backendId, m_placement, m_attempt.firstEvent);
+	m_context.balancer.onEnded(m_attempt.key, m_placement, m_attempt.firstEvent);
 	if (m_attempt.slots == 0)
 	{
 		return;
@@ -237,7 +237,7 @@
 	m_mayHaveRun = m_mayHaveRun || mayHaveRunAfter(_result);
 	logEvent(LogLevel::Info, "attempt-failed",
 			 {{"request", m_info.id},
-			  {"backend", m_attempt.backendId},
+			  {"backend", m_attempt.backend.id},
 			  {"result", std::string(toString(_result))},
 			  {"status", std::to_string(m_attempt.head.status)},
 			  {"sent", std::to_string(m_sent)},
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -218,6 +218,8 @@
 	metrics.setGauge("beacongate_config_version", config ? static_cast<double>(config->version) : 0.0);
 	metrics.setGauge("beacongate_config_age_seconds",
 					 static_cast<double>(m_context.directory.age(now)) / static_cast<double>(kSecond));
+	metrics.setGauge("beacongate_backend_records_refused",
+					 static_cast<double>(m_context.backendRecords.refusals()));
 	metrics.setGauge("beacongate_members", static_cast<double>(m_context.peers.memberCount(now)));
 	metrics.setGauge("beacongate_gateways_heard", static_cast<double>(m_context.quotas.gatewaysHeard(now)));
 	metrics.setGauge("beacongate_duties_held", m_duties && m_duties->holds() ? 1.0 : 0.0);
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -15,12 +15,13 @@
 	for (const auto& [id, known] : _context.directory.backends())
 	{
 		list.push_back({{"id", id},
+						{"born", known.record.born},
 						{"service", known.record.service},
 						{"dataCentre", known.record.dataCentre},
 						{"usable", known.usable()},
 						{"draining", known.record.draining},
 						{"spot", known.record.spot},
-						{"inFlight", _context.balancer.totalInFlight(id)}});
+						{"inFlight", _context.balancer.totalInFlight(known.key)}});
 	}
 	return list;
 }
--- a/src/gateway/gossiper.cpp
+++ b/src/gateway/gossiper.cpp
@@ -165,11 +165,11 @@
 	for (const LeavingNotice& notice : m_context.directory.takeLeavingNotices())
 	{
 		logEvent(LogLevel::Info, "backend-leaving",
-				 {{"backend", notice.id},
+				 {{"backend", notice.backend.id},
 				  {"sign", std::string(toString(notice.sign))},
 				  {"revision", std::to_string(m_context.directory.revision())},
 				  {"list_age_ms", millisText(m_context.directory.listAge(monotonicNow()))},
-				  {"in_flight", std::to_string(m_context.balancer.totalInFlight(notice.id))}});
+				  {"in_flight", std::to_string(m_context.balancer.totalInFlight(BackendKey(notice.backend)))}});
 	}
 }
 
--- a/src/gateway/gossiperreceive.cpp
+++ b/src/gateway/gossiperreceive.cpp
@@ -96,9 +96,9 @@
 	{
 		m_context.directory.confirm(message->echo - message->configAge);
 	}
-	for (const std::string& id : message->draining)
+	for (const BackendIdentity& backend : message->draining)
 	{
-		m_context.directory.markDraining(id, now);
+		m_context.directory.markDraining(backend, now);
 	}
 	if (config && config->version < message->configVersion && m_context.onNewsFromPeer)
 	{
--- a/src/gateway/rangereader.cpp
+++ b/src/gateway/rangereader.cpp
@@ -5,6 +5,7 @@
 
 #include "beacongate/limits.h"
 #include "daemon/clock.h"
+#include "platform/documents.h"
 #include "platform/storecalls.h"
 
 #include <utility>
@@ -97,7 +98,14 @@
 	}
 	for (const KvItem& item : _page->items)
 	{
-		m_content.items[item.key] = item;
+		KvItem& kept = m_content.items[item.key];
+		kept = item;
+		if (platform::backendIdOf(item) && item.value.size() > limits::kBackendRecordBytes)
+		{
+			// Another writer may lay a megabyte under each key: without its value, it is refused as it would be
+			// with it, and neither memory nor the updates for other gateways grow.
+			kept.value.clear();
+		}
 	}
 	if (_page->more && !_page->items.empty())
 	{
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -380,7 +380,9 @@
 		m_context.content.confirmed = std::max(m_context.content.confirmed, _content.confirmed);
 		return;
 	}
-	snapshot.backends = m_context.backendRecords.read(_content.items);
+	BackendEntries entries = m_context.backendRecords.read(_content.items);
+	snapshot.backends = std::move(entries.records);
+	snapshot.unreadable = std::move(entries.unreadable);
 	std::set<std::string> hosts;
 	for (const MemberRecord& member : members)
 	{
--- a/src/protocol/gossipcodec.cpp
+++ b/src/protocol/gossipcodec.cpp
@@ -11,7 +11,7 @@
 {
 namespace
 {
-constexpr int kFormat = 5; ///< Raised when the layout changes.
+constexpr int kFormat = 6; ///< Raised when the layout changes.
 constexpr std::size_t kFields = 26;
 
 Json encodeQuotas(const std::vector<QuotaReport>& _quotas)
@@ -123,6 +123,26 @@
 	return list;
 }
 
+Json encodeBackends(const std::vector<BackendIdentity>& _backends)
+{
+	Json list = Json::array();
+	for (const BackendIdentity& backend : _backends)
+	{
+		list.push_back(Json::array({backend.id, backend.born}));
+	}
+	return list;
+}
+
+std::vector<BackendIdentity> decodeBackends(const Json& _list)
+{
+	std::vector<BackendIdentity> backends;
+	for (const Json& backend : _list)
+	{
+		backends.push_back({backend.at(0).get<std::string>(), backend.at(1).get<std::uint64_t>()});
+	}
+	return backends;
+}
+
 void decodeLists(const Json& _quotas, const Json& _usage, GossipMessage& _message)
 {
 	for (const Json& quota : _quotas)
@@ -156,7 +176,7 @@
 									 encodeLoads(_message.loads),
 									 encodeUsage(_message.usage),
 									 encodeDemand(_message.demand),
-									 _message.draining,
+									 encodeBackends(_message.draining),
 									 _message.uptime,
 									 _message.dataCentre,
 									 _message.contentFingerprint,
@@ -204,7 +224,7 @@
 			message.demand.push_back(
 				{report.at(0).get<std::string>(), report.at(1).get<double>(), report.at(2).get<double>()});
 		}
-		message.draining = fields[17].get<std::vector<std::string>>();
+		message.draining = decodeBackends(fields[17]);
 		message.uptime = fields[18].get<Micros>();
 		message.dataCentre = fields[19].get<std::string>();
 		message.contentFingerprint = fields[20].get<std::uint64_t>();
--- a/tests/balancertest.cpp
+++ b/tests/balancertest.cpp
@@ -66,7 +66,7 @@
 					expected += load.key == BackendKey(id) && now - word.heard <= kSecond ? load.inFlight : 0;
 				}
 			}
-			RC_ASSERT(balancer.totalInFlight(id) == expected);
+			RC_ASSERT(balancer.totalInFlight(BackendKey(id)) == expected);
 		}
 	}
 }
@@ -82,8 +82,8 @@
 	ASSERT_TRUE(free.backend);
 	EXPECT_EQ(free.backend->record.id, "b1");
 	EXPECT_FALSE(free.full);
-	balancer.onSent("b1", request);
-	balancer.onSent("b1", request);
+	balancer.onSent(BackendKey("b1"), request);
+	balancer.onSent(BackendKey("b1"), request);
 	EXPECT_TRUE(balancer.choose({&first, &second}, request, {}, kSecond).full);
 	balancer.expirePeerLoads(kSecond + 2 * kSecond);
 	const Placement later = balancer.choose({&first, &second}, request, {}, 3 * kSecond);
@@ -140,7 +140,7 @@
 		for (; !runs.empty() && runs.front().ends <= now; runs.pop_front())
 		{
 			--running[runs.front().engine];
-			gateways[runs.front().gateway].onEnded(engines[runs.front().engine].record.id, request, true);
+			gateways[runs.front().gateway].onEnded(engines[runs.front().engine].key, request, true);
 		}
 		if (number % (kTold / kBetween) == 0)
 		{
@@ -164,8 +164,8 @@
 			continue;
 		}
 		++running[engine];
-		gateways[gateway].onSent(placement.backend->record.id, request);
-		gateways[gateway].onFirstEvent(placement.backend->record.id, request);
+		gateways[gateway].onSent(placement.backend->key, request);
+		gateways[gateway].onFirstEvent(placement.backend->key, request);
 		runs.push_back({now + kHeld, gateway, engine});
 	}
 	RecordProperty("turnedAway", static_cast<int>(turnedAway));
--- a/tests/contenttest.cpp
+++ b/tests/contenttest.cpp
@@ -94,7 +94,7 @@
 	Directory directory;
 	directory.apply({1, configOf(1), {backendOf("a"), backendOf("b")}, 0}, kSecond);
 	directory.apply({2, configOf(1), {backendOf("b", true)}, 0}, 2 * kSecond);
-	EXPECT_EQ(directory.drainingSince(0), std::vector<std::string>{"b"});
+	EXPECT_EQ(directory.drainingSince(0), std::vector<BackendIdentity>{{"b"}});
 	directory.apply({3, configOf(1), {backendOf("a"), backendOf("b", true)}, 0}, 4 * kSecond);
 	ASSERT_EQ(directory.usableOf("model", 4 * kSecond).size(), 1u);
 	EXPECT_EQ(directory.usableOf("model", 4 * kSecond)[0]->record.id, "a");
@@ -138,12 +138,12 @@
 	const Micros late = kSecond + 2 * Directory::kOutage;
 	directory.apply({5, configOf(1), {backendOf("b")}, late}, late);
 	ASSERT_EQ(directory.usableOf("model", late).size(), 1u);
-	EXPECT_FALSE(directory.takesWork("a", late + Directory::kVanishedGrace));
+	EXPECT_FALSE(directory.takesWork({"a"}, late + Directory::kVanishedGrace));
 	// Nor is it one where a read failed before the list was last confirmed.
 	directory.onStoreLost(late + kMillisecond);
 	directory.onUnchanged(late + 2 * kMillisecond);
 	directory.apply({6, configOf(1), {}, 2 * late}, 2 * late);
-	EXPECT_FALSE(directory.takesWork("b", 2 * late + Directory::kVanishedGrace));
+	EXPECT_FALSE(directory.takesWork({"b"}, 2 * late + Directory::kVanishedGrace));
 }
 
 TEST(Directory, aReadOfTheWholeStoreThatBeganEarlierBringsNoServerBack)
@@ -197,7 +197,7 @@
 		directory.applyList({revision, backends, now}, now);
 		for (const KnownBackend* backend : directory.usableOf("model", now))
 		{
-			RC_ASSERT(directory.takesWork(backend->record.id, now));
+			RC_ASSERT(directory.takesWork(backend->record.identity(), now));
 		}
 	}
 }
@@ -218,14 +218,14 @@
 	Directory directory;
 	directory.apply({1, configOf(1), {backendOf("a"), backendOf("b"), backendOf("c")}, 0}, kSecond);
 	EXPECT_TRUE(directory.takeLeavingNotices().empty());
-	directory.markDraining("a", 2 * kSecond);
-	directory.markDraining("a", 2 * kSecond);
+	directory.markDraining({"a"}, 2 * kSecond);
+	directory.markDraining({"a"}, 2 * kSecond);
 	directory.apply({2, configOf(1), {backendOf("a", true), backendOf("b", true)}, 0}, 2 * kSecond);
 	directory.apply({3, configOf(1), {backendOf("a", true), backendOf("b", true)}, 0}, 3 * kSecond);
 	std::vector<std::pair<std::string, std::string>> told;
 	for (const LeavingNotice& notice : directory.takeLeavingNotices())
 	{
-		told.emplace_back(notice.id, toString(notice.sign));
+		told.emplace_back(notice.backend.id, toString(notice.sign));
 	}
 	const std::vector<std::pair<std::string, std::string>> expected{
 		{"a", "peer"}, {"b", "record"}, {"c", "missing"}};
--- a/tests/departurestest.cpp
+++ b/tests/departurestest.cpp
@@ -39,7 +39,7 @@
 	Directory directory;
 	directory.applyList({1, {backendOf("a")}, kSecond}, kSecond);
 	directory.applyList({2, {}, found}, found);
-	EXPECT_FALSE(directory.takesWork("a", kSecond + kDrainBound));
+	EXPECT_FALSE(directory.takesWork({"a"}, kSecond + kDrainBound));
 	EXPECT_TRUE(directory.usableOf("model", kSecond + kDrainBound).empty());
 }
 
--- a/tests/gatewayfixture.h
+++ b/tests/gatewayfixture.h
@@ -178,11 +178,11 @@
 		return "w" + std::to_string(_number);
 	}
 
-	void registerWorker(unsigned _number, const std::string& _state)
+	void registerWorker(unsigned _number, const std::string& _state, std::uint64_t _born = standin::kFirstBorn)
 	{
 		constexpr unsigned kSlots = 4;
 		const Address address{host(100 + _number), kWorkerPort};
-		store->put("servers/" + workerId(_number), standin::formatRecord(address, kSlots, _state));
+		store->put("servers/" + workerId(_number), standin::formatRecord(address, kSlots, _state, _born));
 	}
 
 	static std::string config(std::uint64_t _version, const std::vector<std::string>& _keys = {"key"})
--- a/tests/gatewayprotocoltest.cpp
+++ b/tests/gatewayprotocoltest.cpp
@@ -198,7 +198,7 @@
 	message.centreUsage = {{{"/a", 2}, {20, "team", 21}}};
 	message.usage = {{14, "team", 15}};
 	message.demand = {{"service", 16.5, 2.25}};
-	message.draining = {"backend"};
+	message.draining = {{"backend", 1'700'000'000'000}, {"other", 0}};
 	const auto decoded = decodeGossip(encodeGossip(message));
 	ASSERT_TRUE(decoded);
 	EXPECT_EQ(encodeGossip(*decoded), encodeGossip(message));
--- a/tools/standin/platformsite.cpp
+++ b/tools/standin/platformsite.cpp
@@ -51,10 +51,17 @@
 	return document.dump();
 }
 
-std::string formatRecord(const Address& _address, unsigned _slots, const std::string& _state)
+std::string formatRecord(const Address& _address, unsigned _slots, const std::string& _state, std::uint64_t _born)
 {
-	const Json record{{"service", kSiteService}, {"address", toString(_address)}, {"zone", "z1"}, {"slots", _slots},
-					  {"state", _state},         {"coldRemainingMs", 0}};
+	const Json record{{"service", kSiteService},
+					  {"address", toString(_address)},
+					  {"zone", "z1"},
+					  {"slots", _slots},
+					  {"state", _state},
+					  {"coldRemainingMs", 0},
+					  {"version", "v1"},
+					  {"sequence", 1},
+					  {"born", _born}};
 	return record.dump();
 }
 
--- a/tools/standin/platformsite.h
+++ b/tools/standin/platformsite.h
@@ -44,9 +44,13 @@
 /// @returns the configuration's document.
 std::string formatConfig(const SiteConfig& _config);
 
+/// Start of a backend server that did not start again, in Unix milliseconds.
+inline constexpr std::uint64_t kFirstBorn = 1'700'000'000'000;
+
 /// @returns a backend server's record.
 /// @param[in] _state As the platform names it: ready or draining.
-std::string formatRecord(const Address& _address, unsigned _slots, const std::string& _state);
+std::string formatRecord(const Address& _address, unsigned _slots, const std::string& _state,
+						 std::uint64_t _born = kFirstBorn);
 
 /// Where a gateway runs.
 struct SiteGateway
