Release no spot capacity before what replaces it serves

Change: the planner releases only what is more than wished, and nothing while a data centre is dry. A defect by itself, which does not bind alone: the need was read too low and what replaces a reclaim is ordered a boot too late.

--- a/src/coordination/capacityplanner.cpp
+++ b/src/coordination/capacityplanner.cpp
@@ -181,6 +181,7 @@
 								   Micros _now, std::vector<CapacityOrder>& _orders)
 {
 	unsigned standing = 0;
+	unsigned surplus = spotSurplus(_zones, _need.wished);
 	const unsigned evenShare =
 		std::min(_need.wished / std::max(1u, static_cast<unsigned>(_zones.size())), _scaling.maximum);
 	for (const auto& [name, wanted] : spreadSpot(_scaling, _zones, _need.wished))
@@ -196,15 +197,30 @@
 		}
 		// A dry data centre is asked for what it would give were it not dry.
 		zone.spotHeld.update(zone.spotDry ? std::max(wanted, evenShare) : wanted, kSpotRelease, _now);
+		const unsigned released = std::min(surplus, capacity.spot - std::min(capacity.spot, zone.spotHeld.count));
+		surplus -= released;
+		const unsigned count = std::max(zone.spotHeld.count, capacity.spot - released);
 		const bool blocked = zone.spotBlockedUntil > _now;
-		if (!blocked && due(zone.spot, zone.spotHeld.count, capacity.spot, _scaling.bootTime, _now))
+		if (!blocked && due(zone.spot, count, capacity.spot, _scaling.bootTime, _now))
 		{
-			_orders.push_back({name, true, zone.spotHeld.count});
+			_orders.push_back({name, true, count});
 		}
 	}
 	return standing;
 }
 
+unsigned CapacityPlanner::spotSurplus(const std::map<std::string, ZoneCapacity>& _zones, unsigned _wished) const
+{
+	unsigned standing = 0;
+	for (const auto& [name, capacity] : _zones)
+	{
+		standing += capacity.spot;
+	}
+	const bool anyDry =
+		std::any_of(m_zones.begin(), m_zones.end(), [](const auto& _entry) { return _entry.second.spotDry; });
+	return anyDry ? 0 : standing - std::min(standing, _wished);
+}
+
 void CapacityPlanner::planOnDemand(const ScalingSettings& _scaling,
 								   const std::map<std::string, ZoneCapacity>& _zones, unsigned _missing,
 								   Micros _now, std::vector<CapacityOrder>& _orders)
--- a/src/coordination/capacityplanner.h
+++ b/src/coordination/capacityplanner.h
@@ -176,6 +176,11 @@
 	/// @returns the spot capacity that stands.
 	unsigned planSpot(const ScalingSettings& _scaling, const std::map<std::string, ZoneCapacity>& _zones,
 					  const Need& _need, Micros _now, std::vector<CapacityOrder>& _orders);
+	/// @returns how much of the spot capacity that stands may be released: what is more than wished, and nothing
+	/// while a data centre gives none. Reclaims come one data centre after the other, and what goes in such a spell
+	/// has to be made up on demand at several times the price, a boot time late. With the wish spread over all data
+	/// centres alike, 23 of 44 were released 1 s before a reclaim of the rest (one day with 78 gateways).
+	unsigned spotSurplus(const std::map<std::string, ZoneCapacity>& _zones, unsigned _wished) const;
 	void planOnDemand(const ScalingSettings& _scaling, const std::map<std::string, ZoneCapacity>& _zones,
 					  unsigned _missing, Micros _now, std::vector<CapacityOrder>& _orders);
 	std::map<std::string, unsigned> spreadSpot(const ScalingSettings& _scaling,
--- a/tests/capacitytest.cpp
+++ b/tests/capacitytest.cpp
@@ -257,6 +257,33 @@
 	EXPECT_EQ(placed("a"), 3u);
 }
 
+/// Two of four data centres were reclaimed within 3.5 s and gave nothing. The planner then spread the wish over all
+/// four and gave half of the 44 that stood back, of 39 wished; 1 s later the other two went as well, and 15 stood
+/// where 32 were needed.
+TEST(CapacityPlanner, nothingThatStandsIsReleasedBeforeWhatReplacesItServes)
+{
+	ModelPlatform platform;
+	platform.scaling.maximum = 56;
+	platform.run({88, 44, true}, 10 * kSecond);
+	ASSERT_EQ(platform.count(true), 88u);
+	platform.reclaim("a", 14 * kSecond);
+	platform.run({36, 35, true}, 3500 * kMillisecond);
+	platform.reclaim("b", 14 * kSecond);
+	for (int tick = 0; tick < 44; ++tick)
+	{
+		platform.step({39, 37, true});
+		EXPECT_GE(platform.count(true), 44u) << "at tick " << tick;
+	}
+	// Once all data centres give again, what is over is released, and never more than that.
+	for (int tick = 0; tick < 120; ++tick)
+	{
+		platform.step({39, 37, true});
+		EXPECT_GE(platform.count(true), 39u) << "at tick " << tick;
+	}
+	EXPECT_EQ(platform.count(true), 39u);
+	EXPECT_EQ(platform.count(false), 0u);
+}
+
 RC_GTEST_PROP(CapacityPlanner, ordersStayWithinTheLimits, (const std::vector<std::uint8_t>& needs))
 {
 	ModelPlatform platform;
