Read the load off what arrives, not off the slots that are held

Cause: the plan of capacity counted prompts as they were sent and slots as they were given back. Change: a request counts as it arrives, with the reading time of its prompt and the hold that its route's mean number of events has at the pace of an engine that is not crowded (StreamLengths, a low quantile); the load is reading + hold / 0.85, whatever stands.

--- a/src/coordination/capacityplanner.cpp
+++ b/src/coordination/capacityplanner.cpp
@@ -18,10 +18,7 @@
 constexpr double kRequiredServers = 0.6;
 constexpr double kFirstShare = 0.4; ///< Of the most that may be ordered; a judgement.
 constexpr Micros kResend = 1 * kSecond;
-constexpr double kSlotUse = 0.85;   ///< A larger share of slots is not held without requests that wait.
-constexpr double kLeastPace = 0.25; ///< Share of time that is left to tokens, however much is read.
-constexpr double kSaturated = 0.85; ///< Share of slots held from which the load cannot be read off them any more.
-constexpr double kGrowth = 1.5;     ///< Of what stands, where it is saturated.
+constexpr double kSlotUse = 0.85; ///< A larger share of slots is not held without requests that wait.
 
 double priceOf(const ScalingSettings& _scaling, const std::string& _zone)
 {
@@ -44,14 +41,9 @@
 }
 } // namespace
 
-double CapacityPlanner::combinedWork(double _reading, double _occupied, unsigned _standing)
+double CapacityPlanner::combinedWork(double _reading, double _occupied)
 {
-	// Reading slows the tokens of requests beside it down, so that these hold their slots for longer than they
-	// will where the reading is spread over enough backend servers.
-	const double present = std::max(1u, _standing);
-	const double pace = std::clamp(1.0 - _reading / present, kLeastPace, 1.0);
-	const double work = _reading + _occupied * pace / kSlotUse;
-	return _occupied >= kSaturated * present ? std::max(work, kGrowth * present) : work;
+	return _reading + _occupied / kSlotUse;
 }
 
 unsigned CapacityPlanner::serversFor(double _work)
--- a/src/coordination/capacityplanner.h
+++ b/src/coordination/capacityplanner.h
@@ -97,12 +97,13 @@
 	static constexpr Micros kOnDemandRelease = 2 * kSecond;
 
 	/// Joins the two ways in which a load fills engines: reading prompts, during which no token is made, and
-	/// slots held while tokens are made.
+	/// slots held while tokens are made. Of n engines, each has the part 1 - reading / n of its time for tokens, so
+	/// that slots are held for so much longer: they suffice where occupied / (1 - reading / n) is at most the share
+	/// of n that can be held, thus from n = reading + occupied / share on. How many stand does not matter.
 	/// @param[in] reading Backend servers kept busy by reading prompts.
-	/// @param[in] occupied Backend servers whose slots are all held, at the present pace of tokens.
-	/// @param[in] standing Backend servers there are, over which the reading is spread.
+	/// @param[in] occupied Backend servers whose slots would all be held, were tokens made all the time.
 	/// @returns backend servers that the load would keep busy all the time.
-	static double combinedWork(double _reading, double _occupied, unsigned _standing);
+	static double combinedWork(double _reading, double _occupied);
 
 	/// @param[in] work Backend servers that the present load would keep busy all the time.
 	/// @returns backend servers to have at the price of spot, so that a burst or a lost data centre is borne.
--- a/src/coordination/demandmeter.cpp
+++ b/src/coordination/demandmeter.cpp
@@ -23,17 +23,13 @@
 	fresh = 0.0;
 }
 
-void DemandMeter::onPrompt(const std::string& _service, double _readingSeconds)
+void DemandMeter::onArrival(const std::string& _service, double _readingSeconds, double _holdSeconds,
+							unsigned _slots)
 {
+	const double held = _holdSeconds / static_cast<double>(std::max(1u, _slots));
 	Service& entry = m_services[_service];
 	entry.ownWork += _readingSeconds;
 	entry.work.fresh += _readingSeconds;
-}
-
-void DemandMeter::onSlotHeld(const std::string& _service, Micros _duration, unsigned _slots)
-{
-	const double held = secondsOf(_duration) / static_cast<double>(std::max(1u, _slots));
-	Service& entry = m_services[_service];
 	entry.ownOccupied += held;
 	entry.occupied.fresh += held;
 }
--- a/src/coordination/demandmeter.h
+++ b/src/coordination/demandmeter.h
@@ -21,7 +21,7 @@
 {
 	std::string service;
 	double work = 0.0;     ///< Reading prompts, or running calls of a plain service.
-	double occupied = 0.0; ///< Slots held at engines, in seconds of a backend server with all its slots.
+	double occupied = 0.0; ///< Slots to be held at engines, in seconds of a backend server with all its slots.
 };
 
 /// Averages the work over the last seconds.
@@ -31,13 +31,12 @@
 	/// The average is believed after this long.
 	static constexpr Micros kSettling = 8 * kSecond;
 
-	/// A prompt was sent to an engine.
-	/// @param[in] readingSeconds For which it keeps the engine busy.
-	void onPrompt(const std::string& _service, double _readingSeconds);
-
-	/// A request at an engine ended.
-	/// @param[in] duration For which it held a slot.
-	void onSlotHeld(const std::string& _service, Micros _duration, unsigned _slots);
+	/// A request for an engine arrived. What is asked for counts, be it served or not: where engines are missing,
+	/// what was sent to them falls short of the load, and what they hold is held for longer.
+	/// @param[in] readingSeconds For which its prompt keeps an engine busy.
+	/// @param[in] holdSeconds For which it then holds a slot at an engine that is not crowded.
+	/// @param[in] slots Of an engine.
+	void onArrival(const std::string& _service, double _readingSeconds, double _holdSeconds, unsigned _slots);
 
 	/// A call at a plain service ended.
 	void onCall(const std::string& _service, Micros _duration, unsigned _slots);
@@ -51,7 +50,7 @@
 	/// @returns backend servers that the present load keeps busy.
 	double work(const std::string& _service) const;
 
-	/// @returns backend servers whose slots the present load holds all the time.
+	/// @returns backend servers whose slots the present load would hold all the time, were they not crowded.
 	double occupied(const std::string& _service) const;
 
 	/// @returns whether work was seen for long enough.
--- /dev/null
+++ b/src/coordination/streamlengths.cpp
@@ -0,0 +1,46 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+#include "coordination/streamlengths.h"
+
+#include <cmath>
+
+namespace beacongate
+{
+namespace
+{
+/// Steps of the logarithm of the pace for each stream. Their ratio makes it the quantile of one in eleven.
+constexpr double kStepDown = 0.05;
+constexpr double kStepUp = 0.005;
+constexpr double kMeanWeight = 0.05; ///< Of a new stream in the mean: some twenty streams are remembered.
+} // namespace
+
+void StreamLengths::onStream(const std::string& _service, const std::string& _route, unsigned _events, Micros _span)
+{
+	const auto route = m_events.find(_route);
+	if (route != m_events.end())
+	{
+		route->second += kMeanWeight * (_events - route->second);
+	}
+	else if (m_events.size() < kMostRoutes)
+	{
+		m_events[_route] = _events;
+	}
+	if (_events < kEventsNeeded || _span <= 0)
+	{
+		return;
+	}
+	const double pace = secondsOf(_span) / (_events - 1);
+	const auto known = m_paces.try_emplace(_service, pace).first;
+	known->second *= std::exp(pace < known->second ? -kStepDown : kStepUp);
+}
+
+double StreamLengths::holdSeconds(const std::string& _service, const std::string& _route) const
+{
+	const auto pace = m_paces.find(_service);
+	const auto events = m_events.find(_route);
+	const bool known = pace != m_paces.end() && events != m_events.end();
+	return known ? pace->second * events->second : 0.0;
+}
+
+} // namespace beacongate
--- a/src/gateway/dutyholder.cpp
+++ b/src/gateway/dutyholder.cpp
@@ -419,7 +419,7 @@
 										 Micros _now)
 {
 	const double work = CapacityPlanner::combinedWork(m_context.demand.work(_service.name),
-													  m_context.demand.occupied(_service.name), _standing);
+													  m_context.demand.occupied(_service.name));
 	CapacityPlanner::Observation seen;
 	seen.work = work;
 	// One that does not hear of most gateways does not know the load, and keeps what stands.
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -53,6 +53,7 @@
 	{
 		return;
 	}
+	countDemand();
 	m_timer.expires_after(std::chrono::microseconds(timeLeft(monotonicNow())));
 	m_timer.async_wait(
 		[weak = weak_from_this()](const boost::system::error_code& _error)
@@ -201,6 +202,18 @@
 	return true;
 }
 
+void Exchange::countDemand()
+{
+	const PooledService* service = m_config->findService(m_service);
+	if (m_placement.promptTokens == 0 || !service || !service->engine)
+	{
+		return;
+	}
+	m_context.demand.onArrival(m_service, m_context.engines.readingSeconds(m_service, m_placement.promptTokens),
+							   m_context.streamLengths.holdSeconds(m_service, m_route->name),
+							   service->engine->slots);
+}
+
 Micros Exchange::timeLeft(Micros _now) const
 {
 	return m_holdUntil - _now;
@@ -268,10 +281,6 @@
 	m_attempt.slots = _backend.record.slots;
 	m_attempt.resumed = m_lastEvent.has_value() || !m_info.lastEventId.empty();
 	m_context.balancer.onSent(_backend.key, m_placement);
-	if (m_placement.promptTokens > 0)
-	{
-		m_context.demand.onPrompt(m_service, m_context.engines.readingSeconds(m_service, m_placement.promptTokens));
-	}
 	CallOptions options;
 	options.address = _backend.record.address;
 	options.connectSpan = std::clamp(m_route->targetLatency / 4, kConnectMin, kConnectMax);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -73,6 +73,8 @@
 		bool heldBack = false; ///< It was not sent for a reason that does not lie with the backend server.
 		bool onTheWire = false;
 		bool firstEvent = false;
+		Micros firstEventAt = 0;
+		unsigned eventCount = 0;
 		bool resumed = false; ///< It goes on where another run broke off.
 		bool success = false;
 	};
@@ -81,6 +83,8 @@
 	bool resolveAgain();
 	void chooseService();
 	bool takeQuota();
+	/// Counts the request in the load, whatever becomes of it.
+	void countDemand();
 	double quotaAmount() const;
 	Micros timeLeft(Micros _now) const;
 	bool keyMayBeRevoked(Micros _now) const;
--- a/src/gateway/exchangeanswers.cpp
+++ b/src/gateway/exchangeanswers.cpp
@@ -76,6 +76,7 @@
 	std::string whole;
 	for (const StreamEvent& event : m_attempt.events.add(_bytes))
 	{
+		++m_attempt.eventCount;
 		// A stream that goes on elsewhere may begin with events that the caller has.
 		if (event.id && m_lastEvent && *event.id <= *m_lastEvent)
 		{
@@ -96,6 +97,7 @@
 	if (!m_attempt.firstEvent)
 	{
 		m_attempt.firstEvent = true;
+		m_attempt.firstEventAt = monotonicNow();
 		m_context.balancer.onFirstEvent(m_attempt.key, m_placement);
 		if (!m_attempt.resumed)
 		{
@@ -163,6 +165,11 @@
 		return;
 	}
 	closeAttempt(true);
+	if (!m_attempt.resumed)
+	{
+		m_context.streamLengths.onStream(m_service, m_route->name, m_attempt.eventCount,
+										 monotonicNow() - m_attempt.firstEventAt);
+	}
 	m_session->finishAnswer();
 	finish("done", m_attempt.head.status);
 }
@@ -188,18 +195,9 @@
 void Exchange::releaseBackend()
 {
 	m_context.balancer.onEnded(m_attempt.key, m_placement, m_attempt.firstEvent);
-	if (m_attempt.slots == 0)
-	{
-		return;
-	}
-	const Micros held = monotonicNow() - m_attempt.sent;
-	if (m_placement.promptTokens == 0)
-	{
-		m_context.demand.onCall(m_service, held, m_attempt.slots);
-	}
-	else
+	if (m_attempt.slots > 0 && m_placement.promptTokens == 0)
 	{
-		m_context.demand.onSlotHeld(m_service, held, m_attempt.slots);
+		m_context.demand.onCall(m_service, monotonicNow() - m_attempt.sent, m_attempt.slots);
 	}
 }
 
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -20,6 +20,7 @@
 #include "coordination/relaychoice.h"
 #include "coordination/sharedretrybudget.h"
 #include "coordination/storecontact.h"
+#include "coordination/streamlengths.h"
 #include "coordination/usageledger.h"
 #include "daemon/clock.h"
 #include "gateway/backendrecords.h"
@@ -88,6 +89,7 @@
 	UsageLedger usage;
 	DemandMeter demand;
 	EngineModel engines;
+	StreamLengths streamLengths;
 	std::minstd_rand random;
 	GatewayMetrics metrics;
 	bool stopping = false;
--- a/tests/capacitytest.cpp
+++ b/tests/capacitytest.cpp
@@ -319,8 +319,7 @@
 	{
 		const double pace = std::max(0.05, 1.0 - reading / standing);
 		held = std::min(standing, holding / pace);
-		standing = CapacityPlanner::serversFor(
-			CapacityPlanner::combinedWork(reading, held, static_cast<unsigned>(standing)));
+		standing = CapacityPlanner::serversFor(CapacityPlanner::combinedWork(reading, holding));
 	}
 	RC_ASSERT(held / standing < 0.8);
 	const double busy = reading + holding / 0.65;
@@ -338,7 +337,7 @@
 		held += 0.1;
 		meter.onReport("b", 5, {"model", held, held});
 		meter.onReport("b", 5, {"model", held, held - 0.05}); // Late.
-		meter.onSlotHeld("model", 800 * kMillisecond, 4);     // Eight slots of four at a time: two engines.
+		meter.onArrival("model", 0.0, 0.8, 4);                // Eight slots of four at a time: two engines.
 		meter.advance(now);
 	}
 	EXPECT_NEAR(meter.occupied("model"), 3.0, 0.2);
