--- /dev/null
+++ b/src/gateway/bodycache.h
@@ -0,0 +1,47 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// What a relay sends, made once for all gateways that ask for the same.
+
+#ifndef BEACONGATE_GATEWAY_BODYCACHE_H
+#define BEACONGATE_GATEWAY_BODYCACHE_H
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace beacongate
+{
+/// Encoded bodies that lead to one revision of the content. The gateways of a data centre ask for most changes from
+/// the same revision: with 72 that ask one relay for 3,000 changed records, each body took 20 ms of a whole core to
+/// make, 3 s of the relay's half core in all, during which they found it silent and read the store themselves.
+class BodyCache
+{
+public:
+	/// Bodies kept at most; when there would be more, all are made anew.
+	static constexpr std::size_t kMostBodies = 16;
+
+	/// @param[in] _since Revision from which the body leads; 0 for the whole content.
+	/// @param[in] _make Encodes the body where it is not kept.
+	template <typename Make>
+	const std::string& body(std::uint64_t _since, std::uint64_t _revision, const Make& _make)
+	{
+		if (_revision != m_revision || m_bodies.size() >= kMostBodies)
+		{
+			m_bodies.clear();
+			m_revision = _revision;
+		}
+		const auto known = m_bodies.find(_since);
+		return known == m_bodies.end() ? m_bodies[_since] = _make() : known->second;
+	}
+
+private:
+	std::uint64_t m_revision = 0;
+	std::map<std::uint64_t, std::string> m_bodies;
+};
+
+} // namespace beacongate
+
+#endif // BEACONGATE_GATEWAY_BODYCACHE_H
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -8,6 +8,7 @@
 #ifndef BEACONGATE_GATEWAY_STORESYNC_H
 #define BEACONGATE_GATEWAY_STORESYNC_H
 
+#include "gateway/bodycache.h"
 #include "gateway/gatewaycontext.h"
 #include "gateway/rangereader.h"
 #include "transport/httpchannel.h"
@@ -34,10 +35,10 @@
 	void shutdown();
 
 	/// @returns what a peer gets that cannot reach the store, as MessagePack; empty where there is nothing.
-	std::string wholeContent() const;
+	std::string wholeContent();
 
 	/// @returns what changed since a revision, as MessagePack; empty where that is not known.
-	std::string contentSince(std::uint64_t _revision) const;
+	std::string contentSince(std::uint64_t _revision);
 
 	/// Asks the relay or reads at once, or as soon as the read that runs has ended.
 	void refresh();
@@ -92,6 +93,7 @@
 	RoutingConfigPtr m_parsed;
 	std::uint64_t m_rejectedRevision = 0;
 	std::uint64_t m_countsRevision = 0;
+	BodyCache m_bodies;
 };
 
 } // namespace beacongate
--- a/src/gateway/storesyncpeers.cpp
+++ b/src/gateway/storesyncpeers.cpp
@@ -109,25 +109,29 @@
 	apply(std::move(*content), true);
 }
 
-std::string StoreSync::wholeContent() const
+std::string StoreSync::wholeContent()
 {
-	if (m_context.content.items.empty())
+	const StoreContent& content = m_context.content;
+	if (content.items.empty())
 	{
 		return "";
 	}
-	return encodeContent(m_context.content, monotonicNow() - m_context.content.confirmed);
+	const std::string& body = m_bodies.body(0, content.revision, [&content] { return encodeContentBody(content); });
+	return encodeContent(content.revision, monotonicNow() - content.confirmed, body);
 }
 
-std::string StoreSync::contentSince(std::uint64_t _revision) const
+std::string StoreSync::contentSince(std::uint64_t _revision)
 {
+	const StoreContent& content = m_context.content;
 	if (!m_context.history.covers(_revision))
 	{
 		return "";
 	}
-	ContentUpdate update = m_context.history.updateSince(m_context.content, _revision);
-	update.age = monotonicNow() - m_context.content.confirmed;
-	update.configVersion = m_context.directory.config() ? m_context.directory.config()->version : 0;
-	return encodeUpdate(update);
+	const std::string& body =
+		m_bodies.body(_revision, content.revision,
+					  [&] { return encodeUpdateBody(m_context.history.updateSince(content, _revision)); });
+	const std::uint64_t version = m_context.directory.config() ? m_context.directory.config()->version : 0;
+	return encodeUpdate({_revision, content.revision, monotonicNow() - content.confirmed, version}, body);
 }
 
 } // namespace beacongate
--- a/src/protocol/contentcodec.cpp
+++ b/src/protocol/contentcodec.cpp
@@ -3,6 +3,8 @@
 
 #include "protocol/contentcodec.h"
 
+#include "beacongate/limits.h"
+#include "protocol/compression.h"
 #include "protocol/json.h"
 
 #include <charconv>
@@ -12,7 +14,7 @@
 namespace
 {
 constexpr std::size_t kContentFields = 3;
-constexpr std::size_t kUpdateFields = 8;
+constexpr std::size_t kUpdateFields = 5;
 
 Json encodeItem(const KvItem& _item)
 {
@@ -56,16 +58,29 @@
 	Json fields = Json::from_msgpack(_bytes.begin(), _bytes.end(), true, false);
 	return fields.is_array() && fields.size() == _fieldCount ? fields : Json();
 }
+
+/// @returns what a compressed body holds; null where it cannot be read.
+/// @throws Json::exception where the field is no text.
+Json decompressed(const Json& _field)
+{
+	const auto bytes = decompress(_field.get_ref<const std::string&>(), limits::kSnapshotBytes);
+	return bytes ? Json::from_msgpack(bytes->begin(), bytes->end(), true, false) : Json();
+}
 } // namespace
 
-std::string encodeContent(const StoreContent& _content, Micros _age)
+std::string encodeContentBody(const StoreContent& _content)
 {
 	Json items = Json::array();
 	for (const auto& [key, item] : _content.items)
 	{
 		items.push_back(encodeItem(item));
 	}
-	return toBytes(Json::array({_content.revision, _age, std::move(items)}));
+	return compress(toBytes(items));
+}
+
+std::string encodeContent(std::uint64_t _revision, Micros _age, const std::string& _body)
+{
+	return toBytes(Json::array({_revision, _age, _body}));
 }
 
 std::optional<StoreContent> decodeContent(std::string_view _bytes, Micros _asked)
@@ -81,7 +96,12 @@
 		content.revision = fields[0].get<std::uint64_t>();
 		// The age is counted to when the answer was made, which was after the question was sent.
 		content.confirmed = _asked - fields[1].get<Micros>();
-		for (const Json& entry : fields[2])
+		const Json items = decompressed(fields[2]);
+		if (!items.is_array())
+		{
+			return std::nullopt;
+		}
+		for (const Json& entry : items)
 		{
 			KvItem item = decodeItem(entry);
 			content.items[item.key] = std::move(item);
@@ -94,11 +114,15 @@
 	}
 }
 
-std::string encodeUpdate(const ContentUpdate& _update)
+std::string encodeUpdateBody(const ContentUpdate& _update)
+{
+	return compress(toBytes(Json::array({encodeItems(_update.items), encodeItems(_update.leftOut), _update.removed,
+										 _update.keys ? Json(*_update.keys) : Json()})));
+}
+
+std::string encodeUpdate(const UpdateHead& _head, const std::string& _body)
 {
-	return toBytes(Json::array({_update.since, _update.revision, _update.age, _update.configVersion,
-								encodeItems(_update.items), encodeItems(_update.leftOut), _update.removed,
-								_update.keys ? Json(*_update.keys) : Json()}));
+	return toBytes(Json::array({_head.since, _head.revision, _head.age, _head.configVersion, _body}));
 }
 
 std::optional<ContentUpdate> decodeUpdate(std::string_view _bytes)
@@ -115,12 +139,13 @@
 		update.revision = fields[1].get<std::uint64_t>();
 		update.age = fields[2].get<Micros>();
 		update.configVersion = fields[3].get<std::uint64_t>();
-		update.items = decodeItems(fields[4]);
-		update.leftOut = decodeItems(fields[5]);
-		update.removed = fields[6].get<std::vector<std::string>>();
-		if (!fields[7].is_null())
+		const Json body = decompressed(fields[4]);
+		update.items = decodeItems(body.at(0));
+		update.leftOut = decodeItems(body.at(1));
+		update.removed = body.at(2).get<std::vector<std::string>>();
+		if (!body.at(3).is_null())
 		{
-			update.keys = fields[7].get<std::vector<std::string>>();
+			update.keys = body.at(3).get<std::vector<std::string>>();
 		}
 		return update;
 	}
--- a/src/protocol/contentcodec.h
+++ b/src/protocol/contentcodec.h
@@ -18,14 +18,32 @@
 inline constexpr std::string_view kContentPath = "/content";       ///< Of the whole content.
 inline constexpr std::string_view kUpdatePath = "/content/since/"; ///< Then the revision that is known.
 
+/// @returns the part of a whole content that all who ask get alike, compressed: 3,000 records of backend servers
+/// are some 80 kB in place of 900 kB.
+std::string encodeContentBody(const StoreContent& _content);
+
 /// @param[in] _age How long ago the content was certainly the newest.
-std::string encodeContent(const StoreContent& _content, Micros _age);
+/// @param[in] _body As encodeContentBody() made it.
+std::string encodeContent(std::uint64_t _revision, Micros _age, const std::string& _body);
 
 /// @param[in] _asked When the question was sent; the content counts as confirmed so much before it.
 /// @returns nothing where the bytes are no content.
 std::optional<StoreContent> decodeContent(std::string_view _bytes, Micros _asked);
 
-std::string encodeUpdate(const ContentUpdate& _update);
+/// @returns the part of an update that all who ask for it get alike, compressed.
+std::string encodeUpdateBody(const ContentUpdate& _update);
+
+/// What an answer says of an update besides its body.
+struct UpdateHead
+{
+	std::uint64_t since = 0;
+	std::uint64_t revision = 0;
+	Micros age = kNever; ///< How long ago that revision was certainly the newest.
+	std::uint64_t configVersion = 0;
+};
+
+/// @param[in] _body As encodeUpdateBody() made it.
+std::string encodeUpdate(const UpdateHead& _head, const std::string& _body);
 
 /// @returns nothing where the bytes are no update.
 std::optional<ContentUpdate> decodeUpdate(std::string_view _bytes);
--- a/tests/gatewayprotocoltest.cpp
+++ b/tests/gatewayprotocoltest.cpp
@@ -75,6 +75,12 @@
 	}
 	return settings.dump();
 }
+
+std::string encodedUpdate(const ContentUpdate& _update)
+{
+	return encodeUpdate({_update.since, _update.revision, _update.age, _update.configVersion},
+						encodeUpdateBody(_update));
+}
 } // namespace
 
 RC_GTEST_PROP(MessageParser, readsTheSameInAnyPieces, (const std::vector<std::uint8_t>& sizes))
@@ -252,7 +258,7 @@
 	update.items = {{"a", std::string("\0\xff", 2), 8}};
 	update.leftOut = {{"b", "", 9}};
 	update.removed = {"c"};
-	const auto decoded = decodeUpdate(encodeUpdate(update));
+	const auto decoded = decodeUpdate(encodedUpdate(update));
 	ASSERT_TRUE(decoded);
 	EXPECT_EQ(decoded->revision, 9u);
 	EXPECT_EQ(decoded->age, 250);
@@ -263,15 +269,15 @@
 	EXPECT_EQ(decoded->removed, update.removed);
 	EXPECT_FALSE(decoded->keys);
 	update.keys = {"a", "b"};
-	EXPECT_EQ(decodeUpdate(encodeUpdate(update))->keys, update.keys);
+	EXPECT_EQ(decodeUpdate(encodedUpdate(update))->keys, update.keys);
 	StoreContent content;
 	content.revision = 5;
 	content.items["k"] = {"k", "v", 4};
-	const auto whole = decodeContent(encodeContent(content, 100), 1000);
+	const auto whole = decodeContent(encodeContent(content.revision, 100, encodeContentBody(content)), 1000);
 	ASSERT_TRUE(whole);
 	EXPECT_EQ(whole->confirmed, 900);
 	EXPECT_EQ(whole->items.at("k").value, "v");
-	EXPECT_FALSE(decodeUpdate(encodeContent(content, 100)));
+	EXPECT_FALSE(decodeUpdate(encodeContent(content.revision, 100, encodeContentBody(content))));
 	EXPECT_FALSE(decodeContent("nonsense", 0));
 	EXPECT_EQ(readUpdatePath("/content/since/12"), 12u);
 	EXPECT_FALSE(readUpdatePath("/content/since/12x"));
