Take from the relay also what an update cannot bring

Change: it asks the relay for all it has, compressed, and the store only where that fails. Test: gatewaydraintest, a gateway without a way to the store has a large configuration within 1 s of its relay (failed before, twice of twice; 1.8 s and more).

--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -162,8 +162,7 @@
 	const auto update = _answer && _answer->status == kOk ? decodeUpdate(_answer->body) : std::nullopt;
 	if (tooOld || (update && update->age <= kRelayAge && !takeUpdate(_asked, *update)))
 	{
-		// The relay is sound, and cannot lead from this gateway's revision to its own.
-		readStore();
+		askRelayForAll();
 		return;
 	}
 	m_reading = false;
@@ -181,12 +180,52 @@
 		scheduleRead(kNextRelay);
 		return;
 	}
+	scheduleRelay();
+}
+
+void StoreSync::scheduleRelay()
+{
 	onStoreReached(m_context.content.revision);
 	const Micros pause = m_readAgain ? kNextRelay : kRelayInterval;
 	m_readAgain = false;
 	after(m_readTimer, pause, [self = shared_from_this()] { self->read(); });
 }
 
+void StoreSync::askRelayForAll()
+{
+	ChannelRequest request;
+	request.target = std::string(kContentPath);
+	request.longest = kReadSilence;
+	const Micros asked = monotonicNow();
+	m_relayChannel->call(std::move(request), kRelayTimeout,
+						 [self = shared_from_this(), asked](const std::optional<HttpAnswer>& _answer)
+						 {
+							 if (!self->m_closed)
+							 {
+								 self->onRelayContent(asked, _answer);
+							 }
+						 });
+}
+
+void StoreSync::onRelayContent(Micros _asked, const std::optional<HttpAnswer>& _answer)
+{
+	std::optional<StoreContent> content;
+	if (_answer && _answer->status == kOk)
+	{
+		content = decodeContent(_answer->body, _asked);
+	}
+	const bool fresh = content && _asked - content->confirmed <= kRelayAge;
+	if (!fresh || content->revision < m_context.content.revision)
+	{
+		// It has just started, or is behind: the store itself has to tell.
+		readStore();
+		return;
+	}
+	m_reading = false;
+	apply(std::move(*content), true);
+	scheduleRelay();
+}
+
 void StoreSync::onStoreReached(std::uint64_t _revision)
 {
 	m_failures = 0;
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -54,6 +54,11 @@
 	void readOrAsk();
 	void askRelay(const std::string& _host);
 	void onRelayAnswer(Micros _asked, const std::optional<HttpAnswer>& _answer);
+	/// Asks the relay for all that it has, where an update cannot lead there: it has not kept what went since this
+	/// gateway's revision, or it leaves out a large value.
+	void askRelayForAll();
+	void onRelayContent(Micros _asked, const std::optional<HttpAnswer>& _answer);
+	void scheduleRelay();
 	/// This gateway, or one that it asked, got an answer of the store lately.
 	void onStoreReached(std::uint64_t _revision);
 	void confirmUnchanged(std::uint64_t _revision, Micros _confirmed);
--- a/tests/gatewaydraintest.cpp
+++ b/tests/gatewaydraintest.cpp
@@ -23,6 +23,7 @@
 /// with bursts and without large configurations the largest age by the 28th second was 1.9 s.
 
 #include "gatewayfixture.h"
+#include "soak/faultproxy.h"
 
 #include <atomic>
 #include <thread>
@@ -130,6 +131,31 @@
 	EXPECT_EQ(served, kCalls);
 }
 
+/// Updates leave values above 64 kB out. Each gateway of a data centre then read the store for a configuration that its
+/// relay had: 14,645 calls on a day with 295 gateways. One whose way to the store is down had it 1.8 s later, when it
+/// asked its peers.
+TEST_F(GatewayDrainTest, aLargeConfigurationComesFromTheRelayWithoutTheStore)
+{
+	constexpr Micros kPassedOn = kSecond;
+	GatewaySettings third = settings(3);
+	third.dataCentre = "z2";
+	third.dutyApi.reset();
+	third.store = {host(201), kStorePort};
+	soak::FaultProxy way(third.store, {host(200), kStorePort});
+	startGateway(third);
+	ASSERT_TRUE(await([&] { return statusOf(call("GET", "/safe/", "before", "key", 3)) == 200; }));
+	std::this_thread::sleep_for(std::chrono::seconds(1));
+	way.setFault(soak::LinkFault::Resets);
+	store->put(platform::kConfigKey, largeConfig(2, "other"));
+	const auto serves = [this](unsigned _gateway)
+	{
+		return statusOf(call("GET", "/safe/", "large", "other", _gateway)) == 200;
+	};
+	ASSERT_TRUE(await([&] { return serves(2); }, 8 * kSecond));
+	EXPECT_TRUE(await([&] { return serves(3); }, kPassedOn));
+	gateways.back()->stop();
+}
+
 TEST_F(GatewayDrainTest, aLargeConfigurationComesInForceOverANarrowLink)
 {
 	gateways[0]->stop();
