Let only the first in rank read a store that is large for the fleet

Change: where members x bytes exceed 128 MB, gateways whose reads together are 32 MB read, the others take the content from relays and ask the store for one key to learn whether it is in reach; one that no relay answers for 3 s reads. Fleets of up to 295 gateways and 210 servers are below the bound.

--- a/src/gateway/backendlistsync.cpp
+++ b/src/gateway/backendlistsync.cpp
@@ -4,6 +4,7 @@
 #include "gateway/backendlistsync.h"
 
 #include "daemon/logging.h"
+#include "gateway/memberkeys.h"
 #include "platform/documents.h"
 
 #include <algorithm>
@@ -44,6 +45,10 @@
 	{
 		m_spare->close();
 	}
+	if (m_probe)
+	{
+		m_probe->close();
+	}
 }
 
 void BackendListSync::schedule(Micros _span)
@@ -105,7 +110,7 @@
 	noteInReach(m_context.directory.listAge(_now));
 	if (mayStartRead(_now))
 	{
-		startRead(_now);
+		begin(_now);
 	}
 	schedule(kLook);
 }
@@ -126,7 +131,7 @@
 	}
 	if (contact.idle(_now) > kProbePause)
 	{
-		startRead(_now);
+		begin(_now);
 	}
 	schedule(kLookOutOfReach);
 }
@@ -142,6 +147,38 @@
 		   std::none_of(m_reads.begin(), m_reads.end(), receiving);
 }
 
+void BackendListSync::begin(Micros _now)
+{
+	if (m_context.mayReadStore(_now))
+	{
+		startRead(_now);
+	}
+	else if (!m_probing)
+	{
+		startProbe(_now);
+	}
+}
+
+void BackendListSync::startProbe(Micros _now)
+{
+	m_pace.onBegun(_now);
+	m_probing = true;
+	if (!m_probe)
+	{
+		m_probe = std::make_shared<RangeReader>(m_context.loop, m_context.storeContact, m_context.settings.store,
+												std::string(kHolderKey), kLongest);
+	}
+	m_probe->read(m_budget.listLife,
+				  [self = shared_from_this()](const std::optional<StoreContent>& _content)
+				  {
+					  self->m_probing = false;
+					  if (_content || self->m_probe->fault() == ChannelFault::TurnedAway)
+					  {
+						  self->m_pace.onAnswered();
+					  }
+				  });
+}
+
 void BackendListSync::startRead(Micros _now)
 {
 	m_pace.onBegun(_now);
--- a/src/gateway/backendlistsync.h
+++ b/src/gateway/backendlistsync.h
@@ -51,7 +51,11 @@
 	/// The list is too old, and there is no newer one to be had.
 	void waitOutOfReach(Micros _now);
 	bool mayStartRead(Micros _now) const;
+	/// Reads the list, or asks the store for next to nothing where this gateway may not read so much: that tells as
+	/// well whether it is in reach.
+	void begin(Micros _now);
 	void startRead(Micros _now);
+	void startProbe(Micros _now);
 	void giveUpReads();
 	void onList(const ReaderPtr& _reader, std::optional<StoreContent> _content);
 
@@ -60,6 +64,8 @@
 	ListReadPace m_pace;
 	std::vector<ReaderPtr> m_reads; ///< That wait for their answer.
 	ReaderPtr m_spare;              ///< Keeps its connection for the next read.
+	ReaderPtr m_probe;
+	bool m_probing = false;
 	boost::asio::steady_timer m_timer;
 	Micros m_due = kNever; ///< When the timer should fire.
 	bool m_outOfReach = false;
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -17,6 +17,7 @@
 #include "coordination/kvtypes.h"
 #include "coordination/peertable.h"
 #include "coordination/quotaledger.h"
+#include "coordination/readershare.h"
 #include "coordination/relaychoice.h"
 #include "coordination/sharedretrybudget.h"
 #include "coordination/storecontact.h"
@@ -29,6 +30,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <random>
@@ -64,6 +66,13 @@
 		return GossipPlan::usesCollectors(relays.memberCount());
 	}
 
+	/// @returns whether this gateway may read the whole content, or all records of backend servers, from the store.
+	bool mayReadStore(Micros _now) const
+	{
+		return ReaderShare::mayRead(relays.memberCount(), relays.position(), contentBytes,
+									_now - std::max(relayAnswered, started));
+	}
+
 	/// @returns number of the usage window that is open now.
 	std::uint64_t currentWindow(Micros _now) const
 	{
@@ -77,6 +86,8 @@
 	Directory directory;
 	StoreContent content;
 	std::uint64_t contentFingerprint = 0; ///< Of content, see fingerprintOf().
+	std::uint64_t contentBytes = 0;       ///< That a read of content takes, as far as is known.
+	Micros relayAnswered = kLongAgo;      ///< When a relay said anything last.
 	ContentHistory history;
 	BackendRecords backendRecords;
 	StoreContact storeContact;
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -40,6 +40,20 @@
 constexpr Micros kWatchTimeout = kWatchSpan + kSecond;
 constexpr Micros kWatchRetry = 500 * kMillisecond;
 
+/// Of an item as the store sends it, besides its key and its value.
+constexpr std::uint64_t kItemBytes = 80;
+
+/// @returns bytes that a read of the content takes: values come in base64.
+std::uint64_t bytesToRead(const StoreContent& _content)
+{
+	std::uint64_t bytes = 0;
+	for (const auto& [key, item] : _content.items)
+	{
+		bytes += key.size() + item.value.size() * 4 / 3 + kItemBytes;
+	}
+	return bytes;
+}
+
 } // namespace
 
 StoreSync::StoreSync(GatewayContext& _context)
@@ -158,6 +172,7 @@
 
 void StoreSync::onRelayAnswer(Micros _asked, const std::optional<HttpAnswer>& _answer)
 {
+	noteRelay(_answer.has_value());
 	const bool tooOld = _answer && _answer->status == kNotFound;
 	const auto update = _answer && _answer->status == kOk ? decodeUpdate(_answer->body) : std::nullopt;
 	if (tooOld || (update && update->age <= kRelayAge && !takeUpdate(_asked, *update)))
@@ -207,8 +222,17 @@
 						 });
 }
 
+void StoreSync::noteRelay(bool _answered)
+{
+	if (_answered)
+	{
+		m_context.relayAnswered = monotonicNow();
+	}
+}
+
 void StoreSync::onRelayContent(Micros _asked, const std::optional<HttpAnswer>& _answer)
 {
+	noteRelay(_answer.has_value());
 	std::optional<StoreContent> content;
 	if (_answer && _answer->status == kOk)
 	{
@@ -275,6 +299,13 @@
 void StoreSync::readStore()
 {
 	m_readAgain = false;
+	if (!m_context.mayReadStore(monotonicNow()))
+	{
+		// The relays are asked again; those that may read have something newer soon.
+		m_reading = false;
+		scheduleRead(kRetryMin);
+		return;
+	}
 	m_reads->read(m_context.storeContact.readSilence(kReadSilence),
 				  [self = shared_from_this()](std::optional<StoreContent> _content)
 				  { self->onRead(std::move(_content)); });
@@ -444,6 +475,7 @@
 	_content.confirmed = std::max(_content.confirmed, m_context.content.confirmed);
 	m_context.content = std::move(_content);
 	m_context.contentFingerprint = fingerprintOf(m_context.content);
+	m_context.contentBytes = bytesToRead(m_context.content);
 	if (m_context.onDirectoryChanged)
 	{
 		m_context.onDirectoryChanged();
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -59,6 +59,7 @@
 	void askRelayForAll();
 	void onRelayContent(Micros _asked, const std::optional<HttpAnswer>& _answer);
 	void scheduleRelay();
+	void noteRelay(bool _answered);
 	/// This gateway, or one that it asked, got an answer of the store lately.
 	void onStoreReached(std::uint64_t _revision);
 	void confirmUnchanged(std::uint64_t _revision, Micros _confirmed);
