--- a/tests/backendentrytest.cpp
+++ b/tests/backendentrytest.cpp
@@ -94,7 +94,7 @@
 	EXPECT_FALSE(readable(""));
 	EXPECT_FALSE(readable("null"));
 	EXPECT_FALSE(readable("[]"));
-	EXPECT_FALSE(readable("\xff\xfe\x00\x01"));
+	EXPECT_FALSE(readable("\xff\xfe\x01"));
 	EXPECT_FALSE(readable(with("zone", "z").dump().replace(2, 1, "\xc3")));
 	EXPECT_FALSE(readable(std::string(limits::kBackendRecordBytes / 2, '[')));
 	EXPECT_FALSE(readable(with("zone", std::string(1u << 20, 'z')).dump()));
--- a/tests/balancertest.cpp
+++ b/tests/balancertest.cpp
@@ -111,7 +111,7 @@
 			unsigned gateway = 0;
 			unsigned engine = 0;
 		};
-		const Micros between = 2 * kHeld / (engines * kSlots);
+		const Micros between = 2 * kHeld / (Micros{engines} * kSlots);
 		std::vector<KnownBackend> servers;
 		std::vector<const KnownBackend*> candidates;
 		std::map<std::string, unsigned> numbers;
@@ -141,7 +141,7 @@
 		std::minstd_rand random(7);
 		for (unsigned number = 0; number < kRequests; ++number)
 		{
-			const Micros now = kSecond + number * between;
+			const Micros now = kSecond + Micros{number} * between;
 			for (; !runs.empty() && runs.front().ends <= now; runs.pop_front())
 			{
 				--running[runs.front().engine];
--- a/tests/gatewaydraintest.cpp
+++ b/tests/gatewaydraintest.cpp
@@ -131,9 +131,9 @@
 	EXPECT_EQ(served, kCalls);
 }
 
-/// Updates leave values above 64 kB out. Each gateway of a data centre then read the store for a configuration that its
-/// relay had: 14,645 calls on a day with 295 gateways. One whose way to the store is down had it 1.8 s later, when it
-/// asked its peers.
+/// Updates leave values above 64 kB out. Each gateway of a data centre then read the store for a configuration that
+/// its relay had: 14,645 calls on a day with 295 gateways. One whose way to the store is down had it 1.8 s later,
+/// when it asked its peers.
 TEST_F(GatewayDrainTest, aLargeConfigurationComesFromTheRelayWithoutTheStore)
 {
 	constexpr Micros kPassedOn = kSecond;
