Keep the bodies of a full cache for those that ask for them again

Cause: read in the code: a cache that held its 16 bodies was emptied by each question, also by one for a body that it held. Change: it is emptied only where another body has to be made. Test: compressiontest, failed before.

--- a/src/gateway/bodycache.h
+++ b/src/gateway/bodycache.h
@@ -28,13 +28,21 @@
 	template <typename Make>
 	const std::string& body(std::uint64_t _since, std::uint64_t _revision, const Make& _make)
 	{
-		if (_revision != m_revision || m_bodies.size() >= kMostBodies)
+		if (_revision != m_revision)
 		{
 			m_bodies.clear();
 			m_revision = _revision;
 		}
 		const auto known = m_bodies.find(_since);
-		return known == m_bodies.end() ? m_bodies[_since] = _make() : known->second;
+		if (known != m_bodies.end())
+		{
+			return known->second;
+		}
+		if (m_bodies.size() >= kMostBodies)
+		{
+			m_bodies.clear();
+		}
+		return m_bodies[_since] = _make();
 	}
 
 private:
--- a/tests/compressiontest.cpp
+++ b/tests/compressiontest.cpp
@@ -93,7 +93,14 @@
 	}
 	EXPECT_EQ(cache.body(6, 9, make), "2");
 	EXPECT_EQ(cache.body(5, 10, make), "3");
-	for (std::uint64_t since = 0; since < 1000; ++since)
+	for (std::uint64_t since = 100; since < 100 + BodyCache::kMostBodies - 1; ++since)
+	{
+		cache.body(since, 10, make);
+	}
+	const unsigned full = made;
+	EXPECT_EQ(cache.body(5, 10, make), "3") << "a full cache made a body anew that it held";
+	EXPECT_EQ(made, full);
+	for (std::uint64_t since = 1000; since < 2000; ++since)
 	{
 		cache.body(since, 10, make);
 	}
