Read what a backend server asks for in its answers, and tell it in logs and figures

Cause: the logs of a gateway that sent requests to an engine which had asked for a backoff tell nothing of what was asked, so that 'nobody reads it' and 'it is read and overridden' look the same. No decision goes by it yet.

--- a/src/gateway/exchangeanswers.cpp
+++ b/src/gateway/exchangeanswers.cpp
@@ -31,6 +31,7 @@
 		endAttempt(AttemptResult::Broken);
 		return;
 	}
+	noteWishes();
 	const bool successStatus = _head.status >= kOk && _head.status < kMultipleChoices;
 	if (successStatus && (!m_attempt.info.stamped || m_attempt.info.encoded))
 	{
@@ -46,6 +47,21 @@
 	}
 }
 
+void Exchange::noteWishes()
+{
+	const AnswerInfo& info = m_attempt.info;
+	if (info.backoffUnreadable)
+	{
+		m_context.metrics.onBackoffUnreadable();
+		logEvent(LogLevel::Warning, "backoff-unreadable", {{"backend", m_attempt.backend.id}});
+	}
+	if (info.backoff)
+	{
+		m_context.metrics.onBackoffAsked();
+		m_context.backoffs.onAsked(m_attempt.key, *info.backoff, monotonicNow());
+	}
+}
+
 void Exchange::countBegin()
 {
 	if (m_usageCounted || !m_team)
@@ -239,6 +255,9 @@
 			  {"result", std::string(toString(_result))},
 			  {"status", std::to_string(m_attempt.head.status)},
 			  {"sent", std::to_string(m_sent)},
+			  {"backoff_left_ms", millisText(m_attempt.backoffLeft)},
+			  {"asked_backoff_ms", m_attempt.info.backoff ? millisText(*m_attempt.info.backoff) : "-"},
+			  {"says_leaving", m_attempt.info.leaving ? "yes" : "no"},
 			  {"ms", millisText(now - m_attempt.sent)},
 			  {"decision", std::string(toString(decision))}});
 	if (decision == AttemptDecision::Retry)
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -8,6 +8,7 @@
 #define BEACONGATE_GATEWAY_GATEWAYCONTEXT_H
 
 #include "coordination/agreedclock.h"
+#include "coordination/backofftable.h"
 #include "coordination/balancer.h"
 #include "coordination/contenthistory.h"
 #include "coordination/demandmeter.h"
@@ -92,6 +93,7 @@
 	BackendRecords backendRecords;
 	StoreContact storeContact;
 	Balancer balancer;
+	BackoffTable backoffs;
 	QuotaLedger quotas;
 	SharedRetryBudget retryBudget;
 	PeerTable peers;
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -63,6 +63,11 @@
 
 namespace
 {
+void formatCounter(std::ostream& _out, const char* _name, std::uint64_t _count)
+{
+	_out << "# TYPE " << _name << " counter\n" << _name << ' ' << _count << '\n';
+}
+
 void formatLatencies(std::ostream& _out, const std::string& _name, const char* _label,
 					 const std::map<std::string, std::unique_ptr<LatencySummary>>& _latencies)
 {
@@ -154,10 +159,11 @@
 		out << "beacongate_failed_attempts_total{service=" << quoted(labels.first)
 			<< ",result=" << quoted(labels.second) << "} " << count << '\n';
 	}
-	out << "# TYPE beacongate_backend_list_reads_total counter\nbeacongate_backend_list_reads_total " << m_listReads
-		<< '\n';
-	out << "# TYPE beacongate_held_for_list_total counter\nbeacongate_held_for_list_total " << m_heldForList
-		<< '\n';
+	formatCounter(out, "beacongate_backend_list_reads_total", m_listReads);
+	formatCounter(out, "beacongate_held_for_list_total", m_heldForList);
+	formatCounter(out, "beacongate_backoffs_asked_total", m_backoffsAsked);
+	formatCounter(out, "beacongate_backoffs_unreadable_total", m_backoffsUnreadable);
+	formatCounter(out, "beacongate_sends_in_backoff_total", m_sentInBackoff);
 	out << "# TYPE beacongate_sends_total counter\n";
 	for (const auto& [standing, count] : m_sends)
 	{
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -69,6 +69,25 @@
 		++m_listReads;
 	}
 
+	/// A backend server asked for nothing more for a while.
+	void onBackoffAsked()
+	{
+		++m_backoffsAsked;
+	}
+
+	/// A backend server asked so in a form that is not understood.
+	void onBackoffUnreadable()
+	{
+		++m_backoffsUnreadable;
+	}
+
+	/// A request went out.
+	/// @param[in] _inBackoff Whether its backend server had asked for nothing for a while that was not over.
+	void onSentInBackoff(bool _inBackoff)
+	{
+		m_sentInBackoff += _inBackoff ? 1 : 0;
+	}
+
 	/// A timer of the event loop ran.
 	/// @param[in] delay How much later than asked.
 	void onLoopDelay(Micros _delay);
@@ -92,6 +111,9 @@
 	std::map<std::string, double> m_gauges;
 	std::uint64_t m_listReads = 0;
 	std::uint64_t m_heldForList = 0;
+	std::uint64_t m_backoffsAsked = 0;
+	std::uint64_t m_backoffsUnreadable = 0;
+	std::uint64_t m_sentInBackoff = 0;
 	Latencies m_durations;
 	Latencies m_firstBytes;
 	Latencies m_waits;
--- a/src/gateway/requestinfo.h
+++ b/src/gateway/requestinfo.h
@@ -46,7 +46,11 @@
 	bool misdirected = false; ///< Another backend server has the address.
 	bool stamped = false;     ///< It carries the backend server's signature.
 	bool encoded = false;     ///< Its body is not in the form that was asked for.
-	std::string id;           ///< The request that it answers.
+	bool leaving = false;     ///< It says that it takes no new work any more.
+	/// For how long it wants no request from this gateway; set where it turned one away and says so.
+	std::optional<Micros> backoff;
+	bool backoffUnreadable = false; ///< It says so in a form that is not understood.
+	std::string id;                 ///< The request that it answers.
 };
 
 } // namespace beacongate
