--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -70,7 +70,7 @@
 		EventSplitter events;
 		Micros listAge = 0;                 ///< How old the list of backend servers was as the request went out.
 		Standing standing = Standing::Gone; ///< Of the backend server on that list.
-		Micros backoffLeft = 0; ///< Of what the backend server asked for, as the request went out.
+		Micros backoffLeft = 0;             ///< Of what the backend server asked for, as the request went out.
 		bool heldBack = false; ///< It was not sent for a reason that does not lie with the backend server.
 		bool onTheWire = false;
 		bool firstEvent = false;
--- a/tools/standin/platform.h
+++ b/tools/standin/platform.h
@@ -145,6 +145,7 @@
 {
 	None,
 	Rejects,     ///< 503 that says that it did not run.
+	RejectsSome, ///< The same for every third request.
 	Fails,       ///< Runs and answers 500.
 	Resets,      ///< Runs and resets the connection.
 	Hangs,       ///< Runs and says nothing.
@@ -166,6 +167,14 @@
 	bool ended = false; ///< Its caller closed the connection before the answer was whole.
 };
 
+/// A request that came, be it that it was turned away, and what its answer said of the worker.
+struct WorkerArrival
+{
+	std::string id;
+	Micros at = 0;
+	Micros backoffAsked = 0; ///< For how long nothing more was asked for, 0 where nothing was said of it.
+};
+
 /// A worker of plain calls and of event streams.
 class PlatformWorker
 {
@@ -187,6 +196,16 @@
 	/// Changes what it does with requests from now on.
 	void setFault(WorkerFault _fault);
 
+	/// Changes what it adds to each answer that turns a request away.
+	/// @param[in] _retryAfter The header's value; empty for none.
+	void setRetryAfter(const std::string& _retryAfter);
+
+	/// Says in all answers from now on whether it takes no new work any more.
+	void setLeaving(bool _leaving);
+
+	/// @returns requests that came and were meant for it.
+	std::vector<WorkerArrival> arrivals();
+
 	/// @returns requests that it ran.
 	std::vector<WorkerRun> runs();
 
@@ -200,6 +219,7 @@
 	void accept();
 	void onBytes(const ConnectionPtr& _connection, std::string_view _bytes);
 	void onRequest(const ConnectionPtr& _connection);
+	bool turnsAwayNext();
 	void stream(const ConnectionPtr& _connection, unsigned _next);
 	static std::string formatEvent(const std::string& _requestId, unsigned _number);
 	std::string head(const ConnectionPtr& _connection, unsigned _status, const std::string& _more);
@@ -208,8 +228,12 @@
 	LoopThread m_loop;
 	boost::asio::ip::tcp::acceptor m_acceptor;
 	WorkerFault m_fault = WorkerFault::None;
+	std::string m_retryAfter;
+	bool m_leaving = false;
+	unsigned m_arrived = 0; ///< Requests since its fault was set.
 	std::mutex m_mutex;
 	std::vector<WorkerRun> m_runs;
+	std::vector<WorkerArrival> m_arrivals;
 };
 
 /// A call that only the holder of the duties may make.
--- a/tools/standin/platformworker.cpp
+++ b/tools/standin/platformworker.cpp
@@ -3,6 +3,7 @@
 
 #include "daemon/clock.h"
 #include "platform/names.h"
+#include "protocol/retryafter.h"
 #include "standin/platform.h"
 #include "transport/messageparser.h"
 #include "transport/tcpconnection.h"
@@ -62,7 +63,28 @@
 
 void PlatformWorker::setFault(WorkerFault _fault)
 {
-	m_loop.run([&] { m_fault = _fault; });
+	m_loop.run(
+		[&]
+		{
+			m_fault = _fault;
+			m_arrived = 0;
+		});
+}
+
+void PlatformWorker::setRetryAfter(const std::string& _retryAfter)
+{
+	m_loop.run([&] { m_retryAfter = _retryAfter; });
+}
+
+void PlatformWorker::setLeaving(bool _leaving)
+{
+	m_loop.run([&] { m_leaving = _leaving; });
+}
+
+std::vector<WorkerArrival> PlatformWorker::arrivals()
+{
+	const std::lock_guard<std::mutex> guard(m_mutex);
+	return m_arrivals;
 }
 
 std::vector<WorkerRun> PlatformWorker::runs()
@@ -127,7 +149,14 @@
 {
 	const std::string id = m_fault == WorkerFault::WrongId ? "another" : _connection->requestId;
 	return "HTTP/1.1 " + std::to_string(_status) + " X\r\n" + platform::kRequestId + ": " + id + "\r\n" +
-		   platform::kStamp + ": " + m_id + "\r\n" + _more + "\r\n";
+		   platform::kStamp + ": " + m_id + "\r\n" +
+		   (m_leaving ? platform::kLeaving + std::string(": 1\r\n") : "") + _more + "\r\n";
+}
+
+bool PlatformWorker::turnsAwayNext()
+{
+	constexpr unsigned kOneIn = 3;
+	return m_fault == WorkerFault::Rejects || (m_fault == WorkerFault::RejectsSome && m_arrived++ % kOneIn == 0);
 }
 
 void PlatformWorker::onRequest(const ConnectionPtr& _connection)
@@ -136,12 +165,23 @@
 	_connection->requestId = std::string(findHeader(request.headers, platform::kRequestId));
 	const bool misdirected =
 		m_fault == WorkerFault::Misdirected || findHeader(request.headers, platform::kTarget) != m_id;
-	if (misdirected || m_fault == WorkerFault::Rejects)
+	const bool turnsAway = !misdirected && turnsAwayNext();
+	if (!misdirected)
+	{
+		const Micros asked = turnsAway ? parseRetryAfter(m_retryAfter).value_or(0) : 0;
+		const std::lock_guard<std::mutex> guard(m_mutex);
+		m_arrivals.push_back({_connection->requestId, monotonicNow(), asked});
+	}
+	if (misdirected || turnsAway)
 	{
 		_connection->ended = true;
 		const unsigned status = misdirected ? 421 : 503;
-		_connection->tcp->send(
-			head(_connection, status, std::string(platform::kNotExecuted) + ": 1\r\nContent-Length: 0\r\n"));
+		std::string more = std::string(platform::kNotExecuted) + ": 1\r\nContent-Length: 0\r\n";
+		if (turnsAway && !m_retryAfter.empty())
+		{
+			more += std::string(platform::kRetryAfter) + ": " + m_retryAfter + "\r\n";
+		}
+		_connection->tcp->send(head(_connection, status, more));
 		return;
 	}
 	{
