Send nothing to a backend server for as long as it asked

What callers saw: an engine that was too full answered 503 with Retry-After: 3 and got three more requests of that gateway in that time, each turned away, and callers with it. Cause: nothing read what a backend server asks for. A 503 counted as one failure of several that put a server out for a span of the gateway's own, ended by a success, and passed over where most servers looked bad. Change: BackoffTable keeps what each incarnation asked this gateway for. It narrows the candidates before Balancer chooses, so that no fallback overrides it, and is asked again where the first byte leaves. After a backoff a server gets one request, and twice as many with each answer. RoomPolicy: where all asked for a backoff, a request waits only if the first one ends in time, else it is refused at once and told when there is room, spread over a quarter of the backoff. What is held back as the first byte leaves is no success of the server any more.

--- a/src/coordination/backofftable.cpp
+++ b/src/coordination/backofftable.cpp
@@ -10,14 +10,83 @@
 {
 void BackoffTable::onAsked(BackendKey _key, Micros _span, Micros _now)
 {
-	Micros& end = m_ends[_key];
-	end = std::max(end, _now + _span);
+	if (_span <= 0)
+	{
+		return;
+	}
+	Entry& entry = m_entries[_key];
+	entry.end = std::max(entry.end, _now + std::min(_span, kLongest));
+	entry.most = kFirstAfter;
 }
 
 Micros BackoffTable::left(BackendKey _key, Micros _now) const
 {
-	const auto it = m_ends.find(_key);
-	return it == m_ends.end() ? 0 : std::max<Micros>(0, it->second - _now);
+	const auto it = m_entries.find(_key);
+	return it == m_entries.end() ? 0 : std::max<Micros>(0, it->second.end - _now);
+}
+
+bool BackoffTable::onPlaced(BackendKey _key, Micros _now)
+{
+	const auto it = m_entries.find(_key);
+	if (it == m_entries.end())
+	{
+		return false;
+	}
+	if (_now - it->second.end > kReturnSpan)
+	{
+		m_entries.erase(it);
+		return false;
+	}
+	++it->second.underWay;
+	return true;
+}
+
+void BackoffTable::onEnded(BackendKey _key, bool _taken)
+{
+	const auto it = m_entries.find(_key);
+	if (it == m_entries.end())
+	{
+		return;
+	}
+	Entry& entry = it->second;
+	entry.underWay -= std::min(entry.underWay, 1u);
+	entry.most *= _taken ? 2 : 1;
+	if (entry.most > kManyAfter)
+	{
+		m_entries.erase(it);
+	}
+}
+
+bool BackoffTable::isLimited(const Entry& _entry, Micros _now)
+{
+	return _entry.underWay >= _entry.most && _now - _entry.end <= kReturnSpan;
+}
+
+Availability BackoffTable::available(std::vector<const KnownBackend*> _candidates,
+									 const std::vector<std::string>& _excluded, Micros _now) const
+{
+	Availability available;
+	const auto closed = [&](const KnownBackend* _backend)
+	{
+		if (std::find(_excluded.begin(), _excluded.end(), _backend->record.id) != _excluded.end())
+		{
+			return true;
+		}
+		const auto it = m_entries.find(_backend->key);
+		if (it == m_entries.end())
+		{
+			return false;
+		}
+		const Entry& entry = it->second;
+		const bool runs = entry.end > _now;
+		available.firstEnd = runs ? std::min(available.firstEnd, entry.end) : available.firstEnd;
+		const bool limited = !runs && isLimited(entry, _now);
+		available.limited = available.limited || limited;
+		return runs || limited;
+	};
+	std::erase_if(_candidates, closed);
+	available.open = std::move(_candidates);
+	return available;
 }
 
 void BackoffTable::retain(const std::map<std::string, KnownBackend>& _known)
@@ -27,7 +96,7 @@
 	{
 		keys.insert(known.key);
 	}
-	std::erase_if(m_ends, [&keys](const auto& _entry) { return !keys.count(_entry.first); });
+	std::erase_if(m_entries, [&keys](const auto& _entry) { return !keys.count(_entry.first); });
 }
 
 } // namespace beacongate
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -278,23 +278,57 @@
 		return false;
 	}
 	m_placement.tokensPerMilli = m_context.engines.tokensPerSecond(m_service) / kMillisPerSecond;
-	const auto candidates = m_context.directory.usableOf(m_service, now);
-	const Placement placement = m_context.balancer.choose(candidates, m_placement, m_tried, now);
-	const bool lateAlready = now - m_request.received > m_route->targetLatency;
+	const Availability open = available(now);
+	const Placement placement = m_context.balancer.choose(open.open, m_placement, m_tried, now);
 	if (!placement.backend || placement.full)
 	{
-		// What cannot be served in time any more makes room for what can.
-		if (lateAlready && m_sent == 0)
-		{
-			refuse(Failure::NoBackend, "no backend server has room", kShortRetryAfter);
-			return true;
-		}
-		return false;
+		return refuseWithoutRoom(open, now);
 	}
 	send(*placement.backend);
 	return true;
 }
 
+Availability Exchange::available(Micros _now) const
+{
+	// What a backend server asked for comes before any choice, so that no fallback of the choice overrides it.
+	return m_context.backoffs.available(m_context.directory.usableOf(m_service, _now), m_tried, _now);
+}
+
+RoomContext Exchange::roomContext(Micros _now) const
+{
+	return {_now, m_request.received + m_route->targetLatency, m_holdUntil, m_sent > 0, m_mayHaveRun};
+}
+
+bool Exchange::refuseWithoutRoom(const Availability& _available, Micros _now)
+{
+	const RoomDecision decision = decideWithoutRoom(roomContext(_now), _available);
+	if (decision == RoomDecision::Wait)
+	{
+		return false;
+	}
+	refuse(Failure::NoBackend,
+		   decision == RoomDecision::RefuseLate ? "no backend server has room"
+												: "all backend servers asked for a backoff",
+		   retryAfter(_now));
+	return true;
+}
+
+Micros Exchange::retryAfter(Micros _now)
+{
+	const Availability all = m_context.backoffs.available(m_context.directory.usableOf(m_service, _now), {}, _now);
+	const double spread = std::uniform_real_distribution<double>()(m_context.random);
+	return retryAfterRefusal(all, spread, kShortRetryAfter, _now);
+}
+
+void Exchange::endAfterBackoff(bool _taken)
+{
+	if (m_attempt.afterBackoff)
+	{
+		m_attempt.afterBackoff = false;
+		m_context.backoffs.onEnded(m_attempt.key, _taken);
+	}
+}
+
 void Exchange::send(const KnownBackend& _backend)
 {
 	const Micros now = monotonicNow();
@@ -310,6 +344,7 @@
 	m_tried.push_back(_backend.record.id);
 	m_attempt.slots = _backend.record.slots;
 	m_attempt.resumed = m_lastEvent.has_value() || !m_info.lastEventId.empty();
+	m_attempt.afterBackoff = m_context.backoffs.onPlaced(_backend.key, now);
 	m_context.balancer.onSent(_backend.key, m_placement);
 	CallOptions options;
 	options.address = _backend.record.address;
@@ -368,12 +403,14 @@
 
 bool Exchange::mayStillSend()
 {
-	// The connection may have taken 0.3 s, and where this VM gets no processor time, timers fire late.
+	// The connection may have taken 0.3 s, and where this VM gets no processor time, timers fire late. Meanwhile
+	// the backend server may have left, or asked for a backoff.
 	const Micros now = monotonicNow();
 	const bool inTime = timeLeft(now) > 0;
 	const bool listed =
 		m_context.directory.takesWork(m_attempt.backend, now) && !m_context.directory.listOutdated(now);
-	m_attempt.heldBack = !inTime || !listed;
+	const bool asked = m_context.backoffs.left(m_attempt.key, now) > 0;
+	m_attempt.heldBack = !inTime || !listed || asked;
 	return !m_attempt.heldBack;
 }
 
@@ -451,7 +488,7 @@
 		answerOwn(504, Failure::BackendLost, "no answer in time", 0);
 		return;
 	}
-	refuse(Failure::NoBackend, "no backend server had room in time", kShortRetryAfter);
+	refuse(Failure::NoBackend, "no backend server had room in time", retryAfter(monotonicNow()));
 }
 
 void Exchange::finish(const std::string& _outcome, unsigned _status, const std::string& _detail)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -9,6 +9,7 @@
 
 #include "beacongate/errors.h"
 #include "coordination/attemptpolicy.h"
+#include "coordination/roompolicy.h"
 #include "gateway/gatewaycontext.h"
 #include "gateway/requestinfo.h"
 #include "protocol/eventstream.h"
@@ -70,6 +71,7 @@
 		EventSplitter events;
 		Micros listAge = 0;                 ///< How old the list of backend servers was as the request went out.
 		Standing standing = Standing::Gone; ///< Of the backend server on that list.
+		bool afterBackoff = false;          ///< One of the few that its backend server gets after a backoff.
 		Micros backoffLeft = 0;             ///< Of what the backend server asked for, as the request went out.
 		bool heldBack = false; ///< It was not sent for a reason that does not lie with the backend server.
 		bool onTheWire = false;
@@ -94,6 +96,16 @@
 	double quotaAmount() const;
 	Micros timeLeft(Micros _now) const;
 	bool keyMayBeRevoked(Micros _now) const;
+	/// @returns which backend servers it may be sent to now.
+	Availability available(Micros _now) const;
+	RoomContext roomContext(Micros _now) const;
+	/// Refuses what cannot be served in time.
+	/// @returns whether it was refused.
+	bool refuseWithoutRoom(const Availability& _available, Micros _now);
+	/// @returns when the caller of a refused request may come again.
+	Micros retryAfter(Micros _now);
+	/// Tells that its backend server answered, or that it ended there, if it is one of the few after a backoff.
+	void endAfterBackoff(bool _taken);
 	void send(const KnownBackend& _backend);
 	/// @returns whether the request may go out now that the connection to the backend server is up.
 	bool mayStillSend();
--- a/src/gateway/exchangeanswers.cpp
+++ b/src/gateway/exchangeanswers.cpp
@@ -32,6 +32,7 @@
 		return;
 	}
 	noteWishes();
+	endAfterBackoff(!m_attempt.info.notExecuted && !m_attempt.info.backoff);
 	const bool successStatus = _head.status >= kOk && _head.status < kMultipleChoices;
 	if (successStatus && (!m_attempt.info.stamped || m_attempt.info.encoded))
 	{
@@ -204,12 +205,16 @@
 	m_attempt.call->cancel();
 	m_attempt.call = nullptr;
 	releaseBackend();
-	m_context.balancer.onOutcome(m_attempt.key, _succeeded, monotonicNow());
+	if (!m_attempt.heldBack)
+	{
+		m_context.balancer.onOutcome(m_attempt.key, _succeeded, monotonicNow());
+	}
 	m_dispatcher.wake();
 }
 
 void Exchange::releaseBackend()
 {
+	endAfterBackoff(false);
 	m_context.balancer.onEnded(m_attempt.key, m_placement, m_attempt.firstEvent);
 	if (m_attempt.slots > 0 && m_placement.promptTokens == 0)
 	{
@@ -224,18 +229,18 @@
 		return;
 	}
 	const Micros now = monotonicNow();
-	const bool innocent = _result == AttemptResult::Misdirected || m_attempt.heldBack;
 	if (_result == AttemptResult::Broken && m_attempt.onTheWire)
 	{
 		// Answers get lost more often than engines fail before they begin.
 		countBegin();
 	}
-	closeAttempt(innocent);
+	closeAttempt(_result == AttemptResult::Misdirected);
 	if (m_attempt.heldBack)
 	{
 		m_tried.pop_back();
 	}
 	m_unsentTries += _result == AttemptResult::NotSent && !m_attempt.heldBack ? 1 : 0;
+	m_mayHaveRun = m_mayHaveRun || mayHaveRunAfter(_result);
 	AttemptContext attempts;
 	attempts.repeatable = m_route->repeatable();
 	attempts.mayHaveRun = m_mayHaveRun;
@@ -244,11 +249,12 @@
 	attempts.unsentTries = m_unsentTries;
 	attempts.budgetAllows = m_context.retryBudget.allows(m_service, now);
 	attempts.timeLeft = timeLeft(now) > kAttemptMin;
-	const auto candidates = m_context.directory.usableOf(m_service, now);
-	attempts.anotherBackend = m_context.balancer.choose(candidates, m_placement, m_tried, now).backend != nullptr;
+	const Availability open = available(now);
+	attempts.anotherBackend =
+		!open.open.empty() || open.limited ||
+		(open.waitsForBackoff() && decideWithoutRoom(roomContext(now), open) == RoomDecision::Wait);
 	const AttemptDecision decision = decideAfterAttempt(_result, attempts);
 	m_context.metrics.onFailedAttempt(m_service, toString(_result));
-	m_mayHaveRun = m_mayHaveRun || mayHaveRunAfter(_result);
 	logEvent(LogLevel::Info, "attempt-failed",
 			 {{"request", m_info.id},
 			  {"backend", m_attempt.backend.id},
@@ -281,7 +287,7 @@
 	}
 	if (decision == AttemptDecision::AnswerNotRun)
 	{
-		refuse(Failure::NoBackend, "no backend server took the request", kShortRetryAfter);
+		refuse(Failure::NoBackend, "no backend server took the request", retryAfter(now));
 		return;
 	}
 	refuse(Failure::BackendLost, "the backend server gave no answer");
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -206,15 +206,18 @@
 	const Micros now = monotonicNow();
 	GatewayMetrics& metrics = m_context.metrics;
 	std::size_t usable = 0;
+	std::size_t inBackoff = 0;
 	for (const auto& [id, known] : m_context.directory.backends())
 	{
 		usable += known.usable() ? 1 : 0;
+		inBackoff += m_context.backoffs.left(known.key, now) > 0 ? 1 : 0;
 	}
 	const auto& config = m_context.directory.config();
 	metrics.setGauge("beacongate_open_requests", static_cast<double>(m_context.openExchanges));
 	metrics.setGauge("beacongate_waiting_requests", static_cast<double>(m_dispatcher.waiting()));
 	metrics.setGauge("beacongate_backends_known", static_cast<double>(m_context.directory.backends().size()));
 	metrics.setGauge("beacongate_backends_usable", static_cast<double>(usable));
+	metrics.setGauge("beacongate_backends_in_backoff", static_cast<double>(inBackoff));
 	metrics.setGauge("beacongate_config_version", config ? static_cast<double>(config->version) : 0.0);
 	metrics.setGauge("beacongate_config_age_seconds",
 					 static_cast<double>(m_context.directory.age(now)) / static_cast<double>(kSecond));
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -9,7 +9,7 @@
 {
 namespace
 {
-Json describeBackends(const GatewayContext& _context)
+Json describeBackends(const GatewayContext& _context, Micros _now)
 {
 	Json list = Json::array();
 	for (const auto& [id, known] : _context.directory.backends())
@@ -20,6 +20,7 @@
 						{"dataCentre", known.record.dataCentre},
 						{"usable", known.usable()},
 						{"draining", known.record.draining},
+						{"backoffLeftMs", _context.backoffs.left(known.key, _now) / kMillisecond},
 						{"spot", known.record.spot},
 						{"inFlight", _context.balancer.totalInFlight(known.key)}});
 	}
@@ -70,7 +71,7 @@
 					 {"readingTokensPerSecond", _context.engines.speeds()},
 					 {"gatewaysHeard", _context.quotas.word().gatewaysHeard(now)},
 					 {"quotas", describeQuotas(_context, now)},
-					 {"backends", describeBackends(_context)},
+					 {"backends", describeBackends(_context, now)},
 					 {"peers", describePeers(_context, now)}};
 	return state.dump(2);
 }
