Take a backend server out once it says in an answer that it leaves

What callers would see: while the store is away, or slow, a server that leaves goes on getting requests by a list that does not show it yet, and the last of them break as it ends. Change: such an answer marks that incarnation as leaving, as its record does, for good; peers are told by the departures that datagrams already carry, so that the wire does not change. An answer of another server than was meant says nothing of it.

--- a/src/coordination/directory.cpp
+++ b/src/coordination/directory.cpp
@@ -21,6 +21,8 @@
 		return "unreadable";
 	case LeavingSign::Peer:
 		return "peer";
+	case LeavingSign::Answer:
+		return "answer";
 	}
 	return "unknown";
 }
@@ -199,14 +201,14 @@
 	}
 }
 
-void Directory::markDraining(const BackendIdentity& _backend, Micros _now)
+void Directory::markDraining(const BackendIdentity& _backend, LeavingSign _sign, Micros _now)
 {
 	KnownBackend* known = find(_backend);
 	if (known && !known->record.draining)
 	{
 		known->record.draining = true;
 		known->drainingSince = _now;
-		m_leavingNotices.push_back({_backend, LeavingSign::Peer});
+		m_leavingNotices.push_back({_backend, _sign});
 	}
 }
 
--- a/src/coordination/directory.h
+++ b/src/coordination/directory.h
@@ -81,6 +81,7 @@
 	Missing,    ///< Its record went.
 	Unreadable, ///< Its record makes no sense any more; a good one lets it take work at once.
 	Peer,       ///< A peer said so.
+	Answer,     ///< It said so itself in an answer, be it that the store does not show it yet, or is away.
 };
 
 /// @returns a short name for logs.
@@ -141,7 +142,7 @@
 	void markMisdirected(const BackendIdentity& _backend);
 
 	/// An incarnation is known from elsewhere to be leaving; nothing changes where another one is listed.
-	void markDraining(const BackendIdentity& _backend, Micros _now);
+	void markDraining(const BackendIdentity& _backend, LeavingSign _sign, Micros _now);
 
 	/// @returns incarnations that were found to be leaving within a span.
 	std::vector<BackendIdentity> drainingSince(Micros _moment) const;
--- a/src/gateway/exchangeanswers.cpp
+++ b/src/gateway/exchangeanswers.cpp
@@ -51,6 +51,12 @@
 void Exchange::noteWishes()
 {
 	const AnswerInfo& info = m_attempt.info;
+	if (info.leaving && !info.misdirected)
+	{
+		// The server says so before its record does where the store is slow, and instead of it where the store is
+		// away. Who is another server than was meant speaks for itself alone.
+		m_context.directory.markDraining(m_attempt.backend, LeavingSign::Answer, monotonicNow());
+	}
 	if (info.backoffUnreadable)
 	{
 		m_context.metrics.onBackoffUnreadable();
--- a/src/gateway/gossiperreceive.cpp
+++ b/src/gateway/gossiperreceive.cpp
@@ -98,7 +98,7 @@
 	}
 	for (const BackendIdentity& backend : message->draining)
 	{
-		m_context.directory.markDraining(backend, now);
+		m_context.directory.markDraining(backend, LeavingSign::Peer, now);
 	}
 	if (config && config->version < message->configVersion && m_context.onNewsFromPeer)
 	{
--- a/tests/backofftabletest.cpp
+++ b/tests/backofftabletest.cpp
@@ -129,7 +129,7 @@
 TEST(BackoffTable, afterItsEndAServerGetsFewRequestsAndWithEachAnswerMore)
 {
 	// Thirty requests wait for a server that was too full. Let in all at once they fill it again: with 8 places, 22
-	// of them were turned away.
+	// of the 30 do not fit.
 	constexpr unsigned kWaiting = 30;
 	constexpr unsigned kPlaces = 8;
 	Servers servers(1);
--- a/tests/contenttest.cpp
+++ b/tests/contenttest.cpp
@@ -218,8 +218,8 @@
 	Directory directory;
 	directory.apply({1, configOf(1), {backendOf("a"), backendOf("b"), backendOf("c")}, 0}, kSecond);
 	EXPECT_TRUE(directory.takeLeavingNotices().empty());
-	directory.markDraining({"a"}, 2 * kSecond);
-	directory.markDraining({"a"}, 2 * kSecond);
+	directory.markDraining({"a"}, LeavingSign::Peer, 2 * kSecond);
+	directory.markDraining({"a"}, LeavingSign::Peer, 2 * kSecond);
 	directory.apply({2, configOf(1), {backendOf("a", true), backendOf("b", true)}, 0}, 2 * kSecond);
 	directory.apply({3, configOf(1), {backendOf("a", true), backendOf("b", true)}, 0}, 3 * kSecond);
 	std::vector<std::pair<std::string, std::string>> told;
--- a/tests/departurestest.cpp
+++ b/tests/departurestest.cpp
@@ -43,6 +43,23 @@
 	EXPECT_TRUE(directory.usableOf("model", kSecond + kDrainBound).empty());
 }
 
+TEST(Departures, aServerThatSaidSoItselfTakesNoWorkWhateverTheListSays)
+{
+	Directory directory;
+	directory.applyList({1, {backendOf("a")}, kSecond}, kSecond);
+	directory.markDraining({"a"}, LeavingSign::Answer, 2 * kSecond);
+	directory.applyList({2, {backendOf("a")}, 3 * kSecond}, 3 * kSecond);
+	EXPECT_FALSE(directory.takesWork({"a"}, 3 * kSecond));
+	const std::vector<LeavingNotice> notices = directory.takeLeavingNotices();
+	ASSERT_EQ(notices.size(), 1u);
+	EXPECT_EQ(notices[0].sign, LeavingSign::Answer);
+	EXPECT_EQ(directory.drainingSince(2 * kSecond).size(), 1u); // Peers are told.
+	BackendRecord again = backendOf("a");
+	again.born = 2;
+	directory.applyList({3, {again}, 4 * kSecond}, 4 * kSecond);
+	EXPECT_TRUE(directory.takesWork({"a", 2}, 4 * kSecond));
+}
+
 RC_GTEST_PROP(Departures, noServerIsUsedBeyondTheBoundWhileTheStoreAnswers,
 			  (const std::vector<std::uint8_t>& spans))
 {
