--- a/tests/soakcheckertest.cpp
+++ b/tests/soakcheckertest.cpp
@@ -278,4 +278,38 @@
 	EXPECT_EQ(countOf(seen, Promise::ProcessLives), 1u);
 }
 
+TEST(SoakChecker, seesTooManyRequestsInABackoff)
+{
+	Observations seen = sound();
+	seen.arrivals = {{"r1", "w1", 20 * kSecond, 3 * kSecond},
+					 {"r2", "w1", 20400 * kMillisecond, 0},
+					 {"r3", "w1", 21 * kSecond, 0},
+					 {"r4", "w1", 22 * kSecond, 0}};
+	EXPECT_EQ(countOf(seen, Promise::BackoffKept), 0u); // One of the three was under way.
+	seen.arrivals.push_back({"r5", "w1", 22900 * kMillisecond, 0});
+	EXPECT_EQ(countOf(seen, Promise::BackoffKept), 1u);
+	seen.disruptions = {{"store", 20 * kSecond, 25 * kSecond, std::nullopt}};
+	EXPECT_EQ(countOf(seen, Promise::BackoffKept), 1u);
+	seen.disruptions = {{"pause", 21 * kSecond, 22 * kSecond, 0}};
+	EXPECT_EQ(countOf(seen, Promise::BackoffKept), 0u);
+	seen.disruptions.clear();
+	seen.requests[5].gateway = 1; // Each gateway is asked by itself.
+	EXPECT_EQ(countOf(seen, Promise::BackoffKept), 0u);
+}
+
+TEST(SoakChecker, seesWorkForABackendThatSaidInAnAnswerThatItLeaves)
+{
+	Observations seen = sound();
+	seen.requests[10].backend = "w1";
+	seen.requests[10].saysLeaving = true;
+	const Micros heard = seen.requests[10].ended;
+	seen.arrivals = {{"r14", "w1", seen.requests[14].sent, 0}, {"r20", "w1", seen.requests[20].sent, 0}};
+	ASSERT_LT(seen.requests[14].sent, heard + seen.bounds.drain);
+	EXPECT_EQ(countOf(seen, Promise::LeavingHeard), 1u);
+	seen.disruptions = {{"store", heard, 60 * kSecond, std::nullopt}};
+	EXPECT_EQ(countOf(seen, Promise::LeavingHeard), 1u);
+	seen.requests[20].start = 2; // Another process knows nothing of it.
+	EXPECT_EQ(countOf(seen, Promise::LeavingHeard), 0u);
+}
+
 } // namespace beacongate::test
--- a/tools/soak.cpp
+++ b/tools/soak.cpp
@@ -78,6 +78,7 @@
 		{"mixed", soak::SoakProfile::Mixed},
 		{"departures", soak::SoakProfile::Departures},
 		{"narrow-departures", soak::SoakProfile::NarrowDepartures},
+		{"answers", soak::SoakProfile::Answers},
 		{"quotas", soak::SoakProfile::Quotas}};
 	app.add_option("--profile", options.profile,
 				   "Which faults are drawn: mixed, departures, narrow-departures or quotas [mixed]")
--- a/tools/soak/caller.cpp
+++ b/tools/soak/caller.cpp
@@ -171,6 +171,8 @@
 	_request.whole = parser.done();
 	const bool own = findHeader(head.headers, platform::kRequestId) == _request.id;
 	const bool stamped = !findHeader(head.headers, platform::kStamp).empty();
+	_request.backend = findHeader(head.headers, platform::kStamp);
+	_request.saysLeaving = findHeader(head.headers, platform::kLeaving) == "1";
 	_request.right = own && (head.status != kOk || (stamped && body == expectedBody(_request)));
 	// Bytes after an answer belong to no request.
 	_request.right = _request.right && m_input.empty();
--- a/tools/soak/checker.cpp
+++ b/tools/soak/checker.cpp
@@ -4,6 +4,7 @@
 #include "soak/checker.h"
 
 #include "soak/quotacheck.h"
+#include "soak/wishcheck.h"
 
 #include <algorithm>
 #include <map>
@@ -363,6 +364,10 @@
 		return "serves-again";
 	case Promise::QuotaKept:
 		return "quota-kept";
+	case Promise::BackoffKept:
+		return "backoff-kept";
+	case Promise::LeavingHeard:
+		return "leaving-heard";
 	case Promise::ServedBelowLimit:
 		return "served-below-limit";
 	}
@@ -388,6 +393,7 @@
 		findings.push_back({Promise::ProcessLives, name});
 	}
 	checkRecovery(_seen, findings);
+	checkWishes(_seen, findings);
 	checkQuotas(_seen, findings);
 	return findings;
 }
--- a/tools/soak/checker.h
+++ b/tools/soak/checker.h
@@ -30,7 +30,9 @@
 	ProcessLives,      ///< No process ends by itself.
 	ServesAgain,       ///< Once nothing is disrupted, requests are served.
 	QuotaKept,         ///< No more of a team runs in any window than its limit and the tolerance allow.
-	ServedBelowLimit,  ///< A team that asks for less than its limit is refused nothing.
+	BackoffKept,       ///< A backend server that asks a gateway for a backoff gets none of its requests meanwhile.
+	LeavingHeard, ///< One that says in an answer that it leaves gets no new work of the gateway that passed it on.
+	ServedBelowLimit, ///< A team that asks for less than its limit is refused nothing.
 };
 
 /// @returns the name used in reports.
--- a/tools/soak/observations.h
+++ b/tools/soak/observations.h
@@ -42,13 +42,15 @@
 	std::uint64_t start = 0; ///< Which start of the gateway's process took it.
 	Micros sent = 0;         ///< When its last byte was handed to the system.
 	Micros ended = 0;
-	unsigned status = 0;    ///< 0 where no head came.
-	bool whole = false;     ///< The answer was complete by its framing.
-	bool right = false;     ///< The answer is the backend server's own, to this request.
-	bool connected = false; ///< A connection came up.
-	bool gaveUp = false;    ///< The caller ended the connection itself.
-	std::string team;       ///< With a limit; empty for the team without one.
-	double tokens = 0.0;    ///< That it is sent with.
+	unsigned status = 0;      ///< 0 where no head came.
+	bool whole = false;       ///< The answer was complete by its framing.
+	bool right = false;       ///< The answer is the backend server's own, to this request.
+	bool connected = false;   ///< A connection came up.
+	bool gaveUp = false;      ///< The caller ended the connection itself.
+	std::string backend;      ///< Whose answer it is; empty for an answer of the gateway's own.
+	bool saysLeaving = false; ///< The backend server says in its answer that it takes no new work any more.
+	std::string team;         ///< With a limit; empty for the team without one.
+	double tokens = 0.0;      ///< That it is sent with.
 };
 
 /// What a team was allowed, by the store's acknowledgements.
@@ -72,6 +74,15 @@
 	std::string team = {}; ///< As the backend server was told.
 };
 
+/// A request reached a backend server, be it that it was turned away.
+struct ObservedArrival
+{
+	std::string id;
+	std::string backend;
+	Micros at = 0;
+	Micros backoffAsked = 0; ///< For how long the answer asked its gateway for nothing more; 0 where it did not.
+};
+
 /// Something that was done to a gateway, to all of them, to the store or to a backend server.
 struct Disruption
 {
@@ -122,6 +133,8 @@
 	Micros drain = 2 * kSecond;            ///< From a departure until no new work arrives.
 	Micros configApply = 2 * kSecond;      ///< From an acknowledgement until a configuration is in force.
 	Micros revocation = 4 * kSecond;       ///< From an acknowledgement until a removed key runs nothing.
+	Micros underWay = 500 * kMillisecond;  ///< From a backoff's answer until what was under way has arrived.
+	unsigned mostInBackoff = 2;            ///< Requests of a gateway that may arrive from then until its end.
 	Micros takeSpan = 2500 * kMillisecond; ///< After a request to stop, requests still get an answer.
 	Micros quotaWindow = 8 * kSecond;      ///< Over which a team's runs are counted.
 	double quotaTolerance = 0.1;           ///< Of what a limit gives in it, that may run on top.
@@ -133,6 +146,7 @@
 	Bounds bounds;
 	std::vector<ObservedRequest> requests;
 	std::vector<ObservedRun> runs;
+	std::vector<ObservedArrival> arrivals;
 	std::vector<Disruption> disruptions;
 	std::vector<PlannedStop> stops;
 	std::vector<Departure> departures;
--- a/tools/soak/soak.cpp
+++ b/tools/soak/soak.cpp
@@ -329,6 +329,10 @@
 			const std::string team(findHeader(run.headers, platform::kTenant));
 			m_seen.runs.push_back({run.id, backend->id, run.began, team});
 		}
+		for (const standin::WorkerArrival& arrival : backend->worker->arrivals())
+		{
+			m_seen.arrivals.push_back({arrival.id, backend->id, arrival.at, arrival.backoffAsked});
+		}
 	}
 	for (const standin::DutyCall& call : m_duties->calls())
 	{
@@ -396,6 +400,12 @@
 			runUntil(monotonicNow() + drawnSpan(300 * kMillisecond, 3 * kSecond));
 			continue;
 		}
+		if (m_options.profile == SoakProfile::Answers)
+		{
+			injectAnswers();
+			runUntil(monotonicNow() + drawnSpan(50 * kMillisecond, 900 * kMillisecond));
+			continue;
+		}
 		if (m_options.profile != SoakProfile::Mixed)
 		{
 			injectDeparture();
--- a/tools/soak/soak.h
+++ b/tools/soak/soak.h
@@ -37,6 +37,9 @@
 	/// Teams with limits ask for less and for several times as much by turns, limits change, and many gateways at
 	/// once stand still, are killed or stopped.
 	Quotas,
+	/// Backend servers turn requests away and ask for backoffs, or say in their answers alone that they leave,
+	/// while the store is away and gateways are held up, killed and stopped.
+	Answers,
 };
 
 /// What a soak is made of.
@@ -95,6 +98,10 @@
 	void noteLimits(Micros _now);
 	void standStill(double _share, Micros _span);
 	void injectQuotaTrouble();
+	Backend& stayingBackend();
+	void askForBackoff();
+	void leaveInAnswers();
+	void injectAnswers();
 	void killGateway(unsigned _number);
 	void stopGateway(unsigned _number);
 	void pauseGateway(unsigned _number);
--- a/tools/soak/soak_p.h
+++ b/tools/soak/soak_p.h
@@ -36,6 +36,7 @@
 	std::unique_ptr<standin::PlatformWorker> worker;
 	std::unique_ptr<FaultProxy> link;
 	bool leaving = false;
+	bool turnsAway = false; ///< It turns requests away for a while.
 };
 
 } // namespace beacongate::soak
--- /dev/null
+++ b/tools/soak/wishcheck.cpp
@@ -0,0 +1,120 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+#include "soak/wishcheck.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+namespace beacongate::soak
+{
+namespace
+{
+/// A request that reached a backend server, with what its caller knows of it.
+struct Arrival
+{
+	const ObservedArrival* seen = nullptr;
+	const ObservedRequest* request = nullptr;
+};
+
+/// A gateway and a backend server.
+using Pair = std::pair<unsigned, std::string>;
+
+std::string millis(Micros _span)
+{
+	return std::to_string(_span / kMillisecond) + " ms";
+}
+
+/// @returns whether a gateway's process was neither killed nor stopped nor stood still in a span.
+bool ran(const Observations& _seen, unsigned _gateway, Micros _from, Micros _until)
+{
+	return std::none_of(_seen.disruptions.begin(), _seen.disruptions.end(),
+						[&](const Disruption& _disruption)
+						{
+							const bool ofProcess =
+								_disruption.gateway == _gateway && _disruption.what != "store-link";
+							return ofProcess && _disruption.from <= _until && _disruption.until >= _from;
+						});
+}
+
+std::map<Pair, std::vector<Arrival>> arrivalsByPair(const Observations& _seen)
+{
+	std::unordered_map<std::string, const ObservedRequest*> requests;
+	for (const ObservedRequest& request : _seen.requests)
+	{
+		requests[request.id] = &request;
+	}
+	std::map<Pair, std::vector<Arrival>> arrivals;
+	for (const ObservedArrival& arrival : _seen.arrivals)
+	{
+		const auto request = requests.find(arrival.id);
+		if (request != requests.end())
+		{
+			arrivals[{request->second->gateway, arrival.backend}].push_back({&arrival, request->second});
+		}
+	}
+	return arrivals;
+}
+
+void checkBackoffs(const Observations& _seen, const Pair& _pair, const std::vector<Arrival>& _arrivals,
+				   std::vector<Finding>& _findings)
+{
+	for (const Arrival& asking : _arrivals)
+	{
+		const Micros from = asking.seen->at + _seen.bounds.underWay;
+		const Micros until = asking.seen->at + asking.seen->backoffAsked;
+		const auto meanwhile =
+			std::count_if(_arrivals.begin(), _arrivals.end(),
+						  [&](const Arrival& _other) { return _other.seen->at > from && _other.seen->at < until; });
+		if (meanwhile > _seen.bounds.mostInBackoff && ran(_seen, _pair.first, asking.seen->at, until))
+		{
+			_findings.push_back({Promise::BackoffKept, "backend " + _pair.second + " asked gateway " +
+														   std::to_string(_pair.first) + " for " +
+														   millis(asking.seen->backoffAsked) + " and got " +
+														   std::to_string(meanwhile) + " requests in that time"});
+		}
+	}
+}
+
+/// @returns when each process first passed on an answer in which the backend server said that it leaves.
+std::map<std::pair<Pair, std::uint64_t>, Micros> heardLeaving(const Observations& _seen)
+{
+	std::map<std::pair<Pair, std::uint64_t>, Micros> heard;
+	for (const ObservedRequest& request : _seen.requests)
+	{
+		if (request.saysLeaving && !request.backend.empty())
+		{
+			const std::pair<Pair, std::uint64_t> process{{request.gateway, request.backend}, request.start};
+			Micros& first = heard.try_emplace(process, request.ended).first->second;
+			first = std::min(first, request.ended);
+		}
+	}
+	return heard;
+}
+} // namespace
+
+void checkWishes(const Observations& _seen, std::vector<Finding>& _findings)
+{
+	const auto leaving = heardLeaving(_seen);
+	for (const auto& [pair, arrivals] : arrivalsByPair(_seen))
+	{
+		checkBackoffs(_seen, pair, arrivals, _findings);
+		for (const Arrival& arrival : arrivals)
+		{
+			const auto heard = leaving.find({pair, arrival.request->start});
+			const bool late = heard != leaving.end() && arrival.request->sent > heard->second + _seen.bounds.drain;
+			if (late && ran(_seen, pair.first, heard->second, arrival.seen->at))
+			{
+				_findings.push_back(
+					{Promise::LeavingHeard, "backend " + pair.second + " got " + arrival.seen->id + " " +
+												millis(arrival.request->sent - heard->second) + " after gateway " +
+												std::to_string(pair.first) + " had passed on that it leaves"});
+			}
+		}
+	}
+}
+
+} // namespace beacongate::soak
