Read datagrams of the builds before and after this one

Cause: a datagram was taken only with exactly the reader's own format number and number of fields, and each change of the layout raised the number. Change: formats 6 and 7 are read, later ones as far as they are known; what is sent stays format 7 with its 27 fields, which is all that takes. What cannot be read is counted and logged within bounds. What is sent does not change by a byte (whatIsSentIsWhatTheBuildBeforeReads).

--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -164,6 +164,7 @@
 	formatCounter(out, "beacongate_backoffs_asked_total", m_backoffsAsked);
 	formatCounter(out, "beacongate_backoffs_unreadable_total", m_backoffsUnreadable);
 	formatCounter(out, "beacongate_sends_in_backoff_total", m_sentInBackoff);
+	formatCounter(out, "beacongate_datagrams_unreadable_total", m_datagramsUnreadable);
 	out << "# TYPE beacongate_sends_total counter\n";
 	for (const auto& [standing, count] : m_sends)
 	{
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -88,6 +88,12 @@
 		m_sentInBackoff += _inBackoff ? 1 : 0;
 	}
 
+	/// A datagram came that could not be read.
+	void onDatagramUnreadable()
+	{
+		++m_datagramsUnreadable;
+	}
+
 	/// A timer of the event loop ran.
 	/// @param[in] delay How much later than asked.
 	void onLoopDelay(Micros _delay);
@@ -114,6 +120,7 @@
 	std::uint64_t m_backoffsAsked = 0;
 	std::uint64_t m_backoffsUnreadable = 0;
 	std::uint64_t m_sentInBackoff = 0;
+	std::uint64_t m_datagramsUnreadable = 0;
 	Latencies m_durations;
 	Latencies m_firstBytes;
 	Latencies m_waits;
--- a/src/gateway/gossiper.h
+++ b/src/gateway/gossiper.h
@@ -49,7 +49,9 @@
 	void send(const GossipMessage& _message, const std::string& _host);
 	void receive();
 	void readDatagrams();
-	void onDatagram(std::string_view _bytes);
+	void onDatagram(std::string_view _bytes, const std::string& _sender);
+	/// Counts a datagram that is none of a format that is read, and logs the first ones.
+	void onUnreadable(const std::string& _sender);
 	void onReport(const GossipMessage& _message, bool _fresh, Micros _now);
 	void onCentreSums(const GossipMessage& _message, Micros _now);
 	void onFleetSums(const GossipMessage& _message, Micros _now);
@@ -94,6 +96,7 @@
 	std::map<std::string, std::uint64_t> m_collectorRuns;
 	std::size_t m_tellAllUntil = 0;
 	CollectorWatch m_watch;
+	std::uint64_t m_unreadable = 0; ///< Datagrams.
 };
 
 } // namespace beacongate
--- a/src/gateway/gossiperreceive.cpp
+++ b/src/gateway/gossiperreceive.cpp
@@ -4,6 +4,7 @@
 // The half of a gossiper that takes datagrams in and answers reports.
 
 #include "daemon/clock.h"
+#include "daemon/logging.h"
 #include "gateway/gossiper.h"
 #include "protocol/gossipcodec.h"
 
@@ -21,6 +22,10 @@
 constexpr Micros kMostContentAge = 3600 * kSecond; ///< A peer whose content is older has none of use.
 /// Sums are made anew after this long; in between, all reports are answered with the same.
 constexpr Micros kSumsLife = 50 * kMillisecond;
+/// So many unreadable datagrams are logged, then each kUnreadableLogStep-th: gateways that are not understood send
+/// several a second.
+constexpr std::uint64_t kUnreadableLogged = 10;
+constexpr std::uint64_t kUnreadableLogStep = 1000;
 } // namespace
 
 void Gossiper::receive()
@@ -46,16 +51,28 @@
 		const std::size_t count = m_socket.receive_from(asio::buffer(m_buffer), sender, 0, error);
 		if (!error)
 		{
-			onDatagram(std::string_view(m_buffer.data(), count));
+			onDatagram(std::string_view(m_buffer.data(), count), sender.address().to_string());
 		}
 	}
 }
 
-void Gossiper::onDatagram(std::string_view _bytes)
+void Gossiper::onUnreadable(const std::string& _sender)
+{
+	++m_unreadable;
+	m_context.metrics.onDatagramUnreadable();
+	if (m_unreadable <= kUnreadableLogged || m_unreadable % kUnreadableLogStep == 0)
+	{
+		logEvent(LogLevel::Warning, "datagram-unreadable",
+				 {{"from", _sender}, {"count", std::to_string(m_unreadable)}});
+	}
+}
+
+void Gossiper::onDatagram(std::string_view _bytes, const std::string& _sender)
 {
 	const std::optional<GossipMessage> message = decodeGossip(_bytes);
 	if (!message)
 	{
+		onUnreadable(_sender);
 		return;
 	}
 	const Micros now = monotonicNow();
--- a/src/protocol/gossipcodec.cpp
+++ b/src/protocol/gossipcodec.cpp
@@ -11,8 +11,29 @@
 {
 namespace
 {
-constexpr int kFormat = 7; ///< Raised when the layout changes.
-constexpr std::size_t kFields = 27;
+/// Format of what is sent. Gateways of two builds run beside each other while VMs are replaced, and builds that are
+/// in service read this number with exactly its fields alone: docs/DESIGN.md tells how something is added.
+constexpr std::uint64_t kFormat = 7;
+/// Oldest format that is read.
+constexpr std::uint64_t kOldestFormat = 6;
+constexpr std::size_t kFieldsOf6 = 26; ///< Format 7 added levels.
+constexpr std::size_t kFieldsOf7 = 27;
+
+/// @returns whether fields are those of a format that is read. A later one may have more at its end, which are
+/// ignored; they tell nothing that this build has to know.
+bool isReadable(const Json& _fields)
+{
+	if (!_fields.is_array() || _fields.size() < kFieldsOf6 || !_fields[0].is_number_unsigned())
+	{
+		return false;
+	}
+	const auto format = _fields[0].get<std::uint64_t>();
+	if (format <= kFormat)
+	{
+		return format >= kOldestFormat && _fields.size() == (format == kOldestFormat ? kFieldsOf6 : kFieldsOf7);
+	}
+	return _fields.size() >= kFieldsOf7;
+}
 
 Json encodeQuotas(const std::vector<QuotaReport>& _quotas)
 {
@@ -214,7 +235,7 @@
 std::optional<GossipMessage> decodeGossip(std::string_view _bytes)
 {
 	const Json fields = Json::from_msgpack(_bytes.begin(), _bytes.end(), true, false);
-	if (!fields.is_array() || fields.size() != kFields || fields[0] != kFormat)
+	if (!isReadable(fields))
 	{
 		return std::nullopt;
 	}
@@ -254,7 +275,8 @@
 		message.wantsSums = fields[23].get<bool>();
 		message.gateways = fields[24].get<std::size_t>();
 		message.centreUsage = decodeCentreUsage(fields[25]);
-		message.levels = decodeLevels(fields[26]);
+		// Without levels, a gateway that starts goes by its own part of each limit.
+		message.levels = fields.size() > kFieldsOf6 ? decodeLevels(fields[kFieldsOf6]) : std::vector<QuotaLevel>();
 		return message;
 	}
 	catch (const Json::exception&)
