Let a gateway have its part once, until a word has come that may tell of it

Cause: two holes in the bound on what one gateway lets through before the others hear of it. Change: what passed counts in full for the span of news, and until a word comes; a large request passes where nothing else did. quotapartstest holds both, and the change before.

--- a/src/coordination/quotaledger.cpp
+++ b/src/coordination/quotaledger.cpp
@@ -290,12 +290,17 @@
 		return false;
 	}
 	const double span = hearingSpan();
-	const double here = _team.rate.ownUnheard(span, _now);
+	// Who hears nothing is not heard either, as far as it knows, however long that lasts.
+	const double sinceWord = _team.words == m_words ? _team.takenSinceWord : 0.0;
+	const Micros spanStart = _now - GossipPlan::hearingSpan(m_word.members());
+	const double here = std::max(_team.own.takenSince(spanStart), sinceWord);
 	// What all may take before they hear of each other, were none of them to have taken anything of it yet.
 	const double all = std::max(0.0, _standing.level) + here + _team.bucket.rate() * span;
 	const double part = kMostParts * all / static_cast<double>(m_word.members());
-	// Requests differ in size: by its own size alone, a small one would wait for what a large one has taken.
-	const double few = kFewRequests * std::max(_amount, _team.rate.meanAmount());
+	// Requests differ in size. A large one passes where nothing else did of late; measured by its own size, four of
+	// them passed at each gateway.
+	const double mean = _team.rate.meanAmount();
+	const double few = std::max(kFewRequests * mean, _amount + mean);
 	return here + _amount > std::max(part, few);
 }
 
@@ -337,7 +342,7 @@
 		}
 		passes = false;
 	}
-	team.rate.onDecided(_amount, passes, hearingSpan(), _now);
+	team.rate.onDecided(_amount, passes, _now);
 	if (!passes)
 	{
 		return refusal(team, standing, _amount);
--- a/src/coordination/takingrate.h
+++ b/src/coordination/takingrate.h
@@ -46,13 +46,10 @@
 	}
 
 	/// A request came here and was decided on.
-	/// @param[in] _span Within which the others hear of it, in seconds.
-	void onDecided(double _amount, bool _passed, double _span, Micros _now)
+	void onDecided(double _amount, bool _passed, Micros _now)
 	{
 		const double passed = secondsOf(_now - m_ownFaded);
 		m_meanAmount += kNewest * (_amount - m_meanAmount);
-		m_ownUnheard *= std::exp(-passed / _span);
-		m_ownUnheard += _passed ? _amount : 0.0;
 		m_own *= std::exp(-passed);
 		m_ownAsked *= std::exp(-passed / kOwnMemory);
 		m_ownTaken *= std::exp(-passed / kOwnMemory);
@@ -76,19 +73,13 @@
 		return m_own * std::exp(-secondsOf(_now - m_ownFaded));
 	}
 
-	/// @param[in] _prior An amount that is taken to have been asked for and got before.
 	/// @returns what a request asks for.
 	double meanAmount() const
 	{
 		return m_meanAmount;
 	}
 
-	/// @returns what passed here of which the others are not likely to have heard.
-	double ownUnheard(double _span, Micros _now) const
-	{
-		return m_ownUnheard * std::exp(-secondsOf(_now - m_ownFaded) / _span);
-	}
-
+	/// @param[in] _prior An amount that is taken to have been asked for and got before.
 	/// @returns how many times more was asked for here than was let through.
 	/// @remarks The request that is decided on now does not count: with it, a gateway that a team asks once a
 	/// second refused it a hundredth of its requests, though it asked for 0.6 of its limit (quotastalltest).
@@ -104,7 +95,6 @@
 	double m_others = 0.0; ///< A second's worth.
 	Micros m_othersFaded = 0;
 	double m_own = 0.0; ///< Likewise.
-	double m_ownUnheard = 0.0;
 	double m_meanAmount = 0.0;
 	double m_ownAsked = 0.0; ///< Over kOwnMemory.
 	double m_ownTaken = 0.0;
