--- a/src/coordination/backofftable.h
+++ b/src/coordination/backofftable.h
@@ -42,7 +42,7 @@
 public:
 	/// One answer takes a backend server out for this long at most, so that a mistaken one does not lose it for
 	/// good. One that wants nothing for longer says so again when it is tried then.
-	static constexpr Micros kLongest = 10 * 60 * kSecond;
+	static constexpr Micros kLongest = 600 * kSecond;
 	/// Requests without an answer that a backend server may have right after its backoff. It was too full before:
 	/// all that wait for it at once would fill it again. Each answer that is no rejection doubles the number.
 	static constexpr unsigned kFirstAfter = 1;
--- a/tests/backofftabletest.cpp
+++ b/tests/backofftabletest.cpp
@@ -79,7 +79,7 @@
 TEST(BackoffTable, oneAnswerTakesAServerOutForABoundedSpan)
 {
 	Servers servers(1);
-	servers.table.onAsked(servers.key(0), 1000 * 60 * kSecond, kSecond);
+	servers.table.onAsked(servers.key(0), 60'000 * kSecond, kSecond);
 	EXPECT_EQ(servers.table.left(servers.key(0), kSecond), BackoffTable::kLongest);
 }
 
