Name the readers of a backend server's answers by what they do

Cause: 'wishes' says neither what is read nor what is checked. Change: names alone (noteBackendState, checkAnswersHeeded), and two comments.

--- a/src/coordination/roompolicy.h
+++ b/src/coordination/roompolicy.h
@@ -16,7 +16,7 @@
 /// What a request without room is weighed by. Times are of the steady clock.
 struct RoomContext
 {
-	Micros now = 0;
+	Micros now = 0;          ///< When it is decided.
 	Micros aimEnd = 0;       ///< Until then an answer is in time.
 	Micros holdUntil = 0;    ///< Until then the caller waits, or the route allows it to.
 	bool sent = false;       ///< It was sent to a backend server before.
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -98,6 +98,7 @@
 	bool keyMayBeRevoked(Micros _now) const;
 	/// @returns which backend servers it may be sent to now.
 	Availability available(Micros _now) const;
+	/// @returns what it is weighed by while nothing has room for it.
 	RoomContext roomContext(Micros _now) const;
 	/// Refuses what cannot be served in time.
 	/// @returns whether it was refused.
@@ -113,8 +114,8 @@
 	void noteStanding();
 	std::string formatForward(const KnownBackend& _backend) const;
 	void onHead(const MessageHead& _head);
-	/// Notes what the answer says of the backend server itself.
-	void noteWishes();
+	/// Takes in what the answer says of the backend server itself.
+	void noteBackendState();
 	void onBody(std::string_view _bytes);
 	void onEvents(std::string_view _bytes);
 	void onDone();
--- a/src/gateway/exchangeanswers.cpp
+++ b/src/gateway/exchangeanswers.cpp
@@ -31,7 +31,7 @@
 		endAttempt(AttemptResult::Broken);
 		return;
 	}
-	noteWishes();
+	noteBackendState();
 	endAfterBackoff(!m_attempt.info.notExecuted && !m_attempt.info.backoff);
 	const bool successStatus = _head.status >= kOk && _head.status < kMultipleChoices;
 	if (successStatus && (!m_attempt.info.stamped || m_attempt.info.encoded))
@@ -48,7 +48,7 @@
 	}
 }
 
-void Exchange::noteWishes()
+void Exchange::noteBackendState()
 {
 	const AnswerInfo& info = m_attempt.info;
 	if (info.leaving && !info.misdirected)
--- a/tools/soak/wishcheck.cpp
+++ b/tools/soak/answercheck.cpp
@@ -1,7 +1,7 @@
 // Copyright 2026 The beacongate authors.
 // Licence: BSD-2-Clause, see LICENSE.
 
-#include "soak/wishcheck.h"
+#include "soak/answercheck.h"
 
 #include <algorithm>
 #include <map>
@@ -96,7 +96,7 @@
 }
 } // namespace
 
-void checkWishes(const Observations& _seen, std::vector<Finding>& _findings)
+void checkAnswersHeeded(const Observations& _seen, std::vector<Finding>& _findings)
 {
 	const auto leaving = heardLeaving(_seen);
 	for (const auto& [pair, arrivals] : arrivalsByPair(_seen))
--- a/tools/soak/wishcheck.h
+++ b/tools/soak/answercheck.h
@@ -4,8 +4,8 @@
 /// @file
 /// Whether gateways did what backend servers asked for in their answers. Pure.
 
-#ifndef BEACONGATE_TOOLS_SOAK_WISHCHECK_H
-#define BEACONGATE_TOOLS_SOAK_WISHCHECK_H
+#ifndef BEACONGATE_TOOLS_SOAK_ANSWERCHECK_H
+#define BEACONGATE_TOOLS_SOAK_ANSWERCHECK_H
 
 #include "soak/checker.h"
 
@@ -15,8 +15,8 @@
 /// reached a backend server which had said in an answer through the same process that it leaves.
 /// @remarks A gateway that was killed, stopped or stood still in that time is excused; the store's faults excuse
 /// nothing.
-void checkWishes(const Observations& _seen, std::vector<Finding>& _findings);
+void checkAnswersHeeded(const Observations& _seen, std::vector<Finding>& _findings);
 
 } // namespace beacongate::soak
 
-#endif // BEACONGATE_TOOLS_SOAK_WISHCHECK_H
+#endif // BEACONGATE_TOOLS_SOAK_ANSWERCHECK_H
--- a/tools/soak/checker.cpp
+++ b/tools/soak/checker.cpp
@@ -3,8 +3,8 @@
 
 #include "soak/checker.h"
 
+#include "soak/answercheck.h"
 #include "soak/quotacheck.h"
-#include "soak/wishcheck.h"
 
 #include <algorithm>
 #include <map>
@@ -393,7 +393,7 @@
 		findings.push_back({Promise::ProcessLives, name});
 	}
 	checkRecovery(_seen, findings);
-	checkWishes(_seen, findings);
+	checkAnswersHeeded(_seen, findings);
 	checkQuotas(_seen, findings);
 	return findings;
 }
