Soak an upgrade that goes through all gateways and is taken back at half of them

Cause: no soak ran two builds beside each other, as they stand while VMs are replaced. No gateway code changes.

--- a/tests/soakrun.h
+++ b/tests/soakrun.h
@@ -24,7 +24,8 @@
 	std::uint64_t seed = 1;
 	unsigned gateways = 3;
 	unsigned callers = 6;
-	Micros span = 20 * kSecond; ///< In which faults are injected.
+	Micros span = 20 * kSecond;  ///< In which faults are injected.
+	std::string oldProgram = {}; ///< Name of a program in the build, see SoakOptions.
 };
 
 /// Which promises a test asks for.
@@ -46,12 +47,14 @@
 	options.gateways = _case.gateways;
 	options.callers = _case.callers;
 	options.span = _case.span;
+	options.oldProgram = _case.oldProgram.empty() ? "" : std::string(BEACONGATE_BIN) + '/' + _case.oldProgram;
 	options.program = std::string(BEACONGATE_BIN) + "/beacongate-gateway";
 	const auto directory = std::filesystem::temp_directory_path() / ("beacongate-soak-" + std::to_string(getpid()));
 	std::filesystem::create_directories(directory);
 	options.directory = directory;
 	const soak::Observations seen = soak::Soak(options).run();
 	EXPECT_GT(seen.requests.size(), 100u);
+	EXPECT_EQ(seen.replaced > 0, !_case.oldProgram.empty());
 	for (const soak::Finding& finding : soak::check(seen))
 	{
 		const bool below = finding.promise == soak::Promise::ServedBelowLimit;
--- a/tools/soak.cpp
+++ b/tools/soak.cpp
@@ -38,9 +38,10 @@
 									  [](const soak::ObservedRequest& _request)
 									  { return _request.status == 200 && _request.whole; });
 	std::cout << "seed " << _options.seed << ": " << seen.requests.size() << " requests, " << served << " served, "
-			  << seen.disruptions.size() << " disruptions, " << seen.stops.size() << " stops, "
-			  << seen.departures.size() << " departures, " << seen.keys.size() << " configurations, "
-			  << seen.reports.size() << " reports: " << (findings.empty() ? "kept" : "BROKEN") << std::endl;
+			  << seen.disruptions.size() << " disruptions, " << seen.stops.size() << " stops, " << seen.replaced
+			  << " replaced by another build, " << seen.departures.size() << " departures, " << seen.keys.size()
+			  << " configurations, " << seen.reports.size()
+			  << " reports: " << (findings.empty() ? "kept" : "BROKEN") << std::endl;
 	for (const soak::TeamUse& use : soak::useOf(seen))
 	{
 		std::cout << "  team " << use.team << ": " << use.most << " of " << use.tolerated
@@ -81,13 +82,17 @@
 		{"answers", soak::SoakProfile::Answers},
 		{"quotas", soak::SoakProfile::Quotas}};
 	app.add_option("--profile", options.profile,
-				   "Which faults are drawn: mixed, departures, narrow-departures or quotas [mixed]")
+				   "Which faults are drawn: mixed, departures, narrow-departures, answers or quotas [mixed]")
 		->transform(CLI::CheckedTransformer(profiles, CLI::ignore_case));
 	app.add_option("--gateways", options.gateways, "Gateways [3]")
 		->check(CLI::Range(1u, soak::Soak::kMostGateways));
 	app.add_option("--callers", options.callers, "Callers [6]")->check(CLI::Range(1u, 64u));
 	app.add_option("--seconds", seconds, "Span in which faults are injected [20]")->check(CLI::Range(1.0, 3600.0));
 	app.add_option("--gateway-program", options.program, "Path of beacongate-gateway")->required();
+	app.add_option(
+		"--old-program", options.oldProgram,
+		"Path of another build of it: all begin with it, are replaced one after the other, and half of them "
+		"is taken back");
 	app.add_option("--logs", options.directory,
 				   "Where settings and logs of seeds that failed are kept [soak-logs]");
 	app.add_option("--report", report, "Writes a page with plots of the last seed");
--- a/tools/soak/gatewayprocess.h
+++ b/tools/soak/gatewayprocess.h
@@ -31,6 +31,12 @@
 	/// Starts the process; it must not run.
 	void start();
 
+	/// Sets the program that the next start() runs.
+	void setProgram(const std::string& _program)
+	{
+		m_program = _program;
+	}
+
 	/// Sends a signal to the process, if it runs.
 	void signal(int _signal) const;
 
--- a/tools/soak/observations.h
+++ b/tools/soak/observations.h
@@ -153,6 +153,7 @@
 	std::vector<KeyLife> keys;
 	std::vector<TeamLimit> limits; ///< One after the other for each team.
 	std::vector<UsageReport> reports;
+	std::size_t replaced = 0;             ///< Gateways that were replaced by another build.
 	std::vector<std::string> unaskedEnds; ///< Processes that ended by themselves.
 	Micros settled = kNever;              ///< From then on nothing was done and everything has to work.
 };
--- a/tools/soak/soak.cpp
+++ b/tools/soak/soak.cpp
@@ -368,7 +368,8 @@
 		gateway->storeLink = std::make_unique<FaultProxy>(Address{host(kStoreProxyHosts + number), kStorePort},
 														  Address{host(kPlatformHost), kStorePort});
 		const std::string base = m_options.directory + "/g" + std::to_string(number);
-		gateway->process = std::make_unique<GatewayProcess>(m_options.program, base + ".json", base + ".log");
+		const std::string& program = m_options.oldProgram.empty() ? m_options.program : m_options.oldProgram;
+		gateway->process = std::make_unique<GatewayProcess>(program, base + ".json", base + ".log");
 		gateway->process->start();
 		m_gateways.push_back(std::move(gateway));
 	}
@@ -392,6 +393,7 @@
 	changeLoad();
 	runUntil(monotonicNow() + m_seen.bounds.contact);
 	const Micros end = monotonicNow() + m_options.span;
+	beginUpgrade(end);
 	while (monotonicNow() < end)
 	{
 		if (m_options.profile == SoakProfile::Quotas)
@@ -435,6 +437,7 @@
 	{
 		gateway->process->kill();
 	}
+	m_seen.replaced = m_upgrade.replaced;
 	collect();
 	return m_seen;
 }
--- a/tools/soak/soak.h
+++ b/tools/soak/soak.h
@@ -50,8 +50,11 @@
 	unsigned gateways = 3;
 	unsigned callers = 6;
 	Micros span = 20 * kSecond; ///< In which faults are injected.
-	std::string program;        ///< Path of beacongate-gateway.
-	std::string directory;      ///< Where settings and logs go; it exists.
+	std::string program = {};   ///< Path of beacongate-gateway.
+	/// Path of another build of it, with which all begin; they are replaced one after the other, and half of them
+	/// is taken back. Empty: no upgrade.
+	std::string oldProgram = {};
+	std::string directory = {}; ///< Where settings and logs go; it exists.
 };
 
 /// Runs once.
@@ -81,6 +84,16 @@
 		std::function<void()> action;
 	};
 
+	/// An upgrade that goes on.
+	struct Upgrade
+	{
+		std::vector<unsigned> order; ///< In which gateways are replaced.
+		std::size_t next = 0;        ///< Place in it; beyond its end they are taken back.
+		std::size_t replaced = 0;
+		Micros pause = 0; ///< Between two of them.
+		Micros until = 0;
+	};
+
 	std::string host(unsigned _number) const;
 	void writeSettings(unsigned _number, bool _firstStart) const;
 	void addBackend();
@@ -102,6 +115,8 @@
 	void askForBackoff();
 	void leaveInAnswers();
 	void injectAnswers();
+	void beginUpgrade(Micros _until);
+	void upgradeNext();
 	void killGateway(unsigned _number);
 	void stopGateway(unsigned _number);
 	void pauseGateway(unsigned _number);
@@ -133,6 +148,7 @@
 	std::vector<std::unique_ptr<Gateway>> m_gateways;
 	std::deque<std::unique_ptr<Backend>> m_backends;
 	std::vector<Pending> m_pending;
+	Upgrade m_upgrade;
 	std::vector<std::thread> m_callers;
 	std::vector<standin::SiteTeam> m_teams; ///< With limits.
 	std::unique_ptr<OpenLoad> m_load;
--- /dev/null
+++ b/tools/soak/soakupgrade.cpp
@@ -0,0 +1,66 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+// An upgrade that goes through all gateways, one after the other, and is taken back at some, while faults go on.
+
+#include "daemon/clock.h"
+#include "soak/soak_p.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace beacongate::soak
+{
+namespace
+{
+/// Of the span with faults, that the upgrade of all gateways takes; in the rest, it is taken back.
+constexpr double kUpgradeShare = 0.6;
+constexpr Micros kRetry = 100 * kMillisecond;
+constexpr unsigned kTakenBackOneIn = 2;
+constexpr unsigned kKilledOneIn = 3;
+} // namespace
+
+void Soak::beginUpgrade(Micros _until)
+{
+	if (m_options.oldProgram.empty())
+	{
+		return;
+	}
+	m_upgrade.until = _until;
+	m_upgrade.order.resize(m_gateways.size());
+	std::iota(m_upgrade.order.begin(), m_upgrade.order.end(), 0u);
+	std::shuffle(m_upgrade.order.begin(), m_upgrade.order.end(), m_random);
+	const double pause =
+		kUpgradeShare * static_cast<double>(m_options.span) / static_cast<double>(m_gateways.size());
+	m_upgrade.pause = static_cast<Micros>(pause);
+	later(m_upgrade.pause, [this] { upgradeNext(); });
+}
+
+void Soak::upgradeNext()
+{
+	if (monotonicNow() >= m_upgrade.until || m_upgrade.next >= 2 * m_upgrade.order.size())
+	{
+		return;
+	}
+	const bool back = m_upgrade.next >= m_upgrade.order.size();
+	const std::size_t place = m_upgrade.next % m_upgrade.order.size();
+	const unsigned number = m_upgrade.order[place];
+	Gateway& gateway = *m_gateways[number];
+	const bool stays = back && place % kTakenBackOneIn != 0;
+	const bool steady = !gateway.asked && !gateway.paused && gateway.process->running();
+	if (!stays && !steady)
+	{
+		later(kRetry, [this] { upgradeNext(); });
+		return;
+	}
+	if (!stays)
+	{
+		gateway.process->setProgram(back ? m_options.oldProgram : m_options.program);
+		drawn(kKilledOneIn) == 0 ? killGateway(number) : stopGateway(number);
+		++m_upgrade.replaced;
+	}
+	++m_upgrade.next;
+	later(stays ? 0 : m_upgrade.pause, [this] { upgradeNext(); });
+}
+
+} // namespace beacongate::soak
