Tell in the log what is refused of a team, and by what estimates

Logs could not tell apart whether too much runs since the demand is estimated wrongly, since each gateway lets its next request through, or since limits changed: a refusal names its reason, but not the level and the demand behind it, and a request that passes names nothing.

quota-refused: at most a line a second for each team of which something was refused here, with what passed, what was refused by which reason, the level of the bucket and the demand as this gateway takes it.

--- a/src/coordination/quotaledger.cpp
+++ b/src/coordination/quotaledger.cpp
@@ -211,13 +211,18 @@
 	m_adopted = true;
 }
 
+double QuotaLedger::demand(const Team& _team, double _amount, Micros _now) const
+{
+	// All ask as much more than they take as is the case here.
+	const double refusedTimes = _team.rate.refusedTimes(kPriorRequests * _amount, _now);
+	return (_team.rate.others(m_word.last()) + _team.rate.own(_now)) * refusedTimes;
+}
+
 double QuotaLedger::admittedPart(const Team& _team, double _level, double _amount, Micros _now) const
 {
 	const double span = hearingSpan();
 	const double room = _level + _team.bucket.rate() * span;
-	// All ask as much more than they take as is the case here.
-	const double refusedTimes = _team.rate.refusedTimes(kPriorRequests * _amount, _now);
-	const double asked = (_team.rate.others(m_word.last()) + _team.rate.own(_now)) * refusedTimes * span;
+	const double asked = demand(_team, _amount, _now) * span;
 	const double few = kFewRequests * _amount;
 	if (asked <= few)
 	{
@@ -345,8 +350,11 @@
 	team.rate.onDecided(_amount, passes, _now);
 	if (!passes)
 	{
-		return refusal(team, standing, _amount);
+		const QuotaVerdict verdict = refusal(team, standing, _amount);
+		++team.tally.refused[verdict.bound];
+		return verdict;
 	}
+	++team.tally.passed;
 	team.admitted = std::max(0.0, team.admitted - 1.0);
 	team.takenSinceWord = std::exchange(team.words, m_words) == m_words ? team.takenSinceWord : 0.0;
 	team.take(_amount, _now);
@@ -464,6 +472,23 @@
 	return std::exchange(m_gaps, {});
 }
 
+std::vector<QuotaTally> QuotaLedger::takeTallies(Micros _now)
+{
+	std::vector<QuotaTally> tallies;
+	for (auto& [name, team] : m_teams)
+	{
+		QuotaTally tally = std::exchange(team.tally, {});
+		if (!tally.refused.empty())
+		{
+			tally.team = name;
+			tally.level = team.bucket.level(_now);
+			tally.demand = demand(team, team.rate.meanAmount(), _now);
+			tallies.push_back(std::move(tally));
+		}
+	}
+	return tallies;
+}
+
 std::vector<QuotaView> QuotaLedger::views(Micros _now) const
 {
 	std::vector<QuotaView> views;
--- a/src/coordination/quotaledger.h
+++ b/src/coordination/quotaledger.h
@@ -70,6 +70,16 @@
 	double levelBefore = 0.0; ///< Of the bucket, as the next word came.
 };
 
+/// What became of a team's requests here in a span in which some were refused.
+struct QuotaTally
+{
+	std::string team;
+	std::size_t passed = 0;
+	std::map<QuotaBound, std::size_t> refused; ///< By what.
+	double level = 0.0;                        ///< Of the bucket at the end of the span.
+	double demand = 0.0; ///< That all gateways are taken to be asked for, a second's worth.
+};
+
 /// What this gateway knows of one team's quota, for people who look at a running gateway.
 struct QuotaView
 {
@@ -163,6 +173,9 @@
 	/// @returns in which gaps between words requests were let through since the last call, for the log.
 	std::vector<QuotaGap> takeGaps();
 
+	/// @returns what became of the requests of each team of which some were refused since the last call, for the log.
+	std::vector<QuotaTally> takeTallies(Micros _now);
+
 	/// @returns what is known of each team with a limit.
 	std::vector<QuotaView> views(Micros _now) const;
 
@@ -180,6 +193,7 @@
 		double admitted = 0.0;       ///< Of the next request, while only a part is admitted.
 		double takenSinceWord = 0.0; ///< Let through here since the others were heard last.
 		std::uint64_t words = 0;     ///< That had been heard as it was counted.
+		QuotaTally tally;            ///< Since it was asked for.
 
 		/// Counts an amount as taken here.
 		void take(double _amount, Micros _now);
@@ -220,6 +234,8 @@
 	/// @remarks Let through by the level alone, a team that asked for six times its quota of 77 gateways got 1.12
 	/// to 1.20 times what it has in 8 s, by turns all and nothing; with this 1.04 to 1.07 (fleettabletest).
 	double admittedPart(const Team& _team, double _level, double _amount, Micros _now) const;
+	/// @returns what all gateways are asked for, a second's worth.
+	double demand(const Team& _team, double _amount, Micros _now) const;
 	/// @returns whether a team asks here for more than is let through.
 	static bool isRefusedMuch(const Team& _team, Micros _now);
 	/// @returns whether a team asked for less than its limit, as far as is known.
--- a/src/gateway/gossiper.cpp
+++ b/src/gateway/gossiper.cpp
@@ -29,6 +29,7 @@
 constexpr std::size_t kWholeEvery = 16;        ///< Rounds between two reports that name all teams.
 constexpr std::uint64_t kUsageWindowsBack = 3; ///< Windows that a report tells which names all teams.
 constexpr std::size_t kRepeated = 4;           ///< Rounds in which a change is told, since datagrams get lost.
+constexpr Micros kTallySpan = kSecond; ///< Between two lines that tell what was refused of a team.
 constexpr std::size_t kProbedEvery = 4;        ///< Rounds between two messages to a collector that is passed over.
 
 Micros wallClockNow()
@@ -128,6 +129,7 @@
 	reportDelay(now);
 	logLeavingNotices();
 	logQuotaGaps();
+	logQuotaTallies(now);
 	m_context.clock.update(wallClockNow(), now);
 	m_context.demand.advance(now);
 	m_context.usage.advance(m_context.currentWindow(now));
@@ -186,6 +188,29 @@
 	}
 }
 
+void Gossiper::logQuotaTallies(Micros _now)
+{
+	if (_now - m_talliesLogged < kTallySpan)
+	{
+		return;
+	}
+	m_talliesLogged = _now;
+	for (const QuotaTally& tally : m_context.quotas.takeTallies(_now))
+	{
+		std::string refused;
+		for (const auto& [bound, count] : tally.refused)
+		{
+			refused += (refused.empty() ? "" : ",") + std::string(toString(bound)) + ':' + std::to_string(count);
+		}
+		logEvent(LogLevel::Info, "quota-refused",
+				 {{"team", tally.team},
+				  {"passed", std::to_string(tally.passed)},
+				  {"refused", refused},
+				  {"level", std::to_string(static_cast<std::int64_t>(tally.level))},
+				  {"demand_per_s", std::to_string(static_cast<std::int64_t>(tally.demand))}});
+	}
+}
+
 void Gossiper::reportDelay(Micros _now)
 {
 	if (m_due == kNever)
--- a/src/gateway/gossiper.h
+++ b/src/gateway/gossiper.h
@@ -42,6 +42,8 @@
 	void reportDelay(Micros _now);
 	void logLeavingNotices();
 	void logQuotaGaps();
+	/// Tells once a second what became of the requests of teams of which some were refused.
+	void logQuotaTallies(Micros _now);
 	void sendToPeers(Micros _now);
 	void sendToCollectors(Micros _now);
 	void sendCentreSums(Micros _now);
@@ -84,6 +86,7 @@
 	std::vector<char> m_buffer;
 	std::size_t m_round = 0;
 	Micros m_due = kNever; ///< When the next round should begin.
+	Micros m_talliesLogged = kLongAgo;
 	FleetTable m_table;
 	FleetFollower m_follower;
 	/// The sums that reports are answered with, and when they were made.
