Test teams whose limits fall far below what they ask for, failing

What users saw: a team had more run in eight seconds than a limit that had been lowered, without any fault.

The checker of soaks hardly ever judged a lowered limit: it waited until no gateway had been disturbed for as long as a configuration takes, which in a profile of disturbances never came. It waits for each gateway by itself now, as the promise says; a test shows a case that was passed over before.

A soak may have 300 gateways: their addresses take five nets.

--- a/tests/collectorfleet.h
+++ b/tests/collectorfleet.h
@@ -2,8 +2,8 @@
 // Licence: BSD-2-Clause, see LICENSE.
 
 /// @file
-/// A large fleet of gateways in virtual time that share one team's quota: real ledgers, collectors' tables and
-/// followers, over a network that delays and loses datagrams, while gateways stand still.
+/// A fleet of gateways in virtual time that share one team's quota: real ledgers, and in a large fleet collectors'
+/// tables and followers, over a network that delays and loses datagrams, while gateways stand still.
 
 #ifndef BEACONGATE_TESTS_COLLECTORFLEET_H
 #define BEACONGATE_TESTS_COLLECTORFLEET_H
@@ -11,6 +11,7 @@
 #include "beacongate/limits.h"
 #include "coordination/fleetfollower.h"
 #include "coordination/fleettable.h"
+#include "coordination/gossipplan.h"
 #include "coordination/quotaledger.h"
 
 #include <algorithm>
@@ -45,19 +46,31 @@
 	CollectorFleet(const Load& _load, std::uint32_t _seed)
 		: m_load(_load), m_gateways(_load.gateways), m_random(_seed)
 	{
-		RoutingConfig config;
-		config.teams.emplace_back();
-		config.teams[0].name = kTeam;
-		config.teams[0].ratePerSecond = _load.rate;
-		config.teams[0].burst = _load.burst;
 		for (Gateway& gateway : m_gateways)
 		{
 			gateway.ledger.setMembers(m_load.gateways);
-			gateway.ledger.configure(config, m_now);
+			configure(gateway);
 			gateway.due = m_now + static_cast<Micros>(m_random() % static_cast<unsigned>(limits::kCollectorRound));
 		}
 	}
 
+	/// Changes the limits, which each gateway learns of within a span.
+	void setLimits(double _rate, double _burst, Micros _span)
+	{
+		m_load.rate = _rate;
+		m_load.burst = _burst;
+		for (Gateway& gateway : m_gateways)
+		{
+			gateway.configureAt = m_now + static_cast<Micros>(m_random() % static_cast<unsigned>(_span));
+		}
+	}
+
+	/// @returns the present moment of the play.
+	Micros now() const
+	{
+		return m_now;
+	}
+
 	/// Lets time pass, while the team asks so many times its rate, at gateways drawn by chance.
 	void run(Micros _span, double _timesItsRate)
 	{
@@ -113,15 +126,17 @@
 	}
 
 	/// @returns the most that was taken in a window of 8 s, as a share of what is tolerated there.
-	double mostOfTolerated() const
+	/// @param[in] _from Windows that begin later count.
+	double mostOfTolerated(Micros _from = 0) const
 	{
 		constexpr Micros kWindow = 8 * kSecond;
 		const double tolerated = (m_load.rate * secondsOf(kWindow) + m_load.burst) * 1.1 + m_load.slack;
 		double most = 0.0;
 		double sum = 0.0;
-		auto first = m_taken.begin();
-		for (const auto& [moment, amount] : m_taken)
+		auto first = m_taken.lower_bound(_from);
+		for (auto taken = first; taken != m_taken.end(); ++taken)
 		{
+			const auto& [moment, amount] = *taken;
 			sum += amount;
 			for (; first->first <= moment - kWindow; ++first)
 			{
@@ -143,6 +158,22 @@
 		return sum;
 	}
 
+	/// @returns the longest span from a moment on in which nothing passed.
+	Micros longestGap(Micros _from) const
+	{
+		Micros longest = 0;
+		Micros last = _from;
+		for (auto taken = m_taken.lower_bound(_from); taken != m_taken.end(); ++taken)
+		{
+			if (taken->second > 0.0)
+			{
+				longest = std::max(longest, taken->first - last);
+				last = taken->first;
+			}
+		}
+		return std::max(longest, m_now - last);
+	}
+
 	/// Forgets how many were refused so far.
 	void countAnew()
 	{
@@ -187,6 +218,7 @@
 		Micros standsUntil = 0;
 		Micros stoodFrom = kLongAgo;
 		Micros deafUntil = 0;
+		Micros configureAt = kNever; ///< When it learns of changed limits.
 	};
 
 	struct Datagram
@@ -195,6 +227,17 @@
 		GossipMessage message;
 	};
 
+	void configure(Gateway& _gateway) const
+	{
+		RoutingConfig config;
+		config.teams.emplace_back();
+		config.teams[0].name = kTeam;
+		config.teams[0].ratePerSecond = m_load.rate;
+		config.teams[0].burst = m_load.burst;
+		_gateway.ledger.configure(config, m_now);
+		_gateway.configureAt = kNever;
+	}
+
 	unsigned draw()
 	{
 		return static_cast<unsigned>(m_random()) % m_load.gateways;
@@ -225,6 +268,10 @@
 	void step(unsigned _number)
 	{
 		Gateway& gateway = m_gateways[_number];
+		if (m_now >= gateway.configureAt)
+		{
+			configure(gateway);
+		}
 		serve(gateway);
 		for (const GossipMessage& message : gateway.inbox)
 		{
@@ -233,8 +280,8 @@
 		gateway.inbox.clear();
 		if (m_now >= gateway.due)
 		{
-			gateway.due = m_now + limits::kCollectorRound;
-			speak(_number);
+			gateway.due = m_now + GossipPlan::roundSpan(m_load.gateways);
+			GossipPlan::usesCollectors(m_load.gateways) ? speak(_number) : speakToAll(_number);
 		}
 	}
 
@@ -314,6 +361,22 @@
 		}
 	}
 
+	/// What gateways of a small fleet do.
+	void speakToAll(unsigned _number)
+	{
+		Gateway& gateway = m_gateways[_number];
+		gateway.ledger.advance(m_now);
+		GossipMessage report;
+		report.quotas = {{kTeam, gateway.ledger.takenHere(kTeam)}};
+		for (unsigned peer = 0; peer < m_load.gateways; ++peer)
+		{
+			if (peer != _number)
+			{
+				send(_number, peer, report);
+			}
+		}
+	}
+
 	void tellCentres(unsigned _number)
 	{
 		Gateway& gateway = m_gateways[_number];
@@ -363,11 +426,16 @@
 	void hearReport(unsigned _number, unsigned _from, const GossipMessage& _message, bool _fresh)
 	{
 		Gateway& gateway = m_gateways[_number];
-		if (_fresh && gateway.table.onReport(_message, m_now))
+		const bool byCollectors = GossipPlan::usesCollectors(m_load.gateways);
+		if (_fresh && (!byCollectors || gateway.table.onReport(_message, m_now)))
 		{
 			takeCounters(gateway, "", _message.host, _message);
 			gateway.ledger.onHeard(_message.host, m_now, _message.echo);
 		}
+		if (!byCollectors)
+		{
+			return;
+		}
 		if (_message.wantsSums)
 		{
 			gateway.table.expire(m_now);
--- a/tests/soakcheckertest.cpp
+++ b/tests/soakcheckertest.cpp
@@ -244,6 +244,25 @@
 	EXPECT_EQ(countOf(seen, Promise::QuotaKept), 0u) << "windows that begin at 50 s or later are too few";
 }
 
+TEST(SoakChecker, aLowerLimitIsInForceOnceEachGatewayHasBeenSoundForLongEnough)
+{
+	Observations seen = limited(10);
+	seen.limits[0].until = 30 * kSecond;
+	seen.limits.push_back({"small", 5.0, 5.0, false, 0.0, 30 * kSecond, kNever});
+	// One gateway or another is disturbed all the time, but none for longer than a second.
+	for (unsigned number = 0; number < 10; ++number)
+	{
+		const Micros from = (31 + 3 * static_cast<Micros>(number)) * kSecond;
+		seen.disruptions.push_back({"pause", from, from + kSecond, number, false});
+	}
+	EXPECT_EQ(countOf(seen, Promise::QuotaKept), 1u);
+	for (Disruption& disruption : seen.disruptions)
+	{
+		disruption.gateway = 0;
+	}
+	EXPECT_EQ(countOf(seen, Promise::QuotaKept), 0u) << "that gateway may not know of the change";
+}
+
 TEST(SoakChecker, seesATeamThatIsRefusedBelowItsLimit)
 {
 	Observations seen = limited(5);
--- a/tools/soak.cpp
+++ b/tools/soak.cpp
@@ -80,9 +80,11 @@
 		{"departures", soak::SoakProfile::Departures},
 		{"narrow-departures", soak::SoakProfile::NarrowDepartures},
 		{"answers", soak::SoakProfile::Answers},
-		{"quotas", soak::SoakProfile::Quotas}};
+		{"quotas", soak::SoakProfile::Quotas},
+		{"lowered-quotas", soak::SoakProfile::LoweredQuotas}};
 	app.add_option("--profile", options.profile,
-				   "Which faults are drawn: mixed, departures, narrow-departures, answers or quotas [mixed]")
+				   "Which faults are drawn: mixed, departures, narrow-departures, answers, quotas or lowered-quotas "
+				   "[mixed]")
 		->transform(CLI::CheckedTransformer(profiles, CLI::ignore_case));
 	app.add_option("--gateways", options.gateways, "Gateways [3]")
 		->check(CLI::Range(1u, soak::Soak::kMostGateways));
--- a/tools/soak/quotacheck.cpp
+++ b/tools/soak/quotacheck.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <set>
 
 namespace beacongate::soak
@@ -91,16 +92,34 @@
 		{
 			return kNever;
 		}
+		std::set<std::optional<unsigned>> disturbed{std::nullopt};
+		for (const Disruption& disruption : m_seen.disruptions)
+		{
+			disturbed.insert(disruption.gateway);
+		}
+		Micros held = _replaced;
+		for (const std::optional<unsigned>& gateway : disturbed)
+		{
+			held = std::max(held, heldUntil(_replaced, gateway));
+		}
+		return held;
+	}
+
+	/// @param[in] _gateway Nothing for those that are disturbed only by what touches all.
+	/// @returns when a gateway has been sound for as long as a configuration may take.
+	Micros heldUntil(Micros _replaced, const std::optional<unsigned>& _gateway) const
+	{
 		Micros held = _replaced + m_seen.bounds.configApply;
 		for (bool again = true; again;)
 		{
 			again = false;
 			for (const Disruption& disruption : m_seen.disruptions)
 			{
+				const bool touches = !disruption.gateway || disruption.gateway == _gateway;
 				const Micros over = disruption.until == kNever
 										? kNever
 										: disruption.until + m_seen.bounds.contact + m_seen.bounds.configApply;
-				if (!disruption.ofBackend && disruption.from <= held && over > held)
+				if (touches && !disruption.ofBackend && disruption.from <= held && over > held)
 				{
 					held = over;
 					again = true;
--- a/tools/soak/soak.cpp
+++ b/tools/soak/soak.cpp
@@ -28,10 +28,12 @@
 constexpr std::uint16_t kStorePort = 19104;
 constexpr std::uint16_t kDutyPort = 19105;
 constexpr std::uint16_t kBackendPorts = 19200;
-constexpr unsigned kPlatformHost = 250;
-constexpr unsigned kBackendHost = 251;
-constexpr unsigned kBackendProxyHost = 252;
-constexpr unsigned kStoreProxyHosts = 100; ///< Plus the gateway's number.
+constexpr unsigned kStoreProxyHosts = 500; ///< Plus the gateway's number.
+constexpr unsigned kPlatformHost = 1000;
+constexpr unsigned kBackendHost = 1001;
+constexpr unsigned kBackendProxyHost = 1002;
+constexpr unsigned kHostsInNet = 250;
+constexpr unsigned kNetsOfSoak = 5; ///< That hold all hosts above.
 constexpr std::size_t kKeysInForce = 2;
 constexpr Micros kStep = 20 * kMillisecond;
 constexpr Micros kGrace = 6 * kSecond;
@@ -58,7 +60,8 @@
 Soak::Soak(const SoakOptions& _options) : m_options(_options), m_random(_options.seed)
 {
 	const auto pid = static_cast<unsigned>(getpid());
-	m_net = "127." + std::to_string(1 + pid / 250 % 250) + "." + std::to_string(pid % 250) + ".";
+	m_net = "127." + std::to_string(1 + pid % kHostsInNet) + ".";
+	m_firstNet = pid / kHostsInNet % (kHostsInNet / kNetsOfSoak) * kNetsOfSoak;
 	m_options.gateways = std::clamp(_options.gateways, 1u, kMostGateways);
 	m_seen.bounds.revocation = 4 * kSecond;
 	m_seen.bounds.takeSpan = 2 * kSecond;
@@ -75,7 +78,8 @@
 
 std::string Soak::host(unsigned _number) const
 {
-	return m_net + std::to_string(_number);
+	return m_net + std::to_string(m_firstNet + _number / kHostsInNet) + "." +
+		   std::to_string(1 + _number % kHostsInNet);
 }
 
 void Soak::writeSettings(unsigned _number, bool _firstStart) const
@@ -354,7 +358,7 @@
 	{
 		addBackend();
 	}
-	if (m_options.profile == SoakProfile::Quotas)
+	if (limitsTeams())
 	{
 		startTeams();
 	}
@@ -396,6 +400,12 @@
 	beginUpgrade(end);
 	while (monotonicNow() < end)
 	{
+		if (m_options.profile == SoakProfile::LoweredQuotas)
+		{
+			lowerLimits();
+			runUntil(end);
+			continue;
+		}
 		if (m_options.profile == SoakProfile::Quotas)
 		{
 			injectQuotaTrouble();
--- a/tools/soak/soak.h
+++ b/tools/soak/soak.h
@@ -37,6 +37,8 @@
 	/// Teams with limits ask for less and for several times as much by turns, limits change, and many gateways at
 	/// once stand still, are killed or stopped.
 	Quotas,
+	/// All limits fall once, far below what most teams ask for, and nothing else happens.
+	LoweredQuotas,
 	/// Backend servers turn requests away and ask for backoffs, or say in their answers alone that they leave,
 	/// while the store is away and gateways are held up, killed and stopped.
 	Answers,
@@ -62,7 +64,7 @@
 {
 public:
 	/// Most gateways of one soak.
-	static constexpr unsigned kMostGateways = 90;
+	static constexpr unsigned kMostGateways = 300;
 
 	explicit Soak(const SoakOptions& _options);
 	~Soak();
@@ -111,6 +113,9 @@
 	void noteLimits(Micros _now);
 	void standStill(double _share, Micros _span);
 	void injectQuotaTrouble();
+	void lowerLimits();
+	bool limitsTeams() const;
+	double slackOf(const standin::SiteTeam& _team) const;
 	Backend& stayingBackend();
 	void askForBackoff();
 	void leaveInAnswers();
@@ -141,7 +146,8 @@
 	Micros drawnSpan(Micros _least, Micros _most);
 
 	SoakOptions m_options;
-	std::string m_net;
+	std::string m_net;       ///< The first two numbers of all addresses.
+	unsigned m_firstNet = 0; ///< The third number of the first hosts.
 	std::mt19937_64 m_random;
 	std::unique_ptr<standin::PlatformStore> m_store;
 	std::unique_ptr<standin::PlatformDuties> m_duties;
--- a/tools/soak/soakquotas.cpp
+++ b/tools/soak/soakquotas.cpp
@@ -20,7 +20,7 @@
 	const char* name;
 	double ratePerSecond;
 	double meanTokens; ///< 0 where its limit counts requests.
-	double slack;      ///< That may run in a window on top of the tolerance.
+	double slack;      ///< That may run in a window on top of the tolerance, unless limits are lowered.
 };
 
 /// One with many requests a second for each gateway, one with few, one with hardly any. Bursts are a second's
@@ -30,6 +30,15 @@
 								TeamShape{"small", 8'000.0, 1'000.0, 30'000.0}};
 /// What teams ask for, as a part of their limits: below it, or several times as much.
 constexpr std::array kDemands = {0.3, 0.6, 0.6, 4.0, 8.0};
+/// Parts of the first limits, one of which all limits are lowered to.
+constexpr std::array kLoweredTo = {0.04, 0.07, 0.1};
+/// Of its lowered limit, that a team below it asks for.
+constexpr double kBelowLowered = 0.5;
+/// What the other teams ask for then, as a part of their first limits.
+constexpr std::array kLoweredDemands = {0.6, 4.0, 6.0};
+/// Mean requests, half of what deployments tolerate: their 140,000 tokens are 30 requests.
+constexpr double kLoweredSlack = 15.0;
+constexpr Micros kBeforeLowered = 5 * kSecond;
 
 const TeamShape& shapeOf(const standin::SiteTeam& _team)
 {
@@ -44,6 +53,17 @@
 }
 } // namespace
 
+bool Soak::limitsTeams() const
+{
+	return m_options.profile == SoakProfile::Quotas || m_options.profile == SoakProfile::LoweredQuotas;
+}
+
+double Soak::slackOf(const standin::SiteTeam& _team) const
+{
+	const TeamShape& shape = shapeOf(_team);
+	return m_options.profile == SoakProfile::LoweredQuotas ? kLoweredSlack * shape.meanTokens : shape.slack;
+}
+
 void Soak::startTeams()
 {
 	std::vector<Address> gateways;
@@ -86,7 +106,7 @@
 			known->until = _now;
 		}
 		m_seen.limits.push_back(
-			{team.name, team.ratePerSecond, team.burst, team.countsTokens, shapeOf(team).slack, _now});
+			{team.name, team.ratePerSecond, team.burst, team.countsTokens, slackOf(team), _now});
 	}
 }
 
@@ -110,6 +130,28 @@
 	noteLimits(monotonicNow());
 }
 
+void Soak::lowerLimits()
+{
+	const double part = kLoweredTo[drawn(kLoweredTo.size())];
+	const std::size_t below = drawn(m_teams.size());
+	for (std::size_t index = 0; index < m_teams.size(); ++index)
+	{
+		const standin::SiteTeam& team = m_teams[index];
+		const double demand =
+			index == below ? kBelowLowered * part : kLoweredDemands[drawn(kLoweredDemands.size())];
+		m_load->set({team.name, team.key, demand * requestsAtLimit(team), shapeOf(team).meanTokens});
+	}
+	runUntil(monotonicNow() + kBeforeLowered);
+	for (standin::SiteTeam& team : m_teams)
+	{
+		team.ratePerSecond = part * shapeOf(team).ratePerSecond;
+		team.burst = team.ratePerSecond;
+	}
+	const std::lock_guard<std::mutex> guard(m_mutex);
+	putConfig();
+	noteLimits(monotonicNow());
+}
+
 void Soak::standStill(double _share, Micros _span)
 {
 	std::vector<unsigned> numbers;
