Let requests wait for a grantor that stood still and hears the others soon

In a fleet with collectors it hears most of the others again after two rounds: their reports have to answer something that it sent.

A grantor that woke up to 0.9 s ago asks to be asked again, and a request waits for that up to 1 s; one that hears no answer at all goes on after 0.5 s as before.

--- a/src/coordination/fleetword.h
+++ b/src/coordination/fleetword.h
@@ -97,6 +97,12 @@
 	/// @returns how far the others may be reckoned with.
 	FleetTrust trust(Micros _now) const;
 
+	/// @returns whether this process stood still and went on within a span.
+	bool wokeWithin(Micros _span, Micros _now) const
+	{
+		return m_stall.woke() != kLongAgo && _now - m_stall.woke() <= _span;
+	}
+
 	/// @returns for how long nothing was heard; kNever before the first word.
 	Micros age(Micros _now) const;
 
--- a/src/coordination/quotaadmission.cpp
+++ b/src/coordination/quotaadmission.cpp
@@ -103,6 +103,7 @@
 		if (answer.outcome == GrantOutcome::Later)
 		{
 			_pending.later = true;
+			_pending.promised = true;
 			return;
 		}
 	}
@@ -135,7 +136,7 @@
 		++m_counts.unanswered;
 		note({host, false, m_choice.onSilent(host, _now)});
 	}
-	if (_pending.waitedAll > kLongestAsk)
+	if (_pending.waitedAll > (_pending.promised ? kLongestLater : kLongestAsk))
 	{
 		_pending.next = _pending.grantors.size();
 		askNext(_id, _pending, _now);
@@ -263,6 +264,7 @@
 	if (_outcome == GrantOutcome::Later)
 	{
 		_pending.later = true;
+		_pending.promised = true;
 		_pending.waited = 0;
 		return;
 	}
--- a/src/coordination/quotaadmission.h
+++ b/src/coordination/quotaadmission.h
@@ -58,8 +58,11 @@
 	static constexpr Micros kRepeatAfter = 75 * kMillisecond;
 	/// For so long a grantor is waited for.
 	static constexpr Micros kPatience = 150 * kMillisecond;
-	/// For so long a request waits for grantors, one after the other.
+	/// For so long a request waits for grantors that do not answer, one after the other.
 	static constexpr Micros kLongestAsk = 500 * kMillisecond;
+	/// For so long a request waits for a grantor that will know soon. After all gateways stood still, a team that
+	/// asks for less than its limit would else be refused what its equal share does not allow.
+	static constexpr Micros kLongestLater = 1 * kSecond;
 
 	/// @param[in] _host This gateway's.
 	/// @param[in] _firstId Drawn anew at each start, so that an answer to an earlier run's ask is known as such.
@@ -125,6 +128,7 @@
 		std::size_t next = 0;  ///< Of them, to be asked.
 		bool repeated = false; ///< The one that was asked last was asked twice.
 		bool later = false;    ///< It wants to be asked again.
+		bool promised = false; ///< Some grantor has said that it will know soon.
 		Micros polled = 0;
 		Micros waited = 0;    ///< For the grantor that was asked last.
 		Micros waitedAll = 0; ///< For all of them.
--- a/src/coordination/quotaledger.cpp
+++ b/src/coordination/quotaledger.cpp
@@ -27,6 +27,9 @@
 /// gateway would not bear the asks.
 constexpr double kMostGranted = 250.0;
 constexpr double kLeastMean = 1e-6; ///< Of a request.
+/// A collector that stood still has heard most of the others again after this long: two of their rounds, since
+/// their reports have to answer something that it sent, and the rounds of other data centres.
+constexpr Micros kHeardAgain = 900 * kMillisecond;
 constexpr double kReadyShare = 0.1; ///< Of a request, that has to be there when its caller comes back.
 constexpr Micros kLongestWait = 5 * kSecond;
 constexpr Micros kMostAtOnce = 300 * kMillisecond; ///< Two rounds of gossip, between which time is let pass.
@@ -466,16 +469,12 @@
 {
 	const auto it = m_teams.find(_team);
 	onTime(_now);
-	const FleetTrust trust = m_word.trust(_now);
-	if (trust == FleetTrust::Awaited)
-	{
-		return {GrantOutcome::Later, FleetWord::kAwaited};
-	}
 	// A limit that is not known here may be in force there.
-	const bool knows = it != m_teams.end() && it->second.bucket.limited();
-	if (!knows || trust != FleetTrust::Whole || settling(_now))
+	const bool knowsLimit = it != m_teams.end() && it->second.bucket.limited();
+	if (!knowsLimit || settling(_now) || m_word.trust(_now) != FleetTrust::Whole)
 	{
-		return {GrantOutcome::Unable, 0};
+		const bool soon = knowsLimit && m_word.wokeWithin(kHeardAgain, _now);
+		return {soon ? GrantOutcome::Later : GrantOutcome::Unable, 0};
 	}
 	Team& team = it->second;
 	recordSilentShare(team, _now);
