Charge a team that is granted its requests what it had before while a collector is replaced

Cause: what passed while a collector was replaced is in no report, and was reckoned by what passed here, times the gateways. A gateway to whose callers five requests had been granted took that for 150: the level of a bucket of 60 fell to -56 at the grantor. The class: a sample of a few requests extrapolated to the fleet.

Change: requests that were granted are no such sample; only what a gateway let through by itself is. The span counts by the team's rate of before, where it asks for less than its limit, else by its rate as until now.

--- a/src/coordination/quotaledger.cpp
+++ b/src/coordination/quotaledger.cpp
@@ -26,7 +26,6 @@
 /// Requests a second, up to which a team's limit is granted one by one. With more, chance decides little, and one
 /// gateway would not bear the asks.
 constexpr double kMostGranted = 250.0;
-constexpr double kLeastMean = 1e-6; ///< Of a request.
 /// A collector that stood still has heard most of the others again after this long: two of their rounds, since
 /// their reports have to answer something that it sent, and the rounds of other data centres.
 constexpr Micros kHeardAgain = 900 * kMillisecond;
@@ -293,6 +292,7 @@
 {
 	bucket.record(_amount, _now);
 	own.record(_amount, _now);
+	ungranted.record(_amount, _now);
 	takenHere += _amount;
 	takenSinceWord += _amount;
 }
@@ -400,7 +400,7 @@
 
 double QuotaLedger::requestsPerSecond(const Team& _team, double _mean)
 {
-	return _team.bucket.rate() / std::max(_mean, kLeastMean);
+	return _mean > 0.0 ? _team.bucket.rate() / _mean : 0.0;
 }
 
 double QuotaLedger::requestsPerSecond(const std::string& _team) const
@@ -409,6 +409,11 @@
 	return it == m_teams.end() ? 0.0 : requestsPerSecond(it->second, it->second.rate.meanAmount());
 }
 
+bool QuotaLedger::isGranted(const Team& _team, double _mean)
+{
+	return _mean > 0.0 && requestsPerSecond(_team, _mean) <= kMostGranted;
+}
+
 QuotaRule QuotaLedger::ruleFor(const std::string& _team, double _amount, Micros _now)
 {
 	const auto it = m_teams.find(_team);
@@ -419,7 +424,7 @@
 	onTime(_now);
 	Team& team = it->second;
 	const double mean = team.rate.meanAmount() > 0.0 ? team.rate.meanAmount() : _amount;
-	if (m_word.members() <= 1 || requestsPerSecond(team, mean) > kMostGranted)
+	if (m_word.members() <= 1 || !isGranted(team, mean))
 	{
 		return QuotaRule::Local;
 	}
@@ -553,6 +558,7 @@
 		// Only this copy is corrected: what was said to others stays said.
 		it->second.bucket.record(-_amount, _now);
 		it->second.own.record(-_amount, _now);
+		it->second.ungranted.record(-_amount, _now);
 	}
 }
 
--- a/src/coordination/quotaledger.h
+++ b/src/coordination/quotaledger.h
@@ -239,7 +239,8 @@
 	struct Team
 	{
 		TokenBucket bucket;
-		TokenBucket own; ///< What was taken here alone.
+		TokenBucket own;       ///< What was taken by requests here alone.
+		TokenBucket ungranted; ///< Of that, by what this gateway knows.
 		double takenHere = 0.0;
 		Micros advanced = kLongAgo; ///< Until then the shares of silent gateways are recorded.
 		TakingRate rate;
@@ -285,6 +286,8 @@
 	/// Counts a request that passes by what this gateway knows.
 	void pass(Team& _team, double _amount, Micros _now) const;
 	static double requestsPerSecond(const Team& _team, double _mean);
+	/// @returns whether a team's limit allows so few requests of a mean size that they are granted one by one.
+	static bool isGranted(const Team& _team, double _mean);
 	/// @returns what is likely to have been taken without word of it yet. All gateways reckon with the whole, so
 	/// that none of them gets ahead by having taken most of it itself. While no word comes, the others go on as
 	/// before: that is what a gateway which stood still, or hears nothing, holds back for them.
--- a/src/coordination/quotaledgerreports.cpp
+++ b/src/coordination/quotaledgerreports.cpp
@@ -126,7 +126,7 @@
 	const double atRate = _team.bucket.rate() * secondsOf(_span) * _part;
 	// Callers come to all gateways alike: what passed here tells what passed at each of them, unless it is so few
 	// requests that chance decides.
-	const double here = _team.own.takenSince(_now - _span);
+	const double here = _team.ungranted.takenSince(_now - _span);
 	const double few = kFewRequests * _team.rate.meanAmount();
 	const double asHere = here > few ? here * _part * static_cast<double>(m_word.members()) : 0.0;
 	if (asHere > atRate)
@@ -134,9 +134,12 @@
 		_team.bucket.record(asHere, _now);
 		return;
 	}
+	// Grants bound what passed of a team that is granted its requests one by one: its rate of before tells it.
+	const bool known = isGranted(_team, _team.rate.meanAmount()) && isBelow(_team, _now);
+	const double asBefore = _team.rate.others(m_word.last()) * secondsOf(_span) * _part;
 	// Little by little: counted as taken now, teams below their limits were refused for up to ten seconds at the
 	// gateways that had followed the collector before (soak of 30 gateways: 110 of 879 requests).
-	_team.bucket.recordOver(atRate, _now - _span, _now);
+	_team.bucket.recordOver(known ? std::min(atRate, asBefore) : atRate, _now - _span, _now);
 }
 
 } // namespace beacongate
--- a/tests/quotapartstest.cpp
+++ b/tests/quotapartstest.cpp
@@ -110,6 +110,26 @@
 	EXPECT_GE(level(), before - kRate * secondsOf(now - silent));
 }
 
+/// Seen in a soak of 30 gateways: after all stood still, a grantor whose collector was replaced took the five
+/// requests that were granted to its own callers for what passed at each gateway, and refused a team that asked for
+/// a third of its limit for three seconds (99 of 785 requests).
+TEST_F(PartsTest, whatWasGrantedHereDoesNotTellWhatPassedAtOtherGateways)
+{
+	const double usual = kMean * (kGateways - 1); // A second.
+	for (int step = 0; step < 18; ++step)
+	{
+		now += 50 * kMillisecond;
+		if (step % 3 == 0)
+		{
+			ledger.onGranted("team", kMean, now);
+		}
+		ledger.advance(now);
+	}
+	const double before = level();
+	hear("second");
+	EXPECT_GE(level(), before - 1.5 * usual);
+}
+
 TEST_F(PartsTest, aGatewaysPartDoesNotComeBackWhileNoWordComes)
 {
 	// All that may pass at once and in the span of news, and half as much again, by equal parts.
