--- a/src/coordination/quotaledger.cpp
+++ b/src/coordination/quotaledger.cpp
@@ -23,17 +23,9 @@
 /// second: with none, 87 gateways that are restarted twice let 11.62 of 11.03 million tokens through in 8 s for a
 /// team that asks for five times its limit, with two 10.82 (quotarestarttest).
 constexpr double kStartTakings = 2.0;
-/// Requests a second, up to which a team's limit is granted one by one. With more, chance decides little, and one
-/// gateway would not bear the asks.
-constexpr double kMostGranted = 250.0;
-/// A collector that stood still has heard most of the others again after this long: two of their rounds, since
-/// their reports have to answer something that it sent, and the rounds of other data centres.
-constexpr Micros kHeardAgain = 900 * kMillisecond;
 constexpr double kReadyShare = 0.1; ///< Of a request, that has to be there when its caller comes back.
-constexpr Micros kLongestWait = 5 * kSecond;
 constexpr Micros kMostAtOnce = 300 * kMillisecond; ///< Two rounds of gossip, between which time is let pass.
-constexpr double kMeanDelay = 0.5; ///< Of the span in which a peer is heard: so old its last word is on average.
-constexpr double kLeastHeldBack = 0.5; ///< Of what is reckoned to be taken without word of it yet.
+constexpr double kLeastHeldBack = 0.5;             ///< Of what is reckoned to be taken without word of it yet.
 /// Equal parts of what all may take before they hear of each other, that one gateway may take of it. Without a
 /// bound, eight gateways that went on together after 0.6 s each let through what the whole team had left: 543
 /// requests in a second where 100 are its limit (one soak, 454 of 396 thousand tokens in 8 s).
@@ -249,11 +241,6 @@
 	return (others + _team.rate.own(_now)) * usual * part + others * secondsLate(_now);
 }
 
-double QuotaLedger::unheardOfOthers(const Team& _team, Micros _now) const
-{
-	return _team.rate.others(m_word.last()) * (kMeanDelay * hearingSpan() + secondsLate(_now));
-}
-
 QuotaLedger::Standing QuotaLedger::standingOf(const Team& _team, Micros _now) const
 {
 	Standing standing;
@@ -398,149 +385,6 @@
 	return std::clamp<Micros>(wait, kMillisecond, kLongestWait);
 }
 
-double QuotaLedger::requestsPerSecond(const Team& _team, double _mean)
-{
-	return _mean > 0.0 ? _team.bucket.rate() / _mean : 0.0;
-}
-
-double QuotaLedger::requestsPerSecond(const std::string& _team) const
-{
-	const auto it = m_teams.find(_team);
-	return it == m_teams.end() ? 0.0 : requestsPerSecond(it->second, it->second.rate.meanAmount());
-}
-
-bool QuotaLedger::isGranted(const Team& _team, double _mean)
-{
-	return _mean > 0.0 && requestsPerSecond(_team, _mean) <= kMostGranted;
-}
-
-QuotaRule QuotaLedger::ruleFor(const std::string& _team, double _amount, Micros _now)
-{
-	const auto it = m_teams.find(_team);
-	if (it == m_teams.end() || !it->second.bucket.limited())
-	{
-		return QuotaRule::Local;
-	}
-	onTime(_now);
-	Team& team = it->second;
-	const double mean = team.rate.meanAmount() > 0.0 ? team.rate.meanAmount() : _amount;
-	if (m_word.members() <= 1 || !isGranted(team, mean))
-	{
-		return QuotaRule::Local;
-	}
-	if (settling(_now) || m_word.trust(_now) != FleetTrust::Whole)
-	{
-		// It need not know what is left, as long as it reaches one that does.
-		return QuotaRule::Granted;
-	}
-	recordSilentShare(team, _now);
-	const double share = std::max(0.0, standingOf(team, _now).level) / static_cast<double>(m_word.members());
-	return takenLately(team, _now) + _amount <= share ? QuotaRule::Share : QuotaRule::Granted;
-}
-
-QuotaVerdict QuotaLedger::takeEqualShare(const std::string& _team, double _amount, double _luck, Micros _now)
-{
-	const auto it = m_teams.find(_team);
-	if (it == m_teams.end() || !it->second.bucket.limited())
-	{
-		return {};
-	}
-	onTime(_now);
-	Team& team = it->second;
-	recordSilentShare(team, _now);
-	Standing standing = standingOf(team, _now);
-	standing.alone = true;
-	standing.level = std::min(standing.level, standing.own);
-	const bool passes = standing.level > _luck * _amount;
-	team.rate.onDecided(_amount, passes, _now);
-	if (!passes)
-	{
-		const QuotaVerdict verdict = refusal(team, standing, _amount);
-		++team.tally.refused[verdict.bound];
-		return verdict;
-	}
-	pass(team, _amount, _now);
-	return {};
-}
-
-void QuotaLedger::takeFromShare(const std::string& _team, double _amount, Micros _now)
-{
-	Team& team = m_teams.at(_team);
-	team.rate.onDecided(_amount, true, _now);
-	pass(team, _amount, _now);
-}
-
-QuotaGrant QuotaLedger::grant(const std::string& _team, double _amount, Micros _now)
-{
-	const auto it = m_teams.find(_team);
-	onTime(_now);
-	// A limit that is not known here may be in force there.
-	const bool knowsLimit = it != m_teams.end() && it->second.bucket.limited();
-	if (!knowsLimit || settling(_now) || m_word.trust(_now) != FleetTrust::Whole)
-	{
-		const bool soon = knowsLimit && m_word.wokeWithin(kHeardAgain, _now);
-		return {soon ? GrantOutcome::Later : GrantOutcome::Unable, 0};
-	}
-	Team& team = it->second;
-	recordSilentShare(team, _now);
-	team.rate.onSize(_amount);
-	const double level = team.bucket.level(_now) - unheardOfOthers(team, _now);
-	if (level <= 0.0)
-	{
-		++team.tally.grantsRefused;
-		return {GrantOutcome::Refused, waitAt(level, team, _amount)};
-	}
-	team.bucket.record(_amount, _now);
-	team.takenHere += _amount;
-	team.rate.onCharged(_amount, _now);
-	++team.tally.grants;
-	return {GrantOutcome::Granted, 0};
-}
-
-void QuotaLedger::takeBack(const std::string& _team, double _amount, Micros _now)
-{
-	const auto it = m_teams.find(_team);
-	if (it != m_teams.end())
-	{
-		it->second.bucket.record(-_amount, _now);
-		// Others count what this gateway takes beyond the most that it has ever told.
-		it->second.takenHere = std::max(0.0, it->second.takenHere - _amount);
-	}
-}
-
-void QuotaLedger::onGranted(const std::string& _team, double _amount, Micros _now)
-{
-	const auto it = m_teams.find(_team);
-	if (it != m_teams.end())
-	{
-		// The grantor tells of it; here it only counts in this gateway's own share.
-		it->second.own.record(_amount, _now);
-		it->second.rate.onDecided(_amount, true, _now);
-		++it->second.tally.passed;
-	}
-}
-
-QuotaVerdict QuotaLedger::onGrantRefused(const std::string& _team, double _amount, Micros _wait, Micros _now)
-{
-	const QuotaVerdict verdict{QuotaBound::Grantor, std::clamp<Micros>(_wait, kMillisecond, kLongestWait)};
-	const auto it = m_teams.find(_team);
-	if (it != m_teams.end())
-	{
-		it->second.rate.onDecided(_amount, false, _now);
-		++it->second.tally.refused[verdict.bound];
-	}
-	return verdict;
-}
-
-void QuotaLedger::onGrantUnused(const std::string& _team, double _amount, Micros _now)
-{
-	const auto it = m_teams.find(_team);
-	if (it != m_teams.end())
-	{
-		it->second.own.record(-_amount, _now);
-	}
-}
-
 void QuotaLedger::charge(const std::string& _team, double _amount, Micros _now)
 {
 	const auto it = m_teams.find(_team);
--- a/tools/soak.cpp
+++ b/tools/soak.cpp
@@ -82,9 +82,10 @@
 		{"answers", soak::SoakProfile::Answers},
 		{"quotas", soak::SoakProfile::Quotas},
 		{"lowered-quotas", soak::SoakProfile::LoweredQuotas}};
-	app.add_option("--profile", options.profile,
-				   "Which faults are drawn: mixed, departures, narrow-departures, answers, quotas or lowered-quotas "
-				   "[mixed]")
+	app.add_option(
+		   "--profile", options.profile,
+		   "Which faults are drawn: mixed, departures, narrow-departures, answers, quotas or lowered-quotas "
+		   "[mixed]")
 		->transform(CLI::CheckedTransformer(profiles, CLI::ignore_case));
 	app.add_option("--gateways", options.gateways, "Gateways [3]")
 		->check(CLI::Range(1u, soak::Soak::kMostGateways));
--- a/tools/soak/quotacheck.h
+++ b/tools/soak/quotacheck.h
@@ -33,8 +33,8 @@
 /// @returns the use of each team that has a limit.
 /// @remarks A team is below its limit at a request if all that it asked for in any span of up to 10 s until the
 /// request was decided on fits into 0.8 of what the smallest limit in that span gives. A lower limit counts for
-/// windows that begin once each gateway has been sound, at some time since the change, for as long as a configuration
-/// may take.
+/// windows that begin once each gateway has been sound, at some time since the change, for as long as a
+/// configuration may take.
 std::vector<TeamUse> useOf(const Observations& _seen);
 
 } // namespace beacongate::soak
