--- a/tools/soak/soak.cpp
+++ b/tools/soak/soak.cpp
@@ -40,6 +40,7 @@
 constexpr Micros kSettleSpan = 7 * kSecond;
 constexpr Micros kProofSpan = 3 * kSecond;
 constexpr Micros kStartSpan = 15 * kSecond;
+constexpr Micros kCalmLowered = 20 * kSecond; ///< After limits were lowered, in which nothing else happens.
 constexpr unsigned kMostRequestsAConnection = 6;
 
 bool isReady(const Address& _address)
@@ -403,7 +404,8 @@
 		if (m_options.profile == SoakProfile::LoweredQuotas)
 		{
 			lowerLimits();
-			runUntil(end);
+			runUntil(std::min(end, monotonicNow() + kCalmLowered));
+			troubleLowered(end);
 			continue;
 		}
 		if (m_options.profile == SoakProfile::Quotas)
--- a/tools/soak/soak.h
+++ b/tools/soak/soak.h
@@ -37,7 +37,8 @@
 	/// Teams with limits ask for less and for several times as much by turns, limits change, and many gateways at
 	/// once stand still, are killed or stopped.
 	Quotas,
-	/// All limits fall once, far below what most teams ask for, and nothing else happens.
+	/// All limits fall once, far below what most teams ask for, and nothing else happens for 20 s; then the
+	/// troubles of Quotas, but for further changes of limits.
 	LoweredQuotas,
 	/// Backend servers turn requests away and ask for backoffs, or say in their answers alone that they leave,
 	/// while the store is away and gateways are held up, killed and stopped.
@@ -114,6 +115,7 @@
 	void standStill(double _share, Micros _span);
 	void injectQuotaTrouble();
 	void lowerLimits();
+	void troubleLowered(Micros _until);
 	bool limitsTeams() const;
 	double slackOf(const standin::SiteTeam& _team) const;
 	Backend& stayingBackend();
--- a/tools/soak/soakquotas.cpp
+++ b/tools/soak/soakquotas.cpp
@@ -152,6 +152,15 @@
 	noteLimits(monotonicNow());
 }
 
+void Soak::troubleLowered(Micros _until)
+{
+	while (monotonicNow() < _until)
+	{
+		injectQuotaTrouble();
+		runUntil(std::min(_until, monotonicNow() + drawnSpan(300 * kMillisecond, 3 * kSecond)));
+	}
+}
+
 void Soak::standStill(double _share, Micros _span)
 {
 	std::vector<unsigned> numbers;
@@ -199,7 +208,7 @@
 		standStill(1.0, drawnSpan(300 * kMillisecond, 2 * kSecond));
 		break;
 	case 4:
-		changeLimit();
+		m_options.profile == SoakProfile::Quotas ? changeLimit() : void();
 		break;
 	case 5:
 		steady ? killGateway(number) : void();
