--- a/src/coordination/quotaledger_p.h
+++ b/src/coordination/quotaledger_p.h
@@ -2,7 +2,7 @@
 // Licence: BSD-2-Clause, see LICENSE.
 
 /// @file
-/// Constants that both halves of the quota ledger use.
+/// Constants that several parts of the quota ledger use.
 
 #ifndef BEACONGATE_COORDINATION_QUOTALEDGER_P_H
 #define BEACONGATE_COORDINATION_QUOTALEDGER_P_H
@@ -11,9 +11,10 @@
 
 namespace beacongate
 {
-/// In the span of news are no crowd: a small team's next one passes whole.
+/// Requests, of all gateways in the span of news, up to which a team's next one passes whole.
 inline constexpr double kFewRequests = 4.0;
-/// Of the span in which a peer is heard: so old its last word is on average.
+
+/// Of the span in which a peer is heard, how old its last report is on average.
 inline constexpr double kMeanDelay = 0.5;
 
 /// A caller that was refused is told to come again after this long at the latest.
--- a/tests/buildstest.cpp
+++ b/tests/buildstest.cpp
@@ -10,13 +10,13 @@
 /// Cause: a datagram was taken only with exactly the reader's own format number and number of fields, so that each
 /// half of the fleet was silence to the other.
 
+#include "golden.h"
 #include "protocol/gossipcodec.h"
 #include "protocol/json.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-#include <fstream>
 #include <string>
 
 namespace beacongate::test
@@ -25,20 +25,6 @@
 {
 constexpr std::size_t kFieldsOf7 = 27;
 
-/// Reads a datagram that a build of before has sent.
-std::string golden(const std::string& _name)
-{
-	std::ifstream stream(std::string(BEACONGATE_TESTS) + "/golden/" + _name + ".hex");
-	std::string digits;
-	stream >> digits;
-	std::string bytes;
-	for (std::size_t index = 0; index + 1 < digits.size(); index += 2)
-	{
-		bytes.push_back(static_cast<char>(std::stoi(digits.substr(index, 2), nullptr, 16)));
-	}
-	return bytes;
-}
-
 Json fieldsOf(const std::string& _bytes)
 {
 	return Json::from_msgpack(_bytes);
--- a/tests/quotacodectest.cpp
+++ b/tests/quotacodectest.cpp
@@ -5,13 +5,13 @@
 /// Datagrams about quotas: bytes that landed are read, and bytes that are none are told apart.
 
 #include "protocol/quotacodec.h"
+#include "golden.h"
 #include "protocol/gossipcodec.h"
 #include "protocol/json.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-#include <fstream>
 #include <string>
 #include <vector>
 
@@ -19,20 +19,6 @@
 {
 namespace
 {
-/// Reads a datagram that a build of before has sent.
-std::string golden(const std::string& _name)
-{
-	std::ifstream stream(std::string(BEACONGATE_TESTS) + "/golden/" + _name + ".hex");
-	std::string digits;
-	stream >> digits;
-	std::string bytes;
-	for (std::size_t index = 0; index + 1 < digits.size(); index += 2)
-	{
-		bytes.push_back(static_cast<char>(std::stoi(digits.substr(index, 2), nullptr, 16)));
-	}
-	return bytes;
-}
-
 const QuotaAsk kAsk{1234567890123, "fleet-a", 4711.5};
 const QuotaAnswer kAnswer{1234567890123, GrantOutcome::Refused, 250'000, 300'000, "fleet-a", 4711.5};
 const QuotaReturn kReturn{"fleet-a", 4711.5};
