Name the content of a request in logs, and probe servers whose connections end

Change, no logic of sending: a fingerprint of team, host, method, path and body stands in 'request' and 'attempt-failed'; a server whose connection ended early is probed once, and 'backend-probed' says whether its process has ended and what ran there.

--- /dev/null
+++ b/src/coordination/requestfingerprint.cpp
@@ -0,0 +1,54 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+#include "coordination/requestfingerprint.h"
+
+#include <xxhash.h>
+
+#include <array>
+#include <cstdio>
+#include <memory>
+
+namespace beacongate
+{
+namespace
+{
+struct StateDeleter
+{
+	void operator()(XXH3_state_t* _state) const
+	{
+		XXH3_freeState(_state);
+	}
+};
+
+/// Adds a field and its length, so that bytes cannot move from one field to the next without a different hash.
+void addField(XXH3_state_t* _state, std::string_view _field)
+{
+	const std::uint64_t length = _field.size();
+	XXH3_128bits_update(_state, &length, sizeof length);
+	XXH3_128bits_update(_state, _field.data(), _field.size());
+}
+} // namespace
+
+RequestFingerprint fingerprintOf(const RequestContent& _content)
+{
+	const std::unique_ptr<XXH3_state_t, StateDeleter> state(XXH3_createState());
+	XXH3_128bits_reset(state.get());
+	for (const std::string_view field : {_content.host, _content.method, _content.target, _content.body})
+	{
+		addField(state.get(), field);
+	}
+	const XXH128_hash_t hash = XXH3_128bits_digest(state.get());
+	return {XXH32(_content.team.data(), _content.team.size(), 0), hash.high64, hash.low64};
+}
+
+std::string toString(const RequestFingerprint& _fingerprint)
+{
+	std::array<char, 41> text{};
+	std::snprintf(text.data(), text.size(), "%08x%016llx%016llx", _fingerprint.team,
+				  static_cast<unsigned long long>(_fingerprint.high),
+				  static_cast<unsigned long long>(_fingerprint.low));
+	return text.data();
+}
+
+} // namespace beacongate
--- /dev/null
+++ b/src/coordination/requestfingerprint.h
@@ -0,0 +1,57 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// Identifies the content of a request, so that a request is recognised when it is sent again under another id.
+
+#ifndef BEACONGATE_COORDINATION_REQUESTFINGERPRINT_H
+#define BEACONGATE_COORDINATION_REQUESTFINGERPRINT_H
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace beacongate
+{
+/// The fields of a request that decide what a backend server computes.
+struct RequestContent
+{
+	std::string_view team; ///< Empty for anonymous callers.
+	std::string_view host;
+	std::string_view method;
+	std::string_view target; ///< Path and query.
+	std::string_view body;
+};
+
+/// Hash of a request's content. The hash of the team is a field of its own: no content of one team's request, however
+/// it is chosen, gives the fingerprint of another team's request.
+struct RequestFingerprint
+{
+	std::uint32_t team = 0;
+	std::uint64_t high = 0;
+	std::uint64_t low = 0;
+
+	auto operator<=>(const RequestFingerprint&) const = default;
+	bool operator==(const RequestFingerprint&) const = default;
+};
+
+/// @returns the fingerprint of a request.
+RequestFingerprint fingerprintOf(const RequestContent& _content);
+
+/// @returns the fingerprint as 40 hexadecimal digits, for logs and operators.
+std::string toString(const RequestFingerprint& _fingerprint);
+
+/// Hash function for hash tables; the fingerprint is a hash already.
+struct RequestFingerprintHash
+{
+	std::size_t operator()(const RequestFingerprint& _fingerprint) const
+	{
+		return static_cast<std::size_t>(_fingerprint.low);
+	}
+};
+
+} // namespace beacongate
+
+#endif // BEACONGATE_COORDINATION_REQUESTFINGERPRINT_H
--- /dev/null
+++ b/src/gateway/crashdetector.cpp
@@ -0,0 +1,81 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+#include "gateway/crashdetector.h"
+
+#include "daemon/clock.h"
+#include "daemon/logging.h"
+
+namespace beacongate
+{
+namespace
+{
+/// Fingerprints in one log line.
+constexpr std::size_t kMaxLoggedRequests = 16;
+
+std::string joined(const std::vector<RequestFingerprint>& _requests)
+{
+	std::string text;
+	for (std::size_t index = 0; index < _requests.size() && index < kMaxLoggedRequests; ++index)
+	{
+		text += (index == 0 ? "" : ",") + toString(_requests[index]);
+	}
+	return text;
+}
+} // namespace
+
+void CrashDetector::onConnectionEnded(const EndedConnection& _ended)
+{
+	const BackendKey key(_ended.backend);
+	std::erase_if(m_probes,
+				  [&](const auto& _entry)
+				  { return !_entry.second.pending && _ended.at - _entry.second.finished > kResultLifetime; });
+	const auto known = m_probes.find(key);
+	const bool running = known != m_probes.end() && known->second.pending;
+	const bool crashed = known != m_probes.end() && known->second.result == ProbeResult::Refused;
+	Probe& probe = m_probes[key];
+	probe.requests.push_back(_ended.request);
+	if (running)
+	{
+		return;
+	}
+	if (crashed)
+	{
+		reportCrash(_ended.backend, probe);
+		return;
+	}
+	probe.pending = true;
+	startProbe(_ended);
+}
+
+void CrashDetector::startProbe(const EndedConnection& _ended)
+{
+	probeConnection(m_loop, _ended.address, kProbeTimeout,
+					[this, backend = _ended.backend](ProbeResult _result) { onProbed(backend, _result); });
+}
+
+void CrashDetector::onProbed(const BackendIdentity& _backend, ProbeResult _result)
+{
+	Probe& probe = m_probes[BackendKey(_backend)];
+	probe.pending = false;
+	probe.result = _result;
+	probe.finished = monotonicNow();
+	logEvent(LogLevel::Info, "backend-probed",
+			 {{"backend", _backend.id},
+			  {"result", std::string(toString(_result))},
+			  {"requests", std::to_string(probe.requests.size())},
+			  {"contents", joined(probe.requests)}});
+	reportCrash(_backend, probe);
+}
+
+void CrashDetector::reportCrash(const BackendIdentity& _backend, Probe& _probe)
+{
+	BackendCrash crash{_backend, std::move(_probe.requests)};
+	_probe.requests.clear();
+	if (_probe.result == ProbeResult::Refused && m_onCrash)
+	{
+		m_onCrash(crash);
+	}
+}
+
+} // namespace beacongate
--- /dev/null
+++ b/src/gateway/crashdetector.h
@@ -0,0 +1,83 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// Tells the crash of a backend server from other reasons for which its connections end.
+
+#ifndef BEACONGATE_GATEWAY_CRASHDETECTOR_H
+#define BEACONGATE_GATEWAY_CRASHDETECTOR_H
+
+#include "coordination/backendkey.h"
+#include "coordination/requestfingerprint.h"
+#include "transport/connectprobe.h"
+
+#include <functional>
+#include <unordered_map>
+#include <vector>
+
+namespace beacongate
+{
+/// A connection to a backend server that ended before the answer was complete.
+struct EndedConnection
+{
+	BackendIdentity backend;
+	Address address;
+	RequestFingerprint request; ///< The request that was sent on it.
+	Micros at = 0;
+};
+
+/// A backend server that crashed, and the requests of this gateway that ran on it or waited there.
+struct BackendCrash
+{
+	BackendIdentity backend;
+	std::vector<RequestFingerprint> requests;
+};
+
+/// Probes a backend server once one of its connections has ended early. If the connection is refused, its process has
+/// ended. A server that accepts connections has reset a single one, and a server that does not answer may be out of
+/// this gateway's reach: neither is a crash.
+class CrashDetector
+{
+public:
+	/// A request whose answer has been arriving for longer than this did not crash the server by being run.
+	static constexpr Micros kOnsetSpan = 1 * kSecond;
+	/// Timeout of a probe. A VM that is up refuses within a round trip.
+	static constexpr Micros kProbeTimeout = 500 * kMillisecond;
+	/// A crash that a probe found also ended the connections that are found ended within this span.
+	static constexpr Micros kResultLifetime = 500 * kMillisecond;
+
+	explicit CrashDetector(boost::asio::io_context& _loop) : m_loop(_loop)
+	{
+	}
+
+	/// Sets the function that receives each crash, once for each group of requests.
+	void setCrashHandler(std::function<void(const BackendCrash&)> _handler)
+	{
+		m_onCrash = std::move(_handler);
+	}
+
+	/// Notes that a connection ended early, and probes the server if its state is not known.
+	void onConnectionEnded(const EndedConnection& _ended);
+
+private:
+	/// Probe of one incarnation, and the connections that ended before its result arrived.
+	struct Probe
+	{
+		bool pending = true;
+		ProbeResult result = ProbeResult::Unreachable;
+		Micros finished = 0;
+		std::vector<RequestFingerprint> requests;
+	};
+
+	void startProbe(const EndedConnection& _ended);
+	void onProbed(const BackendIdentity& _backend, ProbeResult _result);
+	void reportCrash(const BackendIdentity& _backend, Probe& _probe);
+
+	boost::asio::io_context& m_loop;
+	std::unordered_map<BackendKey, Probe, BackendKeyHash> m_probes;
+	std::function<void(const BackendCrash&)> m_onCrash;
+};
+
+} // namespace beacongate
+
+#endif // BEACONGATE_GATEWAY_CRASHDETECTOR_H
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -108,9 +108,21 @@
 	}
 	m_placement.promptTokens = m_info.promptTokens.value_or(0);
 	m_placement.parts = m_info.parts;
+	m_fingerprint = computeFingerprint();
 	return true;
 }
 
+RequestFingerprint Exchange::computeFingerprint() const
+{
+	RequestContent content;
+	content.team = m_team ? std::string_view(m_team->name) : std::string_view();
+	content.host = m_info.host;
+	content.method = m_request.head.method;
+	content.target = m_request.head.target;
+	content.body = m_request.body;
+	return fingerprintOf(content);
+}
+
 bool Exchange::resolveRoute()
 {
 	const Micros now = monotonicNow();
@@ -359,6 +371,7 @@
 	m_attempt = {};
 	m_attempt.backend = _backend.record.identity();
 	m_attempt.key = _backend.key;
+	m_attempt.address = _backend.record.address;
 	m_attempt.sent = now;
 	m_triedBackends.push_back(_backend.record.id);
 	m_attempt.slots = _backend.record.slots;
@@ -540,6 +553,7 @@
 			  {"outcome", _outcome},
 			  {"status", std::to_string(_status)},
 			  {"backend", m_attempt.backend.id.empty() ? "-" : m_attempt.backend.id},
+			  {"content", toString(m_fingerprint)},
 			  {"sent", std::to_string(m_sendCount)},
 			  {"detail", _detail.empty() ? "-" : _detail},
 			  {"ms", millisText(now - m_request.received)},
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -10,6 +10,7 @@
 #include "beacongate/errors.h"
 #include "coordination/attemptpolicy.h"
 #include "coordination/overloadpolicy.h"
+#include "coordination/requestfingerprint.h"
 #include "gateway/gatewaycontext.h"
 #include "gateway/requestinfo.h"
 #include "protocol/eventstream.h"
@@ -62,6 +63,7 @@
 	{
 		BackendIdentity backend;
 		BackendKey key; ///< Identifies the backend server's incarnation.
+		Address address;
 		OutgoingCall::Ptr call;
 		Micros sent = 0; ///< When the attempt started.
 		unsigned slots = 0;
@@ -76,6 +78,7 @@
 		/// The request was not sent, for a reason that is not the backend server's fault.
 		bool withheld = false;
 		bool requestSent = false;
+		bool connectionEnded = false; ///< The connection ended before the answer was complete.
 		bool firstEventSeen = false;
 		Micros firstEventAt = 0;
 		unsigned eventCount = 0;
@@ -85,6 +88,7 @@
 
 	bool resolve();
 	bool resolveRoute();
+	RequestFingerprint computeFingerprint() const;
 	void chooseService();
 	/// Takes the request's cost from the team's quota, once.
 	/// @returns true if the request may run; if false, it was refused or waits for a quota grant.
@@ -125,6 +129,8 @@
 	void onDone();
 	void onFault(CallFault _fault);
 	void failAttempt(AttemptResult _result);
+	/// Reports a connection that ended early to the crash detector, if the request may have caused it.
+	void reportEndedConnection();
 	void closeAttempt(bool _succeeded);
 	void releaseBackend();
 	void countUsage();
@@ -145,6 +151,7 @@
 	RoutingConfigPtr m_config;
 	const Route* m_route = nullptr;
 	const TeamAccess* m_team = nullptr;
+	RequestFingerprint m_fingerprint;
 	std::string m_service;
 	PlacementRequest m_placement;
 	unsigned m_priority = 5;
--- a/src/gateway/exchangeanswers.cpp
+++ b/src/gateway/exchangeanswers.cpp
@@ -200,6 +200,7 @@
 
 void Exchange::onFault(CallFault _fault)
 {
+	m_attempt.connectionEnded = _fault == CallFault::Broken;
 	failAttempt(_fault == CallFault::NotSent ? AttemptResult::NotSent : AttemptResult::Broken);
 }
 
@@ -242,6 +243,7 @@
 		countUsage();
 	}
 	closeAttempt(_result == AttemptResult::Misdirected);
+	reportEndedConnection();
 	if (m_attempt.withheld)
 	{
 		m_triedBackends.pop_back();
@@ -264,6 +266,7 @@
 	m_context.metrics.onFailedAttempt(m_service, toString(_result));
 	logEvent(LogLevel::Info, "attempt-failed",
 			 {{"request", m_info.id},
+			  {"content", toString(m_fingerprint)},
 			  {"backend", m_attempt.backend.id},
 			  {"result", std::string(toString(_result))},
 			  {"status", std::to_string(m_attempt.head.status)},
@@ -300,6 +303,19 @@
 	refuse(Failure::BackendLost, "the backend server did not answer");
 }
 
+void Exchange::reportEndedConnection()
+{
+	const Micros now = monotonicNow();
+	// A server that was asked to leave ends without a fault.
+	const bool expected = m_context.directory.listingState(m_attempt.backend, now) == ListingState::Gone;
+	// A request that a server has already run for a while did not crash it by being run.
+	const bool ranBefore = m_attempt.firstEventSeen && now - m_attempt.firstEventAt > CrashDetector::kOnsetSpan;
+	if (m_attempt.connectionEnded && !expected && !ranBefore)
+	{
+		m_context.crashDetector.onConnectionEnded({m_attempt.backend, m_attempt.address, m_fingerprint, now});
+	}
+}
+
 void Exchange::abortStream()
 {
 	m_session->abort();
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -28,6 +28,7 @@
 #include "coordination/usageledger.h"
 #include "daemon/clock.h"
 #include "gateway/backendrecords.h"
+#include "gateway/crashdetector.h"
 #include "gateway/gatewaymetrics.h"
 #include "gateway/gatewaysettings.h"
 
@@ -98,6 +99,7 @@
 	StoreReachability storeReachability;
 	Balancer balancer;
 	BackoffTable backoffs;
+	CrashDetector crashDetector{loop};
 	QuotaLedger quotas;
 	QuotaGrantor grantor;
 	QuotaAdmission admission;
