Reproduce a request that crashes its servers being sent to them again and again

The stand-in's workers crash by a rule: they reset all connections, refuse new ones for a while, and come back as a new incarnation.

--- /dev/null
+++ b/tests/gatewaycrashtest.cpp
@@ -0,0 +1,157 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// Guards against a request that crashes its backend servers being sent to one after the other.
+
+#include "gatewayfixture.h"
+
+#include <algorithm>
+#include <thread>
+
+namespace beacongate::test
+{
+namespace
+{
+/// From the third crash on, the gateways have this long to stop a request.
+constexpr Micros kContactSpan = 3 * kSecond;
+/// Times that a request may be sent later than that, over all gateways.
+constexpr unsigned kMaxLateSends = 3;
+constexpr unsigned kServers = 4;
+constexpr Micros kDowntime = kSecond;
+constexpr Micros kCallTime = 60 * kMillisecond;
+/// The platform's own test route allows 400 ms; a refusal must leave most of it.
+constexpr Micros kMaxRefusalTime = 100 * kMillisecond;
+const std::string kCrashingBody = "crash";
+} // namespace
+
+/// Two gateways and four backend servers that one request crashes.
+class GatewayCrashTest : public GatewayTest
+{
+protected:
+	void SetUp() override
+	{
+		for (unsigned number = 3; number <= kServers; ++number)
+		{
+			const Address address{host(100 + number), kWorkerPort};
+			workers.push_back(std::make_unique<standin::PlatformWorker>(workerId(number), address));
+			registerWorker(number, "ready");
+		}
+		for (unsigned number = 1; number <= kServers; ++number)
+		{
+			setCrashRule(number, {kCrashingBody});
+		}
+		for (unsigned number : {1u, 2u})
+		{
+			startGateway(settings(number));
+			ASSERT_TRUE(await([&] { return statusOf(call("GET", "/safe/", "first", "key", number)) == 200; }));
+		}
+	}
+
+	void setCrashRule(unsigned _number, const std::vector<std::string>& _bodies)
+	{
+		standin::WorkerCrashRule rule;
+		rule.bodies = _bodies;
+		rule.downtime = kDowntime;
+		rule.onRestart = [this, _number]
+		{
+			registerWorker(_number, "ready", standin::kFirstStartTimeMs + ++restarts);
+		};
+		workers[_number - 1]->setCrashRule(rule);
+		workers[_number - 1]->setCallTime(kCallTime);
+	}
+
+	/// Sends a request with a body and receives the whole answer.
+	std::string send(const std::string& _body, const std::string& _id, unsigned _gateway,
+					 const std::string& _path = "/safe/")
+	{
+		Caller caller({host(_gateway), kCallerPort});
+		caller.sendBytes(request("POST", _path, _id, keyHeader() + "Connection: close\r\n", _body));
+		return caller.receiveUntil("");
+	}
+
+	/// Sends the crashing request for a while, to both gateways in turn.
+	void sendCrashing(Micros _span, const std::string& _name)
+	{
+		const Micros end = monotonicNow() + _span;
+		for (unsigned number = 0; monotonicNow() < end; ++number)
+		{
+			lastAnswer = send(kCrashingBody, _name + std::to_string(number), 1 + number % 2);
+			std::this_thread::sleep_for(std::chrono::milliseconds(100));
+		}
+	}
+
+	static std::string keyHeader()
+	{
+		return std::string(platform::kApiKey) + ": key\r\n";
+	}
+
+	std::vector<Micros> crashTimes()
+	{
+		std::vector<Micros> times;
+		for (const auto& worker : workers)
+		{
+			const std::vector<Micros> own = worker->crashes();
+			times.insert(times.end(), own.begin(), own.end());
+		}
+		std::sort(times.begin(), times.end());
+		return times;
+	}
+
+	/// @returns the times at which servers began to run the crashing request after a moment.
+	unsigned crashingRunsAfter(Micros _moment)
+	{
+		unsigned count = 0;
+		for (const auto& worker : workers)
+		{
+			for (const standin::WorkerRun& run : worker->runs())
+			{
+				count += run.body == kCrashingBody && run.began > _moment ? 1 : 0;
+			}
+		}
+		return count;
+	}
+
+	std::string lastAnswer;
+	std::atomic<unsigned> restarts = 0;
+};
+
+TEST_F(GatewayCrashTest, requestThatCrashedThreeServersIsNotSentAgain)
+{
+	sendCrashing(9 * kSecond, "a");
+	const std::vector<Micros> times = crashTimes();
+	ASSERT_GE(times.size(), 3u);
+	EXPECT_LE(crashingRunsAfter(times[2] + kContactSpan), kMaxLateSends) << times.size() << " crashes in all";
+}
+
+TEST_F(GatewayCrashTest, otherRequestsAreServedBesideOneThatCrashesServers)
+{
+	constexpr double kServedShare = 0.9;
+	std::atomic<bool> running = true;
+	std::atomic<unsigned> sent = 0;
+	std::atomic<unsigned> served = 0;
+	std::vector<std::thread> callers;
+	for (unsigned caller = 0; caller < 4; ++caller)
+	{
+		callers.emplace_back(
+			[&, caller]
+			{
+				for (unsigned number = 0; running; ++number)
+				{
+					const std::string name = "o" + std::to_string(caller) + "-" + std::to_string(number);
+					served += statusOf(send(name, name, 1 + caller % 2)) == 200 ? 1 : 0;
+					++sent;
+					std::this_thread::sleep_for(std::chrono::milliseconds(20));
+				}
+			});
+	}
+	sendCrashing(8 * kSecond, "b");
+	running = false;
+	for (std::thread& caller : callers)
+	{
+		caller.join();
+	}
+	EXPECT_GE(served, kServedShare * sent) << served << " of " << sent << ", " << crashTimes().size() << " crashes";
+}
+
+} // namespace beacongate::test
--- a/tools/standin/platform.h
+++ b/tools/standin/platform.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -156,6 +157,16 @@
 	Misdirected, ///< Answers 421, as if the request was meant for another worker.
 };
 
+/// A worker's reaction to some requests: it crashes a while after it has begun to run one of them.
+struct WorkerCrashRule
+{
+	std::vector<std::string> bodies;        ///< Bodies of the requests that crash the worker.
+	Micros delay = 60 * kMillisecond;       ///< Time from the start of the request until the crash.
+	Micros downtime = 3 * kSecond;          ///< Time for which connections are refused.
+	std::function<void()> onCrash = {};     ///< Called on the worker's thread when it crashes.
+	std::function<void()> onRestart = {};   ///< Called on the worker's thread when it accepts connections again.
+};
+
 /// A request that a worker ran, as received.
 struct WorkerRun
 {
@@ -204,6 +215,15 @@
 	/// Sets whether later answers say that the worker is draining.
 	void setLeaving(bool _leaving);
 
+	/// Sets which requests crash the worker.
+	void setCrashRule(const WorkerCrashRule& _rule);
+
+	/// Sets the time that the worker takes to answer a call.
+	void setCallTime(Micros _time);
+
+	/// @returns the times at which the worker crashed.
+	std::vector<Micros> crashes();
+
 	/// @returns the requests received that were addressed to this worker.
 	std::vector<WorkerArrival> arrivals();
 
@@ -217,17 +237,27 @@
 	struct Connection;
 	using ConnectionPtr = std::shared_ptr<Connection>;
 
+	void listen();
 	void accept();
 	void onBytes(const ConnectionPtr& _connection, std::string_view _bytes);
 	void onRequest(const ConnectionPtr& _connection);
+	void answerCall(const ConnectionPtr& _connection);
+	void crash();
+	/// Calls a function after a span.
+	void schedule(Micros _span, std::function<void()> _function);
 	bool rejectsNext();
 	void stream(const ConnectionPtr& _connection, unsigned _next);
 	static std::string formatEvent(const std::string& _requestId, unsigned _number);
 	std::string head(const ConnectionPtr& _connection, unsigned _status, const std::string& _more);
 
 	std::string m_id;
+	Address m_address;
 	LoopThread m_loop;
 	boost::asio::ip::tcp::acceptor m_acceptor;
+	std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< Reset when the worker is destroyed.
+	std::set<ConnectionPtr> m_connections;
+	WorkerCrashRule m_crashRule;
+	Micros m_callTime = 0;
 	WorkerFault m_fault = WorkerFault::None;
 	std::string m_retryAfter;
 	bool m_leaving = false;
@@ -235,6 +265,7 @@
 	std::mutex m_mutex;
 	std::vector<WorkerRun> m_runs;
 	std::vector<WorkerArrival> m_arrivals;
+	std::vector<Micros> m_crashes;
 };
 
 /// A call that only the current holder of a duty may make, as received.
--- a/tools/standin/platformworker.cpp
+++ b/tools/standin/platformworker.cpp
@@ -11,6 +11,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
+
 namespace beacongate::standin
 {
 namespace asio = boost::asio;
@@ -37,18 +39,19 @@
 };
 
 PlatformWorker::PlatformWorker(std::string _id, const Address& _address)
-	: m_id(std::move(_id)), m_acceptor(m_loop.context())
+	: m_id(std::move(_id)), m_address(_address), m_acceptor(m_loop.context())
 {
-	m_loop.run(
-		[&]
-		{
-			const tcp::endpoint endpoint(asio::ip::make_address(_address.host), _address.port);
-			m_acceptor.open(endpoint.protocol());
-			m_acceptor.set_option(tcp::acceptor::reuse_address(true));
-			m_acceptor.bind(endpoint);
-			m_acceptor.listen();
-			accept();
-		});
+	m_loop.run([this] { listen(); });
+}
+
+void PlatformWorker::listen()
+{
+	const tcp::endpoint endpoint(asio::ip::make_address(m_address.host), m_address.port);
+	m_acceptor.open(endpoint.protocol());
+	m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+	m_acceptor.bind(endpoint);
+	m_acceptor.listen();
+	accept();
 }
 
 PlatformWorker::~PlatformWorker()
@@ -56,6 +59,7 @@
 	m_loop.run(
 		[this]
 		{
+			m_alive = nullptr;
 			BoostError ignored;
 			m_acceptor.close(ignored);
 		});
@@ -81,6 +85,22 @@
 	m_loop.run([&] { m_leaving = _leaving; });
 }
 
+void PlatformWorker::setCrashRule(const WorkerCrashRule& _rule)
+{
+	m_loop.run([&] { m_crashRule = _rule; });
+}
+
+void PlatformWorker::setCallTime(Micros _time)
+{
+	m_loop.run([&] { m_callTime = _time; });
+}
+
+std::vector<Micros> PlatformWorker::crashes()
+{
+	const std::lock_guard<std::mutex> guard(m_mutex);
+	return m_crashes;
+}
+
 std::vector<WorkerArrival> PlatformWorker::arrivals()
 {
 	const std::lock_guard<std::mutex> guard(m_mutex);
@@ -122,6 +142,7 @@
 			};
 			handlers.onEnd = [this, connection](ConnectionEnd)
 			{
+				m_connections.erase(connection);
 				const std::lock_guard<std::mutex> guard(m_mutex);
 				if (connection->requestReceived && !connection->ended)
 				{
@@ -129,11 +150,64 @@
 				}
 				connection->ended = true;
 			};
+			m_connections.insert(connection);
 			connection->tcp->start(std::move(handlers));
 			accept();
 		});
 }
 
+void PlatformWorker::schedule(Micros _span, std::function<void()> _function)
+{
+	auto timer = std::make_shared<asio::steady_timer>(m_loop.context(), std::chrono::microseconds(_span));
+	timer->async_wait(
+		[timer, alive = std::weak_ptr<bool>(m_alive), function = std::move(_function)](const BoostError&)
+		{
+			if (!alive.expired())
+			{
+				function();
+			}
+		});
+}
+
+void PlatformWorker::crash()
+{
+	if (!m_acceptor.is_open())
+	{
+		return;
+	}
+	{
+		const std::lock_guard<std::mutex> guard(m_mutex);
+		m_crashes.push_back(monotonicNow());
+	}
+	BoostError ignored;
+	m_acceptor.close(ignored);
+	if (m_crashRule.onCrash)
+	{
+		m_crashRule.onCrash();
+	}
+	const std::set<ConnectionPtr> connections = std::move(m_connections);
+	m_connections.clear();
+	for (const ConnectionPtr& connection : connections)
+	{
+		if (connection->requestReceived && !connection->ended)
+		{
+			const std::lock_guard<std::mutex> guard(m_mutex);
+			m_runs[connection->run].ended = true;
+		}
+		connection->ended = true;
+		connection->tcp->reset();
+	}
+	schedule(m_crashRule.downtime,
+			 [this]
+			 {
+				 listen();
+				 if (m_crashRule.onRestart)
+				 {
+					 m_crashRule.onRestart();
+				 }
+			 });
+}
+
 void PlatformWorker::onBytes(const ConnectionPtr& _connection, std::string_view _bytes)
 {
 	_connection->input.append(_bytes);
@@ -192,7 +266,13 @@
 		m_runs.push_back({_connection->requestId, request.method, request.target, _connection->body,
 						  request.headers, monotonicNow()});
 	}
-	if (m_fault == WorkerFault::Hangs)
+	const std::vector<std::string>& crashing = m_crashRule.bodies;
+	const bool crashes = std::find(crashing.begin(), crashing.end(), _connection->body) != crashing.end();
+	if (crashes)
+	{
+		schedule(m_crashRule.delay, [this] { crash(); });
+	}
+	if (crashes || m_fault == WorkerFault::Hangs)
 	{
 		return;
 	}
@@ -215,6 +295,20 @@
 		stream(_connection, last.empty() ? 1 : std::atoi(std::string(last).c_str()) + 1);
 		return;
 	}
+	if (m_callTime > 0)
+	{
+		schedule(m_callTime, [this, _connection] { answerCall(_connection); });
+		return;
+	}
+	answerCall(_connection);
+}
+
+void PlatformWorker::answerCall(const ConnectionPtr& _connection)
+{
+	if (_connection->ended)
+	{
+		return;
+	}
 	_connection->ended = true;
 	const unsigned status = m_fault == WorkerFault::Fails ? 500 : 200;
 	const std::string body = wholeCall(_connection->requestId);
