Block a request that crashes the servers that run it, at all gateways

Cause: no gateway knows a request again. Each attempt of a caller is new, under a new id, often at another gateway, and gets maxAttempts servers; the retry budget counts a service's retries, not one request's.

Change: the content of a request is what is remembered. A probe tells the end of a server from the reset of a connection (CrashDetector); all requests that ran there are charged, a complete answer clears a request, three crashes block it, and crashes during which a blocked one ran count half for others (CrashLedger). Suspects run apart from each other, on one server that all gateways choose (SuspectPlacement). Gateways merge their ledgers by datagrams of a kind of their own, without the store (CrashExchange). A blocked request is answered 400 at once; an operator can release it.

--- a/include/beacongate/errors.h
+++ b/include/beacongate/errors.h
@@ -51,6 +51,7 @@
 	KeyUnconfirmed,
 	HeaderTooLarge,
 	RequestTimeout,
+	RequestBlocked,
 	Internal,
 };
 
--- a/src/coordination/attemptpolicy.h
+++ b/src/coordination/attemptpolicy.h
@@ -48,6 +48,7 @@
 {
 	bool repeatable = false;     ///< The request is safe to run more than once.
 	bool mayHaveRun = false;     ///< An earlier attempt may have run.
+	bool mayCrash = false;       ///< Two backend servers may have crashed under it, see CrashLedger.
 	unsigned sent = 0;           ///< Backend servers that the request was sent to.
 	unsigned maxAttempts = 1;    ///< Backend servers that it may be sent to.
 	unsigned unsentTries = 0;    ///< Attempts that ended before a byte was sent.
@@ -92,7 +93,7 @@
 }
 
 /// Decides what to do after an attempt ended. A request that is not repeatable is sent again only if no attempt
-/// can have run it.
+/// can have run it. A request that may have crashed two backend servers is left to its caller.
 constexpr AttemptDecision decideAfterAttempt(AttemptResult _result, const AttemptContext& _context)
 {
 	const bool mayHaveRun = _context.mayHaveRun || mayHaveRunAfter(_result);
@@ -101,7 +102,7 @@
 	const bool triesLeft = unsent ? _context.unsentTries < kMaxUnsentTries : _context.sent < _context.maxAttempts;
 	const bool needsBudget = _context.sent > 0;
 	const bool allowed = !needsBudget || _context.budgetAllows;
-	if (safeToRepeat && triesLeft && allowed && _context.anotherBackend && _context.timeLeft)
+	if (safeToRepeat && !_context.mayCrash && triesLeft && allowed && _context.anotherBackend && _context.timeLeft)
 	{
 		return AttemptDecision::Retry;
 	}
--- a/src/coordination/relaychoice.cpp
+++ b/src/coordination/relaychoice.cpp
@@ -56,6 +56,21 @@
 	return hosts;
 }
 
+std::vector<std::string> RelayChoice::membersOf(const std::string& _dataCentre) const
+{
+	std::vector<std::string> hosts;
+	const auto ranked = m_members.find(_dataCentre);
+	if (ranked == m_members.end())
+	{
+		return hosts;
+	}
+	for (const MemberRecord& member : ranked->second)
+	{
+		hosts.push_back(member.host);
+	}
+	return hosts;
+}
+
 std::size_t RelayChoice::memberCount() const
 {
 	std::size_t count = 0;
--- a/src/coordination/relaychoice.h
+++ b/src/coordination/relaychoice.h
@@ -101,6 +101,9 @@
 	/// @returns the first kTopMembers of each data centre, silent ones and this gateway included.
 	std::vector<std::string> allTopMembers() const;
 
+	/// @returns all members of a data centre, this gateway included if it is listed there.
+	std::vector<std::string> membersOf(const std::string& _dataCentre) const;
+
 	/// @returns the number of listed members.
 	std::size_t memberCount() const;
 
--- a/src/coordination/requestfingerprint.cpp
+++ b/src/coordination/requestfingerprint.cpp
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include <array>
+#include <charconv>
 #include <cstdio>
 #include <memory>
 
@@ -28,6 +29,12 @@
 	XXH3_128bits_update(_state, &length, sizeof length);
 	XXH3_128bits_update(_state, _field.data(), _field.size());
 }
+
+template <typename Number> bool parseHex(std::string_view _digits, Number& _number)
+{
+	const auto [end, error] = std::from_chars(_digits.data(), _digits.data() + _digits.size(), _number, 16);
+	return error == std::errc{} && end == _digits.data() + _digits.size();
+}
 } // namespace
 
 RequestFingerprint fingerprintOf(const RequestContent& _content)
@@ -51,4 +58,19 @@
 	return text.data();
 }
 
+std::optional<RequestFingerprint> parseFingerprint(std::string_view _text)
+{
+	constexpr std::size_t kTeamDigits = 8;
+	constexpr std::size_t kHashDigits = 16;
+	RequestFingerprint fingerprint;
+	if (_text.size() != kTeamDigits + 2 * kHashDigits ||
+		!parseHex(_text.substr(0, kTeamDigits), fingerprint.team) ||
+		!parseHex(_text.substr(kTeamDigits, kHashDigits), fingerprint.high) ||
+		!parseHex(_text.substr(kTeamDigits + kHashDigits), fingerprint.low))
+	{
+		return std::nullopt;
+	}
+	return fingerprint;
+}
+
 } // namespace beacongate
--- a/src/coordination/requestfingerprint.h
+++ b/src/coordination/requestfingerprint.h
@@ -10,6 +10,7 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -25,8 +26,8 @@
 	std::string_view body;
 };
 
-/// Hash of a request's content. The hash of the team is a field of its own: no content of one team's request, however
-/// it is chosen, gives the fingerprint of another team's request.
+/// Hash of a request's content. The hash of the team is a field of its own: no content of one team's request,
+/// however it is chosen, gives the fingerprint of another team's request.
 struct RequestFingerprint
 {
 	std::uint32_t team = 0;
@@ -43,6 +44,9 @@
 /// @returns the fingerprint as 40 hexadecimal digits, for logs and operators.
 std::string toString(const RequestFingerprint& _fingerprint);
 
+/// @returns the fingerprint with this text; nullopt if it is none.
+std::optional<RequestFingerprint> parseFingerprint(std::string_view _text);
+
 /// Hash function for hash tables; the fingerprint is a hash already.
 struct RequestFingerprintHash
 {
--- a/src/gateway/crashdetector.cpp
+++ b/src/gateway/crashdetector.cpp
@@ -13,12 +13,12 @@
 /// Fingerprints in one log line.
 constexpr std::size_t kMaxLoggedRequests = 16;
 
-std::string joined(const std::vector<RequestFingerprint>& _requests)
+std::string joined(const std::vector<EndedConnection>& _connections)
 {
 	std::string text;
-	for (std::size_t index = 0; index < _requests.size() && index < kMaxLoggedRequests; ++index)
+	for (std::size_t index = 0; index < _connections.size() && index < kMaxLoggedRequests; ++index)
 	{
-		text += (index == 0 ? "" : ",") + toString(_requests[index]);
+		text += (index == 0 ? "" : ",") + toString(_connections[index].request);
 	}
 	return text;
 }
@@ -27,21 +27,20 @@
 void CrashDetector::onConnectionEnded(const EndedConnection& _ended)
 {
 	const BackendKey key(_ended.backend);
-	std::erase_if(m_probes,
-				  [&](const auto& _entry)
+	std::erase_if(m_probes, [&](const auto& _entry)
 				  { return !_entry.second.pending && _ended.at - _entry.second.finished > kResultLifetime; });
 	const auto known = m_probes.find(key);
 	const bool running = known != m_probes.end() && known->second.pending;
 	const bool crashed = known != m_probes.end() && known->second.result == ProbeResult::Refused;
 	Probe& probe = m_probes[key];
-	probe.requests.push_back(_ended.request);
+	probe.connections.push_back(_ended);
 	if (running)
 	{
 		return;
 	}
 	if (crashed)
 	{
-		reportCrash(_ended.backend, probe);
+		reportCrash(probe);
 		return;
 	}
 	probe.pending = true;
@@ -63,18 +62,22 @@
 	logEvent(LogLevel::Info, "backend-probed",
 			 {{"backend", _backend.id},
 			  {"result", std::string(toString(_result))},
-			  {"requests", std::to_string(probe.requests.size())},
-			  {"contents", joined(probe.requests)}});
-	reportCrash(_backend, probe);
+			  {"requests", std::to_string(probe.connections.size())},
+			  {"contents", joined(probe.connections)}});
+	reportCrash(probe);
 }
 
-void CrashDetector::reportCrash(const BackendIdentity& _backend, Probe& _probe)
+void CrashDetector::reportCrash(Probe& _probe)
 {
-	BackendCrash crash{_backend, std::move(_probe.requests)};
-	_probe.requests.clear();
-	if (_probe.result == ProbeResult::Refused && m_onCrash)
+	const std::vector<EndedConnection> connections = std::move(_probe.connections);
+	_probe.connections.clear();
+	if (_probe.result != ProbeResult::Refused || !m_onCrash)
 	{
-		m_onCrash(crash);
+		return;
+	}
+	for (const EndedConnection& connection : connections)
+	{
+		m_onCrash(connection);
 	}
 }
 
--- a/src/gateway/crashdetector.h
+++ b/src/gateway/crashdetector.h
@@ -23,19 +23,13 @@
 	BackendIdentity backend;
 	Address address;
 	RequestFingerprint request; ///< The request that was sent on it.
+	BackendKey crashKey;        ///< See CrashLedger::nextCrashKey().
 	Micros at = 0;
 };
 
-/// A backend server that crashed, and the requests of this gateway that ran on it or waited there.
-struct BackendCrash
-{
-	BackendIdentity backend;
-	std::vector<RequestFingerprint> requests;
-};
-
-/// Probes a backend server once one of its connections has ended early. If the connection is refused, its process has
-/// ended. A server that accepts connections has reset a single one, and a server that does not answer may be out of
-/// this gateway's reach: neither is a crash.
+/// Probes a backend server once one of its connections has ended early. If the connection is refused, its process
+/// has ended. A server that accepts connections has reset a single one, and a server that does not answer may be
+/// out of this gateway's reach: neither is a crash.
 class CrashDetector
 {
 public:
@@ -50,8 +44,8 @@
 	{
 	}
 
-	/// Sets the function that receives each crash, once for each group of requests.
-	void setCrashHandler(std::function<void(const BackendCrash&)> _handler)
+	/// Sets the function that receives each connection that a crash ended.
+	void setCrashHandler(std::function<void(const EndedConnection&)> _handler)
 	{
 		m_onCrash = std::move(_handler);
 	}
@@ -66,16 +60,16 @@
 		bool pending = true;
 		ProbeResult result = ProbeResult::Unreachable;
 		Micros finished = 0;
-		std::vector<RequestFingerprint> requests;
+		std::vector<EndedConnection> connections;
 	};
 
 	void startProbe(const EndedConnection& _ended);
 	void onProbed(const BackendIdentity& _backend, ProbeResult _result);
-	void reportCrash(const BackendIdentity& _backend, Probe& _probe);
+	void reportCrash(Probe& _probe);
 
 	boost::asio::io_context& m_loop;
 	std::unordered_map<BackendKey, Probe, BackendKeyHash> m_probes;
-	std::function<void(const BackendCrash&)> m_onCrash;
+	std::function<void(const EndedConnection&)> m_onCrash;
 };
 
 } // namespace beacongate
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -295,6 +295,11 @@
 		refuse(Failure::KeyUnconfirmed, "the key cannot be confirmed", kStoreUnavailableRetryAfter);
 		return true;
 	}
+	if (isBlocked())
+	{
+		refuse(Failure::RequestBlocked, "backend servers crash when they run this request");
+		return true;
+	}
 	if (!admit())
 	{
 		return m_finished;
@@ -309,8 +314,8 @@
 	}
 	m_placement.tokensPerMilli = m_context.engines.tokensPerSecond(m_service) / kMillisPerSecond;
 	const Availability candidates = available(now);
-	const Placement placement = m_context.balancer.choose(candidates.open, m_placement, m_triedBackends, now);
-	if (!placement.backend || placement.full)
+	const Placement placement = place(candidates, now);
+	if (!placement.backend || placement.full || m_context.suspects.mustWait(m_fingerprint))
 	{
 		return refuseWithoutRoom(candidates, now);
 	}
@@ -318,6 +323,22 @@
 	return true;
 }
 
+bool Exchange::isBlocked() const
+{
+	return m_context.crashes.suspicionOf(m_fingerprint) == Suspicion::Blocked;
+}
+
+Placement Exchange::place(const Availability& _available, Micros _now)
+{
+	const bool suspected = m_connectionLost || m_context.crashes.suspicionOf(m_fingerprint) == Suspicion::Suspected;
+	const auto preferred = m_context.suspects.preferred(_available.open, m_fingerprint, suspected);
+	const Placement placement = m_context.balancer.choose(preferred, m_placement, m_triedBackends, _now);
+	const bool found = placement.backend && !placement.full;
+	return found || preferred.size() == _available.open.size()
+			   ? placement
+			   : m_context.balancer.choose(_available.open, m_placement, m_triedBackends, _now);
+}
+
 Availability Exchange::available(Micros _now) const
 {
 	// Backoffs are applied before the balancer chooses, so that no fallback of the balancer overrides them.
@@ -378,6 +399,7 @@
 	m_attempt.resumed = m_lastEventId.has_value() || !m_info.lastEventId.empty();
 	m_attempt.backoffProbe = m_context.backoffs.onPlaced(_backend.key, now);
 	m_context.balancer.onSent(_backend.key, m_placement);
+	m_context.suspects.onPlaced(m_fingerprint, _backend.key);
 	CallOptions options;
 	options.address = _backend.record.address;
 	options.connectSpan = std::clamp(m_route->targetLatency / 4, kMinConnectTimeout, kMaxConnectTimeout);
@@ -392,6 +414,7 @@
 	handlers.onSent = [self]
 	{
 		self->m_attempt.requestSent = true;
+		self->m_attempt.crashKey = self->m_context.crashes.nextCrashKey(self->m_fingerprint, self->m_attempt.key);
 		self->recordListState();
 		if (self->m_sendCount == 0)
 		{
@@ -436,13 +459,13 @@
 bool Exchange::mayStillSend()
 {
 	// Connecting may have taken 0.3 s, and timers fire late if this VM gets no CPU time. Meanwhile the backend
-	// server may have left or asked for a backoff.
+	// server may have left or asked for a backoff, and the request may have been blocked.
 	const Micros now = monotonicNow();
 	const bool inTime = timeLeft(now) > 0;
 	const bool listed =
 		m_context.directory.takesWork(m_attempt.backend, now) && !m_context.directory.listOutdated(now);
 	const bool inBackoff = m_context.backoffs.left(m_attempt.key, now) > 0;
-	m_attempt.withheld = !inTime || !listed || inBackoff;
+	m_attempt.withheld = !inTime || !listed || inBackoff || isBlocked();
 	return !m_attempt.withheld;
 }
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -62,7 +62,8 @@
 	struct Attempt
 	{
 		BackendIdentity backend;
-		BackendKey key; ///< Identifies the backend server's incarnation.
+		BackendKey key;      ///< Identifies the backend server's incarnation.
+		BackendKey crashKey; ///< See CrashLedger::nextCrashKey().
 		Address address;
 		OutgoingCall::Ptr call;
 		Micros sent = 0; ///< When the attempt started.
@@ -110,6 +111,9 @@
 	/// Refuses the request if it cannot be served in time.
 	/// @returns true if the request was refused.
 	bool refuseWithoutRoom(const Availability& _available, Micros _now);
+	/// Chooses a backend server. Requests that may crash their servers are kept apart.
+	Placement place(const Availability& _available, Micros _now);
+	bool isBlocked() const;
 	/// @returns the delay after which the caller of a refused request may retry.
 	Micros retryAfter(Micros _now);
 	/// Reports the result of a request that was one of the few after a backoff.
@@ -131,6 +135,8 @@
 	void failAttempt(AttemptResult _result);
 	/// Reports a connection that ended early to the crash detector, if the request may have caused it.
 	void reportEndedConnection();
+	/// Ends an attempt that gave a complete answer.
+	void completeAttempt();
 	void closeAttempt(bool _succeeded);
 	void releaseBackend();
 	void countUsage();
@@ -164,7 +170,8 @@
 	bool m_streaming = false;
 	bool m_finished = false;
 	bool m_queued = false;
-	bool m_heldForList = false; ///< The request waited for a newer list of backend servers.
+	bool m_connectionLost = false; ///< The connection of an attempt ended early, so that it may crash servers.
+	bool m_heldForList = false;    ///< The request waited for a newer list of backend servers.
 	bool m_usageCounted = false;
 	bool m_admitted = false;
 	double m_quotaTaken = 0.0;
--- a/src/gateway/exchangeanswers.cpp
+++ b/src/gateway/exchangeanswers.cpp
@@ -175,7 +175,7 @@
 	}
 	else
 	{
-		closeAttempt(true);
+		completeAttempt();
 		forwardAnswer();
 	}
 }
@@ -188,7 +188,7 @@
 		failAttempt(AttemptResult::Broken);
 		return;
 	}
-	closeAttempt(true);
+	completeAttempt();
 	if (!m_attempt.resumed)
 	{
 		m_context.streamLengths.onStream(m_service, m_route->name, m_attempt.eventCount,
@@ -204,6 +204,12 @@
 	failAttempt(_fault == CallFault::NotSent ? AttemptResult::NotSent : AttemptResult::Broken);
 }
 
+void Exchange::completeAttempt()
+{
+	closeAttempt(true);
+	m_context.crashes.onCompleted(m_fingerprint);
+}
+
 void Exchange::closeAttempt(bool _succeeded)
 {
 	if (!m_attempt.call)
@@ -224,6 +230,7 @@
 {
 	endBackoffProbe(false);
 	m_context.balancer.onEnded(m_attempt.key, m_placement, m_attempt.firstEventSeen);
+	m_context.suspects.onEnded(m_fingerprint, m_attempt.key);
 	if (m_attempt.slots > 0 && m_placement.promptTokens == 0)
 	{
 		m_context.demand.onCall(m_service, monotonicNow() - m_attempt.sent, m_attempt.slots);
@@ -243,6 +250,9 @@
 		countUsage();
 	}
 	closeAttempt(_result == AttemptResult::Misdirected);
+	m_connectionLost = m_connectionLost || m_attempt.connectionEnded;
+	const unsigned weight =
+		m_context.crashes.weightOf(m_fingerprint) + (m_attempt.connectionEnded ? CrashLedger::kCrashWeight : 0);
 	reportEndedConnection();
 	if (m_attempt.withheld)
 	{
@@ -253,6 +263,7 @@
 	AttemptContext context;
 	context.repeatable = m_route->repeatable();
 	context.mayHaveRun = m_mayHaveRun;
+	context.mayCrash = weight + CrashLedger::kCrashWeight >= CrashLedger::kBlockingWeight;
 	context.sent = m_sendCount;
 	context.maxAttempts = m_route->maxAttempts;
 	context.unsentTries = m_unsentTries;
@@ -312,7 +323,8 @@
 	const bool ranBefore = m_attempt.firstEventSeen && now - m_attempt.firstEventAt > CrashDetector::kOnsetSpan;
 	if (m_attempt.connectionEnded && !expected && !ranBefore)
 	{
-		m_context.crashDetector.onConnectionEnded({m_attempt.backend, m_attempt.address, m_fingerprint, now});
+		m_context.crashDetector.onConnectionEnded(
+			{m_attempt.backend, m_attempt.address, m_fingerprint, m_attempt.crashKey, now});
 	}
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -20,6 +20,7 @@
 constexpr Micros kStopRetryAfter = 50 * kMillisecond;
 constexpr const char* kStatePath = "/state";
 constexpr const char* kMetricsPath = "/metrics";
+constexpr std::string_view kCrashesPath = "/crashes/";
 
 HttpAnswer malformedAnswer(ParseFault _fault)
 {
@@ -200,9 +201,29 @@
 		_session->answer(HttpAnswer{200, {{"Content-Type", "text/plain; version=0.0.4"}}, formatMetrics()});
 		return;
 	}
+	if (_request.head.method == "DELETE" && _request.head.target.starts_with(kCrashesPath))
+	{
+		_session->answer(releaseRequest(std::string_view(_request.head.target).substr(kCrashesPath.size())));
+		return;
+	}
 	_session->answer(makeErrorAnswer(404, Failure::NoRoute, "unknown path", 0));
 }
 
+HttpAnswer Gateway::releaseRequest(std::string_view _content)
+{
+	const std::optional<RequestFingerprint> request = parseFingerprint(_content);
+	if (!request)
+	{
+		return makeErrorAnswer(400, Failure::QueryInvalid, "not the content of a request: 40 hexadecimal digits",
+							   0);
+	}
+	if (!m_context.crashes.release(*request))
+	{
+		return makeErrorAnswer(404, Failure::NoRoute, "no crash is known of this request", 0);
+	}
+	return HttpAnswer{};
+}
+
 std::string Gateway::formatMetrics()
 {
 	const Micros now = monotonicNow();
@@ -220,6 +241,10 @@
 	metrics.setGauge("beacongate_backends_known", static_cast<double>(m_context.directory.backends().size()));
 	metrics.setGauge("beacongate_backends_usable", static_cast<double>(usable));
 	metrics.setGauge("beacongate_backends_in_backoff", static_cast<double>(inBackoff));
+	metrics.setGauge("beacongate_requests_suspected",
+					 static_cast<double>(m_context.crashes.countOf(Suspicion::Suspected)));
+	metrics.setGauge("beacongate_requests_blocked",
+					 static_cast<double>(m_context.crashes.countOf(Suspicion::Blocked)));
 	metrics.setGauge("beacongate_config_version", config ? static_cast<double>(config->version) : 0.0);
 	metrics.setGauge("beacongate_config_age_seconds",
 					 static_cast<double>(m_context.directory.age(now)) / static_cast<double>(kSecond));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -50,6 +50,9 @@
 	void onCallerRequest(const ServerSessionPtr& _session, IncomingRequest&& _request);
 	void onReadinessRequest(const ServerSessionPtr& _session, const IncomingRequest& _request);
 	void onControlRequest(const ServerSessionPtr& _session, const IncomingRequest& _request);
+	/// Releases a blocked request on behalf of an operator.
+	/// @param[in] _content Its fingerprint, as logs and the state dump show it.
+	HttpAnswer releaseRequest(std::string_view _content);
 	std::string formatMetrics();
 	bool ready() const;
 	void waitForSignal();
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -11,6 +11,7 @@
 #include "coordination/backofftable.h"
 #include "coordination/balancer.h"
 #include "coordination/contenthistory.h"
+#include "coordination/crashledger.h"
 #include "coordination/demandmeter.h"
 #include "coordination/directory.h"
 #include "coordination/enginemodel.h"
@@ -25,6 +26,7 @@
 #include "coordination/sharedretrybudget.h"
 #include "coordination/storereachability.h"
 #include "coordination/streamlengths.h"
+#include "coordination/suspectplacement.h"
 #include "coordination/usageledger.h"
 #include "daemon/clock.h"
 #include "gateway/backendrecords.h"
@@ -100,6 +102,8 @@
 	Balancer balancer;
 	BackoffTable backoffs;
 	CrashDetector crashDetector{loop};
+	CrashLedger crashes;
+	SuspectPlacement suspects{crashes};
 	QuotaLedger quotas;
 	QuotaGrantor grantor;
 	QuotaAdmission admission;
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -161,6 +161,11 @@
 		out << "beacongate_failed_attempts_total{service=" << quoteLabel(labels.first)
 			<< ",result=" << quoteLabel(labels.second) << "} " << count << '\n';
 	}
+	out << "# TYPE beacongate_crash_suspicions_total counter\n";
+	for (const auto& [change, count] : m_crashNotices)
+	{
+		out << "beacongate_crash_suspicions_total{change=" << quoteLabel(change) << "} " << count << '\n';
+	}
 	formatCounter(out, "beacongate_backend_list_reads_total", m_listReads);
 	formatCounter(out, "beacongate_held_for_list_total", m_heldForList);
 	formatCounter(out, "beacongate_backoffs_asked_total", m_backoffsAsked);
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -95,6 +95,12 @@
 		++m_datagramsUnreadable;
 	}
 
+	/// Records a change of what is known against a request, see CrashLedger.
+	void onCrashNotice(std::string_view _change)
+	{
+		++m_crashNotices[std::string(_change)];
+	}
+
 	/// Records that a timer of the event loop ran.
 	/// @param[in] _delay How much later than requested it ran.
 	void onLoopDelay(Micros _delay);
@@ -115,6 +121,7 @@
 
 	std::map<RequestLabels, std::uint64_t> m_requests;
 	std::map<std::pair<std::string, std::string>, std::uint64_t> m_failedAttempts;
+	std::map<std::string, std::uint64_t> m_crashNotices;
 	std::map<std::string, double> m_gauges;
 	std::uint64_t m_listReads = 0;
 	std::uint64_t m_heldForList = 0;
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -40,6 +40,20 @@
 	}
 	return list;
 }
+
+Json describeCrashes(const GatewayContext& _context, Micros _now)
+{
+	Json list = Json::array();
+	for (const CrashRecord& record : _context.crashes.records(_now))
+	{
+		list.push_back({{"content", toString(record.request)},
+						{"weight", _context.crashes.weightOf(record.request)},
+						{"blocked", _context.crashes.suspicionOf(record.request) == Suspicion::Blocked},
+						{"lastCrashMsAgo", record.age / kMillisecond}});
+	}
+	return list;
+}
+
 Json describeQuotas(const GatewayContext& _context, Micros _now)
 {
 	Json list = Json::array();
@@ -71,6 +85,7 @@
 					 {"readingTokensPerSecond", _context.engines.prefillSpeeds()},
 					 {"gatewaysHeard", _context.quotas.liveness().gatewaysHeard(now)},
 					 {"quotas", describeQuotas(_context, now)},
+					 {"crashes", describeCrashes(_context, now)},
 					 {"backends", describeBackends(_context, now)},
 					 {"peers", describePeers(_context, now)}};
 	return state.dump(2);
--- a/src/gateway/gossiper.cpp
+++ b/src/gateway/gossiper.cpp
@@ -45,7 +45,9 @@
 } // namespace
 
 Gossiper::Gossiper(GatewayContext& _context)
-	: m_context(_context), m_socket(_context.loop), m_timer(_context.loop), m_buffer(limits::kGossipBytes)
+	: m_context(_context), m_socket(_context.loop), m_timer(_context.loop), m_buffer(limits::kGossipBytes),
+	  m_crashExchange(_context,
+					  [this](const std::string& _bytes, const std::string& _host) { sendBytes(_bytes, _host); })
 {
 	try
 	{
@@ -158,6 +160,7 @@
 	{
 		sendToPeers(now);
 	}
+	m_crashExchange.tick(isCollector(), now);
 	++m_round;
 	const Micros pause = m_context.jittered(GossipPlan::roundInterval(members));
 	m_due = now + pause;
--- a/src/gateway/gossiper.h
+++ b/src/gateway/gossiper.h
@@ -10,6 +10,7 @@
 #include "coordination/collectormonitor.h"
 #include "coordination/fleetfollower.h"
 #include "coordination/fleettable.h"
+#include "gateway/crashexchange.h"
 #include "gateway/gatewaycontext.h"
 
 #include <boost/asio/ip/udp.hpp>
@@ -107,6 +108,7 @@
 	std::map<std::string, std::uint64_t> m_collectorIncarnations;
 	std::size_t m_listAllTeamsUntil = 0;
 	CollectorMonitor m_watch;
+	CrashExchange m_crashExchange;
 	std::uint64_t m_unreadableCount = 0; ///< Datagrams of an unknown format since the start.
 };
 
--- a/src/gateway/gossiperreceive.cpp
+++ b/src/gateway/gossiperreceive.cpp
@@ -6,6 +6,7 @@
 #include "daemon/clock.h"
 #include "daemon/logging.h"
 #include "gateway/gossiper.h"
+#include "protocol/crashcodec.h"
 #include "protocol/gossipcodec.h"
 #include "protocol/quotacodec.h"
 
@@ -98,6 +99,11 @@
 
 void Gossiper::onDatagram(std::string_view _bytes, const std::string& _sender)
 {
+	if (isCrashDatagram(_bytes))
+	{
+		m_crashExchange.onDatagram(_bytes, _sender) ? void() : onUnreadable(_sender);
+		return;
+	}
 	if (isQuotaDatagram(_bytes))
 	{
 		onQuotaDatagram(_bytes, _sender);
--- a/src/state/errors.cpp
+++ b/src/state/errors.cpp
@@ -75,6 +75,8 @@
 		return {"header-too-large", 431, Outcome::NotRun};
 	case Failure::RequestTimeout:
 		return {"request-timeout", 408, Outcome::NotRun};
+	case Failure::RequestBlocked:
+		return {"request-crashes-servers", 400, Outcome::Unknown};
 	case Failure::Internal:
 		return {"internal", 500, Outcome::Unknown};
 	}
--- /dev/null
+++ b/tests/crashledgertest.cpp
@@ -0,0 +1,298 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// The ledger of crashes: what blocks a request and what unblocks it, and that copies agree.
+
+#include "coordination/crashledger.h"
+#include "coordination/suspectplacement.h"
+#include "step.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+
+namespace beacongate::test
+{
+namespace
+{
+constexpr RequestFingerprint kRequest{1, 2, 3};
+constexpr RequestFingerprint kOther{1, 2, 4};
+
+BackendKey server(unsigned _number)
+{
+	return BackendKey("s" + std::to_string(_number));
+}
+
+void crash(CrashLedger& _ledger, const RequestFingerprint& _request, std::initializer_list<unsigned> _servers,
+		   Micros _now = 0)
+{
+	for (const unsigned number : _servers)
+	{
+		_ledger.onCrash(_request, server(number), _now);
+	}
+}
+
+/// Copies all records of one ledger to another.
+void copy(const CrashLedger& _from, CrashLedger& _to, Micros _now = 0)
+{
+	_to.merge(_from.records(_now), _now);
+}
+
+RequestFingerprint fingerprint(const std::string& _team, const std::string& _target, const std::string& _body)
+{
+	return fingerprintOf({_team, "h.example", "POST", _target, _body});
+}
+} // namespace
+
+TEST(CrashLedger, blocksARequestAfterThreeCrashes)
+{
+	CrashLedger ledger;
+	crash(ledger, kRequest, {1});
+	EXPECT_EQ(ledger.suspicionOf(kRequest), Suspicion::Suspected);
+	crash(ledger, kRequest, {2});
+	EXPECT_EQ(ledger.suspicionOf(kRequest), Suspicion::Suspected);
+	crash(ledger, kRequest, {3});
+	EXPECT_EQ(ledger.suspicionOf(kRequest), Suspicion::Blocked);
+	EXPECT_EQ(ledger.suspicionOf(kOther), Suspicion::None);
+}
+
+TEST(CrashLedger, countsOneCrashOfAServerOnce)
+{
+	CrashLedger ledger;
+	crash(ledger, kRequest, {1, 1, 1, 1});
+	EXPECT_EQ(ledger.suspicionOf(kRequest), Suspicion::Suspected);
+}
+
+TEST(CrashLedger, countsAServerThatIsBackUnderTheSameRecordAgain)
+{
+	CrashLedger ledger;
+	EXPECT_EQ(ledger.nextCrashKey(kRequest, server(1)), server(1));
+	for (unsigned round = 0; round < 3; ++round)
+	{
+		EXPECT_NE(ledger.suspicionOf(kRequest), Suspicion::Blocked);
+		ledger.onCrash(kRequest, ledger.nextCrashKey(kRequest, server(1)), 0);
+	}
+	EXPECT_EQ(ledger.suspicionOf(kRequest), Suspicion::Blocked);
+}
+
+TEST(CrashLedger, requestThatEndedWellIsNotSuspected)
+{
+	CrashLedger ledger;
+	crash(ledger, kRequest, {1, 2});
+	ledger.onCompleted(kRequest);
+	EXPECT_EQ(ledger.suspicionOf(kRequest), Suspicion::None);
+	crash(ledger, kRequest, {1, 2, 3});
+	EXPECT_EQ(ledger.suspicionOf(kRequest), Suspicion::Suspected) << "crashes from before count again";
+}
+
+TEST(CrashLedger, blockedRequestTakesTheBlameForCrashesThatItShares)
+{
+	CrashLedger ledger;
+	crash(ledger, kOther, {1, 2, 3});
+	crash(ledger, kRequest, {1, 2, 3});
+	crash(ledger, kRequest, {4});
+	EXPECT_EQ(ledger.suspicionOf(kRequest), Suspicion::Blocked);
+	EXPECT_EQ(ledger.suspicionOf(kOther), Suspicion::Suspected);
+}
+
+TEST(CrashLedger, twoRequestsThatCrashTheSameServersAreBothBlocked)
+{
+	CrashLedger ledger;
+	crash(ledger, kRequest, {1, 2, 3});
+	crash(ledger, kOther, {1, 2, 3, 4, 5});
+	EXPECT_NE(ledger.suspicionOf(kRequest), Suspicion::Blocked);
+	crash(ledger, kRequest, {6, 7});
+	EXPECT_EQ(ledger.suspicionOf(kRequest), Suspicion::Blocked);
+	EXPECT_EQ(ledger.suspicionOf(kOther), Suspicion::Blocked);
+}
+
+TEST(CrashLedger, operatorReleasesARequest)
+{
+	CrashLedger ledger;
+	crash(ledger, kRequest, {1, 2, 3});
+	CrashLedger peer;
+	copy(ledger, peer);
+	EXPECT_TRUE(ledger.release(kRequest));
+	EXPECT_FALSE(ledger.release(kRequest));
+	copy(ledger, peer);
+	EXPECT_EQ(peer.suspicionOf(kRequest), Suspicion::None);
+}
+
+TEST(CrashLedger, blockedRequestGetsOneTrialAfterRetention)
+{
+	CrashLedger ledger;
+	crash(ledger, kRequest, {1, 2, 3, 4});
+	crash(ledger, kOther, {9});
+	ledger.expire(CrashLedger::kRetention);
+	EXPECT_EQ(ledger.suspicionOf(kRequest), Suspicion::Blocked);
+	ledger.expire(CrashLedger::kRetention + 1);
+	EXPECT_EQ(ledger.suspicionOf(kRequest), Suspicion::Suspected);
+	EXPECT_EQ(ledger.suspicionOf(kOther), Suspicion::None);
+	crash(ledger, kRequest, {5}, CrashLedger::kRetention + 2);
+	EXPECT_EQ(ledger.suspicionOf(kRequest), Suspicion::Blocked);
+}
+
+TEST(CrashLedger, oldestSuspicionGivesWayToNewOnesAndBlockedRequestsStay)
+{
+	CrashLedger ledger;
+	crash(ledger, kRequest, {1, 2, 3});
+	crash(ledger, kOther, {4}, 1);
+	for (std::uint64_t number = 0; number < 2 * CrashLedger::kMaxRequests; ++number)
+	{
+		ledger.onCrash({2, number, 0}, server(5), 2 + static_cast<Micros>(number));
+	}
+	EXPECT_EQ(ledger.suspicionOf(kRequest), Suspicion::Blocked);
+	EXPECT_EQ(ledger.suspicionOf(kOther), Suspicion::None);
+	EXPECT_EQ(ledger.countOf(Suspicion::Suspected) + 1, CrashLedger::kMaxRequests);
+	EXPECT_EQ(ledger.records(0).size(), CrashLedger::kMaxReported);
+	EXPECT_EQ(ledger.records(0).front().request, kRequest);
+}
+
+TEST(CrashLedger, reportsEachChangeSeveralTimesAndThoseOfOthersOnlyIfItRelays)
+{
+	CrashLedger ledger;
+	crash(ledger, kRequest, {1});
+	CrashLedger peer;
+	peer.merge(ledger.takeChanges(false, 16, 0), 0);
+	EXPECT_EQ(peer.suspicionOf(kRequest), Suspicion::Suspected);
+	EXPECT_TRUE(peer.takeChanges(false, 16, 0).empty());
+	EXPECT_EQ(peer.takeChanges(true, 16, 0).size(), 1u);
+	for (unsigned round = 1; round < CrashLedger::kReportRounds; ++round)
+	{
+		EXPECT_EQ(ledger.takeChanges(false, 16, 0).size(), 1u);
+	}
+	EXPECT_TRUE(ledger.takeChanges(false, 16, 0).empty());
+}
+
+/// Copies that received the same reports in any order, any number of times, agree.
+RC_GTEST_PROP(CrashLedger, copiesAgreeInWhateverOrderReportsArrive, (std::vector<Step> _steps))
+{
+	constexpr unsigned kLedgers = 3;
+	std::vector<CrashLedger> ledgers(kLedgers);
+	std::vector<std::vector<CrashRecord>> sent;
+	for (const Step& step : _steps)
+	{
+		CrashLedger& ledger = ledgers[step.a % kLedgers];
+		const RequestFingerprint request{1, 0, step.b % 4u};
+		switch (step.kind % 4)
+		{
+		case 0:
+			ledger.onCompleted(request);
+			break;
+		case 1:
+			if (!sent.empty())
+			{
+				ledger.merge(sent[step.b % sent.size()], 0);
+			}
+			break;
+		default:
+			// No request gets more crashes than are kept.
+			ledger.onCrash(request, server(step.b / 4u % CrashLedger::kMaxCrashes), 0);
+			break;
+		}
+		sent.push_back(ledger.records(0));
+	}
+	for (unsigned from = 0; from < kLedgers; ++from)
+	{
+		for (unsigned to = 0; to < kLedgers; ++to)
+		{
+			copy(ledgers[from], ledgers[to]);
+		}
+	}
+	for (unsigned to = 0; to < kLedgers; ++to)
+	{
+		copy(ledgers[kLedgers - 1], ledgers[to]);
+		RC_ASSERT(ledgers[to].digest() == ledgers[0].digest());
+		for (std::uint64_t number = 0; number < 4; ++number)
+		{
+			RC_ASSERT(ledgers[to].weightOf({1, 0, number}) == ledgers[0].weightOf({1, 0, number}));
+		}
+	}
+}
+
+TEST(RequestFingerprint, differsByEachFieldAndByItsBounds)
+{
+	const RequestFingerprint base = fingerprint("a", "/p", "body");
+	EXPECT_EQ(base, fingerprint("a", "/p", "body"));
+	EXPECT_NE(base, fingerprint("a", "/p", "bodx"));
+	EXPECT_NE(base, fingerprint("a", "/q", "body"));
+	EXPECT_NE(base, fingerprint("a", "/pb", "ody"));
+	EXPECT_NE(base.team, fingerprint("b", "/p", "body").team);
+}
+
+TEST(RequestFingerprint, isReadFromItsText)
+{
+	const RequestFingerprint base = fingerprint("a", "/p", "body");
+	EXPECT_EQ(parseFingerprint(toString(base)), base);
+	EXPECT_FALSE(parseFingerprint(""));
+	EXPECT_FALSE(parseFingerprint(toString(base).substr(1)));
+	EXPECT_FALSE(parseFingerprint(std::string(40, 'g')));
+}
+
+/// Requests on two servers, as one gateway places them.
+class SuspectPlacementTest : public testing::Test
+{
+protected:
+	SuspectPlacementTest()
+	{
+		for (unsigned number = 0; number < 8; ++number)
+		{
+			backends[number].key = server(number);
+			candidates.push_back(&backends[number]);
+		}
+	}
+
+	CrashLedger ledger;
+	SuspectPlacement placement{ledger};
+	std::array<KnownBackend, 8> backends;
+	std::vector<const KnownBackend*> candidates;
+};
+
+TEST_F(SuspectPlacementTest, suspectsRunOnDifferentServersAndOthersAvoidThem)
+{
+	crash(ledger, kRequest, {100});
+	crash(ledger, kOther, {100});
+	const auto first = placement.preferred(candidates, kRequest, true);
+	ASSERT_EQ(first.size(), 1u);
+	placement.onPlaced(kRequest, first.front()->key);
+	const auto second = placement.preferred(candidates, kOther, true);
+	ASSERT_EQ(second.size(), 1u);
+	EXPECT_NE(second.front(), first.front());
+	const auto others = placement.preferred(candidates, {9, 9, 9}, false);
+	EXPECT_EQ(others.size(), candidates.size() - 1);
+	EXPECT_EQ(std::count(others.begin(), others.end(), first.front()), 0);
+	placement.onEnded(kRequest, first.front()->key);
+	EXPECT_EQ(placement.preferred(candidates, {9, 9, 9}, false).size(), candidates.size());
+}
+
+TEST_F(SuspectPlacementTest, gatewaysChooseTheSameServerForASuspect)
+{
+	CrashLedger otherLedger;
+	SuspectPlacement otherPlacement(otherLedger);
+	std::vector<const KnownBackend*> reversed(candidates.rbegin(), candidates.rend());
+	EXPECT_EQ(placement.preferred(candidates, kRequest, true), otherPlacement.preferred(reversed, kRequest, true));
+}
+
+TEST_F(SuspectPlacementTest, suspectIsPlacedAlthoughAllServersRunSuspects)
+{
+	crash(ledger, kOther, {100});
+	for (const KnownBackend* backend : candidates)
+	{
+		placement.onPlaced(kOther, backend->key);
+	}
+	EXPECT_EQ(placement.preferred(candidates, kRequest, true).size(), candidates.size());
+}
+
+TEST_F(SuspectPlacementTest, secondCopyOfASuspectWaitsUntilTheFirstHasEnded)
+{
+	placement.onPlaced(kRequest, server(1));
+	EXPECT_FALSE(placement.mustWait(kRequest));
+	crash(ledger, kRequest, {100});
+	EXPECT_TRUE(placement.mustWait(kRequest));
+	placement.onEnded(kRequest, server(1));
+	EXPECT_FALSE(placement.mustWait(kRequest));
+}
+
+} // namespace beacongate::test
--- a/tools/standin/platform.h
+++ b/tools/standin/platform.h
@@ -160,11 +160,11 @@
 /// A worker's reaction to some requests: it crashes a while after it has begun to run one of them.
 struct WorkerCrashRule
 {
-	std::vector<std::string> bodies;        ///< Bodies of the requests that crash the worker.
-	Micros delay = 60 * kMillisecond;       ///< Time from the start of the request until the crash.
-	Micros downtime = 3 * kSecond;          ///< Time for which connections are refused.
-	std::function<void()> onCrash = {};     ///< Called on the worker's thread when it crashes.
-	std::function<void()> onRestart = {};   ///< Called on the worker's thread when it accepts connections again.
+	std::vector<std::string> bodies;      ///< Bodies of the requests that crash the worker.
+	Micros delay = 60 * kMillisecond;     ///< Time from the start of the request until the crash.
+	Micros downtime = 3 * kSecond;        ///< Time for which connections are refused.
+	std::function<void()> onCrash = {};   ///< Called on the worker's thread when it crashes.
+	std::function<void()> onRestart = {}; ///< Called on the worker's thread when it accepts connections again.
 };
 
 /// A request that a worker ran, as received.
@@ -218,6 +218,9 @@
 	/// Sets which requests crash the worker.
 	void setCrashRule(const WorkerCrashRule& _rule);
 
+	/// Crashes the worker, as one of the crash rule's requests does.
+	void crashNow();
+
 	/// Sets the time that the worker takes to answer a call.
 	void setCallTime(Micros _time);
 
--- a/tools/standin/platformworker.cpp
+++ b/tools/standin/platformworker.cpp
@@ -95,6 +95,11 @@
 	m_loop.run([&] { m_callTime = _time; });
 }
 
+void PlatformWorker::crashNow()
+{
+	m_loop.run([this] { crash(); });
+}
+
 std::vector<Micros> PlatformWorker::crashes()
 {
 	const std::lock_guard<std::mutex> guard(m_mutex);
