Take servers that have ended out until they are back

What callers saw: requests refused with 503 while servers stood.

Cause: a server's record stands for seconds after its process has ended. Nothing but its record takes it out: an ejection needs three failures in a row at one gateway, and is passed over where over half are ejected. A request tries four such servers and is refused.

Change: a refused connection is told from one without an answer (ConnectResult, which the crash probe uses as well) and puts the server into a backoff of 0.5 s, with all that backoffs do: no fallback overrides it, one request tries the server afterwards, and if all servers are in one a request is refused at once with a Retry-After. Refused connections do not use up the four tries; 16 of them do.

--- a/src/coordination/attemptpolicy.h
+++ b/src/coordination/attemptpolicy.h
@@ -51,7 +51,8 @@
 	bool mayCrash = false;       ///< Two backend servers may have crashed under it, see CrashLedger.
 	unsigned sent = 0;           ///< Backend servers that the request was sent to.
 	unsigned maxAttempts = 1;    ///< Backend servers that it may be sent to.
-	unsigned unsentTries = 0;    ///< Attempts that ended before a byte was sent.
+	unsigned unsentTries = 0;    ///< Attempts that ended before a byte was sent, without those that were refused.
+	unsigned refusedTries = 0;   ///< Attempts whose connection was refused.
 	bool budgetAllows = false;   ///< The shared retry budget allows a retry.
 	bool anotherBackend = false; ///< Another backend server is available.
 	bool timeLeft = false;       ///< The deadline leaves time for another attempt.
@@ -85,6 +86,9 @@
 
 /// Attempts without a connection after which a request is given up.
 inline constexpr unsigned kMaxUnsentTries = 4;
+/// Refused connections after which a request is given up. A refusal takes a round trip, and a server that refused
+/// one is not tried again for a while, so that more of them are allowed than attempts that wait for their timeout.
+inline constexpr unsigned kMaxRefusedTries = 16;
 
 /// @returns true if an attempt with this result may have run the request.
 constexpr bool mayHaveRunAfter(AttemptResult _result)
@@ -99,7 +103,8 @@
 	const bool mayHaveRun = _context.mayHaveRun || mayHaveRunAfter(_result);
 	const bool safeToRepeat = _context.repeatable || !mayHaveRun;
 	const bool unsent = _result == AttemptResult::NotSent;
-	const bool triesLeft = unsent ? _context.unsentTries < kMaxUnsentTries : _context.sent < _context.maxAttempts;
+	const bool connectsLeft = _context.unsentTries < kMaxUnsentTries && _context.refusedTries < kMaxRefusedTries;
+	const bool triesLeft = unsent ? connectsLeft : _context.sent < _context.maxAttempts;
 	const bool needsBudget = _context.sent > 0;
 	const bool allowed = !needsBudget || _context.budgetAllows;
 	if (safeToRepeat && !_context.mayCrash && triesLeft && allowed && _context.anotherBackend && _context.timeLeft)
--- a/src/coordination/backofftable.h
+++ b/src/coordination/backofftable.h
@@ -2,8 +2,8 @@
 // Licence: BSD-2-Clause, see LICENSE.
 
 /// @file
-/// Tracks backend servers that asked this gateway to send them nothing for a while, and finds those that may be
-/// used meanwhile.
+/// Tracks backend servers that asked this gateway to send them nothing for a while or that refuse its connections,
+/// and finds those that may be used meanwhile.
 
 #ifndef BEACONGATE_COORDINATION_BACKOFFTABLE_H
 #define BEACONGATE_COORDINATION_BACKOFFTABLE_H
@@ -45,6 +45,9 @@
 	/// Longest backoff that one answer can cause, so that an erroneous answer does not exclude a backend server
 	/// for good. A backend server that needs more asks again when it is tried afterwards.
 	static constexpr Micros kMaxBackoff = 600 * kSecond;
+	/// Backoff of a backend server that refused a connection. Its process has ended; it is tried again at this
+	/// interval, since it may come back under the same record.
+	static constexpr Micros kRefusedBackoff = 500 * kMillisecond;
 	/// Requests that a backend server may have in flight right after its backoff. It was overloaded before, and
 	/// all requests that wait for it at once would overload it again. Each answer other than a rejection
 	/// doubles the limit.
--- a/src/gateway/crashdetector.cpp
+++ b/src/gateway/crashdetector.cpp
@@ -31,7 +31,7 @@
 				  { return !_entry.second.pending && _ended.at - _entry.second.finished > kResultLifetime; });
 	const auto known = m_probes.find(key);
 	const bool running = known != m_probes.end() && known->second.pending;
-	const bool crashed = known != m_probes.end() && known->second.result == ProbeResult::Refused;
+	const bool crashed = known != m_probes.end() && known->second.result == ConnectResult::Refused;
 	Probe& probe = m_probes[key];
 	probe.connections.push_back(_ended);
 	if (running)
@@ -49,11 +49,19 @@
 
 void CrashDetector::startProbe(const EndedConnection& _ended)
 {
-	probeConnection(m_loop, _ended.address, kProbeTimeout,
-					[this, backend = _ended.backend](ProbeResult _result) { onProbed(backend, _result); });
+	TcpConnection::open(
+		m_loop, _ended.address, kProbeTimeout, kProbeTimeout,
+		[this, backend = _ended.backend](const TcpConnection::Ptr& _connection, ConnectResult _result)
+		{
+			if (_connection)
+			{
+				_connection->close();
+			}
+			onProbed(backend, _result);
+		});
 }
 
-void CrashDetector::onProbed(const BackendIdentity& _backend, ProbeResult _result)
+void CrashDetector::onProbed(const BackendIdentity& _backend, ConnectResult _result)
 {
 	Probe& probe = m_probes[BackendKey(_backend)];
 	probe.pending = false;
@@ -71,7 +79,7 @@
 {
 	const std::vector<EndedConnection> connections = std::move(_probe.connections);
 	_probe.connections.clear();
-	if (_probe.result != ProbeResult::Refused || !m_onCrash)
+	if (_probe.result != ConnectResult::Refused || !m_onCrash)
 	{
 		return;
 	}
--- a/src/gateway/crashdetector.h
+++ b/src/gateway/crashdetector.h
@@ -9,7 +9,7 @@
 
 #include "coordination/backendkey.h"
 #include "coordination/requestfingerprint.h"
-#include "transport/connectprobe.h"
+#include "transport/tcpconnection.h"
 
 #include <functional>
 #include <unordered_map>
@@ -58,13 +58,13 @@
 	struct Probe
 	{
 		bool pending = true;
-		ProbeResult result = ProbeResult::Unreachable;
+		ConnectResult result = ConnectResult::Unreachable;
 		Micros finished = 0;
 		std::vector<EndedConnection> connections;
 	};
 
 	void startProbe(const EndedConnection& _ended);
-	void onProbed(const BackendIdentity& _backend, ProbeResult _result);
+	void onProbed(const BackendIdentity& _backend, ConnectResult _result);
 	void reportCrash(Probe& _probe);
 
 	boost::asio::io_context& m_loop;
--- a/src/gateway/crashexchange.cpp
+++ b/src/gateway/crashexchange.cpp
@@ -14,7 +14,11 @@
 {
 	m_context.crashDetector.setCrashHandler(
 		[this](const EndedConnection& _ended)
-		{ m_context.crashes.onCrash(_ended.request, _ended.crashKey, monotonicNow()); });
+		{
+			const Micros now = monotonicNow();
+			m_context.crashes.onCrash(_ended.request, _ended.crashKey, now);
+			m_context.backoffs.onBackoffRequested(BackendKey(_ended.backend), BackoffTable::kRefusedBackoff, now);
+		});
 }
 
 std::vector<std::string> CrashExchange::collectors() const
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -78,6 +78,7 @@
 		Micros backoffLeft = 0;    ///< Remaining backoff of the server when the request was sent.
 		/// The request was not sent, for a reason that is not the backend server's fault.
 		bool withheld = false;
+		bool refused = false; ///< The connection was refused.
 		bool requestSent = false;
 		bool connectionEnded = false; ///< The connection ended before the answer was complete.
 		bool firstEventSeen = false;
@@ -166,6 +167,7 @@
 	std::vector<std::string> m_triedBackends;
 	unsigned m_sendCount = 0;
 	unsigned m_unsentTries = 0;
+	unsigned m_refusedTries = 0;
 	bool m_mayHaveRun = false;
 	bool m_streaming = false;
 	bool m_finished = false;
--- a/src/gateway/exchangeanswers.cpp
+++ b/src/gateway/exchangeanswers.cpp
@@ -201,7 +201,14 @@
 void Exchange::onFault(CallFault _fault)
 {
 	m_attempt.connectionEnded = _fault == CallFault::Broken;
-	failAttempt(_fault == CallFault::NotSent ? AttemptResult::NotSent : AttemptResult::Broken);
+	if (_fault == CallFault::Refused)
+	{
+		m_attempt.refused = true;
+		// The process of the server has ended, and its record may stand for some seconds more.
+		m_context.backoffs.onBackoffRequested(m_attempt.key, BackoffTable::kRefusedBackoff, monotonicNow());
+	}
+	const bool sent = _fault == CallFault::Broken || _fault == CallFault::Malformed;
+	failAttempt(sent ? AttemptResult::Broken : AttemptResult::NotSent);
 }
 
 void Exchange::completeAttempt()
@@ -258,7 +265,9 @@
 	{
 		m_triedBackends.pop_back();
 	}
-	m_unsentTries += _result == AttemptResult::NotSent && !m_attempt.withheld ? 1 : 0;
+	const bool unsent = _result == AttemptResult::NotSent && !m_attempt.withheld;
+	m_unsentTries += unsent && !m_attempt.refused ? 1 : 0;
+	m_refusedTries += unsent && m_attempt.refused ? 1 : 0;
 	m_mayHaveRun = m_mayHaveRun || mayHaveRunAfter(_result);
 	AttemptContext context;
 	context.repeatable = m_route->repeatable();
@@ -267,6 +276,7 @@
 	context.sent = m_sendCount;
 	context.maxAttempts = m_route->maxAttempts;
 	context.unsentTries = m_unsentTries;
+	context.refusedTries = m_refusedTries;
 	context.budgetAllows = m_context.retryBudget.allows(m_service, now);
 	context.timeLeft = timeLeft(now) > kMinAttemptTime;
 	const Availability candidates = available(now);
--- a/src/transport/httpchannel.cpp
+++ b/src/transport/httpchannel.cpp
@@ -116,7 +116,7 @@
 {
 	TcpConnection::open(
 		m_context, m_address, m_queue.front().timeout, 2 * kSecond,
-		[self = shared_from_this(), callNumber = m_callNumber](const TcpConnection::Ptr& _connection)
+		[self = shared_from_this(), callNumber = m_callNumber](const TcpConnection::Ptr& _connection, ConnectResult)
 		{
 			if (self->m_closed || self->m_callNumber != callNumber || !self->m_busy)
 			{
--- a/src/transport/outgoingcall.cpp
+++ b/src/transport/outgoingcall.cpp
@@ -38,14 +38,15 @@
 									  std::string _bytes, CallHandlers _handlers)
 {
 	auto call = std::make_shared<OutgoingCall>(std::move(_handlers));
-	TcpConnection::open(
-		_context, _options.address, _options.connectSpan, _options.userTimeout,
-		[call, bytes = std::move(_bytes), noBody = _options.noBody](const TcpConnection::Ptr& _connection)
-		{ call->onConnected(_connection, bytes, noBody); });
+	TcpConnection::open(_context, _options.address, _options.connectSpan, _options.userTimeout,
+						[call, bytes = std::move(_bytes),
+						 noBody = _options.noBody](const TcpConnection::Ptr& _connection, ConnectResult _result)
+						{ call->onConnected(_connection, _result, bytes, noBody); });
 	return call;
 }
 
-void OutgoingCall::onConnected(const TcpConnection::Ptr& _connection, const std::string& _bytes, bool _noBody)
+void OutgoingCall::onConnected(const TcpConnection::Ptr& _connection, ConnectResult _result,
+							   const std::string& _bytes, bool _noBody)
 {
 	if (m_ended)
 	{
@@ -57,7 +58,7 @@
 	}
 	if (!_connection)
 	{
-		fail(CallFault::NotSent);
+		fail(_result == ConnectResult::Refused ? CallFault::Refused : CallFault::NotSent);
 		return;
 	}
 	if (m_handlers.maySend && !m_handlers.maySend())
--- a/src/transport/outgoingcall.h
+++ b/src/transport/outgoingcall.h
@@ -20,6 +20,7 @@
 /// Reason why a call ended without a complete answer.
 enum class CallFault
 {
+	Refused,   ///< No byte was sent: no process listens at the address.
 	NotSent,   ///< No byte was sent: the connection failed, or maySend() returned false.
 	Broken,    ///< The connection ended before the answer was complete.
 	Malformed, ///< The received bytes are not a valid HTTP answer.
@@ -70,7 +71,8 @@
 	void resume();
 
 private:
-	void onConnected(const TcpConnection::Ptr& _connection, const std::string& _bytes, bool _noBody);
+	void onConnected(const TcpConnection::Ptr& _connection, ConnectResult _result, const std::string& _bytes,
+					 bool _noBody);
 	void onBytes(std::string_view _bytes);
 	void onEnd(ConnectionEnd _end);
 	void parse();
--- a/src/transport/tcpconnection.cpp
+++ b/src/transport/tcpconnection.cpp
@@ -36,6 +36,15 @@
 	const int millis = static_cast<int>(_userTimeout / kMillisecond);
 	setsockopt(_socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &millis, sizeof millis);
 }
+
+ConnectResult resultOf(const BoostError& _error)
+{
+	if (!_error)
+	{
+		return ConnectResult::Connected;
+	}
+	return _error == asio::error::connection_refused ? ConnectResult::Refused : ConnectResult::Unreachable;
+}
 } // namespace
 
 TcpConnection::TcpConnection(Socket _socket, Micros _userTimeout)
@@ -57,7 +66,7 @@
 		bool ended = false;
 	};
 	const auto pending = std::make_shared<PendingConnect>(_context);
-	const auto finish = [pending, done = std::move(_done), _userTimeout](bool _connected)
+	const auto finish = [pending, done = std::move(_done), _userTimeout](ConnectResult _result)
 	{
 		if (pending->ended)
 		{
@@ -65,14 +74,14 @@
 		}
 		pending->ended = true;
 		pending->timer.cancel();
-		if (!_connected)
+		if (_result != ConnectResult::Connected)
 		{
 			BoostError ignored;
 			pending->socket.close(ignored);
-			done(nullptr);
+			done(nullptr, _result);
 			return;
 		}
-		done(std::make_shared<TcpConnection>(std::move(pending->socket), _userTimeout));
+		done(std::make_shared<TcpConnection>(std::move(pending->socket), _userTimeout), _result);
 	};
 	pending->timer.expires_after(std::chrono::microseconds(_connectTimeout));
 	pending->timer.async_wait(
@@ -80,17 +89,17 @@
 		{
 			if (!_error)
 			{
-				finish(false);
+				finish(ConnectResult::Unreachable);
 			}
 		});
 	BoostError addressError;
 	const tcp::endpoint endpoint(asio::ip::make_address(_address.host, addressError), _address.port);
 	if (addressError)
 	{
-		asio::post(_context, [finish] { finish(false); });
+		asio::post(_context, [finish] { finish(ConnectResult::Unreachable); });
 		return;
 	}
-	pending->socket.async_connect(endpoint, [finish](const BoostError& _error) { finish(!_error); });
+	pending->socket.async_connect(endpoint, [finish](const BoostError& _error) { finish(resultOf(_error)); });
 }
 
 void TcpConnection::start(ConnectionHandlers _handlers)
--- a/src/transport/tcpconnection.h
+++ b/src/transport/tcpconnection.h
@@ -28,6 +28,29 @@
 	Broken, ///< The connection was reset or timed out, or the other side became unreachable.
 };
 
+/// Result of an attempt to connect.
+enum class ConnectResult
+{
+	Connected,
+	Refused,     ///< The VM answered that no process listens at the address.
+	Unreachable, ///< No answer in time, or the network reported another error.
+};
+
+/// @returns the name used in logs.
+constexpr std::string_view toString(ConnectResult _result)
+{
+	switch (_result)
+	{
+	case ConnectResult::Connected:
+		return "connected";
+	case ConnectResult::Refused:
+		return "refused";
+	case ConnectResult::Unreachable:
+		return "unreachable";
+	}
+	return "unreachable";
+}
+
 /// Callbacks of a connection; they may close or release it.
 struct ConnectionHandlers
 {
@@ -42,7 +65,7 @@
 public:
 	using Socket = boost::asio::ip::tcp::socket;
 	using Ptr = std::shared_ptr<TcpConnection>;
-	using ConnectHandler = std::function<void(Ptr)>;
+	using ConnectHandler = std::function<void(Ptr, ConnectResult)>;
 
 	/// Takes ownership of a connected socket.
 	/// @param[in] userTimeout TCP_USER_TIMEOUT: maximum time that sent bytes may stay unacknowledged.
@@ -50,8 +73,8 @@
 
 	/// Opens a connection.
 	/// @param[in] connectTimeout Timeout for establishing the connection.
-	/// @param[in] done Receives the connection, or nullptr if it could not be established in time. It is never
-	/// called from inside this function.
+	/// @param[in] done Receives the connection, or nullptr and the reason if it could not be established in time.
+	/// It is never called from inside this function.
 	static void open(boost::asio::io_context& _context, const Address& _address, Micros _connectTimeout,
 					 Micros _userTimeout, ConnectHandler _done);
 
--- a/tests/gatewaycoretest.cpp
+++ b/tests/gatewaycoretest.cpp
@@ -86,6 +86,34 @@
 	RC_ASSERT(tries <= context.maxAttempts + kMaxUnsentTries);
 }
 
+TEST(AttemptPolicy, requestThatMayCrashItsServersIsNotRetried)
+{
+	AttemptContext context;
+	context.repeatable = true;
+	context.sent = 1;
+	context.maxAttempts = 3;
+	context.budgetAllows = true;
+	context.anotherBackend = true;
+	context.timeLeft = true;
+	EXPECT_EQ(decideAfterAttempt(AttemptResult::Broken, context), AttemptDecision::Retry);
+	context.mayCrash = true;
+	EXPECT_EQ(decideAfterAttempt(AttemptResult::Broken, context), AttemptDecision::AnswerUnknown);
+}
+
+TEST(AttemptPolicy, refusedConnectionsAreTriedElsewhereUpToABound)
+{
+	AttemptContext context;
+	context.anotherBackend = true;
+	context.timeLeft = true;
+	context.refusedTries = kMaxRefusedTries - 1;
+	EXPECT_EQ(decideAfterAttempt(AttemptResult::NotSent, context), AttemptDecision::Retry);
+	context.refusedTries = kMaxRefusedTries;
+	EXPECT_EQ(decideAfterAttempt(AttemptResult::NotSent, context), AttemptDecision::AnswerNotRun);
+	context.refusedTries = 0;
+	context.unsentTries = kMaxUnsentTries;
+	EXPECT_EQ(decideAfterAttempt(AttemptResult::NotSent, context), AttemptDecision::AnswerNotRun);
+}
+
 RC_GTEST_PROP(DutyLease, twoHoldersNeverActAtTheSameTime, (const std::vector<std::uint8_t>& steps))
 {
 	// A lease in the store runs from when a call arrives; a holder counts from when it was sent, and may be
