Soak: requests that crash their backend servers

Cause: no soak had a server that ends under a request, and none a request that comes again. The stand-in's servers refuse connections while they are down; the gateways' processes no longer inherit the soak's sockets, which had kept the ports of ended servers open.

Change: profile 'crashes', two promises (a crashing request is stopped; others are served beside it), and 'served' in the checker's own tests.

--- a/tests/gatewaycrashtest.cpp
+++ b/tests/gatewaycrashtest.cpp
@@ -138,8 +138,10 @@
 		std::vector<Micros> times;
 		for (const auto& worker : workers)
 		{
-			const std::vector<Micros> own = worker->crashes();
-			times.insert(times.end(), own.begin(), own.end());
+			for (const standin::WorkerCrash& crash : worker->crashes())
+			{
+				times.push_back(crash.at);
+			}
 		}
 		std::sort(times.begin(), times.end());
 		return times;
--- a/tests/soakcheckertest.cpp
+++ b/tests/soakcheckertest.cpp
@@ -334,4 +334,48 @@
 	EXPECT_EQ(countOf(seen, Promise::LeavingHeard), 0u);
 }
 
+TEST(SoakChecker, reportsACrashingRequestThatIsSentTooOften)
+{
+	Observations seen = healthy();
+	for (const int second : {20, 21, 22})
+	{
+		seen.crashes.push_back({"w1", second * kSecond, "/unsafe/ crash"});
+	}
+	for (const int number : {40, 41, 42, 43}) // Sent at 30 s and later.
+	{
+		seen.runs[static_cast<std::size_t>(number)].content = "/unsafe/ crash";
+		seen.requests[static_cast<std::size_t>(number)].crashes = true;
+	}
+	EXPECT_EQ(countOf(seen, Promise::CrashingStopped), 1u);
+	seen.disruptions = {{"store", 25 * kSecond, 60 * kSecond, std::nullopt}};
+	EXPECT_EQ(countOf(seen, Promise::CrashingStopped), 1u);
+	seen.disruptions = {{"pause", 29 * kSecond, 30 * kSecond, 0}};
+	EXPECT_EQ(countOf(seen, Promise::CrashingStopped), 0u); // Runs soon after a pause do not count.
+	seen.disruptions.clear();
+	seen.crashes.pop_back();
+	EXPECT_EQ(countOf(seen, Promise::CrashingStopped), 0u);
+}
+
+TEST(SoakChecker, reportsOtherRequestsThatAreNotServedBesideACrashingOne)
+{
+	Observations seen = healthy();
+	for (const int second : {20, 21, 22})
+	{
+		seen.crashes.push_back({"w1", second * kSecond, "/unsafe/ crash"});
+	}
+	EXPECT_EQ(countOf(seen, Promise::ServedBesideCrash), 0u);
+	for (std::size_t number = 80; number < 86; ++number)
+	{
+		seen.requests[number].status = 400;
+	}
+	EXPECT_EQ(countOf(seen, Promise::ServedBesideCrash), 1u); // Six are more than five and one in 500.
+	for (std::size_t number = 80; number < 100; ++number)
+	{
+		seen.requests[number].status = 503;
+	}
+	EXPECT_EQ(countOf(seen, Promise::ServedBesideCrash), 1u);
+	seen.disruptions = {{"store", 50 * kSecond, 60 * kSecond, std::nullopt}};
+	EXPECT_EQ(countOf(seen, Promise::ServedBesideCrash), 0u);
+}
+
 } // namespace beacongate::test
--- a/tools/soak.cpp
+++ b/tools/soak.cpp
@@ -7,6 +7,7 @@
 #include "beacongate/errors.h"
 #include "daemon/options.h"
 #include "soak/checker.h"
+#include "soak/crashcheck.h"
 #include "soak/quotacheck.h"
 #include "soak/report.h"
 
@@ -42,6 +43,11 @@
 			  << " replaced by another build, " << seen.departures.size() << " departures, " << seen.keys.size()
 			  << " configurations, " << seen.reports.size()
 			  << " reports: " << (findings.empty() ? "kept" : "BROKEN") << std::endl;
+	for (const soak::CrashSummary& crashes : soak::crashesOf(seen))
+	{
+		std::cout << "  " << crashes.content << ": crashed " << crashes.crashes << ", sent late "
+				  << crashes.lateSends << std::endl;
+	}
 	for (const soak::TeamUsage& use : soak::usageOf(seen))
 	{
 		std::cout << "  team " << use.team << ": " << use.peak << " of " << use.tolerated
@@ -80,11 +86,12 @@
 		{"departures", soak::SoakProfile::Departures},
 		{"narrow-departures", soak::SoakProfile::NarrowDepartures},
 		{"answers", soak::SoakProfile::Answers},
+		{"crashes", soak::SoakProfile::Crashes},
 		{"quotas", soak::SoakProfile::Quotas},
 		{"lowered-quotas", soak::SoakProfile::LoweredQuotas}};
 	app.add_option("--profile", options.profile,
-				   "Faults to inject: mixed, departures, narrow-departures, answers, quotas or lowered-quotas "
-				   "[mixed]")
+				   "Faults to inject: mixed, departures, narrow-departures, answers, crashes, quotas or "
+				   "lowered-quotas [mixed]")
 		->transform(CLI::CheckedTransformer(profiles, CLI::ignore_case));
 	app.add_option("--gateways", options.gateways, "Number of gateways [3]")
 		->check(CLI::Range(1u, soak::Soak::kMaxGateways));
--- a/tools/soak/answercheck.cpp
+++ b/tools/soak/answercheck.cpp
@@ -3,6 +3,8 @@
 
 #include "soak/answercheck.h"
 
+#include "soak/disturbance.h"
+
 #include <algorithm>
 #include <map>
 #include <string>
@@ -28,18 +30,6 @@
 	return std::to_string(_span / kMillisecond) + " ms";
 }
 
-/// @returns true if a gateway's process was not killed, stopped or paused in a span.
-bool ranThroughout(const Observations& _seen, unsigned _gateway, Micros _from, Micros _until)
-{
-	return std::none_of(_seen.disruptions.begin(), _seen.disruptions.end(),
-						[&](const Disruption& _disruption)
-						{
-							const bool ofProcess =
-								_disruption.gateway == _gateway && _disruption.what != "store-link";
-							return ofProcess && _disruption.from <= _until && _disruption.until >= _from;
-						});
-}
-
 std::map<GatewayAndBackend, std::vector<Arrival>> arrivalsByPair(const Observations& _seen)
 {
 	std::unordered_map<std::string, const ObservedRequest*> requests;
--- a/tools/soak/caller.cpp
+++ b/tools/soak/caller.cpp
@@ -121,7 +121,8 @@
 						" HTTP/1.1\r\nHost: h.example\r\n" + platform::kRequestId + ": " + _request.id + "\r\n" +
 						platform::kDeadline + ": " + std::to_string(kDeadlineMillis) + "\r\n" + platform::kApiKey +
 						": " + _request.key + "\r\n";
-	bytes += hasBody ? "Content-Length: 4\r\n\r\nbody" : "\r\n";
+	bytes +=
+		hasBody ? "Content-Length: " + std::to_string(_request.body.size()) + "\r\n\r\n" + _request.body : "\r\n";
 	const Micros until = monotonicNow() + kAnswerTimeout;
 	_request.connected = true;
 	const bool sent = sendAll(bytes, until);
--- a/tools/soak/checker.cpp
+++ b/tools/soak/checker.cpp
@@ -4,6 +4,7 @@
 #include "soak/checker.h"
 
 #include "soak/answercheck.h"
+#include "soak/crashcheck.h"
 #include "soak/quotacheck.h"
 
 #include <algorithm>
@@ -373,6 +374,10 @@
 		return "leaving-heard";
 	case Promise::ServedBelowLimit:
 		return "served-below-limit";
+	case Promise::CrashingStopped:
+		return "crashing-stopped";
+	case Promise::ServedBesideCrash:
+		return "served-beside-crash";
 	}
 	return "unknown";
 }
@@ -398,6 +403,7 @@
 	checkRecovery(_seen, findings);
 	checkAnswersFollowed(_seen, findings);
 	checkQuotas(_seen, findings);
+	checkCrashes(_seen, findings);
 	return findings;
 }
 
--- a/tools/soak/checker.h
+++ b/tools/soak/checker.h
@@ -33,6 +33,8 @@
 	BackoffKept,       ///< A gateway sends no requests to a backend server during its backoff.
 	LeavingHeard,      ///< A gateway sends no new work to a backend server whose answer announced its departure.
 	ServedBelowLimit,  ///< A team that asks for less than its limit is not refused.
+	CrashingStopped,   ///< A request that crashed several backend servers is not sent to others.
+	ServedBesideCrash, ///< Other requests are served beside one that crashes backend servers.
 };
 
 /// @returns the name used in reports.
--- a/tools/soak/faultproxy.cpp
+++ b/tools/soak/faultproxy.cpp
@@ -31,17 +31,47 @@
 };
 
 FaultProxy::FaultProxy(const Address& _listen, const Address& _target)
-	: m_target(_target), m_acceptor(m_loop.context())
+	: m_address(_listen), m_target(_target), m_acceptor(m_loop.context())
+{
+	m_loop.run([this] { listen(); });
+}
+
+void FaultProxy::listen()
+{
+	const tcp::endpoint endpoint(asio::ip::make_address(m_address.host), m_address.port);
+	m_acceptor.open(endpoint.protocol());
+	m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+	m_acceptor.bind(endpoint);
+	m_acceptor.listen();
+	accept();
+}
+
+void FaultProxy::resetLinks()
+{
+	const std::list<LinkPtr> links = m_links;
+	for (const LinkPtr& link : links)
+	{
+		end(link, ConnectionEnd::Broken);
+	}
+}
+
+void FaultProxy::setListening(bool _listening)
 {
 	m_loop.run(
 		[&]
 		{
-			const tcp::endpoint endpoint(asio::ip::make_address(_listen.host), _listen.port);
-			m_acceptor.open(endpoint.protocol());
-			m_acceptor.set_option(tcp::acceptor::reuse_address(true));
-			m_acceptor.bind(endpoint);
-			m_acceptor.listen();
-			accept();
+			if (_listening == m_acceptor.is_open())
+			{
+				return;
+			}
+			if (_listening)
+			{
+				listen();
+				return;
+			}
+			BoostError ignored;
+			m_acceptor.close(ignored);
+			resetLinks();
 		});
 }
 
@@ -52,11 +82,7 @@
 		{
 			BoostError ignored;
 			m_acceptor.close(ignored);
-			const std::list<LinkPtr> links = m_links;
-			for (const LinkPtr& link : links)
-			{
-				end(link, ConnectionEnd::Broken);
-			}
+			resetLinks();
 		});
 }
 
@@ -73,11 +99,7 @@
 				return;
 			}
 			// Links that lost bytes are reset, since the rest of their stream would be corrupt.
-			const std::list<LinkPtr> links = m_links;
-			for (const LinkPtr& link : links)
-			{
-				end(link, ConnectionEnd::Broken);
-			}
+			resetLinks();
 		});
 }
 
@@ -100,7 +122,7 @@
 				const auto link = std::make_shared<Link>();
 				link->caller = std::move(caller);
 				TcpConnection::open(m_loop.context(), m_target, kConnectTimeout, kUserTimeout,
-									[this, link](TcpConnection::Ptr _target)
+									[this, link](TcpConnection::Ptr _target, ConnectResult)
 									{
 										if (!_target)
 										{
--- a/tools/soak/faultproxy.h
+++ b/tools/soak/faultproxy.h
@@ -41,16 +41,22 @@
 	/// @param[in] _delay Delay of each chunk, in each direction, under LinkFault::Delays.
 	void setFault(LinkFault _fault, Micros _delay = kDelay);
 
+	/// Accepts connections or refuses them. When it begins to refuse them, it resets those that are open.
+	void setListening(bool _listening);
+
 private:
 	struct Link;
 	using LinkPtr = std::shared_ptr<Link>;
 
+	void listen();
 	void accept();
+	void resetLinks();
 	void startForwarding(const LinkPtr& _link);
 	void forward(const LinkPtr& _link, bool _fromCaller, std::string_view _bytes);
 	void deliverNext(const LinkPtr& _link, bool _fromCaller);
 	void end(const LinkPtr& _link, ConnectionEnd _reason);
 
+	Address m_address;
 	Address m_target;
 	standin::LoopThread m_loop;
 	boost::asio::ip::tcp::acceptor m_acceptor;
--- a/tools/soak/gatewayprocess.cpp
+++ b/tools/soak/gatewayprocess.cpp
@@ -39,6 +39,8 @@
 	posix_spawn_file_actions_init(&actions);
 	posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, m_log.c_str(), O_WRONLY | O_CREAT | O_APPEND, kMode);
 	posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+	// With a copy of a listening socket in the gateway's process, the port of a crashed backend server stays open.
+	posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
 	pid_t pid = 0;
 	const int failed = posix_spawn(&pid, m_program.c_str(), &actions, nullptr, pointers.data(), environ);
 	posix_spawn_file_actions_destroy(&actions);
--- a/tools/soak/observations.h
+++ b/tools/soak/observations.h
@@ -50,6 +50,8 @@
 	std::string backend;    ///< Backend server that answered; empty if the gateway itself generated the answer.
 	bool announcesLeaving = false; ///< The answer announces that the backend server accepts no new work.
 	std::string team;              ///< Team with a limit; empty for the team without one.
+	std::string body = "body";     ///< Body of a request that is not Safe.
+	bool crashes = false;          ///< Backend servers crash when they run it.
 	double tokens = 0.0;           ///< Tokens that the request declares.
 };
 
@@ -71,7 +73,16 @@
 	std::string id;
 	std::string backend;
 	Micros began = 0;
-	std::string team = {}; ///< Team that the gateway named to the backend server.
+	std::string team = {};    ///< Team that the gateway named to the backend server.
+	std::string content = {}; ///< Path and body.
+};
+
+/// A crash of a backend server.
+struct ObservedCrash
+{
+	std::string backend;
+	Micros at = 0;
+	std::string content; ///< Path and body of the request that caused it; empty if none did.
 };
 
 /// The arrival of a request at a backend server, whether it was accepted or rejected.
@@ -137,8 +148,10 @@
 		500 * kMillisecond;    ///< From an answer with a backoff until requests in flight have arrived.
 	unsigned maxInBackoff = 2; ///< Requests of one gateway that may arrive from then until the backoff ends.
 	Micros acceptSpan = 2500 * kMillisecond; ///< From a stop request until new requests may remain unanswered.
-	Micros quotaWindow = 8 * kSecond;        ///< Window over which a team's runs are counted.
-	double quotaTolerance = 0.1;             ///< Share of the window's limit that may run in addition.
+	std::size_t crashesAllowed = 3;   ///< Backend servers that one request may crash before it has to be stopped.
+	std::size_t lateSends = 3;        ///< Times that it may be sent later than `contact` after that.
+	Micros quotaWindow = 8 * kSecond; ///< Window over which a team's runs are counted.
+	double quotaTolerance = 0.1;      ///< Share of the window's limit that may run in addition.
 };
 
 /// All data that one soak recorded.
@@ -148,6 +161,7 @@
 	std::vector<ObservedRequest> requests;
 	std::vector<ObservedRun> runs;
 	std::vector<ObservedArrival> arrivals;
+	std::vector<ObservedCrash> crashes;
 	std::vector<Disruption> disruptions;
 	std::vector<PlannedStop> stops;
 	std::vector<Departure> departures;
--- a/tools/soak/soak.cpp
+++ b/tools/soak/soak.cpp
@@ -115,6 +115,10 @@
 	backend->address = {host(kBackendProxyHost), worker.port};
 	backend->worker = std::make_unique<standin::PlatformWorker>(backend->id, worker);
 	backend->link = std::make_unique<FaultProxy>(backend->address, worker);
+	if (m_options.profile == SoakProfile::Crashes)
+	{
+		setCrashRule(*backend);
+	}
 	putRecord(*backend, "ready");
 	m_backends.push_back(std::move(backend));
 }
@@ -122,7 +126,8 @@
 void Soak::putRecord(const Backend& _backend, const char* _state)
 {
 	constexpr unsigned kSlots = 32;
-	m_store->put(platform::kServersPrefix + _backend.id, standin::formatRecord(_backend.address, kSlots, _state));
+	m_store->put(platform::kServersPrefix + _backend.id,
+				 standin::formatRecord(_backend.address, kSlots, _state, _backend.born));
 }
 
 void Soak::putConfig()
@@ -184,6 +189,10 @@
 	const bool any = _random() % kOldKeyShare == 0;
 	const std::size_t back = any ? _random() % count : _random() % newest;
 	request.key = m_seen.keys[count - 1 - back].key;
+	if (m_options.profile == SoakProfile::Crashes)
+	{
+		makeCrashing(request, _random);
+	}
 	return request;
 }
 
@@ -333,7 +342,12 @@
 		for (const standin::WorkerRun& run : backend->worker->runs())
 		{
 			const std::string team(findHeader(run.headers, platform::kTenant));
-			m_seen.runs.push_back({run.id, backend->id, run.began, team});
+			m_seen.runs.push_back({run.id, backend->id, run.began, team, run.content()});
+		}
+		for (const standin::WorkerCrash& crash : backend->worker->crashes())
+		{
+			m_seen.crashes.push_back({backend->id, crash.at, crash.content});
+			m_seen.disruptions.push_back({"backend", crash.at, crash.at, std::nullopt, true});
 		}
 		for (const standin::WorkerArrival& arrival : backend->worker->arrivals())
 		{
@@ -356,7 +370,8 @@
 	std::signal(SIGPIPE, SIG_IGN);
 	m_store = std::make_unique<standin::PlatformStore>(Address{host(kPlatformHost), kStorePort});
 	m_duties = std::make_unique<standin::PlatformDuties>(Address{host(kPlatformHost), kDutyPort});
-	for (unsigned number = 0; number < kBackends; ++number)
+	const unsigned backends = m_options.profile == SoakProfile::Crashes ? kCrashBackends : kBackends;
+	for (unsigned number = 0; number < backends; ++number)
 	{
 		addBackend();
 	}
@@ -415,6 +430,12 @@
 			runUntil(monotonicNow() + drawSpan(300 * kMillisecond, 3 * kSecond));
 			continue;
 		}
+		if (m_options.profile == SoakProfile::Crashes)
+		{
+			injectCrashFault();
+			runUntil(monotonicNow() + drawSpan(100 * kMillisecond, 1500 * kMillisecond));
+			continue;
+		}
 		if (m_options.profile == SoakProfile::Answers)
 		{
 			injectAnswerFault();
--- a/tools/soak/soak.h
+++ b/tools/soak/soak.h
@@ -43,6 +43,9 @@
 	/// Backend servers reject requests and ask for backoffs, or announce their departure only in their answers,
 	/// while the store is unreachable and gateways are paused, killed and stopped.
 	Answers,
+	/// Callers send requests that crash the backend servers which run them, beside all faults of Answers and
+	/// crashes without such a request.
+	Crashes,
 };
 
 /// Parameters of a soak.
@@ -118,6 +121,11 @@
 	void injectFaultsAfterLowering(Micros _until);
 	bool hasTeamLimits() const;
 	double slackOf(const standin::SiteTeam& _team) const;
+	/// Sets which requests crash a backend server, and what its restart changes.
+	void setCrashRule(Backend& _backend);
+	void makeCrashing(ObservedRequest& _request, std::minstd_rand& _random) const;
+	void crashBackend();
+	void injectCrashFault();
 	Backend& drawStayingBackend();
 	void askForBackoff();
 	void announceLeavingInAnswers();
--- a/tools/soak/soak_p.h
+++ b/tools/soak/soak_p.h
@@ -9,10 +9,14 @@
 
 #include "soak/soak.h"
 
+#include <atomic>
+
 namespace beacongate::soak
 {
 /// Number of backend servers that accept work during the whole soak.
 inline constexpr unsigned kBackends = 3;
+/// Number of backend servers in soaks in which requests crash them.
+inline constexpr unsigned kCrashBackends = 8;
 /// Port at which gateways accept requests.
 inline constexpr std::uint16_t kCallerPort = 19100;
 
@@ -33,6 +37,7 @@
 {
 	std::string id;
 	Address address;
+	std::atomic<std::uint64_t> born = standin::kFirstStartTimeMs;
 	std::unique_ptr<standin::PlatformWorker> worker;
 	std::unique_ptr<FaultProxy> link;
 	bool leaving = false;
--- a/tools/standin/platform.h
+++ b/tools/standin/platform.h
@@ -167,6 +167,13 @@
 	std::function<void()> onRestart = {}; ///< Called on the worker's thread when it accepts connections again.
 };
 
+/// A crash of a worker.
+struct WorkerCrash
+{
+	Micros at = 0;
+	std::string content; ///< Path and body of the request that caused it; empty if none did.
+};
+
 /// A request that a worker ran, as received.
 struct WorkerRun
 {
@@ -177,6 +184,12 @@
 	HttpHeaders headers;
 	Micros began = 0;
 	bool ended = false; ///< The connection ended before the answer was complete.
+
+	/// @returns path and body, which are the same for each attempt of a caller.
+	std::string content() const
+	{
+		return target + ' ' + body;
+	}
 };
 
 /// A request that a worker received, run or rejected, and the backoff that its answer asked for.
@@ -224,8 +237,8 @@
 	/// Sets the time that the worker takes to answer a call.
 	void setCallTime(Micros _time);
 
-	/// @returns the times at which the worker crashed.
-	std::vector<Micros> crashes();
+	/// @returns the crashes of the worker.
+	std::vector<WorkerCrash> crashes();
 
 	/// @returns the requests received that were addressed to this worker.
 	std::vector<WorkerArrival> arrivals();
@@ -245,7 +258,8 @@
 	void onBytes(const ConnectionPtr& _connection, std::string_view _bytes);
 	void onRequest(const ConnectionPtr& _connection);
 	void answerCall(const ConnectionPtr& _connection);
-	void crash();
+	/// @param[in] _content See WorkerCrash.
+	void crash(const std::string& _content);
 	/// Calls a function after a span.
 	void schedule(Micros _span, std::function<void()> _function);
 	bool rejectsNext();
@@ -268,7 +282,7 @@
 	std::mutex m_mutex;
 	std::vector<WorkerRun> m_runs;
 	std::vector<WorkerArrival> m_arrivals;
-	std::vector<Micros> m_crashes;
+	std::vector<WorkerCrash> m_crashes;
 };
 
 /// A call that only the current holder of a duty may make, as received.
--- a/tools/standin/platformworker.cpp
+++ b/tools/standin/platformworker.cpp
@@ -97,10 +97,10 @@
 
 void PlatformWorker::crashNow()
 {
-	m_loop.run([this] { crash(); });
+	m_loop.run([this] { crash(""); });
 }
 
-std::vector<Micros> PlatformWorker::crashes()
+std::vector<WorkerCrash> PlatformWorker::crashes()
 {
 	const std::lock_guard<std::mutex> guard(m_mutex);
 	return m_crashes;
@@ -174,7 +174,7 @@
 		});
 }
 
-void PlatformWorker::crash()
+void PlatformWorker::crash(const std::string& _content)
 {
 	if (!m_acceptor.is_open())
 	{
@@ -182,7 +182,7 @@
 	}
 	{
 		const std::lock_guard<std::mutex> guard(m_mutex);
-		m_crashes.push_back(monotonicNow());
+		m_crashes.push_back({monotonicNow(), _content});
 	}
 	BoostError ignored;
 	m_acceptor.close(ignored);
@@ -275,7 +275,7 @@
 	const bool crashes = std::find(crashing.begin(), crashing.end(), _connection->body) != crashing.end();
 	if (crashes)
 	{
-		schedule(m_crashRule.delay, [this] { crash(); });
+		schedule(m_crashRule.delay, [this, run = _connection->run] { crash(m_runs[run].content()); });
 	}
 	if (crashes || m_fault == WorkerFault::Hangs)
 	{
