--- a/tools/standin/platform.h
+++ b/tools/standin/platform.h
@@ -225,6 +225,10 @@
 	/// @param[in] _retryAfter Value of the header; if empty, the header is left out.
 	void setRetryAfter(const std::string& _retryAfter);
 
+	/// Sets the rate that later answers name as the worker's limit.
+	/// @param[in] _limit Value of the header; if empty, the header is left out.
+	void setLimit(const std::string& _limit);
+
 	/// Sets whether later answers say that the worker is draining.
 	void setLeaving(bool _leaving);
 
@@ -277,6 +281,7 @@
 	Micros m_callTime = 0;
 	WorkerFault m_fault = WorkerFault::None;
 	std::string m_retryAfter;
+	std::string m_limit;
 	bool m_leaving = false;
 	unsigned m_arrived = 0; ///< Requests that RejectsSome has counted since the fault was set.
 	std::mutex m_mutex;
--- a/tools/standin/platformworker.cpp
+++ b/tools/standin/platformworker.cpp
@@ -80,6 +80,11 @@
 	m_loop.run([&] { m_retryAfter = _retryAfter; });
 }
 
+void PlatformWorker::setLimit(const std::string& _limit)
+{
+	m_loop.run([&] { m_limit = _limit; });
+}
+
 void PlatformWorker::setLeaving(bool _leaving)
 {
 	m_loop.run([&] { m_leaving = _leaving; });
@@ -229,7 +234,8 @@
 	const std::string id = m_fault == WorkerFault::WrongId ? "another" : _connection->requestId;
 	return "HTTP/1.1 " + std::to_string(_status) + " X\r\n" + platform::kRequestId + ": " + id + "\r\n" +
 		   platform::kStamp + ": " + m_id + "\r\n" +
-		   (m_leaving ? platform::kLeaving + std::string(": 1\r\n") : "") + _more + "\r\n";
+		   (m_leaving ? platform::kLeaving + std::string(": 1\r\n") : "") +
+		   (m_limit.empty() ? "" : platform::kLimit + (": " + m_limit) + "\r\n") + _more + "\r\n";
 }
 
 bool PlatformWorker::rejectsNext()
