Keep the limit that a backend server names, over all gateways together

Cause: nothing reads Server-Limit. Class: a field of an answer that the reader at the edge does not know, as with Retry-After and Server-Leaving (asked-backoff.md); and a limit shared by all gateways.

Change: a server's limit divides time into slots of one request, and gateways take turns by their index among the members, without a message (BackendLimits, DESIGN.md). A server without a slot is no candidate before the balancer chooses, and the slot is taken where the first byte leaves at the latest. A request waits only for a slot that comes in time and is not needed by requests before it; else it is refused at once.

--- /dev/null
+++ b/src/coordination/backendlimits.cpp
@@ -0,0 +1,131 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+#include "coordination/backendlimits.h"
+
+#include <algorithm>
+#include <unordered_set>
+
+namespace beacongate
+{
+void BackendLimits::setMembers(std::size_t _count, std::size_t _index)
+{
+	m_members = std::max<std::size_t>(1, _count);
+	m_index = _index % m_members;
+}
+
+void BackendLimits::onAnswer(BackendKey _key, std::optional<double> _limit, Micros _sent, Micros _now,
+							 Micros _agreed)
+{
+	const auto known = m_entries.find(_key);
+	if (!_limit || *_limit > kMaxRate)
+	{
+		if (known != m_entries.end() && _sent > known->second.namedAt)
+		{
+			m_entries.erase(known);
+		}
+		return;
+	}
+	const double rate = std::max(*_limit, kMinRate);
+	Entry& entry = m_entries[_key];
+	entry.namedAt = _now;
+	if (entry.rate == rate)
+	{
+		return;
+	}
+	entry.rate = rate;
+	entry.slot = std::max<Micros>(1, static_cast<Micros>(static_cast<double>(kSecond) / rate));
+	entry.nextSlot = static_cast<std::uint64_t>(_agreed / entry.slot) + 1;
+}
+
+std::optional<double> BackendLimits::limitOf(BackendKey _key) const
+{
+	const auto entry = m_entries.find(_key);
+	return entry == m_entries.end() ? std::nullopt : std::optional<double>(entry->second.rate);
+}
+
+Micros BackendLimits::lifetimeOf(const Entry& _entry)
+{
+	return std::max(kSlotLifetime, _entry.slot);
+}
+
+std::uint64_t BackendLimits::ownSlot(BackendKey _key, const Entry& _entry, Micros _agreed) const
+{
+	const auto oldest =
+		static_cast<std::uint64_t>(std::max<Micros>(0, _agreed - lifetimeOf(_entry)) / _entry.slot) + 1;
+	const std::uint64_t first = std::max(oldest, _entry.nextSlot);
+	// The owner of a slot is the member with the index (slot + key) mod members.
+	const std::uint64_t owner = (first + _key.value) % m_members;
+	return first + (m_index + m_members - owner) % m_members;
+}
+
+bool BackendLimits::take(BackendKey _key, Micros _agreed)
+{
+	const auto entry = m_entries.find(_key);
+	if (entry == m_entries.end())
+	{
+		return true;
+	}
+	const std::uint64_t slot = ownSlot(_key, entry->second, _agreed);
+	if (static_cast<Micros>(slot) * entry->second.slot > _agreed)
+	{
+		return false;
+	}
+	entry->second.nextSlot = slot + 1;
+	return true;
+}
+
+void BackendLimits::narrow(Availability& _available, Micros _now, Micros _agreed) const
+{
+	if (m_entries.empty())
+	{
+		return;
+	}
+	const auto mustWait = [&](const KnownBackend* _backend)
+	{
+		const auto entry = m_entries.find(_backend->key);
+		if (entry == m_entries.end())
+		{
+			return false;
+		}
+		const auto slot = static_cast<Micros>(ownSlot(_backend->key, entry->second, _agreed));
+		const Micros wait = slot * entry->second.slot - _agreed;
+		if (wait <= 0)
+		{
+			return false;
+		}
+		_available.earliestEnd = std::min(_available.earliestEnd, _now + wait);
+		return true;
+	};
+	std::erase_if(_available.open, mustWait);
+}
+
+std::size_t BackendLimits::requestsUntil(const std::vector<const KnownBackend*>& _backends, Micros _agreed,
+										 Micros _until) const
+{
+	std::size_t count = 0;
+	for (const KnownBackend* backend : _backends)
+	{
+		const auto entry = m_entries.find(backend->key);
+		if (entry == m_entries.end())
+		{
+			continue;
+		}
+		const std::uint64_t first = ownSlot(backend->key, entry->second, _agreed);
+		const auto last = static_cast<std::uint64_t>(std::max(_agreed, _until) / entry->second.slot);
+		count += first > last ? 0 : 1 + static_cast<std::size_t>((last - first) / m_members);
+	}
+	return count;
+}
+
+void BackendLimits::retain(const std::map<std::string, KnownBackend>& _known)
+{
+	std::unordered_set<BackendKey, BackendKeyHash> keys;
+	for (const auto& [id, known] : _known)
+	{
+		keys.insert(known.key);
+	}
+	std::erase_if(m_entries, [&keys](const auto& _entry) { return !keys.count(_entry.first); });
+}
+
+} // namespace beacongate
--- a/src/coordination/overloadpolicy.h
+++ b/src/coordination/overloadpolicy.h
@@ -22,6 +22,9 @@
 	Micros waitUntil = 0;    ///< The caller, or the route, allows the request to wait until then.
 	bool sent = false;       ///< It was sent to a backend server before.
 	bool mayHaveRun = false; ///< It may have run there.
+	/// Requests that the limits of the backend servers will not allow before waitUntil, as far as is known: too
+	/// many are queued before it.
+	bool behindLimit = false;
 };
 
 /// Decision on the request.
@@ -29,7 +32,7 @@
 {
 	Wait,
 	RefuseLate,    ///< It cannot be answered in time any more, and is dropped in favour of requests that can.
-	RefuseBackoff, ///< All backend servers are in backoffs that end too late for an answer in time.
+	RefuseBackoff, ///< All backend servers are in backoffs, or at their limits, too long for an answer in time.
 };
 
 /// Decides what happens to a request that no backend server can take now. A request that can only be answered
@@ -43,8 +46,8 @@
 	}
 	const Micros latest =
 		_context.mayHaveRun ? _context.waitUntil : std::min(_context.answerTarget, _context.waitUntil);
-	return _available.waitsForBackoff() && _available.earliestEnd > latest ? OverloadDecision::RefuseBackoff
-																		   : OverloadDecision::Wait;
+	const bool tooLate = _available.earliestEnd > latest || _context.behindLimit;
+	return _available.waitsForBackoff() && tooLate ? OverloadDecision::RefuseBackoff : OverloadDecision::Wait;
 }
 
 /// @returns how long a refused caller has to wait before a retry: until a backoff has ended if nothing can be
--- a/src/coordination/relaychoice.cpp
+++ b/src/coordination/relaychoice.cpp
@@ -180,6 +180,18 @@
 	return names;
 }
 
+std::size_t RelayChoice::index() const
+{
+	std::size_t index = 0;
+	for (const auto& [name, ranked] : m_members)
+	{
+		index += static_cast<std::size_t>(std::count_if(ranked.begin(), ranked.end(),
+														[this](const MemberRecord& _member)
+														{ return ByRank()(_member, m_own); }));
+	}
+	return index;
+}
+
 std::optional<std::size_t> RelayChoice::position() const
 {
 	const auto own = m_members.find(m_own.dataCentre);
--- a/src/coordination/relaychoice.h
+++ b/src/coordination/relaychoice.h
@@ -110,6 +110,10 @@
 	/// @returns the data centres that have members.
 	std::vector<std::string> dataCentres() const;
 
+	/// @returns the number of members of all data centres that rank before this one: its index among them. Where it
+	/// is not listed, the index that it will have.
+	std::size_t index() const;
+
 	/// @returns the number of members that rank before this one, with the top members of all data centres
 	/// first; nothing if this one is not listed.
 	std::optional<std::size_t> position() const;
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -35,6 +35,13 @@
 	std::erase_if(m_waiting, [_exchange](const ExchangePtr& _other) { return _other.get() == _exchange; });
 }
 
+std::size_t Dispatcher::waitingBefore(const Exchange* _exchange) const
+{
+	const auto place = std::find_if(m_waiting.begin(), m_waiting.end(),
+									[_exchange](const ExchangePtr& _other) { return _other.get() == _exchange; });
+	return static_cast<std::size_t>(std::distance(m_waiting.begin(), place));
+}
+
 void Dispatcher::wake()
 {
 	if (m_wakePending || m_waiting.empty())
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -31,6 +31,9 @@
 	/// Schedules one attempt to dispatch the queued requests; several calls are merged.
 	void wake();
 
+	/// @returns the number of queued requests before a request; all of them if it is not queued.
+	std::size_t waitingBefore(const Exchange* _exchange) const;
+
 	/// @returns the number of queued requests.
 	std::size_t waiting() const
 	{
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -323,64 +323,6 @@
 	return true;
 }
 
-bool Exchange::isBlocked() const
-{
-	return m_context.crashes.suspicionOf(m_fingerprint) == Suspicion::Blocked;
-}
-
-Placement Exchange::place(const Availability& _available, Micros _now)
-{
-	const bool suspected = m_connectionLost || m_context.crashes.suspicionOf(m_fingerprint) == Suspicion::Suspected;
-	const auto preferred = m_context.suspects.preferred(_available.open, m_fingerprint, suspected);
-	const Placement placement = m_context.balancer.choose(preferred, m_placement, m_triedBackends, _now);
-	const bool found = placement.backend && !placement.full;
-	return found || preferred.size() == _available.open.size()
-			   ? placement
-			   : m_context.balancer.choose(_available.open, m_placement, m_triedBackends, _now);
-}
-
-Availability Exchange::available(Micros _now) const
-{
-	// Backoffs are applied before the balancer chooses, so that no fallback of the balancer overrides them.
-	return m_context.backoffs.available(m_context.directory.usableOf(m_service, _now), m_triedBackends, _now);
-}
-
-OverloadContext Exchange::roomContext(Micros _now) const
-{
-	return {_now, m_request.received + m_route->targetLatency, m_deadline, m_sendCount > 0, m_mayHaveRun};
-}
-
-bool Exchange::refuseWithoutRoom(const Availability& _available, Micros _now)
-{
-	const OverloadDecision decision = decideOnOverload(roomContext(_now), _available);
-	if (decision == OverloadDecision::Wait)
-	{
-		return false;
-	}
-	refuse(Failure::NoBackend,
-		   decision == OverloadDecision::RefuseLate ? "no backend server has room"
-													: "all backend servers asked for a backoff",
-		   retryAfter(_now));
-	return true;
-}
-
-Micros Exchange::retryAfter(Micros _now)
-{
-	const Availability candidates =
-		m_context.backoffs.available(m_context.directory.usableOf(m_service, _now), {}, _now);
-	const double jitter = std::uniform_real_distribution<double>()(m_context.random);
-	return retryAfterRefusal(candidates, jitter, kShortRetryAfter, _now);
-}
-
-void Exchange::endBackoffProbe(bool _accepted)
-{
-	if (m_attempt.backoffProbe)
-	{
-		m_attempt.backoffProbe = false;
-		m_context.backoffs.onEnded(m_attempt.key, _accepted);
-	}
-}
-
 void Exchange::send(const KnownBackend& _backend)
 {
 	const Micros now = monotonicNow();
@@ -397,6 +339,8 @@
 	m_triedBackends.push_back(_backend.record.id);
 	m_attempt.slots = _backend.record.slots;
 	m_attempt.resumed = m_lastEventId.has_value() || !m_info.lastEventId.empty();
+	m_attempt.slotTaken = m_context.limits.limitOf(_backend.key) &&
+						  m_context.limits.take(_backend.key, m_context.clock.trueTime(now));
 	m_attempt.backoffProbe = m_context.backoffs.onPlaced(_backend.key, now);
 	m_context.balancer.onSent(_backend.key, m_placement);
 	m_context.suspects.onPlaced(m_fingerprint, _backend.key);
@@ -459,13 +403,17 @@
 bool Exchange::mayStillSend()
 {
 	// Connecting may have taken 0.3 s, and timers fire late if this VM gets no CPU time. Meanwhile the backend
-	// server may have left or asked for a backoff, and the request may have been blocked.
+	// server may have left, asked for a backoff or named a limit, and the request may have been blocked.
 	const Micros now = monotonicNow();
 	const bool inTime = timeLeft(now) > 0;
 	const bool listed =
 		m_context.directory.takesWork(m_attempt.backend, now) && !m_context.directory.listOutdated(now);
 	const bool inBackoff = m_context.backoffs.left(m_attempt.key, now) > 0;
 	m_attempt.withheld = !inTime || !listed || inBackoff || isBlocked();
+	if (!m_attempt.withheld && !m_attempt.slotTaken)
+	{
+		m_attempt.withheld = !m_context.limits.take(m_attempt.key, m_context.clock.trueTime(now));
+	}
 	return !m_attempt.withheld;
 }
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -74,6 +74,7 @@
 		EventSplitter events;
 		Micros listAge = 0; ///< Age of the list of backend servers when the request was sent.
 		ListingState listingState = ListingState::Gone; ///< State of the backend server in that list.
+		bool slotTaken = false;    ///< A slot was taken under the server's limit, see BackendLimits.
 		bool backoffProbe = false; ///< This is one of the few requests that a server gets after its backoff.
 		Micros backoffLeft = 0;    ///< Remaining backoff of the server when the request was sent.
 		/// The request was not sent, for a reason that is not the backend server's fault.
@@ -107,6 +108,9 @@
 	bool keyMayBeRevoked(Micros _now) const;
 	/// @returns the backend servers to which the request may be sent now.
 	Availability available(Micros _now) const;
+	/// @returns the backend servers to which a request may be sent now.
+	/// @param[in] _excluded Ids of backend servers to leave out.
+	Availability availableWithout(const std::vector<std::string>& _excluded, Micros _now) const;
 	/// @returns the conditions that decide whether the request waits for room.
 	OverloadContext roomContext(Micros _now) const;
 	/// Refuses the request if it cannot be served in time.
@@ -127,8 +131,10 @@
 	void recordListState();
 	std::string formatForward(const KnownBackend& _backend) const;
 	void onHead(const MessageHead& _head);
-	/// Applies what the answer's headers say about the backend server: leaving, backoff.
+	/// Applies what the answer's headers say about the backend server: leaving, backoff, limit.
 	void applyBackendState();
+	/// @param[in] _before Limit of the attempt's backend server before its answer.
+	void logLimitChange(std::optional<double> _before) const;
 	void onBody(std::string_view _bytes);
 	void onEvents(std::string_view _bytes);
 	void onDone();
--- a/src/gateway/exchangeanswers.cpp
+++ b/src/gateway/exchangeanswers.cpp
@@ -63,6 +63,19 @@
 		m_context.metrics.onBackoffUnreadable();
 		logEvent(LogLevel::Warning, "backoff-unreadable", {{"backend", m_attempt.backend.id}});
 	}
+	if (info.limitUnreadable)
+	{
+		m_context.metrics.onLimitUnreadable();
+		logEvent(LogLevel::Warning, "limit-unreadable", {{"backend", m_attempt.backend.id}});
+	}
+	// A value that is no number says nothing of the limit that was named before.
+	if (!info.misdirected && (info.limit || !info.limitUnreadable))
+	{
+		const Micros now = monotonicNow();
+		const std::optional<double> before = m_context.limits.limitOf(m_attempt.key);
+		m_context.limits.onAnswer(m_attempt.key, info.limit, m_attempt.sent, now, m_context.clock.trueTime(now));
+		logLimitChange(before);
+	}
 	if (info.backoff)
 	{
 		m_context.metrics.onBackoffAsked();
@@ -70,6 +83,18 @@
 	}
 }
 
+void Exchange::logLimitChange(std::optional<double> _before) const
+{
+	const std::optional<double> limit = m_context.limits.limitOf(m_attempt.key);
+	if (limit != _before)
+	{
+		logEvent(LogLevel::Info, "backend-limit",
+				 {{"backend", m_attempt.backend.id},
+				  {"limit_per_s", limit ? std::to_string(*limit) : "-"},
+				  {"before", _before ? std::to_string(*_before) : "-"}});
+	}
+}
+
 void Exchange::countUsage()
 {
 	if (m_usageCounted || !m_team)
--- /dev/null
+++ b/src/gateway/exchangeplacement.cpp
@@ -0,0 +1,91 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+// The part of Exchange that finds backend servers for a request, and decides whether it waits for one.
+
+#include "gateway/dispatcher.h"
+#include "gateway/exchange.h"
+#include "gateway/exchange_p.h"
+
+#include <algorithm>
+#include <random>
+
+namespace beacongate
+{
+bool Exchange::isBlocked() const
+{
+	return m_context.crashes.suspicionOf(m_fingerprint) == Suspicion::Blocked;
+}
+
+Placement Exchange::place(const Availability& _available, Micros _now)
+{
+	const bool suspected = m_connectionLost || m_context.crashes.suspicionOf(m_fingerprint) == Suspicion::Suspected;
+	const auto preferred = m_context.suspects.preferred(_available.open, m_fingerprint, suspected);
+	const Placement placement = m_context.balancer.choose(preferred, m_placement, m_triedBackends, _now);
+	const bool found = placement.backend && !placement.full;
+	return found || preferred.size() == _available.open.size()
+			   ? placement
+			   : m_context.balancer.choose(_available.open, m_placement, m_triedBackends, _now);
+}
+
+Availability Exchange::available(Micros _now) const
+{
+	return availableWithout(m_triedBackends, _now);
+}
+
+Availability Exchange::availableWithout(const std::vector<std::string>& _excluded, Micros _now) const
+{
+	// Backoffs and limits are applied before the balancer chooses, so that no fallback of the balancer overrides
+	// them.
+	Availability available =
+		m_context.backoffs.available(m_context.directory.usableOf(m_service, _now), _excluded, _now);
+	m_context.limits.narrow(available, _now, m_context.clock.trueTime(_now));
+	return available;
+}
+
+OverloadContext Exchange::roomContext(Micros _now) const
+{
+	OverloadContext context{_now, m_request.received + m_route->targetLatency, m_deadline, m_sendCount > 0,
+							m_mayHaveRun};
+	if (m_context.limits.size() > 0)
+	{
+		const Micros until = m_mayHaveRun ? context.waitUntil : std::min(context.answerTarget, context.waitUntil);
+		const std::size_t allowed =
+			m_context.limits.requestsUntil(m_context.directory.usableOf(m_service, _now),
+										   m_context.clock.trueTime(_now), m_context.clock.trueTime(until));
+		context.behindLimit = m_dispatcher.waitingBefore(this) >= allowed;
+	}
+	return context;
+}
+
+bool Exchange::refuseWithoutRoom(const Availability& _available, Micros _now)
+{
+	const OverloadDecision decision = decideOnOverload(roomContext(_now), _available);
+	if (decision == OverloadDecision::Wait)
+	{
+		return false;
+	}
+	refuse(Failure::NoBackend,
+		   decision == OverloadDecision::RefuseLate ? "no backend server has room"
+													: "all backend servers are in backoffs or at their limits",
+		   retryAfter(_now));
+	return true;
+}
+
+Micros Exchange::retryAfter(Micros _now)
+{
+	const Availability candidates = availableWithout({}, _now);
+	const double jitter = std::uniform_real_distribution<double>()(m_context.random);
+	return retryAfterRefusal(candidates, jitter, kShortRetryAfter, _now);
+}
+
+void Exchange::endBackoffProbe(bool _accepted)
+{
+	if (m_attempt.backoffProbe)
+	{
+		m_attempt.backoffProbe = false;
+		m_context.backoffs.onEnded(m_attempt.key, _accepted);
+	}
+}
+
+} // namespace beacongate
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -8,6 +8,7 @@
 #define BEACONGATE_GATEWAY_GATEWAYCONTEXT_H
 
 #include "coordination/agreedclock.h"
+#include "coordination/backendlimits.h"
 #include "coordination/backofftable.h"
 #include "coordination/balancer.h"
 #include "coordination/contenthistory.h"
@@ -101,6 +102,7 @@
 	StoreReachability storeReachability;
 	Balancer balancer;
 	BackoffTable backoffs;
+	BackendLimits limits;
 	CrashDetector crashDetector{loop};
 	CrashLedger crashes;
 	SuspectPlacement suspects{crashes};
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -169,6 +169,7 @@
 	formatCounter(out, "beacongate_backend_list_reads_total", m_listReads);
 	formatCounter(out, "beacongate_held_for_list_total", m_heldForList);
 	formatCounter(out, "beacongate_backoffs_asked_total", m_backoffsAsked);
+	formatCounter(out, "beacongate_limits_unreadable_total", m_limitsUnreadable);
 	formatCounter(out, "beacongate_backoffs_unreadable_total", m_backoffsUnreadable);
 	formatCounter(out, "beacongate_sends_in_backoff_total", m_sentInBackoff);
 	formatCounter(out, "beacongate_datagrams_unreadable_total", m_datagramsUnreadable);
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -82,6 +82,12 @@
 		++m_backoffsUnreadable;
 	}
 
+	/// Records that a backend server named a limit in an unknown format.
+	void onLimitUnreadable()
+	{
+		++m_limitsUnreadable;
+	}
+
 	/// Records that a request was sent.
 	/// @param[in] _inBackoff True if the backend server's backoff had not ended.
 	void onSentInBackoff(bool _inBackoff)
@@ -127,6 +133,7 @@
 	std::uint64_t m_heldForList = 0;
 	std::uint64_t m_backoffsAsked = 0;
 	std::uint64_t m_backoffsUnreadable = 0;
+	std::uint64_t m_limitsUnreadable = 0;
 	std::uint64_t m_sentInBackoff = 0;
 	std::uint64_t m_datagramsUnreadable = 0;
 	Latencies m_durations;
--- a/src/gateway/gossiper.cpp
+++ b/src/gateway/gossiper.cpp
@@ -148,6 +148,8 @@
 	m_context.admission.setGrantors(m_context.relays.allTopMembers());
 	logGrantorNotices();
 	m_context.retryBudget.setMembers(members);
+	m_context.limits.setMembers(std::max(m_context.relays.memberCount(), m_context.relays.index() + 1),
+								m_context.relays.index());
 	m_context.balancer.setPeerLoadLifetime(
 		std::max(kSecond, kPeerLoadLifetimeFactor * GossipPlan::propagationDelay(members)));
 	m_context.balancer.setManyGateways(m_context.usesCollectors());
--- a/src/gateway/requestinfo.h
+++ b/src/gateway/requestinfo.h
@@ -50,7 +50,10 @@
 	/// Backoff that the backend server requested; set if it rejected the request and gave a delay.
 	std::optional<Micros> backoff;
 	bool backoffUnreadable = false; ///< The delay has an unknown format.
-	std::string id;                 ///< Id of the request to which the answer belongs.
+	/// Requests a second that the backend server takes from all gateways together; nothing if it names no limit.
+	std::optional<double> limit;
+	bool limitUnreadable = false; ///< The limit is no number, or negative.
+	std::string id;               ///< Id of the request to which the answer belongs.
 };
 
 } // namespace beacongate
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -477,6 +477,7 @@
 	const auto& known = m_context.directory.backends();
 	m_context.balancer.retain(known);
 	m_context.backoffs.retain(known);
+	m_context.limits.retain(known);
 	m_context.history.onReplaced(m_context.content, _content);
 	_content.confirmed = std::max(_content.confirmed, m_context.content.confirmed);
 	m_context.content = std::move(_content);
--- a/tests/answerheaderstest.cpp
+++ b/tests/answerheaderstest.cpp
@@ -71,6 +71,28 @@
 	EXPECT_FALSE(read(503, {}).backoff);
 }
 
+TEST(AnswerHeaders, limitIsReadFromAnyAnswer)
+{
+	for (const unsigned status : {200u, 404u, 500u, 503u})
+	{
+		EXPECT_EQ(read(status, {{"server-limit", "2.5"}}).limit, 2.5);
+	}
+	EXPECT_EQ(read(200, {{platform::kLimit, "0"}}).limit, 0.0);
+	EXPECT_EQ(read(200, {{platform::kLimit, "3"}, {platform::kLimit, "2"}}).limit, 2.0);
+	EXPECT_FALSE(read(200, {}).limit);
+	EXPECT_FALSE(read(200, {}).limitUnreadable);
+}
+
+TEST(AnswerHeaders, limitThatIsNoNumberIsIgnoredAndReported)
+{
+	for (const char* value : {"", "soon", "-1", "nan", "inf", "3 s", "1,2", "0x10", "1e3"})
+	{
+		const AnswerInfo info = read(200, {{platform::kLimit, value}});
+		EXPECT_FALSE(info.limit) << value;
+		EXPECT_TRUE(info.limitUnreadable) << value;
+	}
+}
+
 TEST(AnswerHeaders, contentEncodingIsReported)
 {
 	EXPECT_TRUE(read(200, {{"content-encoding", "gzip"}}).encoded);
--- /dev/null
+++ b/tests/backendlimitstest.cpp
@@ -0,0 +1,176 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// Limits that backend servers name, over fleets of gateways in virtual time.
+
+#include "coordination/backendlimits.h"
+#include "coordination/overloadpolicy.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <random>
+#include <vector>
+
+namespace beacongate::test
+{
+namespace
+{
+constexpr Micros kStart = 1'796'000'000 * kSecond; ///< Agreed time at the start.
+constexpr Micros kWindow = 4 * kSecond;
+constexpr double kTolerance = 1.5; ///< Factor on what a limit allows in a window.
+constexpr double kSlack = 5.0;     ///< Requests in a window on top.
+const BackendKey kServer("w1", 1);
+
+/// A fleet whose gateways all know a server's limit.
+struct LimitFleet
+{
+	unsigned gateways = 8;
+	double limit = 1.0;
+	double requestsASecond = 40.0; ///< Requests of all gateways that could go to the server.
+	Micros clockError = 0;         ///< Largest error of a gateway's agreed time.
+	double membersWrong = 0.0;     ///< Share of gateways that miss one member.
+	Micros span = 60 * kSecond;
+
+	/// @returns the times at which requests were sent.
+	std::deque<Micros> run(std::uint64_t _seed) const
+	{
+		std::minstd_rand random(static_cast<std::minstd_rand::result_type>(_seed + 1));
+		std::uniform_real_distribution<double> draw;
+		std::vector<BackendLimits> tables(gateways);
+		std::vector<Micros> errors;
+		for (unsigned number = 0; number < gateways; ++number)
+		{
+			const bool wrong = gateways > 1 && draw(random) < membersWrong;
+			tables[number].setMembers(gateways - (wrong ? 1 : 0), number);
+			errors.push_back(static_cast<Micros>((2.0 * draw(random) - 1.0) * static_cast<double>(clockError)));
+			tables[number].onAnswer(kServer, limit, 0, 0, kStart + errors.back());
+		}
+		std::deque<Micros> sent;
+		std::exponential_distribution<double> gap(requestsASecond);
+		for (Micros now = 0; now < span; now += static_cast<Micros>(gap(random) * static_cast<double>(kSecond)))
+		{
+			const std::size_t number = random() % gateways;
+			if (tables[number].take(kServer, kStart + now + errors[number]))
+			{
+				sent.push_back(now);
+			}
+		}
+		return sent;
+	}
+};
+
+std::size_t maxInWindow(const std::deque<Micros>& _sent)
+{
+	std::size_t largest = 0;
+	for (auto first = _sent.begin(); first != _sent.end(); ++first)
+	{
+		const auto end = std::lower_bound(first, _sent.end(), *first + kWindow);
+		largest = std::max(largest, static_cast<std::size_t>(std::distance(first, end)));
+	}
+	return largest;
+}
+
+/// Checks that a limit is kept over seeds, and used where there is demand.
+/// @param[in] _usedShare Least share of the limit that is used.
+void expectKeptAndUsed(const LimitFleet& _fleet, double _usedShare)
+{
+	constexpr std::uint64_t kSeeds = 20;
+	double used = 0.0;
+	for (std::uint64_t seed = 1; seed <= kSeeds; ++seed)
+	{
+		const auto sent = _fleet.run(seed);
+		EXPECT_LE(static_cast<double>(maxInWindow(sent)), kTolerance * _fleet.limit * 4.0 + kSlack)
+			<< "seed " << seed;
+		used += static_cast<double>(sent.size());
+	}
+	const double share = used / static_cast<double>(kSeeds) / (_fleet.limit * secondsOf(_fleet.span));
+	EXPECT_GE(share, _usedShare);
+	std::cout << _fleet.gateways << " gateways, limit " << _fleet.limit << ": used " << share << '\n';
+}
+} // namespace
+
+TEST(BackendLimits, areKeptAndUsedByFleetsOfAnySize)
+{
+	for (const unsigned gateways : {1u, 3u, 8u, 40u, 300u})
+	{
+		for (const double limit : {0.5, 1.0, 4.0, 30.0})
+		{
+			// Each gateway has about five requests a second, as on the deployments so far.
+			expectKeptAndUsed({gateways, limit, std::max(5.0 * gateways, 3.0 * limit)}, 0.8);
+		}
+	}
+}
+
+TEST(BackendLimits, areKeptWhileClocksDiffer)
+{
+	expectKeptAndUsed({8, 1.0, 40.0, 300 * kMillisecond}, 0.8);
+	expectKeptAndUsed({40, 4.0, 200.0, 300 * kMillisecond}, 0.8);
+}
+
+TEST(BackendLimits, areKeptWhileGatewaysDisagreeOnTheMembers)
+{
+	expectKeptAndUsed({8, 1.0, 40.0, 0, 0.5}, 0.7);
+	expectKeptAndUsed({40, 4.0, 200.0, 0, 0.5}, 0.7);
+}
+
+TEST(BackendLimits, serverWithoutALimitIsNotLimited)
+{
+	BackendLimits limits;
+	EXPECT_TRUE(limits.take(kServer, kStart));
+	limits.onAnswer(kServer, std::nullopt, 1, 2, kStart);
+	EXPECT_TRUE(limits.take(kServer, kStart));
+	EXPECT_EQ(limits.size(), 0u);
+}
+
+TEST(BackendLimits, limitEndsWithAnAnswerToALaterRequestThatNamesNone)
+{
+	BackendLimits limits;
+	limits.onAnswer(kServer, 2.0, 10, 20, kStart);
+	limits.onAnswer(kServer, std::nullopt, 15, 25, kStart); // Sent before the limit was known: it was overtaken.
+	EXPECT_EQ(limits.limitOf(kServer), 2.0);
+	limits.onAnswer(kServer, std::nullopt, 21, 30, kStart);
+	EXPECT_EQ(limits.limitOf(kServer), std::nullopt);
+}
+
+TEST(BackendLimits, limitOfZeroLeavesAFewRequestsThatTellItsEnd)
+{
+	expectKeptAndUsed({8, 0.0, 40.0}, 0.0);
+	BackendLimits limits;
+	limits.onAnswer(kServer, 0.0, 0, 0, kStart);
+	EXPECT_TRUE(limits.take(kServer, kStart + 20 * kSecond));
+}
+
+TEST(BackendLimits, serversWithoutASlotAreLeftOutAndTheNextSlotIsNamed)
+{
+	BackendLimits limits;
+	KnownBackend limited;
+	limited.key = kServer;
+	KnownBackend other;
+	other.key = BackendKey("w2", 1);
+	limits.setMembers(4, 1);
+	limits.onAnswer(kServer, 1.0, 0, 0, kStart);
+	Availability available{{&limited, &other}};
+	limits.narrow(available, 5, kStart);
+	ASSERT_EQ(available.open.size(), 1u);
+	EXPECT_EQ(available.open.front(), &other);
+	EXPECT_LE(available.earliestEnd, 5 + 5 * kSecond);
+	const Micros slot = available.earliestEnd - 5 + kStart;
+	EXPECT_FALSE(limits.take(kServer, slot - 1));
+	EXPECT_EQ(limits.requestsUntil({&limited, &other}, kStart, slot - 1), 0u);
+	EXPECT_EQ(limits.requestsUntil({&limited, &other}, kStart, slot + 8 * kSecond), 3u);
+	EXPECT_TRUE(limits.take(kServer, slot));
+	EXPECT_FALSE(limits.take(kServer, slot));
+}
+
+TEST(OverloadPolicy, requestBehindTheLimitIsRefusedAtOnce)
+{
+	Availability available;
+	available.earliestEnd = 100;
+	EXPECT_EQ(decideOnOverload({0, 200, 300, false, false}, available), OverloadDecision::Wait);
+	EXPECT_EQ(decideOnOverload({0, 200, 300, false, false, true}, available), OverloadDecision::RefuseBackoff);
+}
+
+} // namespace beacongate::test
