Soak: backend servers that name limits

Cause: no stand-in named a limit and no checker counted under one.

Change: profile 'limits' and the promise that a server gets no more than its limit allows, counted from what servers saw and from the gateways that had passed on such an answer; its own case in soakcheckertest.

--- a/tests/soakcheckertest.cpp
+++ b/tests/soakcheckertest.cpp
@@ -378,4 +378,25 @@
 	EXPECT_EQ(countOf(seen, Promise::ServedBesideCrash), 0u);
 }
 
+TEST(SoakChecker, reportsMoreRequestsThanAServersLimitAllows)
+{
+	Observations seen = healthy();
+	seen.serverLimits = {{"w1", 0.5, 20 * kSecond, 50 * kSecond}};
+	seen.requests[20].backend = "w1";
+	seen.requests[20].namesLimit = true;
+	// One request each half second: eight in 4 s are allowed.
+	for (std::size_t number = 40; number < 80; ++number)
+	{
+		seen.arrivals.push_back({"r" + std::to_string(number), "w1", seen.requests[number].sent, 0});
+	}
+	EXPECT_EQ(countOf(seen, Promise::ServerLimitKept), 0u);
+	seen.arrivals.push_back({"r50", "w1", seen.requests[50].sent, 0});
+	EXPECT_EQ(countOf(seen, Promise::ServerLimitKept), 1u);
+	seen.requests[20].namesLimit = false; // No gateway was told.
+	EXPECT_EQ(countOf(seen, Promise::ServerLimitKept), 0u);
+	seen.requests[20].namesLimit = true;
+	seen.disruptions = {{"pause", 34 * kSecond, 35 * kSecond, 0}};
+	EXPECT_EQ(countOf(seen, Promise::ServerLimitKept), 0u);
+}
+
 } // namespace beacongate::test
--- a/tools/soak.cpp
+++ b/tools/soak.cpp
@@ -87,11 +87,12 @@
 		{"narrow-departures", soak::SoakProfile::NarrowDepartures},
 		{"answers", soak::SoakProfile::Answers},
 		{"crashes", soak::SoakProfile::Crashes},
+		{"limits", soak::SoakProfile::Limits},
 		{"quotas", soak::SoakProfile::Quotas},
 		{"lowered-quotas", soak::SoakProfile::LoweredQuotas}};
 	app.add_option("--profile", options.profile,
-				   "Faults to inject: mixed, departures, narrow-departures, answers, crashes, quotas or "
-				   "lowered-quotas [mixed]")
+				   "Faults to inject: mixed, departures, narrow-departures, answers, crashes, limits, quotas "
+				   "or lowered-quotas [mixed]")
 		->transform(CLI::CheckedTransformer(profiles, CLI::ignore_case));
 	app.add_option("--gateways", options.gateways, "Number of gateways [3]")
 		->check(CLI::Range(1u, soak::Soak::kMaxGateways));
--- a/tools/soak/answercheck.cpp
+++ b/tools/soak/answercheck.cpp
@@ -109,4 +109,75 @@
 	}
 }
 
+namespace
+{
+/// @returns when each process first forwarded an answer of a backend server that named a limit, within a span.
+std::map<std::pair<unsigned, std::uint64_t>, Micros> firstNamings(const Observations& _seen,
+																  const ServerLimit& _limit)
+{
+	std::map<std::pair<unsigned, std::uint64_t>, Micros> named;
+	for (const ObservedRequest& request : _seen.requests)
+	{
+		if (request.namesLimit && request.backend == _limit.backend && request.sent >= _limit.from)
+		{
+			Micros& first = named.try_emplace({request.gateway, request.start}, request.ended).first->second;
+			first = std::min(first, request.ended);
+		}
+	}
+	return named;
+}
+
+/// @returns the arrivals that count under a limit, in order.
+std::vector<Micros> countedArrivals(const Observations& _seen, const ServerLimit& _limit)
+{
+	std::unordered_map<std::string, const ObservedRequest*> requests;
+	for (const ObservedRequest& request : _seen.requests)
+	{
+		requests[request.id] = &request;
+	}
+	const auto named = firstNamings(_seen, _limit);
+	std::vector<Micros> counted;
+	for (const ObservedArrival& arrival : _seen.arrivals)
+	{
+		const auto found = requests.find(arrival.id);
+		if (arrival.backend != _limit.backend || found == requests.end() ||
+			arrival.at < _limit.from + _seen.bounds.contact || arrival.at > _limit.until)
+		{
+			continue;
+		}
+		const ObservedRequest& request = *found->second;
+		const auto told = named.find({request.gateway, request.start});
+		const bool isTold = told != named.end() && told->second + _seen.bounds.inFlightSpan <= arrival.at;
+		if (isTold && ranThroughout(_seen, request.gateway, arrival.at - _seen.bounds.contact, arrival.at))
+		{
+			counted.push_back(arrival.at);
+		}
+	}
+	std::sort(counted.begin(), counted.end());
+	return counted;
+}
+} // namespace
+
+void checkServerLimits(const Observations& _seen, std::vector<Finding>& _findings)
+{
+	for (const ServerLimit& limit : _seen.serverLimits)
+	{
+		const std::vector<Micros> arrivals = countedArrivals(_seen, limit);
+		std::size_t largest = 0;
+		for (auto first = arrivals.begin(); first != arrivals.end(); ++first)
+		{
+			const auto end = std::lower_bound(first, arrivals.end(), *first + _seen.bounds.limitWindow);
+			largest = std::max(largest, static_cast<std::size_t>(std::distance(first, end)));
+		}
+		const double allowed = _seen.bounds.limitFactor * limit.perSecond * secondsOf(_seen.bounds.limitWindow) +
+							   _seen.bounds.limitSlack;
+		if (static_cast<double>(largest) > allowed)
+		{
+			_findings.push_back({Promise::ServerLimitKept,
+								 "backend " + limit.backend + " named " + std::to_string(limit.perSecond) +
+									 " a second and got " + std::to_string(largest) + " requests in 4 s"});
+		}
+	}
+}
+
 } // namespace beacongate::soak
--- a/tools/soak/answercheck.h
+++ b/tools/soak/answercheck.h
@@ -16,6 +16,11 @@
 /// @remarks A gateway that was killed, stopped or paused in that time is exempt; faults of the store exempt none.
 void checkAnswersFollowed(const Observations& _seen, std::vector<Finding>& _findings);
 
+/// Adds a finding for each backend server that got more requests in a window than the limit that it named allows,
+/// over all gateways that had passed on such an answer half a second before and that were not killed, stopped or
+/// paused in the time that gateways have for a change.
+void checkServerLimits(const Observations& _seen, std::vector<Finding>& _findings);
+
 } // namespace beacongate::soak
 
 #endif // BEACONGATE_TOOLS_SOAK_ANSWERCHECK_H
--- a/tools/soak/caller.cpp
+++ b/tools/soak/caller.cpp
@@ -173,6 +173,7 @@
 	const bool own = findHeader(head.headers, platform::kRequestId) == _request.id;
 	const bool stamped = !findHeader(head.headers, platform::kStamp).empty();
 	_request.backend = findHeader(head.headers, platform::kStamp);
+	_request.namesLimit = !findHeader(head.headers, platform::kLimit).empty();
 	_request.announcesLeaving = findHeader(head.headers, platform::kLeaving) == "1";
 	_request.correct = own && (head.status != kOk || (stamped && body == expectedBody(_request)));
 	// Bytes after the end of an answer belong to no request, which makes the answer wrong.
--- a/tools/soak/checker.cpp
+++ b/tools/soak/checker.cpp
@@ -378,6 +378,8 @@
 		return "crashing-stopped";
 	case Promise::ServedBesideCrash:
 		return "served-beside-crash";
+	case Promise::ServerLimitKept:
+		return "server-limit-kept";
 	}
 	return "unknown";
 }
@@ -404,6 +406,7 @@
 	checkAnswersFollowed(_seen, findings);
 	checkQuotas(_seen, findings);
 	checkCrashes(_seen, findings);
+	checkServerLimits(_seen, findings);
 	return findings;
 }
 
--- a/tools/soak/checker.h
+++ b/tools/soak/checker.h
@@ -35,6 +35,7 @@
 	ServedBelowLimit,  ///< A team that asks for less than its limit is not refused.
 	CrashingStopped,   ///< A request that crashed several backend servers is not sent to others.
 	ServedBesideCrash, ///< Other requests are served beside one that crashes backend servers.
+	ServerLimitKept,   ///< A backend server gets no more requests than the limit that it names allows.
 };
 
 /// @returns the name used in reports.
--- a/tools/soak/observations.h
+++ b/tools/soak/observations.h
@@ -49,6 +49,7 @@
 	bool abandoned = false; ///< The caller closed the connection before the answer was complete.
 	std::string backend;    ///< Backend server that answered; empty if the gateway itself generated the answer.
 	bool announcesLeaving = false; ///< The answer announces that the backend server accepts no new work.
+	bool namesLimit = false;       ///< The answer names a limit of the backend server.
 	std::string team;              ///< Team with a limit; empty for the team without one.
 	std::string body = "body";     ///< Body of a request that is not Safe.
 	bool crashes = false;          ///< Backend servers crash when they run it.
@@ -94,6 +95,15 @@
 	Micros requestedBackoff = 0; ///< Backoff that the answer requested of the gateway; 0 if none.
 };
 
+/// A time in which a backend server named a limit in its answers.
+struct ServerLimit
+{
+	std::string backend;
+	double perSecond = 0.0;
+	Micros from = 0;
+	Micros until = kNever;
+};
+
 /// A fault or a change that was injected into a gateway, all gateways, the store or a backend server.
 struct Disruption
 {
@@ -150,6 +160,9 @@
 	Micros acceptSpan = 2500 * kMillisecond; ///< From a stop request until new requests may remain unanswered.
 	std::size_t crashesAllowed = 3;   ///< Backend servers that one request may crash before it has to be stopped.
 	std::size_t lateSends = 3;        ///< Times that it may be sent later than `contact` after that.
+	Micros limitWindow = 4 * kSecond; ///< Window over which the requests to a server with a limit are counted.
+	double limitFactor = 1.5;         ///< Factor on what a server's limit allows in a window.
+	double limitSlack = 5.0;          ///< Requests in a window in addition.
 	Micros quotaWindow = 8 * kSecond; ///< Window over which a team's runs are counted.
 	double quotaTolerance = 0.1;      ///< Share of the window's limit that may run in addition.
 };
@@ -162,6 +175,7 @@
 	std::vector<ObservedRun> runs;
 	std::vector<ObservedArrival> arrivals;
 	std::vector<ObservedCrash> crashes;
+	std::vector<ServerLimit> serverLimits;
 	std::vector<Disruption> disruptions;
 	std::vector<PlannedStop> stops;
 	std::vector<Departure> departures;
--- a/tools/soak/soak.cpp
+++ b/tools/soak/soak.cpp
@@ -370,7 +370,8 @@
 	std::signal(SIGPIPE, SIG_IGN);
 	m_store = std::make_unique<standin::PlatformStore>(Address{host(kPlatformHost), kStorePort});
 	m_duties = std::make_unique<standin::PlatformDuties>(Address{host(kPlatformHost), kDutyPort});
-	const unsigned backends = m_options.profile == SoakProfile::Crashes ? kCrashBackends : kBackends;
+	const bool many = m_options.profile == SoakProfile::Crashes || m_options.profile == SoakProfile::Limits;
+	const unsigned backends = many ? kManyBackends : kBackends;
 	for (unsigned number = 0; number < backends; ++number)
 	{
 		addBackend();
@@ -430,6 +431,12 @@
 			runUntil(monotonicNow() + drawSpan(300 * kMillisecond, 3 * kSecond));
 			continue;
 		}
+		if (m_options.profile == SoakProfile::Limits)
+		{
+			injectLimitFault();
+			runUntil(monotonicNow() + drawSpan(100 * kMillisecond, 1500 * kMillisecond));
+			continue;
+		}
 		if (m_options.profile == SoakProfile::Crashes)
 		{
 			injectCrashFault();
--- a/tools/soak/soak.h
+++ b/tools/soak/soak.h
@@ -46,6 +46,9 @@
 	/// Callers send requests that crash the backend servers which run them, beside all faults of Answers and
 	/// crashes without such a request.
 	Crashes,
+	/// Backend servers name limits in their answers for a while, beside stalls, pauses, kills and stops of gateways
+	/// and faults of the store.
+	Limits,
 };
 
 /// Parameters of a soak.
@@ -123,6 +126,8 @@
 	double slackOf(const standin::SiteTeam& _team) const;
 	/// Sets which requests crash a backend server, and what its restart changes.
 	void setCrashRule(Backend& _backend);
+	void nameLimit();
+	void injectLimitFault();
 	void makeCrashing(ObservedRequest& _request, std::minstd_rand& _random) const;
 	void crashBackend();
 	void injectCrashFault();
--- a/tools/soak/soak_p.h
+++ b/tools/soak/soak_p.h
@@ -15,8 +15,8 @@
 {
 /// Number of backend servers that accept work during the whole soak.
 inline constexpr unsigned kBackends = 3;
-/// Number of backend servers in soaks in which requests crash them.
-inline constexpr unsigned kCrashBackends = 8;
+/// Number of backend servers in soaks in which some of them take few requests or none.
+inline constexpr unsigned kManyBackends = 8;
 /// Port at which gateways accept requests.
 inline constexpr std::uint16_t kCallerPort = 19100;
 
@@ -42,6 +42,7 @@
 	std::unique_ptr<FaultProxy> link;
 	bool leaving = false;
 	bool rejecting = false; ///< The backend server currently rejects requests.
+	bool limited = false;   ///< The backend server currently names a limit.
 };
 
 } // namespace beacongate::soak
--- a/tools/soak/soakanswers.cpp
+++ b/tools/soak/soakanswers.cpp
@@ -65,6 +65,66 @@
 			 });
 }
 
+void Soak::nameLimit()
+{
+	constexpr std::array kLimits = {0.5, 1.0, 2.0, 4.0};
+	Backend& backend = *m_backends[drawIndex(m_backends.size())];
+	if (backend.limited)
+	{
+		return;
+	}
+	backend.limited = true;
+	const double limit = kLimits[drawIndex(kLimits.size())];
+	backend.worker->setLimit(std::to_string(limit));
+	std::size_t number = 0;
+	{
+		const std::lock_guard<std::mutex> guard(m_mutex);
+		number = m_seen.serverLimits.size();
+		m_seen.serverLimits.push_back({backend.id, limit, monotonicNow(), kNever});
+	}
+	schedule(drawSpan(6 * kSecond, 12 * kSecond),
+			 [this, &backend, number]
+			 {
+				 {
+					 const std::lock_guard<std::mutex> guard(m_mutex);
+					 m_seen.serverLimits[number].until = monotonicNow();
+				 }
+				 backend.worker->setLimit("");
+				 backend.limited = false;
+			 });
+}
+
+void Soak::injectLimitFault()
+{
+	const auto number = static_cast<unsigned>(drawIndex(m_gateways.size()));
+	const Gateway& gateway = *m_gateways[number];
+	const bool isRunning = !gateway.stopRequested && !gateway.paused && gateway.process->running();
+	switch (drawIndex(10))
+	{
+	case 0:
+		isRunning ? stallGateway(number) : void();
+		break;
+	case 1:
+		isRunning ? pauseGateway(number) : void();
+		break;
+	case 2:
+		isRunning ? killGateway(number) : void();
+		break;
+	case 3:
+		isRunning ? stopGateway(number) : void();
+		break;
+	case 4:
+		failStore();
+		break;
+	case 5:
+		gateway.storeLinkFaulty ? void() : slowStore(number);
+		break;
+	default:
+		nameLimit();
+		break;
+	}
+}
+
 void Soak::injectAnswerFault()
 {
 	const auto number = static_cast<unsigned>(drawIndex(m_gateways.size()));
