Tell all gateways of limits that backend servers name, and of their end

What callers would see: after a server's limit has ended, each gateway keeps it until its own next turn, since only an answer tells the end: five minutes with 300 gateways and one request a second. Callers are refused meanwhile although there is room.

Cause: a limit was known from a gateway's own answers alone, and under a limit it gets few of them.

What was said later, in agreed time, holds; an answer without a limit counts from the sending of its request.

--- a/src/coordination/backendlimits.cpp
+++ b/src/coordination/backendlimits.cpp
@@ -17,31 +17,78 @@
 void BackendLimits::onAnswer(BackendKey _key, std::optional<double> _limit, Micros _sent, Micros _now,
 							 Micros _agreed)
 {
-	const auto known = m_entries.find(_key);
-	if (!_limit || *_limit > kMaxRate)
+	// An answer without a limit counts from the sending of its request, so that it does not end a limit that an
+	// answer which overtook it has named.
+	apply(_key, _limit, _limit ? _agreed : _agreed - (_now - _sent), true, _agreed);
+}
+
+void BackendLimits::apply(BackendKey _key, std::optional<double> _limit, Micros _saidAt, bool _own, Micros _agreed)
+{
+	const bool limited = _limit && *_limit <= kMaxRate;
+	if (!limited && !m_entries.count(_key))
 	{
-		if (known != m_entries.end() && _sent > known->second.namedAt)
-		{
-			m_entries.erase(known);
-		}
 		return;
 	}
-	const double rate = std::max(*_limit, kMinRate);
 	Entry& entry = m_entries[_key];
-	entry.namedAt = _now;
+	if (_saidAt <= entry.saidAt)
+	{
+		return;
+	}
+	entry.saidAt = _saidAt;
+	const double rate = limited ? std::max(*_limit, kMinRate) : 0.0;
 	if (entry.rate == rate)
 	{
 		return;
 	}
 	entry.rate = rate;
-	entry.slot = std::max<Micros>(1, static_cast<Micros>(static_cast<double>(kSecond) / rate));
-	entry.nextSlot = static_cast<std::uint64_t>(_agreed / entry.slot) + 1;
+	entry.reportRounds = kReportRounds;
+	entry.ownChange = _own;
+	if (rate > 0.0)
+	{
+		entry.slot = std::max<Micros>(1, static_cast<Micros>(static_cast<double>(kSecond) / rate));
+		entry.nextSlot = static_cast<std::uint64_t>(_agreed / entry.slot) + 1;
+	}
 }
 
-std::optional<double> BackendLimits::limitOf(BackendKey _key) const
+void BackendLimits::merge(const std::vector<BackendLimitRecord>& _records, Micros _agreed)
+{
+	for (const BackendLimitRecord& record : _records)
+	{
+		apply(record.key, record.limit, _agreed - std::max<Micros>(0, record.age), false, _agreed);
+	}
+}
+
+std::vector<BackendLimitRecord> BackendLimits::takeChanges(bool _relay, std::size_t _maxCount, Micros _agreed)
+{
+	std::vector<BackendLimitRecord> records;
+	for (auto& [key, entry] : m_entries)
+	{
+		if (records.size() < _maxCount && entry.reportRounds > 0 && (_relay || entry.ownChange))
+		{
+			--entry.reportRounds;
+			const auto limit = entry.rate > 0.0 ? std::optional<double>(entry.rate) : std::nullopt;
+			records.push_back({key, limit, std::max<Micros>(0, _agreed - entry.saidAt)});
+		}
+	}
+	return records;
+}
+
+const BackendLimits::Entry* BackendLimits::find(BackendKey _key) const
 {
 	const auto entry = m_entries.find(_key);
-	return entry == m_entries.end() ? std::nullopt : std::optional<double>(entry->second.rate);
+	return entry == m_entries.end() || entry->second.rate <= 0.0 ? nullptr : &entry->second;
+}
+
+std::size_t BackendLimits::size() const
+{
+	return static_cast<std::size_t>(std::count_if(m_entries.begin(), m_entries.end(),
+												  [](const auto& _entry) { return _entry.second.rate > 0.0; }));
+}
+
+std::optional<double> BackendLimits::limitOf(BackendKey _key) const
+{
+	const Entry* entry = find(_key);
+	return entry ? std::optional<double>(entry->rate) : std::nullopt;
 }
 
 Micros BackendLimits::lifetimeOf(const Entry& _entry)
@@ -62,7 +109,7 @@
 bool BackendLimits::take(BackendKey _key, Micros _agreed)
 {
 	const auto entry = m_entries.find(_key);
-	if (entry == m_entries.end())
+	if (entry == m_entries.end() || entry->second.rate <= 0.0)
 	{
 		return true;
 	}
@@ -83,13 +130,13 @@
 	}
 	const auto mustWait = [&](const KnownBackend* _backend)
 	{
-		const auto entry = m_entries.find(_backend->key);
-		if (entry == m_entries.end())
+		const Entry* entry = find(_backend->key);
+		if (!entry)
 		{
 			return false;
 		}
-		const auto slot = static_cast<Micros>(ownSlot(_backend->key, entry->second, _agreed));
-		const Micros wait = slot * entry->second.slot - _agreed;
+		const auto slot = static_cast<Micros>(ownSlot(_backend->key, *entry, _agreed));
+		const Micros wait = slot * entry->slot - _agreed;
 		if (wait <= 0)
 		{
 			return false;
@@ -106,13 +153,13 @@
 	std::size_t count = 0;
 	for (const KnownBackend* backend : _backends)
 	{
-		const auto entry = m_entries.find(backend->key);
-		if (entry == m_entries.end())
+		const Entry* entry = find(backend->key);
+		if (!entry)
 		{
 			continue;
 		}
-		const std::uint64_t first = ownSlot(backend->key, entry->second, _agreed);
-		const auto last = static_cast<std::uint64_t>(std::max(_agreed, _until) / entry->second.slot);
+		const std::uint64_t first = ownSlot(backend->key, *entry, _agreed);
+		const auto last = static_cast<std::uint64_t>(std::max(_agreed, _until) / entry->slot);
 		count += first > last ? 0 : 1 + static_cast<std::size_t>((last - first) / m_members);
 	}
 	return count;
--- a/src/coordination/backendlimits.h
+++ b/src/coordination/backendlimits.h
@@ -17,6 +17,14 @@
 
 namespace beacongate
 {
+/// What a backend server last said of its limit, as one gateway reports it to another.
+struct BackendLimitRecord
+{
+	BackendKey key;
+	std::optional<double> limit; ///< Requests a second; nothing if the limit ended.
+	Micros age = 0;              ///< Time since the server said so.
+};
+
 /// Rates that backend servers named, by incarnation, and this gateway's turns under them.
 ///
 /// Time is divided into slots, one for each request that a server allows. All gateways take turns: the slots of a
@@ -25,6 +33,10 @@
 /// the rate would be the same on average; with turns they are not all used at the same time, and a share of less
 /// than a request is still one request in a while.
 ///
+/// Gateways tell each other of limits that are named, changed or ended. Without it, a gateway would hear of the end
+/// of a limit in its next slot alone, which comes after minutes where there are many gateways. What was said later
+/// holds.
+///
 /// Slots are counted in the time that most gateways agree on (AgreedClock). While gateways disagree on the members,
 /// two may use one slot and none another one; on average the rate is kept.
 class BackendLimits
@@ -68,24 +80,39 @@
 	std::size_t requestsUntil(const std::vector<const KnownBackend*>& _backends, Micros _agreed,
 							  Micros _until) const;
 
+	/// Times for which each change is reported, since datagrams may be lost.
+	static constexpr unsigned kReportRounds = 4;
+
+	/// Merges what other gateways heard.
+	void merge(const std::vector<BackendLimitRecord>& _records, Micros _agreed);
+
+	/// @returns the changes to be reported in this round.
+	/// @param[in] _relay Include changes that were merged from other gateways.
+	/// @param[in] _maxCount Largest number of records; the others remain for the next round.
+	std::vector<BackendLimitRecord> takeChanges(bool _relay, std::size_t _maxCount, Micros _agreed);
+
 	/// Removes backend servers that are no longer known.
 	void retain(const std::map<std::string, KnownBackend>& _known);
 
 	/// @returns the number of servers with a limit.
-	std::size_t size() const
-	{
-		return m_entries.size();
-	}
+	std::size_t size() const;
 
 private:
 	struct Entry
 	{
-		double rate = 0.0;
+		double rate = 0.0;          ///< 0 after the limit has ended.
 		Micros slot = kSecond;      ///< Length of a slot.
 		std::uint64_t nextSlot = 0; ///< First slot that this gateway has not used.
-		Micros namedAt = 0;         ///< When an answer last named the limit, by the steady clock.
+		Micros saidAt = 0;          ///< Agreed time at which the server last named the limit, or no limit.
+		unsigned reportRounds = 0;  ///< Rounds in which the last change is still to be reported.
+		bool ownChange = false;     ///< The last change was in an answer to this gateway.
 	};
 
+	/// Applies what a server said.
+	void apply(BackendKey _key, std::optional<double> _limit, Micros _saidAt, bool _own, Micros _agreed);
+	/// @returns the entry of a server that has a limit, or nullptr.
+	const Entry* find(BackendKey _key) const;
+
 	/// @returns the first slot of this gateway that is not over; slots before Entry::nextSlot are used.
 	std::uint64_t ownSlot(BackendKey _key, const Entry& _entry, Micros _agreed) const;
 	static Micros lifetimeOf(const Entry& _entry);
--- a/src/gateway/crashexchange.cpp
+++ b/src/gateway/crashexchange.cpp
@@ -4,10 +4,9 @@
 #include "gateway/crashexchange.h"
 
 #include "daemon/logging.h"
+#include "gateway/fleettargets.h"
 #include "protocol/crashcodec.h"
 
-#include <algorithm>
-
 namespace beacongate
 {
 CrashExchange::CrashExchange(GatewayContext& _context, Send _send) : m_context(_context), m_send(std::move(_send))
@@ -21,35 +20,14 @@
 		});
 }
 
-std::vector<std::string> CrashExchange::collectors() const
-{
-	return m_context.relays.topMembers(m_context.settings.dataCentre, RelayChoice::kTopMembers);
-}
-
-std::vector<std::string> CrashExchange::changeTargets(bool _collector, Micros _now) const
-{
-	if (!m_context.usesCollectors())
-	{
-		return m_context.peers.targets(_now);
-	}
-	std::vector<std::string> hosts = collectors();
-	const bool first = !hosts.empty() && hosts.front() == m_context.settings.callers.host;
-	if (_collector && first)
-	{
-		hosts = m_context.relays.membersOf(m_context.settings.dataCentre);
-		const std::vector<std::string> others = m_context.relays.allTopMembers();
-		hosts.insert(hosts.end(), others.begin(), others.end());
-	}
-	return hosts;
-}
-
 std::vector<std::string> CrashExchange::compareTargets(bool _collector, Micros _now) const
 {
 	if (!m_context.usesCollectors())
 	{
 		return m_context.peers.targets(_now);
 	}
-	return _collector ? m_context.relays.allTopMembers() : collectors();
+	return _collector ? m_context.relays.allTopMembers()
+					  : m_context.relays.topMembers(m_context.settings.dataCentre, RelayChoice::kTopMembers);
 }
 
 void CrashExchange::send(CrashReportKind _kind, std::vector<CrashRecord> _records, const std::string& _host)
@@ -59,21 +37,15 @@
 
 void CrashExchange::sendChanges(bool _collector, Micros _now)
 {
-	const bool relays = _collector && m_context.usesCollectors();
-	const std::vector<CrashRecord> changes = m_context.crashes.takeChanges(relays, kMaxChanges, _now);
+	const std::vector<CrashRecord> changes =
+		m_context.crashes.takeChanges(relaysChanges(m_context, _collector), kMaxChanges, _now);
 	if (changes.empty())
 	{
 		return;
 	}
-	std::vector<std::string> hosts = changeTargets(_collector, _now);
-	std::sort(hosts.begin(), hosts.end());
-	hosts.erase(std::unique(hosts.begin(), hosts.end()), hosts.end());
-	for (const std::string& host : hosts)
+	for (const std::string& host : changeTargets(m_context, _collector, _now))
 	{
-		if (host != m_context.settings.callers.host)
-		{
-			send(CrashReportKind::Changes, changes, host);
-		}
+		send(CrashReportKind::Changes, changes, host);
 	}
 }
 
--- a/src/gateway/crashexchange.h
+++ b/src/gateway/crashexchange.h
@@ -44,9 +44,6 @@
 	bool onDatagram(std::string_view _bytes, const std::string& _sender);
 
 private:
-	std::vector<std::string> collectors() const;
-	/// @returns the hosts to which changes are sent.
-	std::vector<std::string> changeTargets(bool _collector, Micros _now) const;
 	/// @returns the hosts with one of which the ledger is compared next.
 	std::vector<std::string> compareTargets(bool _collector, Micros _now) const;
 	void sendChanges(bool _collector, Micros _now);
--- a/src/gateway/gossiper.cpp
+++ b/src/gateway/gossiper.cpp
@@ -7,8 +7,10 @@
 #include "beacongate/limits.h"
 #include "coordination/gossipplan.h"
 #include "daemon/logging.h"
+#include "gateway/fleettargets.h"
 #include "gateway/memberkeys.h"
 #include "protocol/gossipcodec.h"
+#include "protocol/limitcodec.h"
 #include "protocol/quotacodec.h"
 
 #include <algorithm>
@@ -163,6 +165,7 @@
 		sendToPeers(now);
 	}
 	m_crashExchange.tick(isCollector(), now);
+	sendLimits(now);
 	++m_round;
 	const Micros pause = m_context.jittered(GossipPlan::roundInterval(members));
 	m_due = now + pause;
@@ -228,6 +231,22 @@
 	}
 }
 
+void Gossiper::sendLimits(Micros _now)
+{
+	const bool collector = isCollector();
+	const std::vector<BackendLimitRecord> changes = m_context.limits.takeChanges(
+		relaysChanges(m_context, collector), kMaxLimitRecords, m_context.clock.trueTime(_now));
+	if (changes.empty())
+	{
+		return;
+	}
+	const std::string bytes = encodeLimits(changes);
+	for (const std::string& host : changeTargets(m_context, collector, _now))
+	{
+		sendBytes(bytes, host);
+	}
+}
+
 void Gossiper::logGrantorNotices()
 {
 	for (const GrantorNotice& notice : m_context.admission.takeNotices())
--- a/src/gateway/gossiper.h
+++ b/src/gateway/gossiper.h
@@ -53,8 +53,11 @@
 	void send(const GossipMessage& _message, const std::string& _host);
 	void sendBytes(const std::string& _bytes, const std::string& _host);
 	void onQuotaDatagram(std::string_view _bytes, const std::string& _sender);
+	void onLimitDatagram(std::string_view _bytes, const std::string& _sender);
 	void onQuotaMessage(const QuotaMessage& _message, const std::string& _sender);
 	void logGrantorNotices();
+	/// Sends the changes of backend servers' limits.
+	void sendLimits(Micros _now);
 	void receive();
 	void readDatagrams();
 	void onDatagram(std::string_view _bytes, const std::string& _sender);
--- a/src/gateway/gossiperreceive.cpp
+++ b/src/gateway/gossiperreceive.cpp
@@ -8,6 +8,7 @@
 #include "gateway/gossiper.h"
 #include "protocol/crashcodec.h"
 #include "protocol/gossipcodec.h"
+#include "protocol/limitcodec.h"
 #include "protocol/quotacodec.h"
 
 #include <algorithm>
@@ -80,6 +81,17 @@
 	onQuotaMessage(*message, _sender);
 }
 
+void Gossiper::onLimitDatagram(std::string_view _bytes, const std::string& _sender)
+{
+	const std::optional<std::vector<BackendLimitRecord>> records = decodeLimits(_bytes);
+	if (!records)
+	{
+		onUnreadable(_sender);
+		return;
+	}
+	m_context.limits.merge(*records, m_context.clock.trueTime(monotonicNow()));
+}
+
 void Gossiper::onQuotaMessage(const QuotaMessage& _message, const std::string& _sender)
 {
 	const Micros now = monotonicNow();
@@ -104,6 +116,11 @@
 		m_crashExchange.onDatagram(_bytes, _sender) ? void() : onUnreadable(_sender);
 		return;
 	}
+	if (isLimitDatagram(_bytes))
+	{
+		onLimitDatagram(_bytes, _sender);
+		return;
+	}
 	if (isQuotaDatagram(_bytes))
 	{
 		onQuotaDatagram(_bytes, _sender);
--- a/src/protocol/crashcodec.cpp
+++ b/src/protocol/crashcodec.cpp
@@ -3,6 +3,7 @@
 
 #include "protocol/crashcodec.h"
 
+#include "protocol/datagramkind.h"
 #include "protocol/json.h"
 
 #include <algorithm>
@@ -11,15 +12,7 @@
 {
 namespace
 {
-/// The format number and the kind are the first two fields, as in all datagrams between gateways. Gossip uses the
-/// kinds up to 3 and quota grants those up to 6.
-constexpr std::uint64_t kFormat = 7;
-constexpr unsigned kCrashReport = 7;
-/// Mask and value of the first byte of a MessagePack list of up to 15 elements.
-constexpr unsigned kShortListMask = 0xF0;
-constexpr unsigned kShortListPrefix = 0x90;
-/// Place of the kind in a datagram whose format number is below 128.
-constexpr std::size_t kKindOffset = 2;
+constexpr unsigned kKind = static_cast<unsigned>(DatagramKind::CrashReport);
 
 Json encodeRecord(const CrashRecord& _record)
 {
@@ -72,7 +65,7 @@
 		records.push_back(encodeRecord(record));
 	}
 	const Json fields = Json::array(
-		{kFormat, kCrashReport, static_cast<unsigned>(_report.kind), _report.digest, std::move(records)});
+		{kDatagramFormat, kKind, static_cast<unsigned>(_report.kind), _report.digest, std::move(records)});
 	std::string bytes;
 	Json::to_msgpack(fields, bytes);
 	return bytes;
@@ -80,9 +73,7 @@
 
 bool isCrashDatagram(std::string_view _bytes)
 {
-	return _bytes.size() > kKindOffset &&
-		   (static_cast<unsigned char>(_bytes.front()) & kShortListMask) == kShortListPrefix &&
-		   static_cast<unsigned char>(_bytes[kKindOffset]) == kCrashReport;
+	return isOfKind(_bytes, DatagramKind::CrashReport);
 }
 
 std::optional<CrashReport> decodeCrashReport(std::string_view _bytes)
@@ -91,8 +82,8 @@
 	try
 	{
 		// A later format may have more fields at its end, which are ignored.
-		if (!fields.is_array() || fields.at(0).get<std::uint64_t>() < kFormat ||
-			fields.at(1).get<unsigned>() != kCrashReport)
+		if (!fields.is_array() || fields.at(0).get<std::uint64_t>() < kDatagramFormat ||
+			fields.at(1).get<unsigned>() != kKind)
 		{
 			return std::nullopt;
 		}
--- a/tests/backendlimitstest.cpp
+++ b/tests/backendlimitstest.cpp
@@ -6,6 +6,11 @@
 
 #include "coordination/backendlimits.h"
 #include "coordination/overloadpolicy.h"
+#include "golden.h"
+#include "protocol/crashcodec.h"
+#include "protocol/gossipcodec.h"
+#include "protocol/limitcodec.h"
+#include "protocol/quotacodec.h"
 
 #include <gtest/gtest.h>
 
@@ -128,11 +133,50 @@
 TEST(BackendLimits, limitEndsWithAnAnswerToALaterRequestThatNamesNone)
 {
 	BackendLimits limits;
-	limits.onAnswer(kServer, 2.0, 10, 20, kStart);
-	limits.onAnswer(kServer, std::nullopt, 15, 25, kStart); // Sent before the limit was known: it was overtaken.
+	limits.onAnswer(kServer, 2.0, 10, 20, kStart + 20);
+	limits.onAnswer(kServer, std::nullopt, 15, 25,
+					kStart + 25); // Sent before the limit was known: it was overtaken.
 	EXPECT_EQ(limits.limitOf(kServer), 2.0);
-	limits.onAnswer(kServer, std::nullopt, 21, 30, kStart);
+	limits.onAnswer(kServer, std::nullopt, 21, 30, kStart + 30);
 	EXPECT_EQ(limits.limitOf(kServer), std::nullopt);
+	EXPECT_EQ(limits.size(), 0u);
+}
+
+TEST(BackendLimits, gatewaysTellEachOtherOfALimitAndOfItsEnd)
+{
+	BackendLimits first;
+	BackendLimits second;
+	first.onAnswer(kServer, 2.0, 0, 10, kStart + 10);
+	second.merge(first.takeChanges(false, kMaxLimitRecords, kStart + 50), kStart + 60);
+	EXPECT_EQ(second.limitOf(kServer), 2.0);
+	EXPECT_TRUE(second.takeChanges(false, kMaxLimitRecords, kStart + 70).empty());
+	EXPECT_EQ(second.takeChanges(true, kMaxLimitRecords, kStart + 70).size(), 1u);
+	second.onAnswer(kServer, std::nullopt, 100, 110, kStart + 110);
+	first.merge(second.takeChanges(false, kMaxLimitRecords, kStart + 120), kStart + 130);
+	EXPECT_EQ(first.limitOf(kServer), std::nullopt);
+	first.merge({{kServer, 2.0, 100}}, kStart + 140); // Said before the limit ended.
+	EXPECT_EQ(first.limitOf(kServer), std::nullopt);
+}
+
+TEST(BackendLimits, reportsAreEncodedAndOtherDatagramsAreNone)
+{
+	const std::vector<BackendLimitRecord> records{{kServer, 2.5, 1000}, {BackendKey("w2", 1), std::nullopt, 0}};
+	const std::string bytes = encodeLimits(records);
+	EXPECT_TRUE(isLimitDatagram(bytes));
+	EXPECT_FALSE(decodeGossip(bytes));
+	EXPECT_FALSE(decodeQuota(bytes));
+	EXPECT_FALSE(decodeCrashReport(bytes));
+	EXPECT_FALSE(isLimitDatagram(encodeCrashReport({})));
+	EXPECT_FALSE(isLimitDatagram(encodeGossip(GossipMessage())));
+	const auto decoded = decodeLimits(bytes);
+	ASSERT_TRUE(decoded);
+	ASSERT_EQ(decoded->size(), 2u);
+	EXPECT_EQ(decoded->at(0).key, kServer);
+	EXPECT_EQ(decoded->at(0).limit, 2.5);
+	EXPECT_EQ(decoded->at(0).age, 1000);
+	EXPECT_FALSE(decoded->at(1).limit);
+	EXPECT_EQ(bytes, readGoldenDatagram("limit-report-7"));
+	EXPECT_FALSE(decodeLimits(bytes.substr(0, bytes.size() - 1)));
 }
 
 TEST(BackendLimits, limitOfZeroLeavesAFewRequestsThatTellItsEnd)
--- a/tests/crashledgertest.cpp
+++ b/tests/crashledgertest.cpp
@@ -167,7 +167,7 @@
 }
 
 /// Copies that received the same reports in any order, any number of times, agree.
-RC_GTEST_PROP(CrashLedger, copiesAgreeInWhateverOrderReportsArrive, (std::vector<Step> _steps))
+RC_GTEST_PROP(CrashLedger, copiesAgreeInWhateverOrderReportsArrive, (const std::vector<Step>& _steps))
 {
 	constexpr unsigned kLedgers = 3;
 	std::vector<CrashLedger> ledgers(kLedgers);
--- a/tests/gatewaylimittest.cpp
+++ b/tests/gatewaylimittest.cpp
@@ -145,6 +145,20 @@
 	EXPECT_EQ(served, sent);
 }
 
+TEST_F(GatewayLimitTest, allGatewaysLearnOfTheEndOfALimitBeforeTheirTurn)
+{
+	workers[0]->setLimit("0.2"); // A turn of a gateway every 20 s.
+	workers[1]->setLimit("0.2");
+	callFor(kContactSpan, "g");
+	workers[0]->setLimit("");
+	workers[1]->setLimit("");
+	ASSERT_TRUE(await([&] { return statusOf(call("POST", "/unsafe/", "g2")) == 200; }));
+	callFor(kContactSpan, "g3");
+	served = sent = 0;
+	callFor(kSecond, "g4");
+	EXPECT_EQ(served, sent);
+}
+
 TEST_F(GatewayLimitTest, valueThatIsNoNumberLimitsNothing)
 {
 	workers[0]->setLimit("soon");
