Let a request wait for a backoff that ends in time beside a server with a limit

What callers would see: a 503 at once, where a server is free again in 0.25 s, while any server of the deployment names a limit.

Cause: a request counted the turns under limits that are left for it, and servers without a limit as none.

Change: the count is given only if all servers of the service have limits.

Measured: gatewaylimittest requestWaitsForABackoffThatEndsInTime...: failed in three of three runs on (503), passes in three of three; backendlimitstest passes.

--- a/src/coordination/backendlimits.cpp
+++ b/src/coordination/backendlimits.cpp
@@ -147,8 +147,8 @@
 	std::erase_if(_available.open, mustWait);
 }
 
-std::size_t BackendLimits::requestsUntil(const std::vector<const KnownBackend*>& _backends, Micros _agreed,
-										 Micros _until) const
+std::optional<std::size_t> BackendLimits::requestsUntil(const std::vector<const KnownBackend*>& _backends,
+														Micros _agreed, Micros _until) const
 {
 	std::size_t count = 0;
 	for (const KnownBackend* backend : _backends)
@@ -156,7 +156,7 @@
 		const Entry* entry = find(backend->key);
 		if (!entry)
 		{
-			continue;
+			return std::nullopt;
 		}
 		const std::uint64_t first = ownSlot(backend->key, *entry, _agreed);
 		const auto last = static_cast<std::uint64_t>(std::max(_agreed, _until) / entry->slot);
--- a/src/coordination/backendlimits.h
+++ b/src/coordination/backendlimits.h
@@ -76,9 +76,9 @@
 	void narrow(Availability& _available, Micros _now, Micros _agreed) const;
 
 	/// @returns the number of requests that this gateway may send to the given servers until a time, as far as
-	/// their limits are concerned.
-	std::size_t requestsUntil(const std::vector<const KnownBackend*>& _backends, Micros _agreed,
-							  Micros _until) const;
+	/// their limits are concerned; nothing if one of them has no limit.
+	std::optional<std::size_t> requestsUntil(const std::vector<const KnownBackend*>& _backends, Micros _agreed,
+											 Micros _until) const;
 
 	/// Times for which each change is reported, since datagrams may be lost.
 	static constexpr unsigned kReportRounds = 4;
--- a/src/coordination/crashledger.h
+++ b/src/coordination/crashledger.h
@@ -89,8 +89,8 @@
 	/// Weight from which a request is suspected.
 	static constexpr unsigned kSuspectedWeight = kCrashWeight;
 	/// Requests that the ledger holds, which bounds its memory to 80 KB. When it is full, the request with the
-	/// fewest crashes gives way; of these, the one whose last crash is the longest ago. With 64, a request that
-	/// crashed servers which ran many others was forgotten before it had crashed the third one.
+	/// fewest crashes gives way; of these, the one whose last crash is the longest ago. A smaller ledger
+	/// forgets a request that crashes servers which run many others before it has crashed the third one.
 	static constexpr std::size_t kMaxRequests = 256;
 	/// Records in a whole report, which bounds it to 6 KB.
 	static constexpr std::size_t kMaxReported = 64;
--- a/src/coordination/overloadpolicy.h
+++ b/src/coordination/overloadpolicy.h
@@ -22,8 +22,7 @@
 	Micros waitUntil = 0;    ///< The caller, or the route, allows the request to wait until then.
 	bool sent = false;       ///< It was sent to a backend server before.
 	bool mayHaveRun = false; ///< It may have run there.
-	/// Requests that the limits of the backend servers will not allow before waitUntil, as far as is known: too
-	/// many are queued before it.
+	/// All backend servers have limits, and the requests queued before it need all that these allow in time.
 	bool behindLimit = false;
 };
 
--- a/src/gateway/exchangeplacement.cpp
+++ b/src/gateway/exchangeplacement.cpp
@@ -50,10 +50,10 @@
 	if (m_context.limits.size() > 0)
 	{
 		const Micros until = m_mayHaveRun ? context.waitUntil : std::min(context.answerTarget, context.waitUntil);
-		const std::size_t allowed =
+		const std::optional<std::size_t> allowed =
 			m_context.limits.requestsUntil(m_context.directory.usableOf(m_service, _now),
 										   m_context.clock.trueTime(_now), m_context.clock.trueTime(until));
-		context.behindLimit = m_dispatcher.waitingBefore(this) >= allowed;
+		context.behindLimit = allowed && m_dispatcher.waitingBefore(this) >= *allowed;
 	}
 	return context;
 }
--- a/tests/gatewaylimittest.cpp
+++ b/tests/gatewaylimittest.cpp
@@ -169,6 +169,17 @@
 	EXPECT_EQ(served, sent);
 }
 
+TEST_F(GatewayLimitTest, requestWaitsForABackoffThatEndsInTimeAlthoughAnotherServerHasALimit)
+{
+	workers[0]->setLimit("0.2");
+	callFor(kContactSpan, "h");
+	workers[1]->setRetryAfter("0.25");
+	workers[1]->setFault(WorkerFault::Rejects);
+	call("POST", "/unsafe/", "h2");
+	workers[1]->setFault(WorkerFault::None);
+	EXPECT_EQ(statusOf(call("POST", "/unsafe/", "h3")), 200u);
+}
+
 TEST_F(GatewayLimitTest, limitIsKeptWhileAGatewayIsStopped)
 {
 	workers[0]->setLimit("2");
