Tests and soak: one copy of opening an acceptor, adding workers and disturbing gateways

Cause: the stand-in, the soak's proxy, two fixtures and two profiles each had their own copy.

Change: listenAt, GatewayTest::addWorkers, Soak::disturbGateway.

--- a/tests/gatewaycrashtest.cpp
+++ b/tests/gatewaycrashtest.cpp
@@ -31,12 +31,7 @@
 protected:
 	void SetUp() override
 	{
-		for (unsigned number = 3; number <= kServers; ++number)
-		{
-			const Address address{host(100 + number), kWorkerPort};
-			workers.push_back(std::make_unique<standin::PlatformWorker>(workerId(number), address));
-			registerWorker(number, "ready");
-		}
+		addWorkers(kServers);
 		for (unsigned number = 1; number <= kServers; ++number)
 		{
 			setCrashRule(number, {kCrashingBody});
--- a/tests/gatewayendedservertest.cpp
+++ b/tests/gatewayendedservertest.cpp
@@ -21,12 +21,7 @@
 protected:
 	void SetUp() override
 	{
-		for (unsigned number = 3; number <= kServers; ++number)
-		{
-			const Address address{host(100 + number), kWorkerPort};
-			workers.push_back(std::make_unique<standin::PlatformWorker>(workerId(number), address));
-			registerWorker(number, "ready");
-		}
+		addWorkers(kServers);
 		startGateway(settings(1));
 		ASSERT_TRUE(await([&] { return statusOf(call("GET", "/safe/", "first")) == 200; }));
 	}
--- a/tests/gatewayfixture.h
+++ b/tests/gatewayfixture.h
@@ -161,12 +161,7 @@
 		m_net = "127." + std::to_string(1 + pid / 250 % 250) + "." + std::to_string(pid % 250) + ".";
 		store = std::make_unique<standin::PlatformStore>(Address{host(200), kStorePort});
 		duties = std::make_unique<standin::PlatformDuties>(Address{host(200), kDutyPort});
-		for (unsigned number : {1u, 2u})
-		{
-			const Address address{host(100 + number), kWorkerPort};
-			workers.push_back(std::make_unique<standin::PlatformWorker>(workerId(number), address));
-			registerWorker(number, "ready");
-		}
+		addWorkers(2);
 		store->put(platform::kConfigKey, config(1));
 	}
 
@@ -223,6 +218,17 @@
 		return gatewaySettings;
 	}
 
+	/// Adds and registers workers until there are as many as given.
+	void addWorkers(unsigned _count)
+	{
+		for (auto number = static_cast<unsigned>(workers.size()) + 1; number <= _count; ++number)
+		{
+			const Address address{host(100 + number), kWorkerPort};
+			workers.push_back(std::make_unique<standin::PlatformWorker>(workerId(number), address));
+			registerWorker(number, "ready");
+		}
+	}
+
 	void startGateway(const GatewaySettings& _settings)
 	{
 		gateways.push_back(std::make_unique<RunningGateway>(_settings));
--- a/tools/soak/faultproxy.cpp
+++ b/tools/soak/faultproxy.cpp
@@ -38,11 +38,7 @@
 
 void FaultProxy::listen()
 {
-	const tcp::endpoint endpoint(asio::ip::make_address(m_address.host), m_address.port);
-	m_acceptor.open(endpoint.protocol());
-	m_acceptor.set_option(tcp::acceptor::reuse_address(true));
-	m_acceptor.bind(endpoint);
-	m_acceptor.listen();
+	standin::listenAt(m_acceptor, m_address);
 	accept();
 }
 
--- a/tools/soak/soak.h
+++ b/tools/soak/soak.h
@@ -131,6 +131,9 @@
 	void makeCrashing(ObservedRequest& _request, std::minstd_rand& _random) const;
 	void crashBackend();
 	void injectCrashFault();
+	/// Disturbs a gateway or the store.
+	/// @param[in] _kind Number of the fault; a large one is none.
+	void disturbGateway(std::size_t _kind);
 	Backend& drawStayingBackend();
 	void askForBackoff();
 	void announceLeavingInAnswers();
--- a/tools/soak/soakanswers.cpp
+++ b/tools/soak/soakanswers.cpp
@@ -96,33 +96,8 @@
 
 void Soak::injectLimitFault()
 {
-	const auto number = static_cast<unsigned>(drawIndex(m_gateways.size()));
-	const Gateway& gateway = *m_gateways[number];
-	const bool isRunning = !gateway.stopRequested && !gateway.paused && gateway.process->running();
-	switch (drawIndex(10))
-	{
-	case 0:
-		isRunning ? stallGateway(number) : void();
-		break;
-	case 1:
-		isRunning ? pauseGateway(number) : void();
-		break;
-	case 2:
-		isRunning ? killGateway(number) : void();
-		break;
-	case 3:
-		isRunning ? stopGateway(number) : void();
-		break;
-	case 4:
-		failStore();
-		break;
-	case 5:
-		gateway.storeLinkFaulty ? void() : slowStore(number);
-		break;
-	default:
-		nameLimit();
-		break;
-	}
+	const std::size_t kind = drawIndex(10);
+	kind < 6 ? disturbGateway(kind) : nameLimit();
 }
 
 void Soak::injectAnswerFault()
--- a/tools/soak/soakcrashes.cpp
+++ b/tools/soak/soakcrashes.cpp
@@ -58,38 +58,49 @@
 	schedule(kDowntime, [this, disruption] { endDisruption(disruption); });
 }
 
-void Soak::injectCrashFault()
+void Soak::disturbGateway(std::size_t _kind)
 {
 	const auto number = static_cast<unsigned>(drawIndex(m_gateways.size()));
 	const Gateway& gateway = *m_gateways[number];
 	const bool isRunning = !gateway.stopRequested && !gateway.paused && gateway.process->running();
-	switch (drawIndex(10))
+	switch (_kind)
 	{
 	case 0:
-		crashBackend();
+		isRunning ? stallGateway(number) : void();
 		break;
 	case 1:
-		cutBackend();
+		isRunning ? pauseGateway(number) : void();
 		break;
 	case 2:
-		isRunning ? stallGateway(number) : void();
+		isRunning ? killGateway(number) : void();
 		break;
 	case 3:
-		isRunning ? pauseGateway(number) : void();
+		isRunning ? stopGateway(number) : void();
 		break;
 	case 4:
-		isRunning ? killGateway(number) : void();
+		failStore();
 		break;
 	case 5:
-		isRunning ? stopGateway(number) : void();
+		gateway.storeLinkFaulty ? void() : slowStore(number);
 		break;
-	case 6:
-		failStore();
+	default:
 		break;
-	case 7:
-		gateway.storeLinkFaulty ? void() : slowStore(number);
+	}
+}
+
+void Soak::injectCrashFault()
+{
+	const std::size_t kind = drawIndex(10);
+	switch (kind)
+	{
+	case 8:
+		crashBackend();
+		break;
+	case 9:
+		cutBackend();
 		break;
 	default:
+		disturbGateway(kind);
 		break;
 	}
 }
--- a/tools/standin/platform.h
+++ b/tools/standin/platform.h
@@ -45,6 +45,9 @@
 	std::thread m_thread;
 };
 
+/// Opens an acceptor at an address, also if it was open there before.
+void listenAt(boost::asio::ip::tcp::acceptor& _acceptor, const Address& _address);
+
 /// Fault that the store simulates.
 enum class StoreFault
 {
--- a/tools/standin/platformworker.cpp
+++ b/tools/standin/platformworker.cpp
@@ -38,6 +38,15 @@
 	bool ended = false;
 };
 
+void listenAt(tcp::acceptor& _acceptor, const Address& _address)
+{
+	const tcp::endpoint endpoint(asio::ip::make_address(_address.host), _address.port);
+	_acceptor.open(endpoint.protocol());
+	_acceptor.set_option(tcp::acceptor::reuse_address(true));
+	_acceptor.bind(endpoint);
+	_acceptor.listen();
+}
+
 PlatformWorker::PlatformWorker(std::string _id, const Address& _address)
 	: m_id(std::move(_id)), m_address(_address), m_acceptor(m_loop.context())
 {
@@ -46,11 +55,7 @@
 
 void PlatformWorker::listen()
 {
-	const tcp::endpoint endpoint(asio::ip::make_address(m_address.host), m_address.port);
-	m_acceptor.open(endpoint.protocol());
-	m_acceptor.set_option(tcp::acceptor::reuse_address(true));
-	m_acceptor.bind(endpoint);
-	m_acceptor.listen();
+	listenAt(m_acceptor, m_address);
 	accept();
 }
 
