--- a/src/daemon/clock.h
+++ b/src/daemon/clock.h
@@ -15,9 +15,10 @@
 namespace beacongate
 {
 /// @returns the monotonic time in microseconds.
-/// @remarks It counts the time in which the VM was suspended, which the clock of std::chrono::steady_clock does not: keys
-/// that were revoked meanwhile, leases and lists of backend servers would be taken for as recent as before. Timers of
-/// the event loop run on the latter and fire late by such a span, so that their handlers compare times themselves.
+/// @remarks It counts the time in which the VM was suspended, which the clock of std::chrono::steady_clock does
+/// not: keys that were revoked meanwhile, leases and lists of backend servers would be taken for as recent as
+/// before. Timers of the event loop run on the latter and fire late by such a span, so that their handlers compare
+/// times themselves.
 inline Micros monotonicNow()
 {
 	constexpr Micros kNanosPerMicro = 1000;
