Bound the departures that a datagram names

Cause: each message between gateways named all backend servers that were found leaving in the last 2 s. That list grows with the size of a change of capacity, not with what a receiver needs: an order for fewer engines drains thousands within a second. 2,800 departures have some 80 kB, more than a datagram carries, and the error of the send was dropped without a log line, so all reports, sums and echoes of the fleet would be lost until the departures were old.

The walk over all known servers for each message is gone, too.

Tests that asked the directory for departures ask its log.

--- a/src/coordination/directory.cpp
+++ b/src/coordination/directory.cpp
@@ -131,6 +131,7 @@
 	}
 	if (_record.born > known.record.born)
 	{
+		m_departures.forget(known.record.identity());
 		known = KnownBackend();
 	}
 	const bool wasDraining = known.record.draining;
@@ -141,7 +142,7 @@
 	if (known.record.draining && known.drainingSince == kNever)
 	{
 		known.drainingSince = _now;
-		m_departureNotices.push_back({_record.identity(), DepartureSource::Record});
+		recordDeparture(_record.identity(), DepartureSource::Record, _now);
 	}
 	known.vanishedAt = kNever;
 	known.lapsedUntil = 0;
@@ -209,26 +210,19 @@
 	{
 		known->record.draining = true;
 		known->drainingSince = _now;
-		m_departureNotices.push_back({_backend, _source});
+		recordDeparture(_backend, _source, _now);
 	}
 }
 
-std::vector<DepartureNotice> Directory::takeDepartureNotices()
+void Directory::recordDeparture(const BackendIdentity& _backend, DepartureSource _source, Micros _now)
 {
-	return std::exchange(m_departureNotices, {});
+	m_departures.add(_backend, _source == DepartureSource::Record, _now);
+	m_departureNotices.push_back({_backend, _source});
 }
 
-std::vector<BackendIdentity> Directory::drainingSince(Micros _moment) const
+std::vector<DepartureNotice> Directory::takeDepartureNotices()
 {
-	std::vector<BackendIdentity> backends;
-	for (const auto& [id, known] : m_backends)
-	{
-		if (known.drainingSince != kNever && known.drainingSince >= _moment)
-		{
-			backends.push_back(known.record.identity());
-		}
-	}
-	return backends;
+	return std::exchange(m_departureNotices, {});
 }
 
 Micros Directory::age(Micros _now) const
--- a/src/coordination/directory.h
+++ b/src/coordination/directory.h
@@ -9,6 +9,7 @@
 
 #include "beacongate/routing.h"
 #include "coordination/backendkey.h"
+#include "coordination/departurelog.h"
 #include "coordination/drainbudget.h"
 
 #include <algorithm>
@@ -149,8 +150,11 @@
 	/// is listed.
 	void markDraining(const BackendIdentity& _backend, DepartureSource _source, Micros _now);
 
-	/// @returns the incarnations that were found to be leaving at or after a moment.
-	std::vector<BackendIdentity> drainingSince(Micros _moment) const;
+	/// @returns the departures that were found recently, for messages to other gateways.
+	const DepartureLog& departures() const
+	{
+		return m_departures;
+	}
 
 	/// @returns the departures found since the last call, for the log.
 	std::vector<DepartureNotice> takeDepartureNotices();
@@ -206,6 +210,7 @@
 	void mergeRecord(const BackendRecord& _record, Micros _now);
 	void markVanished(KnownBackend& _known, Micros _lastListed, Micros _now);
 	void markUnreadable(const std::string& _id, Micros _now);
+	void recordDeparture(const BackendIdentity& _backend, DepartureSource _source, Micros _now);
 	/// @returns the backend server if that incarnation is listed, else nullptr.
 	const KnownBackend* find(const BackendIdentity& _backend) const;
 	KnownBackend* find(const BackendIdentity& _backend);
@@ -219,6 +224,7 @@
 	DrainBudget m_drain{2 * kSecond};
 	Micros m_outageEnded = kLongAgo;
 	std::map<std::string, KnownBackend> m_backends;
+	DepartureLog m_departures;
 	/// At most one for each backend server and source until taken.
 	std::vector<DepartureNotice> m_departureNotices;
 };
--- a/src/gateway/gossiper.cpp
+++ b/src/gateway/gossiper.cpp
@@ -83,7 +83,7 @@
 	m_socket.close(ignored);
 }
 
-GossipMessage Gossiper::makeMessage(Micros _now) const
+GossipMessage Gossiper::makeMessage(Micros _now)
 {
 	GossipMessage message;
 	message.run = m_context.run;
@@ -94,7 +94,7 @@
 	message.uptime = _now - m_context.started;
 	setContentState(message, _now);
 	message.leaving = m_context.stopping;
-	message.draining = m_context.directory.drainingSince(_now - kDepartureReportSpan);
+	message.draining = m_context.directory.departures().select(_now - kDepartureReportSpan, m_departureTurn++);
 	return message;
 }
 
@@ -123,7 +123,7 @@
 	return sums;
 }
 
-GossipMessage Gossiper::makeReport(Micros _now) const
+GossipMessage Gossiper::makeReport(Micros _now)
 {
 	GossipMessage message = makeMessage(_now);
 	FleetSums own = ownSums();
--- a/src/gateway/gossiper.h
+++ b/src/gateway/gossiper.h
@@ -79,11 +79,11 @@
 	/// @returns true if this gateway is a collector of its data centre.
 	bool isCollector() const;
 	/// @returns a message with the fields that every message has about its sender.
-	GossipMessage makeMessage(Micros _now) const;
+	GossipMessage makeMessage(Micros _now);
 	/// Sets which content this gateway holds and its age, both at the same moment.
 	void setContentState(GossipMessage& _message, Micros _now) const;
 	/// @returns a report of this gateway.
-	GossipMessage makeReport(Micros _now) const;
+	GossipMessage makeReport(Micros _now);
 	/// @returns this gateway's own counters and loads.
 	FleetSums ownSums() const;
 	/// @returns true if a report to these collectors must list all teams.
@@ -96,7 +96,8 @@
 	boost::asio::steady_timer m_timer;
 	std::vector<char> m_buffer;
 	std::size_t m_round = 0;
-	Micros m_due = kNever; ///< When the next round is due.
+	std::size_t m_departureTurn = 0; ///< Number of messages that named departures.
+	Micros m_due = kNever;           ///< When the next round is due.
 	Micros m_talliesLoggedAt = kLongAgo;
 	FleetTable m_table;
 	FleetFollower m_follower;
--- a/tests/backendentrytest.cpp
+++ b/tests/backendentrytest.cpp
@@ -185,7 +185,7 @@
 	directory.applyList({2, {}, kSecond, {"w1"}}, kSecond);
 	EXPECT_TRUE(directory.usableOf("s", kSecond).empty());
 	EXPECT_FALSE(directory.takesWork(record.identity(), kSecond));
-	EXPECT_TRUE(directory.drainingSince(0).empty()) << "peers would learn that it is leaving, which is final";
+	EXPECT_TRUE(directory.departures().since(0).empty()) << "peers would learn that it is leaving, which is final";
 	directory.applyList({3, {record}, 2 * kSecond}, 2 * kSecond);
 	EXPECT_EQ(directory.usableOf("s", 2 * kSecond).size(), 1u);
 }
--- a/tests/contenttest.cpp
+++ b/tests/contenttest.cpp
@@ -95,7 +95,7 @@
 	Directory directory;
 	directory.apply({1, configOf(1), {backendOf("a"), backendOf("b")}, 0}, kSecond);
 	directory.apply({2, configOf(1), {backendOf("b", true)}, 0}, 2 * kSecond);
-	EXPECT_EQ(directory.drainingSince(0), std::vector<BackendIdentity>{{"b"}});
+	EXPECT_EQ(directory.departures().since(0), std::vector<BackendIdentity>{{"b"}});
 	directory.apply({3, configOf(1), {backendOf("a"), backendOf("b", true)}, 0}, 4 * kSecond);
 	ASSERT_EQ(directory.usableOf("model", 4 * kSecond).size(), 1u);
 	EXPECT_EQ(directory.usableOf("model", 4 * kSecond)[0]->record.id, "a");
--- a/tests/departurestest.cpp
+++ b/tests/departurestest.cpp
@@ -53,7 +53,7 @@
 	const std::vector<DepartureNotice> notices = directory.takeDepartureNotices();
 	ASSERT_EQ(notices.size(), 1u);
 	EXPECT_EQ(notices[0].source, DepartureSource::Answer);
-	EXPECT_EQ(directory.drainingSince(2 * kSecond).size(), 1u); // It is reported to peers.
+	EXPECT_EQ(directory.departures().since(2 * kSecond).size(), 1u); // It is reported to peers.
 	BackendRecord again = backendOf("a");
 	again.born = 2;
 	directory.applyList({3, {again}, 4 * kSecond}, 4 * kSecond);
--- a/tests/identitytest.cpp
+++ b/tests/identitytest.cpp
@@ -55,7 +55,7 @@
 	EXPECT_TRUE(directory.takesWork({"a", kSecondStart}, 2 * kSecond));
 	EXPECT_EQ(directory.usableOf("model", 2 * kSecond).size(), 1u);
 	EXPECT_FALSE(directory.takesWork({"a", kFirstStart}, 2 * kSecond));
-	EXPECT_TRUE(directory.drainingSince(0).empty());
+	EXPECT_TRUE(directory.departures().since(0).empty());
 }
 
 TEST(Identity, noticesOfAnEarlierIncarnationDoNotAffectALaterOne)
