Count datagrams and calls to the store by purpose, and log datagrams that were not sent

Cause: what a gateway of a large fleet spends could not be told apart.

A refused datagram is logged with its purpose, size and cause, the first ten and then each thousandth.

--- a/src/gateway/dutyholder.cpp
+++ b/src/gateway/dutyholder.cpp
@@ -146,6 +146,7 @@
 	}
 	m_acquiring = true;
 	const Micros span = std::max(m_context.settings.leaseSpan, m_context.settings.leaseMinimum);
+	m_context.traffic.onStoreCall(StorePurpose::DutyLease);
 	m_leaseChannel->call(platform::leaseCall(span), kStoreTimeout,
 						 [self = shared_from_this(), sent](const std::optional<HttpAnswer>& _answer)
 						 {
@@ -169,6 +170,7 @@
 	change.conditions = {{kHolderKey, 0}, {kFenceKey, revisionOf(kFenceKey)}};
 	change.puts = {{kHolderKey, m_context.settings.name + ' ' + std::to_string(m_context.run.incarnation), _lease},
 				   {kFenceKey, std::to_string(fence), 0}};
+	m_context.traffic.onStoreCall(StorePurpose::DutyLease);
 	m_leaseChannel->call(
 		platform::transactionCall(change), kStoreTimeout,
 		[self = shared_from_this(), _lease, _span, _sent, fence](const std::optional<HttpAnswer>& _answer)
@@ -196,6 +198,7 @@
 	}
 	m_renewing = true;
 	const Micros sent = monotonicNow();
+	m_context.traffic.onStoreCall(StorePurpose::DutyLease);
 	m_leaseChannel->call(
 		platform::renewCall(m_leaseId), kStoreTimeout,
 		[self = shared_from_this(), sent, lease = m_leaseId](const std::optional<HttpAnswer>& _answer)
@@ -273,6 +276,7 @@
 	// Counts only grow and are merged by maximum, so a delayed put does no harm. Levels are a hint for gateways
 	// that start.
 	change.puts = {{kCountsKey, text, 0}, {kLevelsKey, encodeTotals(m_context.quotas.levels(_now)), 0}};
+	m_context.traffic.onStoreCall(StorePurpose::UsageCounts);
 	m_countsChannel->call(
 		platform::transactionCall(change), kStoreTimeout,
 		[self = shared_from_this(), text = std::move(text)](const std::optional<HttpAnswer>& _answer)
@@ -307,6 +311,7 @@
 		}
 	}
 	m_pendingWindows.insert(_window);
+	m_context.traffic.onStoreCall(StorePurpose::UsageWindow);
 	m_storeChannel->call(platform::transactionCall(change), kStoreTimeout,
 						 [self = shared_from_this(), _window, counts](const std::optional<HttpAnswer>& _answer)
 						 {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -11,6 +11,7 @@
 #include "protocol/contentcodec.h"
 
 #include <csignal>
+#include <sstream>
 
 namespace beacongate
 {
@@ -266,7 +267,10 @@
 	metrics.setGauge("beacongate_duties_held", m_duties && m_duties->holds() ? 1.0 : 0.0);
 	metrics.setGauge("beacongate_buffered_bytes", static_cast<double>(m_callerContext->bufferedBytes));
 	metrics.setGauge("beacongate_log_lines_left_out", static_cast<double>(droppedLogLines()));
-	return metrics.format();
+	std::ostringstream text;
+	text << metrics.format();
+	m_context.traffic.format(text);
+	return text.str();
 }
 
 void Gateway::waitForSignal()
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -34,6 +34,7 @@
 #include "gateway/crashdetector.h"
 #include "gateway/gatewaymetrics.h"
 #include "gateway/gatewaysettings.h"
+#include "gateway/trafficcounters.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -119,6 +120,7 @@
 	StreamLengths streamLengths;
 	std::minstd_rand random;
 	GatewayMetrics metrics;
+	TrafficCounters traffic;
 	bool stopping = false;
 	Micros stopRequested = kNever;
 	std::size_t openExchanges = 0;
--- a/src/gateway/gossiper.cpp
+++ b/src/gateway/gossiper.cpp
@@ -39,6 +39,10 @@
 /// Rounds between two reports to a collector that is considered silent.
 constexpr std::size_t kRoundsPerSilentProbe = 4;
 
+/// This many datagrams that the socket refused are logged, then every kUnsentLogStep-th.
+constexpr std::uint64_t kMaxUnsentLogged = 10;
+constexpr std::uint64_t kUnsentLogStep = 1000;
+
 Micros wallClockNow()
 {
 	const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -46,10 +50,26 @@
 }
 } // namespace
 
+DatagramPurpose purposeOf(const GossipMessage& _message)
+{
+	switch (_message.kind)
+	{
+	case GossipKind::Report:
+		return DatagramPurpose::Report;
+	case GossipKind::DataCentreSums:
+		return DatagramPurpose::DataCentreSums;
+	case GossipKind::FleetSums:
+		return DatagramPurpose::FleetSums;
+	case GossipKind::Echo:
+		break;
+	}
+	return _message.dataCentreUsage.empty() ? DatagramPurpose::Echo : DatagramPurpose::Usage;
+}
+
 Gossiper::Gossiper(GatewayContext& _context)
 	: m_context(_context), m_socket(_context.loop), m_timer(_context.loop), m_buffer(limits::kGossipBytes),
-	  m_crashExchange(_context,
-					  [this](const std::string& _bytes, const std::string& _host) { sendBytes(_bytes, _host); })
+	  m_crashExchange(_context, [this](const std::string& _bytes, const std::string& _host)
+					  { sendBytes(DatagramPurpose::Crash, _bytes, _host); })
 {
 	try
 	{
@@ -71,7 +91,7 @@
 {
 	m_context.clock.update(wallClockNow(), monotonicNow());
 	m_context.admission.setSend([this](const std::string& _host, const QuotaMessage& _message)
-								{ sendBytes(encodeQuota(_message), _host); });
+								{ sendBytes(DatagramPurpose::QuotaGrant, encodeQuota(_message), _host); });
 	receive();
 	tick();
 }
@@ -243,7 +263,7 @@
 	const std::string bytes = encodeLimits(changes);
 	for (const std::string& host : changeTargets(m_context, collector, _now))
 	{
-		sendBytes(bytes, host);
+		sendBytes(DatagramPurpose::Limit, bytes, host);
 	}
 }
 
@@ -275,14 +295,33 @@
 
 void Gossiper::send(const GossipMessage& _message, const std::string& _host)
 {
-	sendBytes(encodeGossip(_message), _host);
+	sendBytes(purposeOf(_message), encodeGossip(_message), _host);
 }
 
-void Gossiper::sendBytes(const std::string& _bytes, const std::string& _host)
+void Gossiper::sendBytes(DatagramPurpose _purpose, const std::string& _bytes, const std::string& _host)
 {
-	BoostError ignored;
-	const udp::endpoint endpoint(asio::ip::make_address(_host, ignored), m_context.settings.gossipPort);
-	m_socket.send_to(asio::buffer(_bytes), endpoint, 0, ignored);
+	BoostError error;
+	const udp::endpoint endpoint(asio::ip::make_address(_host, error), m_context.settings.gossipPort);
+	if (!error)
+	{
+		m_socket.send_to(asio::buffer(_bytes), endpoint, 0, error);
+	}
+	if (!error)
+	{
+		m_context.traffic.onSent(_purpose, _bytes.size());
+		return;
+	}
+	m_context.traffic.onUnsent(_purpose);
+	const std::uint64_t unsent = m_context.traffic.unsent();
+	if (unsent <= kMaxUnsentLogged || unsent % kUnsentLogStep == 0)
+	{
+		logEvent(LogLevel::Warning, "datagram-unsent",
+				 {{"purpose", std::string(toString(_purpose))},
+				  {"to", _host},
+				  {"bytes", std::to_string(_bytes.size())},
+				  {"cause", error.message()},
+				  {"count", std::to_string(unsent)}});
+	}
 }
 
 void Gossiper::sendToPeers(Micros _now)
--- a/src/gateway/gossiper.h
+++ b/src/gateway/gossiper.h
@@ -23,6 +23,9 @@
 
 namespace beacongate
 {
+/// @returns what a message is counted for.
+DatagramPurpose purposeOf(const GossipMessage& _message);
+
 /// Sends reports to peers and receives theirs. In a small fleet each gateway reports to every other one. In a
 /// larger fleet each reports to the first-ranked gateways of its data centre, the collectors. The first collector
 /// answers with the sums of the fleet, and exchanges the sums of its data centre with the collectors of the other
@@ -51,7 +54,7 @@
 	void sendCentreSums(Micros _now);
 	void watchCollectors(Micros _now);
 	void send(const GossipMessage& _message, const std::string& _host);
-	void sendBytes(const std::string& _bytes, const std::string& _host);
+	void sendBytes(DatagramPurpose _purpose, const std::string& _bytes, const std::string& _host);
 	void onQuotaDatagram(std::string_view _bytes, const std::string& _sender);
 	void onLimitDatagram(std::string_view _bytes, const std::string& _sender);
 	void onQuotaMessage(const QuotaMessage& _message, const std::string& _sender);
--- a/src/gateway/gossiperreceive.cpp
+++ b/src/gateway/gossiperreceive.cpp
@@ -78,6 +78,7 @@
 		onUnreadable(_sender);
 		return;
 	}
+	m_context.traffic.onReceived(DatagramPurpose::QuotaGrant, _bytes.size());
 	onQuotaMessage(*message, _sender);
 }
 
@@ -89,6 +90,7 @@
 		onUnreadable(_sender);
 		return;
 	}
+	m_context.traffic.onReceived(DatagramPurpose::Limit, _bytes.size());
 	m_context.limits.merge(*records, m_context.clock.trueTime(monotonicNow()));
 }
 
@@ -97,7 +99,7 @@
 	const Micros now = monotonicNow();
 	if (const auto* ask = std::get_if<QuotaGrantRequest>(&_message))
 	{
-		sendBytes(encodeQuota(m_context.grantor.decide(*ask, _sender, now)), _sender);
+		sendBytes(DatagramPurpose::QuotaGrant, encodeQuota(m_context.grantor.decide(*ask, _sender, now)), _sender);
 	}
 	else if (const auto* answer = std::get_if<QuotaGrantAnswer>(&_message))
 	{
@@ -113,7 +115,12 @@
 {
 	if (isCrashDatagram(_bytes))
 	{
-		m_crashExchange.onDatagram(_bytes, _sender) ? void() : onUnreadable(_sender);
+		if (!m_crashExchange.onDatagram(_bytes, _sender))
+		{
+			onUnreadable(_sender);
+			return;
+		}
+		m_context.traffic.onReceived(DatagramPurpose::Crash, _bytes.size());
 		return;
 	}
 	if (isLimitDatagram(_bytes))
@@ -133,6 +140,7 @@
 		return;
 	}
 	const Micros now = monotonicNow();
+	m_context.traffic.onReceived(purposeOf(*message), _bytes.size());
 	const bool fresh = m_context.peers.onMessage(*message, now);
 	m_context.relays.onHeard(message->host, now);
 	// Counts only grow, so they are valid even if they arrive late.
--- a/src/gateway/registration.cpp
+++ b/src/gateway/registration.cpp
@@ -68,6 +68,7 @@
 
 void Registration::requestLease()
 {
+	m_context.traffic.onStoreCall(StorePurpose::Registration);
 	m_channel->call(platform::leaseCall(kLeaseSpan), kCallTimeout,
 					[self = shared_from_this()](const std::optional<HttpAnswer>& _answer)
 					{
@@ -89,6 +90,7 @@
 	const MemberRecord record{m_context.settings.callers.host, m_context.settings.dataCentre,
 							  m_context.settings.cpuPercent};
 	change.puts.push_back({memberKey(m_context.settings.name), encodeMember(record), m_lease});
+	m_context.traffic.onStoreCall(StorePurpose::Registration);
 	m_channel->call(platform::transactionCall(change), kCallTimeout,
 					[self = shared_from_this()](const std::optional<HttpAnswer>& _answer)
 					{
@@ -104,6 +106,7 @@
 
 void Registration::renew()
 {
+	m_context.traffic.onStoreCall(StorePurpose::Registration);
 	m_channel->call(platform::renewCall(m_lease), kCallTimeout,
 					[self = shared_from_this()](const std::optional<HttpAnswer>& _answer)
 					{
