Send usage counts to those that report them, in messages of bounded size

Cause: a data centre's usage counts (a row for each team, window and second with starts) were part of its sums, which its collector sends four times a second to the collectors of all other data centres. The rows grow with the teams and the restarts: 333 teams, three windows and three seconds with starts are 2,997 rows and 80 kB, more than a datagram carries, so that the whole sums would be lost without a word; without restarts they were the larger part of what collectors send each other.

Change: rows travel in datagrams of their own (kind Echo with rows, which builds in service read), at most 128 in each, to the duty holder and the two gateways that would take the duties over. Changed rows are sent in four rounds, all of them in turn in 16, and all to a receiver that is new. While no holder is known, all collectors get them as before.

--- a/src/coordination/gossip.h
+++ b/src/coordination/gossip.h
@@ -52,7 +52,7 @@
 	bool whole = true;                     ///< Reports only: every quota counter that is not zero is included.
 	bool wantsSums = false;                ///< Reports only: asks the receiver for the fleet's sums.
 	std::size_t gateways = 1;              ///< Number of gateways that the message covers.
-	RunCounts dataCentreUsage;             ///< DataCentreSums only: see UsageLedger::dataCentreCounts().
+	RunCounts dataCentreUsage;             ///< Sums of the sender's data centre, see UsageReportPlan.
 	std::vector<QuotaLevel> levels;        ///< Bucket levels for a receiver that has just started.
 	std::vector<BackendIdentity> draining; ///< Backend servers that were recently seen to accept no new work.
 };
--- a/src/gateway/gossiper.cpp
+++ b/src/gateway/gossiper.cpp
@@ -34,6 +34,10 @@
 constexpr std::size_t kRoundsPerFullReport = 16; ///< Rounds between two reports that list all teams.
 /// Closed usage windows that a report that lists all teams includes.
 constexpr std::uint64_t kUsageWindowsBack = 3;
+constexpr std::uint64_t kCentreUsageWindowsBack = 2; ///< Closed usage windows whose sums a collector sends.
+/// Gateways that receive the usage of all data centres beside the duty holder: those that rank first, of which one
+/// takes the duties over if the holder is lost.
+constexpr std::size_t kDutySuccessors = 2;
 constexpr std::size_t kRepeatRounds = 4; ///< Rounds in which a change is repeated, since datagrams may be lost.
 constexpr Micros kTallyLogInterval = kSecond; ///< Time between two log lines about refused requests of a team.
 /// Rounds between two reports to a collector that is considered silent.
@@ -446,6 +450,7 @@
 	if (collector && topMembers.front() == m_context.settings.callers.host)
 	{
 		sendCentreSums(_now);
+		sendCentreUsage(_now);
 	}
 }
 
@@ -473,13 +478,6 @@
 	message.quotas = std::move(sums.quotas);
 	message.demand = std::move(sums.demand);
 	message.loads = std::move(sums.loads);
-	const std::uint64_t window = m_context.currentWindow(_now);
-	message.dataCentreUsage = m_context.usage.dataCentreCounts(
-		m_context.settings.dataCentre, window - std::min<std::uint64_t>(window, 2), m_context.settings.usageWindow);
-	for (const auto& [run, count] : message.dataCentreUsage)
-	{
-		m_context.usage.onReport(run, count);
-	}
 	std::set<std::string> targets;
 	for (const std::string& dataCentre : m_context.relays.dataCentres())
 	{
@@ -512,4 +510,43 @@
 	}
 }
 
+std::set<std::string> Gossiper::usageReceivers() const
+{
+	const std::vector<std::string> ranked = m_context.relays.allTopMembers();
+	const std::optional<std::string> holder = holderHost(m_context.content);
+	const std::size_t count = holder ? std::min(kDutySuccessors, ranked.size()) : ranked.size();
+	std::set<std::string> hosts(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count));
+	if (holder)
+	{
+		hosts.insert(*holder);
+	}
+	hosts.erase(m_context.settings.callers.host);
+	return hosts;
+}
+
+void Gossiper::sendCentreUsage(Micros _now)
+{
+	const std::uint64_t window = m_context.currentWindow(_now);
+	const RunCounts rows = m_context.usage.dataCentreCounts(m_context.settings.dataCentre,
+															window - std::min(window, kCentreUsageWindowsBack),
+															m_context.settings.usageWindow);
+	for (const auto& [run, count] : rows)
+	{
+		m_context.usage.onReport(run, count);
+	}
+	const std::set<std::string> receivers = usageReceivers();
+	for (RunCounts& part : m_usagePlan.select(rows, receivers))
+	{
+		GossipMessage message = makeMessage(_now);
+		message.kind = GossipKind::Echo;
+		message.draining.clear();
+		message.dataCentreUsage = std::move(part);
+		for (const std::string& host : receivers)
+		{
+			message.echo = m_context.peers.echoFor(host);
+			send(message, host);
+		}
+	}
+}
+
 } // namespace beacongate
--- a/src/gateway/gossiper.h
+++ b/src/gateway/gossiper.h
@@ -10,6 +10,7 @@
 #include "coordination/collectormonitor.h"
 #include "coordination/fleetfollower.h"
 #include "coordination/fleettable.h"
+#include "coordination/usagereportplan.h"
 #include "gateway/crashexchange.h"
 #include "gateway/gatewaycontext.h"
 
@@ -17,6 +18,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -52,6 +54,10 @@
 	void sendToPeers(Micros _now);
 	void sendToCollectors(Micros _now);
 	void sendCentreSums(Micros _now);
+	/// Sends the usage of this data centre to those that report it.
+	void sendCentreUsage(Micros _now);
+	/// @returns the hosts of the duty holder and its possible successors, or of all collectors if it is not known.
+	std::set<std::string> usageReceivers() const;
 	void watchCollectors(Micros _now);
 	void send(const GossipMessage& _message, const std::string& _host);
 	void sendBytes(DatagramPurpose _purpose, const std::string& _bytes, const std::string& _host);
@@ -115,6 +121,7 @@
 	std::map<std::string, std::uint64_t> m_collectorIncarnations;
 	std::size_t m_listAllTeamsUntil = 0;
 	CollectorMonitor m_watch;
+	UsageReportPlan m_usagePlan;
 	CrashExchange m_crashExchange;
 	std::uint64_t m_unreadableCount = 0; ///< Datagrams of an unknown format since the start.
 };
