Let gateways that start take the store's content from named relays of a large fleet

Cause: a gateway without content reads all of it from the store. If all start at once, the bytes grow with gateways times backend servers: 986 gateways that read 1.8 MB each are 1.8 GB, 14 s of the store's link, and 20,000 calls. ReaderShare bounds readers only once the content is known.

Change: while a fleet is so large that ReaderShare bounds it, the first four gateways of each data centre enter themselves in the store (RelaySlots). A gateway that starts reads these names in one call, and asks the relays (StartPlan); only relays read the store, and others do if no relay gave content within 3 s to 6 s. At the first start of the system, no relay is named yet: VMs with little CPU time wait up to 4 s before they read a content of more than one page. Small fleets read as before, after one more small call.

--- a/src/coordination/readershare.h
+++ b/src/coordination/readershare.h
@@ -34,6 +34,14 @@
 	/// relays.
 	static constexpr Micros kRelaySilence = 3 * kSecond;
 
+	/// @param[in] _members Number of listed gateways.
+	/// @param[in] _bytes Size of a read, as far as it is known.
+	/// @returns true if the fleet is so large that only some of its gateways may read the store.
+	static constexpr bool isBounded(std::size_t _members, std::uint64_t _bytes)
+	{
+		return _members * _bytes > kUnboundedBytes;
+	}
+
 	/// @param[in] _members Number of listed gateways.
 	/// @param[in] _position Number of gateways that rank before this one; nothing if it is not listed.
 	/// @param[in] _bytes Size of a read, as far as it is known.
@@ -42,8 +50,7 @@
 	static bool mayRead(std::size_t _members, std::optional<std::size_t> _position, std::uint64_t _bytes,
 						Micros _relaySilence)
 	{
-		const bool bounded = _members * _bytes > kUnboundedBytes;
-		if (!bounded || !_position || _relaySilence > kRelaySilence)
+		if (!isBounded(_members, _bytes) || !_position || _relaySilence > kRelaySilence)
 		{
 			return true;
 		}
--- a/src/gateway/backendlistsync.cpp
+++ b/src/gateway/backendlistsync.cpp
@@ -167,8 +167,8 @@
 	m_probing = true;
 	if (!m_probe)
 	{
-		m_probe = std::make_shared<RangeReader>(m_context.loop, m_context.storeReachability,
-												m_context.settings.store, std::string(kHolderKey), kReadTimeout);
+		m_probe =
+			std::make_shared<RangeReader>(m_context, std::string(kHolderKey), StorePurpose::Probe, kReadTimeout);
 	}
 	m_probe->read(m_budget.maxListAge,
 				  [self = shared_from_this()](const std::optional<StoreContent>& _content)
@@ -187,8 +187,8 @@
 	ReaderPtr reader = std::exchange(m_idleReader, nullptr);
 	if (!reader)
 	{
-		reader = std::make_shared<RangeReader>(m_context.loop, m_context.storeReachability,
-											   m_context.settings.store, platform::backendPrefix(), kReadTimeout);
+		reader = std::make_shared<RangeReader>(m_context, platform::backendPrefix(), StorePurpose::BackendList,
+											   kReadTimeout);
 	}
 	m_reads.push_back(reader);
 	// A slower answer would deliver a list that is too old to send requests by.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -110,6 +110,8 @@
 	};
 	m_registration = std::make_shared<Registration>(m_context);
 	m_registration->init();
+	m_relaySlot = std::make_shared<RelaySlotWriter>(m_context);
+	m_relaySlot->init();
 	if (m_context.settings.dutyApi)
 	{
 		m_duties = std::make_shared<DutyHolder>(m_context);
@@ -366,6 +368,7 @@
 	m_store->shutdown();
 	m_backendList->shutdown();
 	m_registration->shutdown();
+	m_relaySlot->shutdown();
 	if (m_duties)
 	{
 		m_duties->shutdown();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "gateway/gatewaycontext.h"
 #include "gateway/gossiper.h"
 #include "gateway/registration.h"
+#include "gateway/relayslotwriter.h"
 #include "gateway/storesync.h"
 #include "transport/serversession.h"
 
@@ -73,6 +74,7 @@
 	std::shared_ptr<StoreSync> m_store;
 	std::shared_ptr<BackendListSync> m_backendList;
 	std::shared_ptr<Registration> m_registration;
+	std::shared_ptr<RelaySlotWriter> m_relaySlot;
 	std::shared_ptr<DutyHolder> m_duties;
 	std::unique_ptr<Gossiper> m_gossiper;
 	boost::asio::signal_set m_signals;
--- a/src/gateway/memberkeys.h
+++ b/src/gateway/memberkeys.h
@@ -27,6 +27,15 @@
 inline constexpr const char* kLevelsKey = "beacongate/levels"; ///< Levels of the teams' quotas.
 inline constexpr const char* kCountsKey = "beacongate/counts"; ///< Usage counts of all gateways.
 
+/// The data centre, a slash and the number of a slot follow; the value is the host of a relay, see RelaySlots.
+inline constexpr std::string_view kRelaySlotPrefix = "beacongate/relays/";
+
+/// @returns the prefix of the keys that name the relays of a data centre.
+inline std::string relaySlotPrefix(const std::string& _dataCentre)
+{
+	return std::string(kRelaySlotPrefix) + _dataCentre + '/';
+}
+
 /// @returns true if a key registers a gateway.
 inline bool isMemberKey(std::string_view _key)
 {
--- a/src/gateway/rangereader.cpp
+++ b/src/gateway/rangereader.cpp
@@ -17,16 +17,17 @@
 constexpr unsigned kTooManyRequests = 429; ///< All gateways together call too often; the store itself is healthy.
 } // namespace
 
-RangeReader::RangeReader(boost::asio::io_context& _loop, StoreReachability& _reachability, const Address& _store,
-						 std::string _prefix, Micros _pageTimeout)
-	: m_reachability(_reachability),
-	  m_channel(std::make_shared<HttpChannel>(_loop, _store, limits::kSnapshotBytes)), m_prefix(std::move(_prefix)),
-	  m_pageTimeout(_pageTimeout)
+RangeReader::RangeReader(GatewayContext& _context, std::string _prefix, StorePurpose _purpose, Micros _pageTimeout)
+	: m_reachability(_context.storeReachability), m_traffic(_context.traffic), m_purpose(_purpose),
+	  m_channel(std::make_shared<HttpChannel>(_context.loop, _context.settings.store, limits::kSnapshotBytes)),
+	  m_prefix(std::move(_prefix)), m_pageTimeout(_pageTimeout)
 {
 }
 
-void RangeReader::read(Micros _idleTimeout, Handler _handler)
+void RangeReader::read(Micros _idleTimeout, Handler _handler, MayContinue _mayContinue)
 {
+	m_mayContinue = std::move(_mayContinue);
+	m_endedEarly = false;
 	m_idleTimeout = _idleTimeout;
 	m_handler = std::move(_handler);
 	m_content = {};
@@ -43,6 +44,7 @@
 		m_reachability.onReadAbandoned(std::exchange(m_requestedAt, kNever), monotonicNow());
 	}
 	m_handler = nullptr;
+	m_mayContinue = nullptr;
 }
 
 void RangeReader::readPage(const std::string& _afterKey)
@@ -56,6 +58,7 @@
 	};
 	m_requestedAt = monotonicNow();
 	m_reachability.onReadSent(m_requestedAt);
+	m_traffic.onStoreCall(m_purpose);
 	m_channel->call(std::move(request), m_idleTimeout,
 					[self = shared_from_this()](const std::optional<HttpAnswer>& _answer)
 					{
@@ -111,6 +114,12 @@
 	}
 	if (_page->more && !_page->items.empty())
 	{
+		if (m_mayContinue && !m_mayContinue())
+		{
+			m_endedEarly = true;
+			std::exchange(m_handler, nullptr)(std::nullopt);
+			return;
+		}
 		readPage(_page->items.back().key);
 		return;
 	}
--- a/src/gateway/rangereader.h
+++ b/src/gateway/rangereader.h
@@ -8,11 +8,9 @@
 #define BEACONGATE_GATEWAY_RANGEREADER_H
 
 #include "coordination/kvtypes.h"
-#include "coordination/storereachability.h"
+#include "gateway/gatewaycontext.h"
 #include "transport/httpchannel.h"
 
-#include <boost/asio/io_context.hpp>
-
 #include <functional>
 #include <memory>
 #include <optional>
@@ -29,13 +27,24 @@
 	/// read failed.
 	using Handler = std::function<void(std::optional<StoreContent>)>;
 
+	/// @param[in] _prefix Prefix of the keys to read.
+	/// @param[in] _purpose What the calls are counted for.
 	/// @param[in] _pageTimeout A page that is not complete after this span has failed.
-	RangeReader(boost::asio::io_context& _loop, StoreReachability& _reachability, const Address& _store,
-				std::string _prefix, Micros _pageTimeout);
+	RangeReader(GatewayContext& _context, std::string _prefix, StorePurpose _purpose, Micros _pageTimeout);
+
+	/// Called after each page but the last; if it returns false, the read ends and its handler gets nothing.
+	using MayContinue = std::function<bool()>;
 
 	/// Starts a read. No other read may be running.
 	/// @param[in] _idleTimeout A page that receives no bytes for this long has failed.
-	void read(Micros _idleTimeout, Handler _handler);
+	/// @param[in] _mayContinue May be empty.
+	void read(Micros _idleTimeout, Handler _handler, MayContinue _mayContinue = nullptr);
+
+	/// @returns true if the last read was ended by MayContinue. Must be called by its handler.
+	bool endedEarly() const
+	{
+		return m_endedEarly;
+	}
 
 	/// @returns true if bytes of a page are being received.
 	bool receiving() const
@@ -59,6 +68,8 @@
 	void onPage(const std::optional<KvPage>& _page);
 
 	StoreReachability& m_reachability;
+	TrafficCounters& m_traffic;
+	StorePurpose m_purpose;
 	std::shared_ptr<HttpChannel> m_channel;
 	std::string m_prefix;
 	Micros m_idleTimeout = 0;
@@ -66,6 +77,8 @@
 	Micros m_requestedAt = kNever; ///< When the page that is still awaited was requested.
 	StoreContent m_content;
 	Handler m_handler;
+	MayContinue m_mayContinue;
+	bool m_endedEarly = false;
 	ChannelFault m_fault = ChannelFault::None;
 	bool m_closed = false;
 };
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -26,15 +26,11 @@
 /// more often.
 constexpr Micros kRelayInterval = 300 * kMillisecond;
 constexpr Micros kMinCheckInterval = 20 * kMillisecond; ///< Shortest time between two checks of the content's age.
-constexpr Micros kNextRelayDelay = 20 * kMillisecond;   ///< Delay before the next relay is asked after one failed.
 /// A relay that sends nothing for this long has failed. It is a millisecond or two away and answers from memory.
 constexpr Micros kRelayTimeout = 150 * kMillisecond;
 /// The content of a relay is not used if it was confirmed longer ago.
 constexpr Micros kMaxRelayContentAge = 1500 * kMillisecond;
 constexpr Micros kMinRefreshInterval = 200 * kMillisecond; ///< Shortest time between two early reads.
-/// A read that receives no bytes for this long has failed; the store answers within 10 ms. After a slow answer the
-/// span is longer: with a fixed one, a store that answers after a second would never deliver a configuration.
-constexpr Micros kReadIdleTimeout = 900 * kMillisecond;
 constexpr Micros kRetryMin = 100 * kMillisecond;
 constexpr Micros kRetryMax = 600 * kMillisecond;
 constexpr Micros kWatchSpan = 5 * kSecond;
@@ -58,8 +54,12 @@
 } // namespace
 
 StoreSync::StoreSync(GatewayContext& _context)
-	: m_context(_context), m_reader(std::make_shared<RangeReader>(_context.loop, _context.storeReachability,
-																  _context.settings.store, "", kMaxReadDuration)),
+	: m_context(_context),
+	  m_startPlan(_context.settings.callers.host, static_cast<std::uint32_t>(_context.random()),
+				  _context.settings.firstStart, _context.settings.cpuPercent),
+	  m_reader(std::make_shared<RangeReader>(_context, "", StorePurpose::Content, kMaxReadDuration)),
+	  m_relaysReader(std::make_shared<RangeReader>(_context, relaySlotPrefix(_context.settings.dataCentre),
+												   StorePurpose::Relays, kMaxReadDuration)),
 	  m_watchChannel(std::make_shared<HttpChannel>(_context.loop, _context.settings.store, limits::kSnapshotBytes)),
 	  m_readTimer(_context.loop), m_watchTimer(_context.loop), m_peerTimer(_context.loop)
 {
@@ -78,6 +78,7 @@
 	m_watchTimer.cancel();
 	m_peerTimer.cancel();
 	m_reader->close();
+	m_relaysReader->close();
 	m_watchChannel->close();
 	if (m_peerChannel)
 	{
@@ -138,6 +139,11 @@
 
 void StoreSync::readFromRelayOrStore()
 {
+	if (m_context.content.revision == 0)
+	{
+		continueStart();
+		return;
+	}
 	if (const auto relay = relayToAsk())
 	{
 		askRelay(*relay);
@@ -146,18 +152,35 @@
 	readStore();
 }
 
-void StoreSync::askRelay(const std::string& _host)
+std::optional<StoreContent> StoreSync::freshContent(Micros _requestedAt, const std::optional<HttpAnswer>& _answer)
 {
-	if (!m_relayChannel || m_relayHost != _host)
+	std::optional<StoreContent> content;
+	if (_answer && _answer->status == kOk)
 	{
-		if (m_relayChannel)
-		{
-			m_relayChannel->close();
-		}
-		const Address address{_host, m_context.settings.control->port};
-		m_relayChannel = std::make_shared<HttpChannel>(m_context.loop, address, limits::kSnapshotBytes);
-		m_relayHost = _host;
+		content = decodeContent(_answer->body, _requestedAt);
 	}
+	const bool fresh = content && _requestedAt - content->confirmed <= kMaxRelayContentAge;
+	return fresh ? std::move(content) : std::nullopt;
+}
+
+void StoreSync::setRelayChannel(const std::string& _host)
+{
+	if (m_relayChannel && m_relayHost == _host)
+	{
+		return;
+	}
+	if (m_relayChannel)
+	{
+		m_relayChannel->close();
+	}
+	const Address address{_host, m_context.settings.control->port};
+	m_relayChannel = std::make_shared<HttpChannel>(m_context.loop, address, limits::kSnapshotBytes);
+	m_relayHost = _host;
+}
+
+void StoreSync::askRelay(const std::string& _host)
+{
+	setRelayChannel(_host);
 	ChannelRequest request;
 	request.target = std::string(kUpdatePath) + std::to_string(m_context.content.revision);
 	request.maxDuration = kReadIdleTimeout;
@@ -235,13 +258,8 @@
 void StoreSync::onRelayContent(Micros _requestedAt, const std::optional<HttpAnswer>& _answer)
 {
 	recordRelayAnswer(_answer.has_value());
-	std::optional<StoreContent> content;
-	if (_answer && _answer->status == kOk)
-	{
-		content = decodeContent(_answer->body, _requestedAt);
-	}
-	const bool fresh = content && _requestedAt - content->confirmed <= kMaxRelayContentAge;
-	if (!fresh || content->revision < m_context.content.revision)
+	std::optional<StoreContent> content = freshContent(_requestedAt, _answer);
+	if (!content || content->revision < m_context.content.revision)
 	{
 		// The relay has just started or is behind, so the store itself must be read.
 		readStore();
@@ -309,13 +327,21 @@
 		scheduleRead(kRetryMin);
 		return;
 	}
-	m_reader->read(m_context.storeReachability.readTimeout(kReadIdleTimeout),
-				   [self = shared_from_this()](std::optional<StoreContent> _content)
-				   { self->onRead(std::move(_content)); });
+	m_reader->read(
+		m_context.storeReachability.readTimeout(kReadIdleTimeout),
+		[self = shared_from_this()](std::optional<StoreContent> _content) { self->onRead(std::move(_content)); },
+		[self = shared_from_this()]
+		{ return self->m_context.content.revision != 0 || self->m_startPlan.mayReadLargeContent(monotonicNow()); });
 }
 
 void StoreSync::onRead(std::optional<StoreContent> _content)
 {
+	if (!_content && m_reader->endedEarly())
+	{
+		m_reading = false;
+		scheduleRead(kNextRelayDelay);
+		return;
+	}
 	if (!_content)
 	{
 		onReadFailed();
@@ -364,6 +390,7 @@
 	m_watching = true;
 	ChannelRequest request = platform::watchCall(platform::configKey(), m_context.directory.revision(), kWatchSpan);
 	request.maxDuration = kWatchTimeout + kMaxReadDuration;
+	m_context.traffic.onStoreCall(StorePurpose::Watch);
 	m_watchChannel->call(std::move(request), kWatchTimeout,
 						 [self = shared_from_this()](const std::optional<HttpAnswer>& _answer)
 						 {
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -8,6 +8,7 @@
 #ifndef BEACONGATE_GATEWAY_STORESYNC_H
 #define BEACONGATE_GATEWAY_STORESYNC_H
 
+#include "coordination/startplan.h"
 #include "gateway/bodycache.h"
 #include "gateway/gatewaycontext.h"
 #include "gateway/rangereader.h"
@@ -54,6 +55,13 @@
 	/// @returns the gateway to ask instead of the store; nothing if this one reads the store itself.
 	std::optional<std::string> relayToAsk() const;
 	void readFromRelayOrStore();
+	/// Takes the next step to the first content.
+	void continueStart();
+	void readRelays();
+	void askForFirstContent(const std::string& _host);
+	/// @returns the content of a relay's answer; nothing if there is none, or if it is too old.
+	static std::optional<StoreContent> freshContent(Micros _requestedAt, const std::optional<HttpAnswer>& _answer);
+	void setRelayChannel(const std::string& _host);
 	void askRelay(const std::string& _host);
 	void onRelayAnswer(Micros _requestedAt, const std::optional<HttpAnswer>& _answer);
 	/// Asks the relay for its whole content. It is used if an update is not possible: the relay's history does not
@@ -82,7 +90,9 @@
 	void scheduleAskPeers();
 
 	GatewayContext& m_context;
+	StartPlan m_startPlan;
 	std::shared_ptr<RangeReader> m_reader;
+	std::shared_ptr<RangeReader> m_relaysReader; ///< Reads the names of relays during a start.
 	std::shared_ptr<HttpChannel> m_watchChannel;
 	std::shared_ptr<HttpChannel> m_peerChannel;
 	std::shared_ptr<HttpChannel> m_relayChannel;
--- a/src/gateway/storesync_p.h
+++ b/src/gateway/storesync_p.h
@@ -19,6 +19,11 @@
 /// Longest time for a read while bytes arrive. The content grows with the configuration, and 2 MB need 1.6 s on a
 /// link of 10 Mbit/s that callers' answers share. With 0.9 s for any size, 1.1 MB never arrived at 0.5 MB/s.
 inline constexpr Micros kMaxReadDuration = 6 * kSecond;
+/// Delay before the next relay is asked after one failed.
+inline constexpr Micros kNextRelayDelay = 20 * kMillisecond;
+/// A read that receives no bytes for this long has failed; the store answers within 10 ms. After a slow answer the
+/// span is longer: with a fixed one, a store that answers after a second would never deliver a configuration.
+inline constexpr Micros kReadIdleTimeout = 900 * kMillisecond;
 inline constexpr unsigned kOk = 200;
 inline constexpr unsigned kNotFound = 404; ///< A peer does not know what changed since such an old revision.
 
--- a/src/gateway/storesyncpeers.cpp
+++ b/src/gateway/storesyncpeers.cpp
@@ -31,7 +31,8 @@
 	}
 	const Micros now = monotonicNow();
 	const auto control = m_context.settings.control;
-	if (!control || now - m_context.content.confirmed < kAskPeersAfter)
+	const bool waitsForRelays = m_context.content.revision == 0 && m_startPlan.waitsForRelays(now);
+	if (!control || now - m_context.content.confirmed < kAskPeersAfter || waitsForRelays)
 	{
 		scheduleAskPeers();
 		return;
