Fit the answers of collectors to a small link

Cause: a collector answers each gateway of its data centre four times a second with the counters of all teams and up to 512 loads: 10 kB with 333 teams, so 7 MB/s for 174 gateways, where a link of 20 Mbit/s carries 2.5 MB/s. The bytes grow with gateways times teams. Where more than 512 servers are busy, those with the highest keys were left out, whatever their load.

An answer names the busiest servers, and the teams that the gateway serves; the others come in turn (TeamSelection). The format of datagrams is unchanged.

--- a/src/gateway/gossiper.cpp
+++ b/src/gateway/gossiper.cpp
@@ -34,6 +34,8 @@
 constexpr std::size_t kRoundsPerFullReport = 16; ///< Rounds between two reports that list all teams.
 /// Closed usage windows that a report that lists all teams includes.
 constexpr std::uint64_t kUsageWindowsBack = 3;
+/// Loads in the sums of a data centre: 3.6 kB, which is as much as a datagram carries.
+constexpr std::size_t kMaxCentreLoads = 512;
 constexpr std::uint64_t kCentreUsageWindowsBack = 2; ///< Closed usage windows whose sums a collector sends.
 /// Gateways that receive the usage of all data centres beside the duty holder: those that rank first, of which one
 /// takes the duties over if the holder is lost.
@@ -478,6 +480,7 @@
 	message.quotas = std::move(sums.quotas);
 	message.demand = std::move(sums.demand);
 	message.loads = std::move(sums.loads);
+	keepBusiest(message.loads, kMaxCentreLoads);
 	std::set<std::string> targets;
 	for (const std::string& dataCentre : m_context.relays.dataCentres())
 	{
--- a/src/gateway/gossiper.h
+++ b/src/gateway/gossiper.h
@@ -10,6 +10,7 @@
 #include "coordination/collectormonitor.h"
 #include "coordination/fleetfollower.h"
 #include "coordination/fleettable.h"
+#include "coordination/sumsselection.h"
 #include "coordination/usagereportplan.h"
 #include "gateway/crashexchange.h"
 #include "gateway/gatewaycontext.h"
@@ -85,6 +86,8 @@
 
 	/// @returns the levels of the teams' buckets to be sent to a host; empty if the host is past its start.
 	std::vector<QuotaLevel> levelsFor(const std::string& _host, Micros _now) const;
+	/// @returns what an answer with sums may contain.
+	SumsBudget sumsBudget() const;
 	/// @returns true if this gateway is a collector of its data centre.
 	bool isCollector() const;
 	/// @returns a message with the fields that every message has about its sender.
@@ -122,6 +125,8 @@
 	std::size_t m_listAllTeamsUntil = 0;
 	CollectorMonitor m_watch;
 	UsageReportPlan m_usagePlan;
+	TeamSelection m_teamSelection;
+	std::vector<QuotaReport> m_fleetQuotas; ///< Counters of all teams in m_sums.
 	CrashExchange m_crashExchange;
 	std::uint64_t m_unreadableCount = 0; ///< Datagrams of an unknown format since the start.
 };
--- a/src/gateway/gossiperreceive.cpp
+++ b/src/gateway/gossiperreceive.cpp
@@ -228,6 +228,10 @@
 		}
 		m_context.balancer.setPeerLoads(_message.host, _message.loads, _now);
 	}
+	if (collector)
+	{
+		m_teamSelection.onReport(_message, _now);
+	}
 	if (collector && _message.wantsSums)
 	{
 		answerWithSums(_message.host, _now);
@@ -282,20 +286,29 @@
 	send(echo, _host);
 }
 
+SumsBudget Gossiper::sumsBudget() const
+{
+	return SumsBudget::of(m_context.relays.membersOf(m_context.settings.dataCentre).size());
+}
+
 void Gossiper::answerWithSums(const std::string& _host, Micros _now)
 {
+	const SumsBudget budget = sumsBudget();
 	if (_now - m_sumsComputedAt > kSumsCacheTime)
 	{
 		m_table.expire(_now);
+		m_teamSelection.expire(_now);
 		FleetSums sums = m_table.fleetSums();
 		m_sums = makeMessage(_now);
 		m_sums.kind = GossipKind::FleetSums;
 		m_sums.gateways = sums.gateways;
-		m_sums.quotas = std::move(sums.quotas);
+		m_fleetQuotas = std::move(sums.quotas);
 		m_sums.demand = std::move(sums.demand);
 		m_sums.loads = std::move(sums.loads);
+		keepBusiest(m_sums.loads, budget.loads);
 		m_sumsComputedAt = _now;
 	}
+	m_sums.quotas = m_teamSelection.select(_host, m_fleetQuotas, budget.teams, _now);
 	// Ages, clocks and the content they describe must be of the same moment, although the sums may be older. With
 	// the fingerprint of content that had been replaced meanwhile, a gateway confirmed that content for a moment
 	// 0.47 s too late in a test.
--- a/src/protocol/gossipcodec.cpp
+++ b/src/protocol/gossipcodec.cpp
@@ -73,7 +73,7 @@
 /// Pending prompt tokens are encoded in units of this many tokens.
 constexpr std::uint64_t kTokenUnit = 16;
 constexpr std::uint64_t kMaxTokenUnits = 0xFFFF;
-/// Maximum number of loads in one message; receivers count the other backend servers as idle.
+/// Maximum number of loads in one message; receivers count the other backend servers as idle. See keepBusiest().
 constexpr std::size_t kMaxLoads = 512;
 
 void appendLittleEndian(std::string& _bytes, std::uint64_t _value, std::size_t _count)
