Wait for relays at the first start until they can be named

Cause: the gateways that read at once enter themselves as relays when they know the other members: their entries take 0.6 s, the next read 0.6 s and the check of the slots up to 1.25 s. VMs with 0.12 of a core waited for 1.5 s to 3 s, so that a part of them would have read the whole content before a relay was named.

Change: they wait for 3 s to 6 s, by the time that they need for the steps above; VMs with half a core still read at once.

--- a/src/coordination/startplan.h
+++ b/src/coordination/startplan.h
@@ -52,9 +52,9 @@
 	static constexpr Micros kRelaysLifetime = 1 * kSecond;
 
 	/// Longest time for which a gateway waits at the first start of the system, when no relay is named yet, before
-	/// it reads a large content itself. VMs with half a core or more read at once, and name relays within some 1.5
-	/// s.
-	static constexpr Micros kFirstReadDelay = 4 * kSecond;
+	/// it reads a large content itself. VMs with half a core or more read at once. They enter themselves as relays
+	/// once they know the other members, up to 2.5 s later.
+	static constexpr Micros kFirstReadDelay = 8 * kSecond;
 
 	/// @param[in] _ownHost Host of this gateway.
 	/// @param[in] _random Random number: gateways start with different relays.
