--- a/tests/departurelogtest.cpp
+++ b/tests/departurelogtest.cpp
@@ -48,7 +48,7 @@
 } // namespace
 
 /// An order for fewer engines drains thousands of servers within a second. With all of them in each message, one of
-/// 2,800 departures has 80 kB, which no datagram carries: all reports of the fleet were lost for 2 s.
+/// 2,800 departures has 80 kB, which no datagram carries: all reports of the fleet are lost for 2 s.
 TEST(DepartureLog, aMessageStaysSmallHoweverManyServersLeave)
 {
 	for (const unsigned servers : {3'000U, 6'000U})
--- a/tests/usagereportplantest.cpp
+++ b/tests/usagereportplantest.cpp
@@ -54,7 +54,7 @@
 }
 } // namespace
 
-/// All counts in one message exceeded the largest datagram, so that a data centre's sums were lost.
+/// All counts in one message exceed the largest datagram, so that a data centre's sums are lost.
 TEST(UsageReportPlan, aMessageStaysSmallHoweverManyTeamsAndRestartsThereAre)
 {
 	constexpr std::size_t kBound = 8'000;
