Comments: what a relay sends at a start, and what bounds a collector's answers

Two comments promised too much: a relay sends 7 MB to 44 gateways (160 kB each), not 25 MB, and the answers of a collector stop shrinking at 1.2 kB, so that they grow with more than some 260 gateways in a data centre. No code changed.

--- a/src/coordination/relayslots.h
+++ b/src/coordination/relayslots.h
@@ -22,8 +22,9 @@
 /// first in a data centre enter themselves.
 struct RelaySlots
 {
-	/// Slots of a data centre. With four, each relay serves a quarter of those that start: 44 gateways of 174, and
-	/// 25 MB with 4,000 items. Each one also reads the content, so that more relays would load the store.
+	/// Slots of a data centre. With four, each relay serves a quarter of those that start: 44 gateways of 174,
+	/// which is 7 MB with 4,000 items of 40 compressed bytes. Each relay also reads the content, so more of them
+	/// would load the store.
 	static constexpr std::size_t kCount = 4;
 
 	/// @param[in] _ranked First members of the data centre in the order of their rank.
--- a/src/coordination/sumsselection.h
+++ b/src/coordination/sumsselection.h
@@ -2,8 +2,8 @@
 // Licence: BSD-2-Clause, see LICENSE.
 
 /// @file
-/// Selects the part of the fleet's sums that a collector sends in one answer, so that its answers fit its link
-/// however many gateways, teams and backend servers there are.
+/// Selects the part of the fleet's sums that a collector sends in one answer. Its size does not grow with the teams
+/// and backend servers, and shrinks as the data centre grows, down to SumsBudget::kMinAnswerBytes.
 
 #ifndef BEACONGATE_COORDINATION_SUMSSELECTION_H
 #define BEACONGATE_COORDINATION_SUMSSELECTION_H
