Log what became of the connection of a failed attempt

Cause: the log of the users' report could not tell a refused connection from one that timed out, or from one that was not used, so that the hypotheses on partitioned gateways could only be told apart by the length of the attempts. Change: attempt-failed names it. No decision changed.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -140,6 +140,8 @@
 	void onDone();
 	void onFault(CallFault _fault);
 	void failAttempt(AttemptResult _result);
+	/// @returns for the log what became of the attempt's connection.
+	std::string_view connectionText() const;
 	/// Reports a connection that ended early to the crash detector, if the request may have caused it.
 	void reportEndedConnection();
 	/// Ends an attempt that gave a complete answer.
--- a/src/gateway/exchangeanswers.cpp
+++ b/src/gateway/exchangeanswers.cpp
@@ -269,6 +269,19 @@
 	}
 }
 
+std::string_view Exchange::connectionText() const
+{
+	if (m_attempt.requestSent)
+	{
+		return "used";
+	}
+	if (m_attempt.withheld)
+	{
+		return "unused";
+	}
+	return m_attempt.refused ? toString(ConnectResult::Refused) : toString(ConnectResult::Unreachable);
+}
+
 void Exchange::failAttempt(AttemptResult _result)
 {
 	if (m_finished)
@@ -315,6 +328,7 @@
 			  {"content", toString(m_fingerprint)},
 			  {"backend", m_attempt.backend.id},
 			  {"result", std::string(toString(_result))},
+			  {"connection", std::string(connectionText())},
 			  {"status", std::to_string(m_attempt.head.status)},
 			  {"sent", std::to_string(m_sendCount)},
 			  {"backoff_left_ms", millisText(m_attempt.backoffLeft)},
