Connect to backend servers through other gateways where the own path is cut

Cause: a gateway's own connection was the only way to a backend server, and what it met there was read as the server's state. A refused connection counted as the end of the server's process, so that after a few requests all servers were in backoffs; in the crash detector it counted as a crash. Evidence: 527 failed attempts, all without a byte sent, at the four partitioned gateways alone.

Change: BackendConnector opens connections directly or through another gateway (TunnelServer), whose bytes that one passes on unchanged. The tunnel stands before a byte of the request is sent, so that routing, quotas, retries, DRAIN and at-most-once remain where they were. A refused connection is confirmed by another gateway before it counts as a server's end; a gateway that fails at two servers without a connection in between uses tunnels first, and probes until its own path is back. One hop at most; a gateway that is isolated itself says so and is passed over.

--- a/src/gateway/crashdetector.cpp
+++ b/src/gateway/crashdetector.cpp
@@ -49,16 +49,15 @@
 
 void CrashDetector::startProbe(const EndedConnection& _ended)
 {
-	TcpConnection::open(
-		m_loop, _ended.address, kProbeTimeout, kProbeTimeout,
-		[this, backend = _ended.backend](const TcpConnection::Ptr& _connection, ConnectResult _result)
-		{
-			if (_connection)
-			{
-				_connection->close();
-			}
-			onProbed(backend, _result);
-		});
+	m_connector.open({_ended.backend, _ended.address, kProbeTimeout},
+					 [this, backend = _ended.backend](const BackendConnection& _probe)
+					 {
+						 if (_probe.connection)
+						 {
+							 _probe.connection->close();
+						 }
+						 onProbed(backend, _probe.result);
+					 });
 }
 
 void CrashDetector::onProbed(const BackendIdentity& _backend, ConnectResult _result)
--- a/src/gateway/crashdetector.h
+++ b/src/gateway/crashdetector.h
@@ -9,7 +9,7 @@
 
 #include "coordination/backendkey.h"
 #include "coordination/requestfingerprint.h"
-#include "transport/tcpconnection.h"
+#include "gateway/backendconnector.h"
 
 #include <functional>
 #include <unordered_map>
@@ -27,9 +27,9 @@
 	Micros at = 0;
 };
 
-/// Probes a backend server once one of its connections has ended early. If the connection is refused, its process
-/// has ended. A server that accepts connections has reset a single one, and a server that does not answer may be
-/// out of this gateway's reach: neither is a crash.
+/// Probes a backend server once one of its connections has ended early. If the connection is refused, and another
+/// gateway is refused as well, its process has ended. A server that accepts connections has reset a single one, and
+/// a server that does not answer may be out of this gateway's reach: neither is a crash.
 class CrashDetector
 {
 public:
@@ -40,7 +40,7 @@
 	/// A crash that a probe found also ended the connections that are found ended within this span.
 	static constexpr Micros kResultLifetime = 500 * kMillisecond;
 
-	explicit CrashDetector(boost::asio::io_context& _loop) : m_loop(_loop)
+	explicit CrashDetector(BackendConnector& _connector) : m_connector(_connector)
 	{
 	}
 
@@ -67,7 +67,7 @@
 	void onProbed(const BackendIdentity& _backend, ConnectResult _result);
 	void reportCrash(Probe& _probe);
 
-	boost::asio::io_context& m_loop;
+	BackendConnector& m_connector;
 	std::unordered_map<BackendKey, Probe, BackendKeyHash> m_probes;
 	std::function<void(const EndedConnection&)> m_onCrash;
 };
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -23,7 +23,6 @@
 constexpr Micros kMinConnectTimeout = 60 * kMillisecond;
 constexpr Micros kMaxConnectTimeout = 300 * kMillisecond;
 constexpr Micros kStoreUnavailableRetryAfter = 500 * kMillisecond;
-constexpr Micros kBackendTcpUserTimeout = 3 * kSecond;
 constexpr Micros kDefaultDeadline = 30 * kSecond;
 constexpr double kMillisPerSecond = 1000.0;
 } // namespace
@@ -345,12 +344,15 @@
 	m_context.balancer.onSent(_backend.key, m_placement);
 	m_context.suspects.onPlaced(m_fingerprint, _backend.key);
 	CallOptions options;
-	options.address = _backend.record.address;
-	options.connectSpan = std::clamp(m_route->targetLatency / 4, kMinConnectTimeout, kMaxConnectTimeout);
-	options.userTimeout = kBackendTcpUserTimeout;
 	options.noBody = m_request.head.method == "HEAD";
-	CallHandlers handlers;
+	const Micros connectSpan = std::clamp(m_route->targetLatency / 4, kMinConnectTimeout, kMaxConnectTimeout);
+	const BackendTarget target{m_attempt.backend, m_attempt.address, connectSpan};
 	const auto self = shared_from_this();
+	options.connect = [self, target](TcpConnection::ConnectHandler _done)
+	{
+		self->connect(target, std::move(_done));
+	};
+	CallHandlers handlers;
 	handlers.maySend = [self]
 	{
 		return self->mayStillSend();
@@ -390,6 +392,16 @@
 	m_attempt.call = OutgoingCall::start(m_context.loop, options, formatForward(_backend), std::move(handlers));
 }
 
+void Exchange::connect(const BackendTarget& _target, TcpConnection::ConnectHandler _done)
+{
+	m_context.connector.open(_target,
+							 [self = shared_from_this(), done = std::move(_done)](const BackendConnection& _opened)
+							 {
+								 self->m_attempt.via = _opened.via;
+								 done(_opened.connection, _opened.result);
+							 });
+}
+
 void Exchange::recordListState()
 {
 	const Micros now = monotonicNow();
@@ -524,6 +536,7 @@
 			  {"outcome", _outcome},
 			  {"status", std::to_string(_status)},
 			  {"backend", m_attempt.backend.id.empty() ? "-" : m_attempt.backend.id},
+			  {"via", m_attempt.via.empty() ? "-" : m_attempt.via},
 			  {"content", toString(m_fingerprint)},
 			  {"sent", std::to_string(m_sendCount)},
 			  {"detail", _detail.empty() ? "-" : _detail},
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -66,6 +66,7 @@
 		BackendKey crashKey; ///< See CrashLedger::nextCrashKey().
 		Address address;
 		OutgoingCall::Ptr call;
+		std::string via; ///< Host of the gateway through which it is connected; empty for a direct connection.
 		Micros sent = 0; ///< When the attempt started.
 		unsigned slots = 0;
 		MessageHead head;
@@ -130,6 +131,8 @@
 	/// Records the state of the list of backend servers by which the request is sent, for the log and the metrics.
 	void recordListState();
 	std::string formatForward(const KnownBackend& _backend) const;
+	/// Opens the connection of an attempt.
+	void connect(const BackendTarget& _target, TcpConnection::ConnectHandler _done);
 	void onHead(const MessageHead& _head);
 	/// Applies what the answer's headers say about the backend server: leaving, backoff, limit.
 	void applyBackendState();
--- a/src/gateway/exchangeanswers.cpp
+++ b/src/gateway/exchangeanswers.cpp
@@ -328,6 +328,7 @@
 			  {"content", toString(m_fingerprint)},
 			  {"backend", m_attempt.backend.id},
 			  {"result", std::string(toString(_result))},
+			  {"via", m_attempt.via.empty() ? "-" : m_attempt.via},
 			  {"connection", std::string(connectionText())},
 			  {"status", std::to_string(m_attempt.head.status)},
 			  {"sent", std::to_string(m_sendCount)},
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -9,6 +9,7 @@
 #include "gateway/gatewaystate.h"
 #include "platform/headers.h"
 #include "protocol/contentcodec.h"
+#include "protocol/tunnelcodec.h"
 
 #include <csignal>
 #include <sstream>
@@ -38,7 +39,7 @@
 } // namespace
 
 Gateway::Gateway(GatewaySettings _settings, std::function<GatewaySettings()> _reload)
-	: m_context(std::move(_settings)), m_reload(std::move(_reload)), m_dispatcher(m_context),
+	: m_context(std::move(_settings)), m_reload(std::move(_reload)), m_dispatcher(m_context), m_tunnels(m_context),
 	  m_signals(m_context.loop, SIGTERM, SIGINT, SIGHUP), m_stopTimer(m_context.loop)
 {
 	m_context.onDirectoryChanged = [this]
@@ -204,6 +205,11 @@
 		_session->answer(HttpAnswer{200, {{"Content-Type", "text/plain; version=0.0.4"}}, formatMetrics()});
 		return;
 	}
+	if (_request.head.method == "POST" && _request.head.target == kTunnelPath)
+	{
+		m_tunnels.onRequest(_session, _request);
+		return;
+	}
 	if (_request.head.method == "DELETE" && _request.head.target.starts_with(kCrashesPath))
 	{
 		_session->answer(releaseRequest(std::string_view(_request.head.target).substr(kCrashesPath.size())));
@@ -266,6 +272,13 @@
 	metrics.setGauge("beacongate_quota_asks_unanswered", static_cast<double>(grants.unanswered));
 	metrics.setGauge("beacongate_quota_requests_undecided", static_cast<double>(grants.undecided));
 	metrics.setGauge("beacongate_quota_grants_returned", static_cast<double>(grants.returned));
+	metrics.setGauge("beacongate_backends_unreachable", m_context.connector.isIsolated() ? 1.0 : 0.0);
+	for (const auto& [verdict, count] : m_context.connector.tunnelCounts())
+	{
+		metrics.setGauge("beacongate_tunnels_asked_" + std::string(toString(verdict)), static_cast<double>(count));
+	}
+	metrics.setGauge("beacongate_tunnels_provided", static_cast<double>(m_tunnels.openedTunnels()));
+	metrics.setGauge("beacongate_tunnels_open", static_cast<double>(m_tunnels.openTunnels()));
 	metrics.setGauge("beacongate_duties_held", m_duties && m_duties->holds() ? 1.0 : 0.0);
 	metrics.setGauge("beacongate_buffered_bytes", static_cast<double>(m_callerContext->bufferedBytes));
 	metrics.setGauge("beacongate_log_lines_left_out", static_cast<double>(droppedLogLines()));
@@ -344,7 +357,7 @@
 			session->closeIfIdle();
 		}
 	}
-	if (mustAbort || (closesIdle && m_callerContext->sessions.empty()))
+	if (mustAbort || (closesIdle && m_callerContext->sessions.empty() && m_tunnels.openTunnels() == 0))
 	{
 		shutdown();
 		return;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include "gateway/registration.h"
 #include "gateway/relayslotwriter.h"
 #include "gateway/storesync.h"
+#include "gateway/tunnelserver.h"
 #include "transport/serversession.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -65,6 +66,7 @@
 	GatewayContext m_context;
 	std::function<GatewaySettings()> m_reload;
 	Dispatcher m_dispatcher;
+	TunnelServer m_tunnels;
 	std::shared_ptr<ServerContext> m_callerContext;
 	std::shared_ptr<ServerContext> m_controlContext;
 	std::unique_ptr<ServerListener> m_callerListener;
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -30,6 +30,7 @@
 #include "coordination/suspectplacement.h"
 #include "coordination/usageledger.h"
 #include "daemon/clock.h"
+#include "gateway/backendconnector.h"
 #include "gateway/backendrecords.h"
 #include "gateway/crashdetector.h"
 #include "gateway/gatewaymetrics.h"
@@ -51,11 +52,11 @@
 {
 	explicit GatewayContext(GatewaySettings _configured)
 		: settings(std::move(_configured)), run{settings.name, newIncarnation()},
+		  random(static_cast<std::mt19937::result_type>(run.incarnation)),
 		  storeReachability(DrainBudget(settings.drainSpan).storeTimeout),
 		  balancer(settings.dataCentre, static_cast<std::uint32_t>(run.incarnation)), grantor(quotas),
 		  admission(quotas, grantor, settings.callers.host, run.incarnation), peers(settings.callers.host),
-		  relays({settings.callers.host, settings.dataCentre, settings.cpuPercent}), usage(run),
-		  random(static_cast<std::mt19937::result_type>(run.incarnation))
+		  relays({settings.callers.host, settings.dataCentre, settings.cpuPercent}), usage(run)
 	{
 		directory.setDrainBound(settings.drainSpan);
 		retryBudget.configure(settings.retryBudget);
@@ -92,6 +93,7 @@
 	boost::asio::io_context loop{1};
 	GatewaySettings settings;
 	GatewayRun run;
+	std::minstd_rand random;
 	Micros started = monotonicNow();
 	Directory directory;
 	StoreContent content;
@@ -104,7 +106,6 @@
 	Balancer balancer;
 	BackoffTable backoffs;
 	BackendLimits limits;
-	CrashDetector crashDetector{loop};
 	CrashLedger crashes;
 	SuspectPlacement suspects{crashes};
 	QuotaLedger quotas;
@@ -113,12 +114,13 @@
 	SharedRetryBudget retryBudget;
 	PeerTable peers;
 	RelayChoice relays;
+	BackendConnector connector{loop, settings, relays, peers, random};
+	CrashDetector crashDetector{connector};
 	AgreedClock clock;
 	UsageLedger usage;
 	DemandMeter demand;
 	EngineModel engines;
 	StreamLengths streamLengths;
-	std::minstd_rand random;
 	GatewayMetrics metrics;
 	TrafficCounters traffic;
 	bool stopping = false;
--- a/src/transport/outgoingcall.cpp
+++ b/src/transport/outgoingcall.cpp
@@ -38,10 +38,18 @@
 									  std::string _bytes, CallHandlers _handlers)
 {
 	auto call = std::make_shared<OutgoingCall>(std::move(_handlers));
+	auto onConnected = [call, bytes = std::move(_bytes),
+						noBody = _options.noBody](const TcpConnection::Ptr& _connection, ConnectResult _result)
+	{
+		call->onConnected(_connection, _result, bytes, noBody);
+	};
+	if (_options.connect)
+	{
+		_options.connect(std::move(onConnected));
+		return call;
+	}
 	TcpConnection::open(_context, _options.address, _options.connectSpan, _options.userTimeout,
-						[call, bytes = std::move(_bytes),
-						 noBody = _options.noBody](const TcpConnection::Ptr& _connection, ConnectResult _result)
-						{ call->onConnected(_connection, _result, bytes, noBody); });
+						std::move(onConnected));
 	return call;
 }
 
--- a/src/transport/outgoingcall.h
+++ b/src/transport/outgoingcall.h
@@ -43,6 +43,9 @@
 struct CallOptions
 {
 	Address address;
+	/// Opens the connection, and never calls its argument from inside itself. If it is empty, the connection is
+	/// opened to the address.
+	std::function<void(TcpConnection::ConnectHandler)> connect;
 	Micros connectSpan = kSecond;     ///< Timeout for establishing the connection.
 	Micros userTimeout = 3 * kSecond; ///< TCP_USER_TIMEOUT: maximum time that sent bytes may stay unacknowledged.
 	bool noBody = false;              ///< The answer has no body, regardless of its headers.
--- a/src/transport/serversession.cpp
+++ b/src/transport/serversession.cpp
@@ -343,6 +343,17 @@
 	end();
 }
 
+TcpConnection::Ptr ServerSession::release()
+{
+	if (m_phase == Phase::Ended)
+	{
+		return nullptr;
+	}
+	m_onDisconnected = nullptr;
+	end();
+	return m_connection;
+}
+
 std::size_t ServerSession::unsent() const
 {
 	return m_connection->unsent();
--- a/src/transport/serversession.h
+++ b/src/transport/serversession.h
@@ -79,6 +79,10 @@
 	/// Resets the connection, so that the client cannot take the answer as complete.
 	void abort();
 
+	/// Ends the session and hands its connection over, for another protocol.
+	/// @returns the connection, whose handlers must be set with start(); nullptr if the session has ended.
+	TcpConnection::Ptr release();
+
 	/// @returns the number of queued bytes that the system has not accepted yet.
 	std::size_t unsent() const;
 
--- a/tools/soak/faultproxy.cpp
+++ b/tools/soak/faultproxy.cpp
@@ -51,7 +51,7 @@
 	}
 }
 
-void FaultProxy::setListening(bool _listening)
+void FaultProxy::setListening(bool _listening, bool _resetOpen)
 {
 	m_loop.run(
 		[&]
@@ -67,7 +67,10 @@
 			}
 			BoostError ignored;
 			m_acceptor.close(ignored);
-			resetLinks();
+			if (_resetOpen)
+			{
+				resetLinks();
+			}
 		});
 }
 
--- a/tools/soak/faultproxy.h
+++ b/tools/soak/faultproxy.h
@@ -41,8 +41,9 @@
 	/// @param[in] _delay Delay of each chunk, in each direction, under LinkFault::Delays.
 	void setFault(LinkFault _fault, Micros _delay = kDelay);
 
-	/// Accepts connections or refuses them. When it begins to refuse them, it resets those that are open.
-	void setListening(bool _listening);
+	/// Accepts connections or refuses them.
+	/// @param[in] _resetOpen Resets the open connections when it begins to refuse new ones.
+	void setListening(bool _listening, bool _resetOpen = true);
 
 private:
 	struct Link;
