--- a/tools/standin/platform.h
+++ b/tools/standin/platform.h
@@ -11,6 +11,7 @@
 #include "transport/serversession.h"
 
 #include <atomic>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -232,6 +233,14 @@
 	/// @param[in] _limit Value of the header; if empty, the header is left out.
 	void setLimit(const std::string& _limit);
 
+	/// Sets how many requests the worker runs at once; it rejects more. 0 for any number.
+	void setRoom(unsigned _room);
+
+	/// Makes the worker brittle: its answers say so, and it crashes for a while when it has rejected more requests
+	/// for want of room within a second.
+	/// @param[in] _rejections Rejections that it bears; a negative number ends it.
+	void setBrittle(int _rejections);
+
 	/// Sets whether later answers say that the worker is draining.
 	void setLeaving(bool _leaving);
 
@@ -270,6 +279,8 @@
 	/// Calls a function after a span.
 	void schedule(Micros _span, std::function<void()> _function);
 	bool rejectsNext();
+	/// Notes a rejection for want of room. A brittle worker that had too many crashes.
+	void onNoRoom();
 	void stream(const ConnectionPtr& _connection, unsigned _next);
 	static std::string formatEvent(const std::string& _requestId, unsigned _number);
 	std::string head(const ConnectionPtr& _connection, unsigned _status, const std::string& _more);
@@ -285,6 +296,9 @@
 	WorkerFault m_fault = WorkerFault::None;
 	std::string m_retryAfter;
 	std::string m_limit;
+	unsigned m_room = 0;              ///< 0 for any number of requests.
+	int m_brittle = -1;               ///< Rejections that it bears in a second; negative if any number.
+	std::deque<Micros> m_noRoomTimes; ///< Rejections for want of room within the last second.
 	bool m_leaving = false;
 	unsigned m_arrived = 0; ///< Requests that RejectsSome has counted since the fault was set.
 	std::mutex m_mutex;
--- a/tools/standin/platformworker.cpp
+++ b/tools/standin/platformworker.cpp
@@ -90,6 +90,31 @@
 	m_loop.run([&] { m_limit = _limit; });
 }
 
+void PlatformWorker::setRoom(unsigned _room)
+{
+	m_loop.run([&] { m_room = _room; });
+}
+
+void PlatformWorker::setBrittle(int _rejections)
+{
+	m_loop.run([&] { m_brittle = _rejections; });
+}
+
+void PlatformWorker::onNoRoom()
+{
+	const Micros now = monotonicNow();
+	m_noRoomTimes.push_back(now);
+	while (m_noRoomTimes.front() <= now - kSecond)
+	{
+		m_noRoomTimes.pop_front();
+	}
+	if (m_brittle >= 0 && m_noRoomTimes.size() > static_cast<std::size_t>(m_brittle))
+	{
+		m_noRoomTimes.clear();
+		schedule(0, [this] { crash(""); });
+	}
+}
+
 void PlatformWorker::setLeaving(bool _leaving)
 {
 	m_loop.run([&] { m_leaving = _leaving; });
@@ -240,7 +265,8 @@
 	return "HTTP/1.1 " + std::to_string(_status) + " X\r\n" + platform::kRequestId + ": " + id + "\r\n" +
 		   platform::kStamp + ": " + m_id + "\r\n" +
 		   (m_leaving ? platform::kLeaving + std::string(": 1\r\n") : "") +
-		   (m_limit.empty() ? "" : platform::kLimit + (": " + m_limit) + "\r\n") + _more + "\r\n";
+		   (m_limit.empty() ? "" : platform::kLimit + (": " + m_limit) + "\r\n") +
+		   (m_brittle < 0 ? "" : platform::kBrittle + (": " + std::to_string(m_brittle)) + "\r\n") + _more + "\r\n";
 }
 
 bool PlatformWorker::rejectsNext()
@@ -256,7 +282,15 @@
 	_connection->requestId = std::string(findHeader(request.headers, platform::kRequestId));
 	const bool misdirected =
 		m_fault == WorkerFault::Misdirected || findHeader(request.headers, platform::kTarget) != m_id;
-	const bool rejects = !misdirected && rejectsNext();
+	const auto running = static_cast<std::size_t>(
+		std::count_if(m_connections.begin(), m_connections.end(),
+					  [](const ConnectionPtr& _other) { return _other->requestReceived && !_other->ended; }));
+	const bool noRoom = !misdirected && m_room > 0 && running >= m_room;
+	const bool rejects = !misdirected && (noRoom || rejectsNext());
+	if (noRoom)
+	{
+		onNoRoom();
+	}
 	if (!misdirected)
 	{
 		const Micros backoff = rejects ? parseRetryAfter(m_retryAfter).value_or(0) : 0;
