Claim slots of brittle backend servers before they are used

Cause: Server-Brittle was not read, and gateways place requests by load reports that are up to a round old: several see the same free slot, and all but one request is rejected. Change: BrittleServers divides the free slots of such a server between the gateways without a message; a claim lasts a while after its request and is part of the load reports. A rejection lowers the slots that are taken for usable.

--- a/src/coordination/balancer.cpp
+++ b/src/coordination/balancer.cpp
@@ -162,6 +162,12 @@
 	return total;
 }
 
+unsigned Balancer::ownInFlight(BackendKey _key) const
+{
+	const auto own = m_own.find(_key);
+	return own == m_own.end() ? 0 : own->second.inFlight;
+}
+
 unsigned Balancer::totalInFlight(BackendKey _key) const
 {
 	return totalLoad(_key).inFlight;
--- a/src/coordination/balancer.h
+++ b/src/coordination/balancer.h
@@ -123,6 +123,9 @@
 	/// @returns this gateway's own load, to be reported to its peers.
 	std::vector<BackendLoad> ownLoads() const;
 
+	/// @returns the requests that this gateway has in flight at a backend server.
+	unsigned ownInFlight(BackendKey _key) const;
+
 	/// @returns the requests that all gateways have in flight at a backend server.
 	unsigned totalInFlight(BackendKey _key) const;
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -342,6 +342,7 @@
 						  m_context.limits.take(_backend.key, m_context.clock.trueTime(now));
 	m_attempt.backoffProbe = m_context.backoffs.onPlaced(_backend.key, now);
 	m_context.balancer.onSent(_backend.key, m_placement);
+	m_context.brittle.onPlaced(_backend, m_context.balancer, m_context.clock.trueTime(now));
 	m_context.suspects.onPlaced(m_fingerprint, _backend.key);
 	CallOptions options;
 	options.noBody = m_request.head.method == "HEAD";
--- a/src/gateway/exchangeanswers.cpp
+++ b/src/gateway/exchangeanswers.cpp
@@ -18,6 +18,7 @@
 constexpr unsigned kOk = 200;
 constexpr unsigned kMultipleChoices = 300;
 constexpr unsigned kServerError = 500;
+constexpr unsigned kServiceUnavailable = 503;
 } // namespace
 
 void Exchange::onHead(const MessageHead& _head)
@@ -76,6 +77,21 @@
 		m_context.limits.onAnswer(m_attempt.key, info.limit, m_attempt.sent, now, m_context.clock.trueTime(now));
 		logLimitChange(before);
 	}
+	if (info.brittlenessUnreadable)
+	{
+		logEvent(LogLevel::Warning, "brittleness-unreadable", {{"backend", m_attempt.backend.id}});
+	}
+	if (!info.misdirected && (info.bearableRejections || !info.brittlenessUnreadable))
+	{
+		const bool changed = m_context.brittle.onAnswer(m_attempt.key, info.bearableRejections);
+		if (changed)
+		{
+			const auto& borne = info.bearableRejections;
+			logEvent(
+				LogLevel::Info, "backend-brittle",
+				{{"backend", m_attempt.backend.id}, {"rejections_per_s", borne ? std::to_string(*borne) : "-"}});
+		}
+	}
 	if (info.backoff)
 	{
 		m_context.metrics.onBackoffAsked();
@@ -262,6 +278,8 @@
 {
 	endBackoffProbe(false);
 	m_context.balancer.onEnded(m_attempt.key, m_placement, m_attempt.firstEventSeen);
+	const bool noRoom = m_attempt.info.notExecuted && m_attempt.head.status == kServiceUnavailable;
+	m_context.brittle.onEnded(m_attempt.key, m_context.balancer, noRoom, m_context.clock.trueTime(monotonicNow()));
 	m_context.suspects.onEnded(m_fingerprint, m_attempt.key);
 	if (m_attempt.slots > 0 && m_placement.promptTokens == 0)
 	{
--- a/src/gateway/exchangeplacement.cpp
+++ b/src/gateway/exchangeplacement.cpp
@@ -40,6 +40,7 @@
 	Availability available =
 		m_context.backoffs.available(m_context.directory.usableOf(m_service, _now), _excluded, _now);
 	m_context.limits.narrow(available, _now, m_context.clock.trueTime(_now));
+	m_context.brittle.narrow(available, m_context.balancer, m_context.clock.trueTime(_now));
 	return available;
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -251,6 +251,7 @@
 	metrics.setGauge("beacongate_backends_usable", static_cast<double>(usable));
 	metrics.setGauge("beacongate_backends_in_backoff", static_cast<double>(inBackoff));
 	metrics.setGauge("beacongate_backends_limited", static_cast<double>(m_context.limits.size()));
+	metrics.setGauge("beacongate_backends_brittle", static_cast<double>(m_context.brittle.size()));
 	metrics.setGauge("beacongate_requests_suspected",
 					 static_cast<double>(m_context.crashes.countOf(Suspicion::Suspected)));
 	metrics.setGauge("beacongate_requests_blocked",
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -11,6 +11,7 @@
 #include "coordination/backendlimits.h"
 #include "coordination/backofftable.h"
 #include "coordination/balancer.h"
+#include "coordination/brittleservers.h"
 #include "coordination/contenthistory.h"
 #include "coordination/crashledger.h"
 #include "coordination/demandmeter.h"
@@ -106,6 +107,7 @@
 	Balancer balancer;
 	BackoffTable backoffs;
 	BackendLimits limits;
+	BrittleServers brittle;
 	CrashLedger crashes;
 	SuspectPlacement suspects{crashes};
 	QuotaLedger quotas;
--- a/src/gateway/gossiper.cpp
+++ b/src/gateway/gossiper.cpp
@@ -138,6 +138,7 @@
 	FleetSums sums;
 	sums.gateways = 1;
 	sums.loads = m_context.balancer.ownLoads();
+	m_context.brittle.addClaims(sums.loads, m_context.clock.trueTime(monotonicNow()));
 	sums.demand = m_context.demand.ownReports();
 	if (m_context.directory.config())
 	{
@@ -176,8 +177,9 @@
 	m_context.admission.setGrantors(m_context.relays.allTopMembers());
 	logGrantorNotices();
 	m_context.retryBudget.setMembers(members);
-	m_context.limits.setMembers(std::max(m_context.relays.memberCount(), m_context.relays.index() + 1),
-								m_context.relays.index());
+	const std::size_t listed = std::max(m_context.relays.memberCount(), m_context.relays.index() + 1);
+	m_context.limits.setMembers(listed, m_context.relays.index());
+	m_context.brittle.setMembers(listed, m_context.relays.index(), GossipPlan::propagationDelay(members));
 	m_context.balancer.setPeerLoadLifetime(
 		std::max(kSecond, kPeerLoadLifetimeFactor * GossipPlan::propagationDelay(members)));
 	m_context.balancer.setManyGateways(m_context.usesCollectors());
--- a/src/gateway/requestinfo.h
+++ b/src/gateway/requestinfo.h
@@ -53,7 +53,11 @@
 	/// Requests a second that the backend server takes from all gateways together; nothing if it names no limit.
 	std::optional<double> limit;
 	bool limitUnreadable = false; ///< The limit is no number, or negative.
-	std::string id;               ///< Id of the request to which the answer belongs.
+	/// Requests a second that the backend server may reject for want of room before it falls over; nothing if it is
+	/// not brittle.
+	std::optional<double> bearableRejections;
+	bool brittlenessUnreadable = false; ///< That number is no number, or negative.
+	std::string id;                     ///< Id of the request to which the answer belongs.
 };
 
 } // namespace beacongate
--- a/src/gateway/storesyncapply.cpp
+++ b/src/gateway/storesyncapply.cpp
@@ -161,6 +161,7 @@
 	m_context.balancer.retain(known);
 	m_context.backoffs.retain(known);
 	m_context.limits.retain(known);
+	m_context.brittle.retain(known);
 }
 
 void StoreSync::onApplied(bool _newConfig, bool _fromPeer, Micros _now)
--- a/tests/answerheaderstest.cpp
+++ b/tests/answerheaderstest.cpp
@@ -93,6 +93,17 @@
 	}
 }
 
+TEST(AnswerHeaders, brittlenessIsReadFromAnyAnswer)
+{
+	for (const unsigned status : {200u, 404u, 500u, 503u})
+	{
+		EXPECT_EQ(read(status, {{"server-brittle", "4"}}).bearableRejections, 4.0);
+	}
+	EXPECT_FALSE(read(200, {}).bearableRejections);
+	EXPECT_FALSE(read(200, {{platform::kBrittle, "very"}}).bearableRejections);
+	EXPECT_TRUE(read(200, {{platform::kBrittle, "very"}}).brittlenessUnreadable);
+}
+
 TEST(AnswerHeaders, contentEncodingIsReported)
 {
 	EXPECT_TRUE(read(200, {{"content-encoding", "gzip"}}).encoded);
