Reproduce gateways keeping to what a restored store has lost

The stand-in store takes a copy, goes back to it, names its era and gives revisions and lease ids out again. 2 s after a write that follows such a return, four of four gateways served by the old configuration, and 20 of 20 requests reached the server that had said it leaves.

--- a/tools/standin/platform.cpp
+++ b/tools/standin/platform.cpp
@@ -180,13 +180,49 @@
 	m_loop.run([&] { m_readRate = _bytesPerSecond; });
 }
 
-void PlatformStore::answerRead(const ServerSessionPtr& _session, const HttpAnswer& _answer)
+void PlatformStore::takeCopy()
+{
+	m_loop.run([this] { m_copy = {m_items, m_leases, m_revision, m_nextLease}; });
+}
+
+void PlatformStore::restoreCopy()
+{
+	m_loop.run(
+		[this]
+		{
+			m_items = m_copy.items;
+			m_leases = m_copy.leases;
+			for (auto& [lease, times] : m_leases)
+			{
+				times.first = monotonicNow() + times.second;
+			}
+			m_revision = m_copy.revision;
+			m_nextLease = m_copy.nextLease;
+			m_historyStart = m_revision;
+			m_events.clear();
+			++m_era;
+			for (const Watch& watch : m_watches)
+			{
+				watch.session->abort();
+			}
+			m_watches.clear();
+		});
+}
+
+void PlatformStore::answer(const ServerSessionPtr& _session, HttpAnswer _answer) const
+{
+	_answer.headers.emplace_back(platform::kStoreEra, std::to_string(m_era));
+	_session->answer(_answer);
+}
+
+void PlatformStore::answerRead(const ServerSessionPtr& _session, HttpAnswer _answer)
 {
 	if (m_readRate == 0)
 	{
-		_session->answer(_answer);
+		answer(_session, std::move(_answer));
 		return;
 	}
+	_answer.headers.emplace_back(platform::kStoreEra, std::to_string(m_era));
 	_session->startAnswer(_answer.status, _answer.headers, "");
 	sendRemaining(_session, _answer.body);
 }
@@ -238,7 +274,7 @@
 	}
 	if (m_fault == StoreFault::Busy)
 	{
-		_session->answer(HttpAnswer{503, {}, ""});
+		answer(_session, HttpAnswer{503, {}, ""});
 		return;
 	}
 	if (target.starts_with("/kv-watch"))
@@ -253,22 +289,22 @@
 		answerRead(_session, range(queryField(target, "pathPrefix"), queryField(target, "sinceRevision")));
 		return;
 	}
-	HttpAnswer answer{404, {}, ""};
+	HttpAnswer result{404, {}, ""};
 	if (target == "/kv-txn")
 	{
-		answer = transact(_request.body);
+		result = transact(_request.body);
 	}
 	else if (target == "/kv-lease")
 	{
-		answer = openLease(_request.body);
+		result = openLease(_request.body);
 	}
 	else if (target.starts_with("/kv-keep/"))
 	{
-		answer = renewLease(numberAfter(target, "/kv-keep/"));
+		result = renewLease(numberAfter(target, "/kv-keep/"));
 	}
 	if (m_fault != StoreFault::LosesWrites)
 	{
-		_session->answer(answer);
+		answer(_session, std::move(result));
 	}
 }
 
@@ -383,9 +419,9 @@
 void PlatformStore::watch(const ServerSessionPtr& _session, const std::string& _prefix, std::uint64_t _since,
 						  Micros _span)
 {
-	if (_since < m_historyStart)
+	if (_since < m_historyStart || _since > m_revision)
 	{
-		_session->answer(HttpAnswer{410, {}, ""});
+		answer(_session, HttpAnswer{410, {}, ""});
 		return;
 	}
 	m_watches.push_back({_session, _prefix, _since});
@@ -400,7 +436,7 @@
 			};
 			if (!_error && std::erase_if(m_watches, isSameSession) > 0)
 			{
-				_session->answer(eventsSince(_prefix, _since));
+				answer(_session, eventsSince(_prefix, _since));
 			}
 		});
 }
@@ -416,7 +452,7 @@
 		};
 		if (std::any_of(m_events.begin(), m_events.end(), matches))
 		{
-			watch.session->answer(eventsSince(watch.prefix, watch.since));
+			answer(watch.session, eventsSince(watch.prefix, watch.since));
 		}
 		else
 		{
--- a/tools/standin/platform.h
+++ b/tools/standin/platform.h
@@ -87,6 +87,13 @@
 	/// Drops the event history and closes the open watches. Watches from an earlier revision are answered with 410.
 	void compactHistory();
 
+	/// Copies the store's state.
+	void takeCopy();
+
+	/// Goes back to the last copy: what was written since is gone, revisions and lease ids are given out again, and
+	/// the era rises by one.
+	void restoreCopy();
+
 	/// @returns the number of calls received.
 	unsigned calls() const
 	{
@@ -117,7 +124,18 @@
 	};
 
 	void onRequest(const ServerSessionPtr& _session, const IncomingRequest& _request);
-	void answerRead(const ServerSessionPtr& _session, const HttpAnswer& _answer);
+	/// State that a copy holds.
+	struct Copy
+	{
+		std::map<std::string, Item> items;
+		std::map<std::uint64_t, std::pair<Micros, Micros>> leases;
+		std::uint64_t revision = 0;
+		std::uint64_t nextLease = 1;
+	};
+
+	/// Answers a call, and names the era.
+	void answer(const ServerSessionPtr& _session, HttpAnswer _answer) const;
+	void answerRead(const ServerSessionPtr& _session, HttpAnswer _answer);
 	void sendRemaining(const ServerSessionPtr& _session, std::string _remaining);
 	HttpAnswer range(const std::string& _prefix, const std::string& _after);
 	HttpAnswer transact(const std::string& _body);
@@ -141,6 +159,8 @@
 	std::uint64_t m_revision = 0;
 	std::uint64_t m_historyStart = 0;
 	std::uint64_t m_nextLease = 1;
+	std::uint64_t m_era = 1;
+	Copy m_copy;
 	StoreFault m_fault = StoreFault::None;
 	std::size_t m_readRate = 0; ///< Rate of each answer to a range read in bytes per second; 0 is no limit.
 	std::atomic<unsigned> m_calls = 0;
