Order the store's revisions by its era, and begin anew after a restore

Cause: everything ordered the store's content by its revision alone. A restored store counts from a lower one, so that all gateways kept what they had, and each read that they passed over confirmed it as the newest.

Change: StoreRevision puts the era (Store-Era) above the store's revision in the one number that all caches, updates, fingerprints and comparisons use already; only the calls to the store know the two apart. A store that names no era has the numbers as before, so that builds beside each other agree until the first restore. What hangs on the store's memory follows the era: a configuration that the store lost stays in force and is not confirmed until the store has it again; servers that it lost count as lapsed, servers that had left do not come back with the copy; registrations and duties begin anew, since lease numbers are given out again; nobody takes the duties until a lease of the era before has ended; fencing tokens of an era lie above those of the era before, and counts of a usage window that may have been reported are not computed again.

--- a/src/coordination/directory.cpp
+++ b/src/coordination/directory.cpp
@@ -3,6 +3,8 @@
 
 #include "coordination/directory.h"
 
+#include "coordination/storerevision.h"
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -55,7 +57,7 @@
 		return false;
 	}
 	m_revision = _snapshot.revision;
-	m_confirmed = std::max(m_confirmed, _snapshot.confirmed);
+	confirmConfig(_snapshot.config, _snapshot.confirmed);
 	applyList({_snapshot.revision, _snapshot.backends, _snapshot.confirmed, _snapshot.unreadable}, _now);
 	return adoptConfig(_snapshot.config);
 }
@@ -64,10 +66,10 @@
 								 Micros _now)
 {
 	m_revision = std::max(m_revision, _revision);
-	m_confirmed = std::max(m_confirmed, _confirmed);
+	confirmConfig(_config, _confirmed);
 	if (_revision >= m_listRevision)
 	{
-		noteOutageEnd(_now);
+		noteOutageEnd(_revision, _now);
 		m_listRevision = _revision;
 	}
 	confirmList(_confirmed);
@@ -84,8 +86,22 @@
 	return newer;
 }
 
-void Directory::noteOutageEnd(Micros _now)
+void Directory::confirmConfig(const RoutingConfigPtr& _config, Micros _confirmed)
+{
+	// A restored store holds an older configuration until the operator has written the newest one again.
+	if (!_config || !m_config || _config->version >= m_config->version)
+	{
+		confirm(_confirmed);
+	}
+}
+
+void Directory::noteOutageEnd(std::uint64_t _listRevision, Micros _now)
 {
+	if (m_listRevision != 0 && StoreRevision::eraOf(_listRevision) > StoreRevision::eraOf(m_listRevision))
+	{
+		m_outageEnded = _now;
+		m_restoredAt = _now;
+	}
 	// A list may also be old because it arrived slowly; records expire only if the store was unreachable.
 	const bool unreachableSince = m_listConfirmed != kLongAgo && m_storeUnreachableAt > m_listConfirmed;
 	if (unreachableSince && _now - m_listConfirmed > kOutageThreshold)
@@ -102,7 +118,7 @@
 		confirmList(_list.confirmed);
 		return;
 	}
-	noteOutageEnd(_now);
+	noteOutageEnd(_list.revision, _now);
 	m_listRevision = _list.revision;
 	const Micros lastListed = m_listConfirmed;
 	m_listConfirmed = std::max(m_listConfirmed, _list.confirmed);
@@ -158,6 +174,11 @@
 		m_departures.forget(known.record.identity());
 		known = KnownBackend();
 	}
+	const bool hadLeft = known.vanishedAt != kNever && known.lapsedUntil == 0;
+	if (hadLeft && _now - m_restoredAt < kRestoredSpan)
+	{
+		return;
+	}
 	const bool wasDraining = known.record.draining;
 	const bool newlyLeaving = _record.leaves && !known.record.leaves;
 	known.record = _record;
--- a/src/coordination/directory.h
+++ b/src/coordination/directory.h
@@ -112,6 +112,9 @@
 	static constexpr Micros kLapsedGrace = 2 * kSecond;
 	/// A vanished record is remembered for this long.
 	static constexpr Micros kVanishedRetention = 10 * kSecond;
+	/// A restored store lists servers again that left since its copy, until their leases end: a server that is
+	/// known to have left is not used again for this long.
+	static constexpr Micros kRestoredSpan = 5 * kSecond;
 
 	/// Merges a snapshot of the store.
 	/// @returns true if the version of the configuration rose.
@@ -211,9 +214,12 @@
 private:
 	static ListingState listingStateOf(const KnownBackend& _known, Micros _now);
 	/// @param[in] _lastListed Steady time at which the previous list was certainly the newest.
-	/// Notes the end of an outage of the store, if there was one since the list was last confirmed.
-	void noteOutageEnd(Micros _now);
+	/// Notes the end of an outage of the store, if there was one since the list was last confirmed, or its restore.
+	/// @param[in] _listRevision Revision of the new list.
+	void noteOutageEnd(std::uint64_t _listRevision, Micros _now);
 	bool adoptConfig(const RoutingConfigPtr& _config);
+	/// Notes that a configuration was the store's newest.
+	void confirmConfig(const RoutingConfigPtr& _config, Micros _confirmed);
 	void mergeBackends(const BackendList& _list, Micros _lastListed, Micros _now);
 	void mergeRecord(const BackendRecord& _record, Micros _now);
 	void markVanished(KnownBackend& _known, Micros _lastListed, Micros _now);
@@ -231,6 +237,7 @@
 	Micros m_storeUnreachableAt = kLongAgo; ///< When the store was last found unreachable.
 	DrainBudget m_drain{2 * kSecond};
 	Micros m_outageEnded = kLongAgo;
+	Micros m_restoredAt = kLongAgo; ///< When a list of a later era of the store was first applied.
 	std::map<std::string, KnownBackend> m_backends;
 	DepartureLog m_departures;
 	/// At most one for each backend server and source until taken.
--- a/src/gateway/dutyholder.cpp
+++ b/src/gateway/dutyholder.cpp
@@ -3,6 +3,7 @@
 
 #include "gateway/dutyholder.h"
 
+#include "coordination/storerevision.h"
 #include "daemon/logging.h"
 #include "gateway/memberkeys.h"
 #include "platform/dutycalls.h"
@@ -27,6 +28,11 @@
 /// Delay per rank before a member tries to take vacant duties: one try is three calls to the store.
 constexpr Micros kAcquireDelayPerRank = 100 * kMillisecond;
 constexpr Micros kUnregisteredAcquireDelay = 3 * kSecond; ///< Delay of a gateway that is not registered yet.
+/// Delay after a restore of the store for all but the last holder, which alone knows all that it has reported.
+constexpr Micros kRestoredAcquireDelay = 1 * kSecond;
+/// Fencing tokens of an era begin here, times the era: a restored store does not know the last ones of the era
+/// before.
+constexpr std::uint64_t kFencesPerEra = 1u << 20;
 constexpr double kMaxSilentShare = 0.5; ///< Largest share of silent gateways at which the load counts as known.
 constexpr std::uint64_t kWindowsBack = 3;
 constexpr std::uint64_t kWindowsKept = 8;
@@ -83,9 +89,60 @@
 		});
 }
 
+void DutyHolder::onStoreRestored()
+{
+	rememberRecords();
+	m_wasLastHolder = m_lease.fence() != 0 && m_lease.fence() >= m_highestFence;
+	// The lease may be gone, and its number may have been given to another gateway.
+	m_lease.onLost();
+	m_leaseId = 0;
+	m_acquiring = false;
+	m_renewing = false;
+	m_vacantSince = kNever;
+	m_storedCounts.clear();
+	m_context.holdsDuties = false;
+}
+
+bool DutyHolder::metRestore(const std::optional<HttpAnswer>& _answer, std::uint64_t _restores)
+{
+	if (_answer)
+	{
+		m_context.onStoreEra(platform::readEra(_answer));
+	}
+	return m_context.storeRestores != _restores;
+}
+
+void DutyHolder::rememberRecords()
+{
+	const auto& items = m_context.content.items;
+	if (const auto fence = items.find(kFenceKey); fence != items.end())
+	{
+		m_highestFence = std::max(m_highestFence, readFence(fence->second.value));
+	}
+	const std::string prefix(kUsagePrefix);
+	for (auto item = items.lower_bound(prefix); item != items.end() && item->first.starts_with(prefix); ++item)
+	{
+		const std::uint64_t window = std::strtoull(item->first.c_str() + prefix.size(), nullptr, 10);
+		if (!m_fixedCounts.count(window))
+		{
+			m_fixedCounts[window] = decodeTotals(item->second.value);
+		}
+	}
+	const std::uint64_t current = m_context.currentWindow(monotonicNow());
+	std::erase_if(m_fixedCounts, [current](const auto& _entry) { return _entry.first + kWindowsKept < current; });
+}
+
+bool DutyHolder::mayBeReported(std::uint64_t _window) const
+{
+	const Micros windowEnd = static_cast<Micros>(_window + 1) * m_context.settings.usageWindow;
+	const bool endedBefore = windowEnd < m_context.clock.trueTime(m_context.storeRestoredAt);
+	return m_context.storeRestores > 0 && endedBefore && !m_wasLastHolder && !m_fixedCounts.count(_window);
+}
+
 void DutyHolder::tick()
 {
 	const Micros now = monotonicNow();
+	rememberRecords();
 	m_context.holdsDuties = m_lease.held(now) && !m_context.stopping;
 	if (m_context.stopping)
 	{
@@ -127,12 +184,16 @@
 {
 	const bool held = revisionOf(kHolderKey) != 0;
 	const Micros sent = monotonicNow();
-	const bool contentFresh = m_context.content.confirmed + kMaxContentAge > sent;
+	const bool contentFresh = m_context.content.confirmed + kMaxContentAge > sent &&
+							  StoreRevision::eraOf(m_context.content.revision) == m_context.storeEra.value_or(0);
+	// A holder that has not heard of a restore acts until its lease would have ended.
+	const bool leaseMayRun =
+		m_context.storeRestores > 0 && sent - m_context.storeRestoredAt < m_context.settings.leaseSpan;
 	if (held)
 	{
 		m_vacantSince = kNever;
 	}
-	if (m_acquiring || held || !contentFresh)
+	if (m_acquiring || held || !contentFresh || leaseMayRun)
 	{
 		return;
 	}
@@ -140,7 +201,8 @@
 	const std::optional<std::size_t> position = m_context.relays.position();
 	const Micros delay =
 		position ? kAcquireDelayPerRank * static_cast<Micros>(*position) : kUnregisteredAcquireDelay;
-	if (sent - m_vacantSince < delay)
+	const Micros restoredDelay = m_context.storeRestores > 0 && !m_wasLastHolder ? kRestoredAcquireDelay : 0;
+	if (sent - m_vacantSince < (m_wasLastHolder ? 0 : delay) + restoredDelay)
 	{
 		return;
 	}
@@ -148,8 +210,13 @@
 	const Micros span = std::max(m_context.settings.leaseSpan, m_context.settings.leaseMinimum);
 	m_context.traffic.onStoreCall(StorePurpose::DutyLease);
 	m_leaseChannel->call(platform::leaseCall(span), kStoreTimeout,
-						 [self = shared_from_this(), sent](const std::optional<HttpAnswer>& _answer)
+						 [self = shared_from_this(), sent,
+						  restores = m_context.storeRestores](const std::optional<HttpAnswer>& _answer)
 						 {
+							 if (self->metRestore(_answer, restores))
+							 {
+								 return;
+							 }
 							 const auto lease = platform::readLease(_answer);
 							 if (!lease)
 							 {
@@ -165,29 +232,35 @@
 	const auto fenceItem = m_context.content.items.find(kFenceKey);
 	const std::uint64_t before =
 		fenceItem == m_context.content.items.end() ? 0 : readFence(fenceItem->second.value);
-	const std::uint64_t fence = before + 1;
+	const std::uint64_t fence =
+		std::max(std::max(before, m_highestFence) + 1, m_context.storeEra.value_or(0) * kFencesPerEra);
 	KvTransaction change;
 	change.conditions = {{kHolderKey, 0}, {kFenceKey, revisionOf(kFenceKey)}};
 	change.puts = {{kHolderKey, m_context.settings.name + ' ' + std::to_string(m_context.run.incarnation), _lease},
 				   {kFenceKey, std::to_string(fence), 0}};
 	m_context.traffic.onStoreCall(StorePurpose::DutyLease);
-	m_leaseChannel->call(
-		platform::transactionCall(change), kStoreTimeout,
-		[self = shared_from_this(), _lease, _span, _sent, fence](const std::optional<HttpAnswer>& _answer)
-		{
-			self->m_acquiring = false;
-			const KvResult result = platform::readTransaction(_answer);
-			if (result.outcome != KvOutcome::Done)
-			{
-				// If the transaction may have been applied, no gateway acts until that lease has expired.
-				return;
-			}
-			self->m_leaseId = _lease;
-			self->m_renewedAt = _sent;
-			self->m_acquiredAt = monotonicNow();
-			self->m_lease.onAcquired(fence, _sent, _span);
-			logEvent(LogLevel::Info, "duty-taken", {{"fence", std::to_string(fence)}});
-		});
+	m_leaseChannel->call(platform::transactionCall(change), kStoreTimeout,
+						 [self = shared_from_this(), _lease, _span, _sent, fence,
+						  restores = m_context.storeRestores](const std::optional<HttpAnswer>& _answer)
+						 {
+							 if (self->metRestore(_answer, restores))
+							 {
+								 return;
+							 }
+							 self->m_acquiring = false;
+							 const KvResult result = platform::readTransaction(_answer);
+							 if (result.outcome != KvOutcome::Done)
+							 {
+								 // If the transaction may have been applied, no gateway acts until that lease has
+								 // expired.
+								 return;
+							 }
+							 self->m_leaseId = _lease;
+							 self->m_renewedAt = _sent;
+							 self->m_acquiredAt = monotonicNow();
+							 self->m_lease.onAcquired(fence, _sent, _span);
+							 logEvent(LogLevel::Info, "duty-taken", {{"fence", std::to_string(fence)}});
+						 });
 }
 
 void DutyHolder::renew()
@@ -199,26 +272,30 @@
 	m_renewing = true;
 	const Micros sent = monotonicNow();
 	m_context.traffic.onStoreCall(StorePurpose::DutyLease);
-	m_leaseChannel->call(
-		platform::renewCall(m_leaseId), kStoreTimeout,
-		[self = shared_from_this(), sent, lease = m_leaseId](const std::optional<HttpAnswer>& _answer)
-		{
-			self->m_renewing = false;
-			if (self->m_leaseId != lease)
-			{
-				return;
-			}
-			const platform::RenewedLease renewal = platform::readRenewal(_answer);
-			if (renewal.gone)
-			{
-				self->m_lease.onLost();
-			}
-			else if (renewal.renewed)
-			{
-				self->m_renewedAt = sent;
-				self->m_lease.onRenewed(sent, renewal.span);
-			}
-		});
+	m_leaseChannel->call(platform::renewCall(m_leaseId), kStoreTimeout,
+						 [self = shared_from_this(), sent, lease = m_leaseId,
+						  restores = m_context.storeRestores](const std::optional<HttpAnswer>& _answer)
+						 {
+							 if (self->metRestore(_answer, restores))
+							 {
+								 return;
+							 }
+							 self->m_renewing = false;
+							 if (self->m_leaseId != lease)
+							 {
+								 return;
+							 }
+							 const platform::RenewedLease renewal = platform::readRenewal(_answer);
+							 if (renewal.gone)
+							 {
+								 self->m_lease.onLost();
+							 }
+							 else if (renewal.renewed)
+							 {
+								 self->m_renewedAt = sent;
+								 self->m_lease.onRenewed(sent, renewal.span);
+							 }
+						 });
 }
 
 bool DutyHolder::knowsPredecessorState(Micros _now) const
@@ -240,14 +317,13 @@
 	{
 		const Micros windowEnd = static_cast<Micros>(window + 1) * m_context.settings.usageWindow;
 		const bool settled = m_context.clock.trueTime(_now) >= windowEnd + kCountsSettleTime;
-		if (!settled || m_reportedWindows.count(window) || m_pendingWindows.count(window))
+		if (!settled || m_reportedWindows.count(window) || m_pendingWindows.count(window) || mayBeReported(window))
 		{
 			continue;
 		}
-		const auto stored = m_context.content.items.find(usageKey(window));
-		if (stored != m_context.content.items.end())
+		if (const auto fixed = m_fixedCounts.find(window); fixed != m_fixedCounts.end())
 		{
-			sendWindow(window, decodeTotals(stored->second.value));
+			sendWindow(window, fixed->second);
 		}
 		else
 		{
@@ -277,16 +353,17 @@
 	// that start.
 	change.puts = {{kCountsKey, text, 0}, {kLevelsKey, encodeTotals(m_context.quotas.levels(_now)), 0}};
 	m_context.traffic.onStoreCall(StorePurpose::UsageCounts);
-	m_countsChannel->call(
-		platform::transactionCall(change), kStoreTimeout,
-		[self = shared_from_this(), text = std::move(text)](const std::optional<HttpAnswer>& _answer)
-		{
-			self->m_storingCounts = false;
-			if (platform::readTransaction(_answer).outcome == KvOutcome::Done)
-			{
-				self->m_storedCounts = text;
-			}
-		});
+	m_countsChannel->call(platform::transactionCall(change), kStoreTimeout,
+						  [self = shared_from_this(), text = std::move(text),
+						   restores = m_context.storeRestores](const std::optional<HttpAnswer>& _answer)
+						  {
+							  self->m_storingCounts = false;
+							  const bool restored = self->metRestore(_answer, restores);
+							  if (!restored && platform::readTransaction(_answer).outcome == KvOutcome::Done)
+							  {
+								  self->m_storedCounts = text;
+							  }
+						  });
 }
 
 void DutyHolder::finalizeWindow(std::uint64_t _window)
@@ -313,9 +390,14 @@
 	m_pendingWindows.insert(_window);
 	m_context.traffic.onStoreCall(StorePurpose::UsageWindow);
 	m_storeChannel->call(platform::transactionCall(change), kStoreTimeout,
-						 [self = shared_from_this(), _window, counts](const std::optional<HttpAnswer>& _answer)
+						 [self = shared_from_this(), _window, counts,
+						  restores = m_context.storeRestores](const std::optional<HttpAnswer>& _answer)
 						 {
 							 self->m_pendingWindows.erase(_window);
+							 if (self->metRestore(_answer, restores))
+							 {
+								 return;
+							 }
 							 const KvResult result = platform::readTransaction(_answer);
 							 if (result.outcome == KvOutcome::Done)
 							 {
@@ -339,6 +421,8 @@
 		return;
 	}
 	m_pendingWindows.insert(_window);
+	// The report may be accepted although its answer is lost, so no other counts are sent for this window.
+	m_fixedCounts.try_emplace(_window, _counts);
 	const platform::DutyCaller holder{m_context.settings.name, m_lease.fence()};
 	m_dutyChannel->call(
 		platform::usageCall(holder, _window, _counts), kDutyTimeout,
--- a/src/gateway/dutyholder.h
+++ b/src/gateway/dutyholder.h
@@ -16,6 +16,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -35,6 +36,9 @@
 	/// take effect.
 	void shutdown();
 
+	/// Gives the duties up: the lease may be gone.
+	void onStoreRestored();
+
 	/// @returns true if this gateway holds the duties.
 	bool holds() const;
 
@@ -45,6 +49,14 @@
 	}
 
 private:
+	/// Notes the store's era in an answer.
+	/// @param[in] _restores Restores that were known when the call was sent.
+	/// @returns true if the store was restored since: the answer's result does not hold.
+	bool metRestore(const std::optional<HttpAnswer>& _answer, std::uint64_t _restores);
+	/// Remembers the fencing token and the counts that the store holds, since it may lose them.
+	void rememberRecords();
+	/// @returns true if another gateway may have reported a window whose record a restore of the store has removed.
+	bool mayBeReported(std::uint64_t _window) const;
 	void schedule();
 	void tick();
 	void tryAcquire();
@@ -77,7 +89,11 @@
 	bool m_renewing = false;
 	bool m_closed = false;
 	std::set<std::uint64_t> m_reportedWindows; ///< Windows whose report the platform has accepted.
-	std::set<std::uint64_t> m_pendingWindows;  ///< Windows whose counts are being written or reported.
+	/// Counts of recent windows that are stored or were sent; no other counts may be sent for them.
+	std::map<std::uint64_t, std::map<std::string, std::uint64_t>> m_fixedCounts;
+	std::uint64_t m_highestFence = 0;         ///< Largest fencing token that was seen.
+	bool m_wasLastHolder = false;             ///< This gateway held the duties last before the store was restored.
+	std::set<std::uint64_t> m_pendingWindows; ///< Windows whose counts are being written or reported.
 	std::string m_storedCounts;
 	Micros m_countsStoredAt = kLongAgo;
 	bool m_storingCounts = false;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -118,6 +118,15 @@
 		m_duties = std::make_shared<DutyHolder>(m_context);
 		m_duties->init();
 	}
+	m_context.onStoreRestored = [this]
+	{
+		m_registration->onStoreRestored();
+		if (m_duties)
+		{
+			m_duties->onStoreRestored();
+		}
+		m_store->refresh();
+	};
 	waitForSignal();
 	logEvent(LogLevel::Info, "gateway-started",
 			 {{"name", m_context.settings.name}, {"incarnation", std::to_string(m_context.run.incarnation)}});
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -31,6 +31,7 @@
 #include "coordination/suspectplacement.h"
 #include "coordination/usageledger.h"
 #include "daemon/clock.h"
+#include "daemon/logging.h"
 #include "gateway/backendconnector.h"
 #include "gateway/backendrecords.h"
 #include "gateway/crashdetector.h"
@@ -43,6 +44,7 @@
 #include <algorithm>
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -85,6 +87,25 @@
 									_now - std::max(relayAnswered, started));
 	}
 
+	/// Notes the era that the store, or a peer's copy of its content, names. It may be an earlier one, or 0 for
+	/// none.
+	void onStoreEra(std::uint64_t _era)
+	{
+		if (storeEra && _era <= *storeEra)
+		{
+			return;
+		}
+		const bool restored = storeEra.has_value();
+		storeEra = _era;
+		if (restored)
+		{
+			++storeRestores;
+			storeRestoredAt = monotonicNow();
+			logEvent(LogLevel::Warning, "store-restored", {{"era", std::to_string(_era)}});
+			onStoreRestored ? onStoreRestored() : void();
+		}
+	}
+
 	/// @returns the number of the usage window that is open now.
 	std::uint64_t currentWindow(Micros _now) const
 	{
@@ -128,6 +149,14 @@
 	bool stopping = false;
 	Micros stopRequested = kNever;
 	std::size_t openExchanges = 0;
+	std::optional<std::uint64_t>
+		storeEra;                      ///< Newest era of the store that was named; nothing before its first answer.
+	Micros storeRestoredAt = kLongAgo; ///< When a later era was first named.
+	/// Number of later eras that were named. A call to the store whose answer finds another number than its sending
+	/// has met a restore: its result does not hold.
+	std::uint64_t storeRestores = 0;
+	/// Called when the store has been restored from a copy: leases and what was written since the copy are gone.
+	std::function<void()> onStoreRestored;
 	/// Called after the directory has changed.
 	std::function<void()> onDirectoryChanged;
 	/// Called when a peer has a newer configuration.
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -3,6 +3,7 @@
 
 #include "gateway/gatewaystate.h"
 
+#include "coordination/storerevision.h"
 #include "protocol/json.h"
 
 namespace beacongate
@@ -76,7 +77,8 @@
 					 {"incarnation", _context.run.incarnation},
 					 {"configVersion", config ? config->version : 0},
 					 {"configAgeMs", _context.directory.age(now) / kMillisecond},
-					 {"storeRevision", _context.directory.revision()},
+					 {"storeEra", StoreRevision::eraOf(_context.directory.revision())},
+					 {"storeRevision", StoreRevision::inStore(_context.directory.revision())},
 					 {"open", _context.openExchanges},
 					 {"waiting", _waiting},
 					 {"stopping", _context.stopping},
--- a/src/gateway/gossiper.cpp
+++ b/src/gateway/gossiper.cpp
@@ -6,6 +6,7 @@
 #include "beacongate/errors.h"
 #include "beacongate/limits.h"
 #include "coordination/gossipplan.h"
+#include "coordination/storerevision.h"
 #include "daemon/logging.h"
 #include "gateway/fleettargets.h"
 #include "gateway/memberkeys.h"
@@ -215,7 +216,7 @@
 		logEvent(LogLevel::Info, "backend-leaving",
 				 {{"backend", notice.backend.id},
 				  {"sign", std::string(toString(notice.source))},
-				  {"revision", std::to_string(m_context.directory.revision())},
+				  {"revision", StoreRevision::text(m_context.directory.revision())},
 				  {"list_age_ms", millisText(m_context.directory.listAge(monotonicNow()))},
 				  {"in_flight", std::to_string(m_context.balancer.totalInFlight(BackendKey(notice.backend)))}});
 	}
--- a/src/gateway/rangereader.cpp
+++ b/src/gateway/rangereader.cpp
@@ -4,6 +4,7 @@
 #include "gateway/rangereader.h"
 
 #include "beacongate/limits.h"
+#include "coordination/storerevision.h"
 #include "daemon/clock.h"
 #include "platform/documents.h"
 #include "platform/storecalls.h"
@@ -18,7 +19,8 @@
 } // namespace
 
 RangeReader::RangeReader(GatewayContext& _context, std::string _prefix, StorePurpose _purpose, Micros _pageTimeout)
-	: m_reachability(_context.storeReachability), m_traffic(_context.traffic), m_purpose(_purpose),
+	: m_context(_context), m_reachability(_context.storeReachability), m_traffic(_context.traffic),
+	  m_purpose(_purpose),
 	  m_channel(std::make_shared<HttpChannel>(_context.loop, _context.settings.store, limits::kSnapshotBytes)),
 	  m_prefix(std::move(_prefix)), m_pageTimeout(_pageTimeout)
 {
@@ -73,6 +75,10 @@
 {
 	const Micros now = monotonicNow();
 	const std::optional<KvPage> page = platform::readRange(_answer);
+	if (_answer)
+	{
+		m_context.onStoreEra(platform::readEra(_answer));
+	}
 	const bool tooManyRequests = _answer && _answer->status == kTooManyRequests;
 	const Micros requestedAt = std::exchange(m_requestedAt, kNever);
 	if (page)
@@ -101,6 +107,13 @@
 	{
 		m_content.revision = _page->revision;
 	}
+	if (StoreRevision::eraOf(_page->revision) != StoreRevision::eraOf(m_content.revision))
+	{
+		// The store was restored between two pages: together they are no state of it.
+		m_fault = ChannelFault::CallRejected;
+		std::exchange(m_handler, nullptr)(std::nullopt);
+		return;
+	}
 	for (const KvItem& item : _page->items)
 	{
 		KvItem& stored = m_content.items[item.key];
--- a/src/gateway/rangereader.h
+++ b/src/gateway/rangereader.h
@@ -67,6 +67,7 @@
 	void onAnswer(const std::optional<HttpAnswer>& _answer);
 	void onPage(const std::optional<KvPage>& _page);
 
+	GatewayContext& m_context;
 	StoreReachability& m_reachability;
 	TrafficCounters& m_traffic;
 	StorePurpose m_purpose;
--- a/src/gateway/registration.cpp
+++ b/src/gateway/registration.cpp
@@ -19,6 +19,9 @@
 constexpr Micros kRenewInterval = 15 * kSecond;
 constexpr Micros kRetryInterval = 1 * kSecond;
 constexpr Micros kCallTimeout = 1 * kSecond;
+constexpr Micros kMinRestoredDelay = 40 * kMillisecond;
+/// Two writing calls of each gateway stay below half of 400 a second.
+constexpr Micros kRestoredDelayPerMember = 10 * kMillisecond;
 constexpr std::size_t kAnswerBytes = 64u << 10;
 } // namespace
 
@@ -41,6 +44,25 @@
 	m_channel->close();
 }
 
+void Registration::onStoreRestored()
+{
+	// The lease may be gone, and its number may have been given to another gateway.
+	m_lease = 0;
+	m_entryWritten = false;
+	// All gateways register again, so they are spread over what the store takes.
+	const auto members = static_cast<Micros>(m_context.relays.memberCount());
+	schedule(kMinRestoredDelay + members * kRestoredDelayPerMember);
+}
+
+bool Registration::metRestore(const std::optional<HttpAnswer>& _answer, std::uint64_t _restores)
+{
+	if (_answer)
+	{
+		m_context.onStoreEra(platform::readEra(_answer));
+	}
+	return m_context.storeRestores != _restores;
+}
+
 void Registration::schedule(Micros _span)
 {
 	m_timer.expires_after(std::chrono::microseconds(m_context.jittered(_span)));
@@ -69,18 +91,23 @@
 void Registration::requestLease()
 {
 	m_context.traffic.onStoreCall(StorePurpose::Registration);
-	m_channel->call(platform::leaseCall(kLeaseSpan), kCallTimeout,
-					[self = shared_from_this()](const std::optional<HttpAnswer>& _answer)
-					{
-						const auto lease = platform::readLease(_answer);
-						if (!lease)
-						{
-							self->schedule(kRetryInterval);
-							return;
-						}
-						self->m_lease = lease->id;
-						self->writeEntry();
-					});
+	m_channel->call(
+		platform::leaseCall(kLeaseSpan), kCallTimeout,
+		[self = shared_from_this(), restores = m_context.storeRestores](const std::optional<HttpAnswer>& _answer)
+		{
+			if (self->metRestore(_answer, restores))
+			{
+				return;
+			}
+			const auto lease = platform::readLease(_answer);
+			if (!lease)
+			{
+				self->schedule(kRetryInterval);
+				return;
+			}
+			self->m_lease = lease->id;
+			self->writeEntry();
+		});
 }
 
 void Registration::writeEntry()
@@ -91,33 +118,43 @@
 							  m_context.settings.cpuPercent};
 	change.puts.push_back({memberKey(m_context.settings.name), encodeMember(record), m_lease});
 	m_context.traffic.onStoreCall(StorePurpose::Registration);
-	m_channel->call(platform::transactionCall(change), kCallTimeout,
-					[self = shared_from_this()](const std::optional<HttpAnswer>& _answer)
-					{
-						const KvResult result = platform::readTransaction(_answer);
-						self->m_entryWritten = result.outcome == KvOutcome::Done;
-						if (result.outcome == KvOutcome::LeaseGone)
-						{
-							self->m_lease = 0;
-						}
-						self->schedule(self->m_entryWritten ? kRenewInterval : kRetryInterval);
-					});
+	m_channel->call(
+		platform::transactionCall(change), kCallTimeout,
+		[self = shared_from_this(), restores = m_context.storeRestores](const std::optional<HttpAnswer>& _answer)
+		{
+			if (self->metRestore(_answer, restores))
+			{
+				return;
+			}
+			const KvResult result = platform::readTransaction(_answer);
+			self->m_entryWritten = result.outcome == KvOutcome::Done;
+			if (result.outcome == KvOutcome::LeaseGone)
+			{
+				self->m_lease = 0;
+			}
+			self->schedule(self->m_entryWritten ? kRenewInterval : kRetryInterval);
+		});
 }
 
 void Registration::renew()
 {
 	m_context.traffic.onStoreCall(StorePurpose::Registration);
-	m_channel->call(platform::renewCall(m_lease), kCallTimeout,
-					[self = shared_from_this()](const std::optional<HttpAnswer>& _answer)
-					{
-						const platform::RenewedLease renewal = platform::readRenewal(_answer);
-						if (renewal.gone)
-						{
-							self->m_lease = 0;
-							self->m_entryWritten = false;
-						}
-						self->schedule(renewal.renewed ? kRenewInterval : kRetryInterval);
-					});
+	m_channel->call(
+		platform::renewCall(m_lease), kCallTimeout,
+		[self = shared_from_this(), restores = m_context.storeRestores](const std::optional<HttpAnswer>& _answer)
+		{
+			if (self->metRestore(_answer, restores))
+			{
+				return;
+			}
+			const platform::RenewedLease renewal = platform::readRenewal(_answer);
+			if (renewal.gone)
+			{
+				self->m_lease = 0;
+				self->m_entryWritten = false;
+			}
+			self->schedule(renewal.renewed ? kRenewInterval : kRetryInterval);
+		});
 }
 
 } // namespace beacongate
--- a/src/gateway/registration.h
+++ b/src/gateway/registration.h
@@ -28,7 +28,15 @@
 	/// Ends all calls; the entry expires with its lease.
 	void shutdown();
 
+	/// Registers again: the lease and the entry may be gone.
+	void onStoreRestored();
+
 private:
+	/// Notes the store's era in an answer.
+	/// @param[in] _restores Restores that were known when the call was sent.
+	/// @returns true if the store was restored since: the answer's result does not hold, and onStoreRestored() has
+	/// begun anew.
+	bool metRestore(const std::optional<HttpAnswer>& _answer, std::uint64_t _restores);
 	void schedule(Micros _span);
 	void requestLease();
 	void writeEntry();
--- a/src/gateway/relayslotwriter.cpp
+++ b/src/gateway/relayslotwriter.cpp
@@ -82,6 +82,10 @@
 					[self = shared_from_this(), _key](const std::optional<HttpAnswer>& _answer)
 					{
 						self->m_writing = false;
+						if (_answer)
+						{
+							self->m_context.onStoreEra(platform::readEra(_answer));
+						}
 						const bool written = platform::readTransaction(_answer).outcome == KvOutcome::Done;
 						logEvent(written ? LogLevel::Info : LogLevel::Warning, "relay-slot",
 								 {{"key", _key}, {"written", written ? "yes" : "no"}});
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -3,6 +3,7 @@
 
 #include "gateway/storesync.h"
 
+#include "coordination/storerevision.h"
 #include "daemon/logging.h"
 #include "gateway/memberkeys.h"
 #include "gateway/storesync_p.h"
@@ -257,7 +258,7 @@
 	if (!m_storeReached)
 	{
 		m_storeReached = true;
-		logEvent(LogLevel::Info, "store-regained", {{"revision", std::to_string(_revision)}});
+		logEvent(LogLevel::Info, "store-regained", {{"revision", StoreRevision::text(_revision)}});
 	}
 }
 
@@ -286,6 +287,15 @@
 	return true;
 }
 
+void StoreSync::confirmConfig(Micros _confirmed)
+{
+	const auto& config = m_context.directory.config();
+	if (!config || !m_parsedConfig || m_parsedConfig->version >= config->version)
+	{
+		m_context.directory.confirm(_confirmed);
+	}
+}
+
 void StoreSync::confirmUnchanged(std::uint64_t _revision, Micros _confirmed)
 {
 	if (_revision == m_context.content.revision)
@@ -350,7 +360,7 @@
 		m_storeReached = false;
 		logEvent(LogLevel::Warning, "store-lost",
 				 {{"cause", std::string(toString(m_reader->fault()))},
-				  {"revision", std::to_string(m_context.directory.revision())},
+				  {"revision", StoreRevision::text(m_context.directory.revision())},
 				  {"config_age_ms", std::to_string(m_context.directory.age(monotonicNow()) / kMillisecond)}});
 	}
 	scheduleRead(std::min<Micros>(kRetryMin << std::min(m_failures, 4u), kRetryMax));
@@ -382,6 +392,10 @@
 void StoreSync::onWatch(const std::optional<HttpAnswer>& _answer)
 {
 	m_watching = false;
+	if (_answer)
+	{
+		m_context.onStoreEra(platform::readEra(_answer));
+	}
 	const std::optional<KvEvents> events = platform::readWatch(_answer);
 	if (!events)
 	{
@@ -414,7 +428,7 @@
 			onStoreReached(m_context.content.revision);
 		}
 		m_context.content.confirmed = std::max(m_context.content.confirmed, _confirmed);
-		m_context.directory.confirm(_confirmed);
+		confirmConfig(_confirmed);
 		m_context.directory.confirmList(_confirmed);
 		return;
 	}
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -73,6 +73,9 @@
 	void recordRelayAnswer(bool _answered);
 	/// Records that this gateway, or one that it asked, had an answer of the store recently.
 	void onStoreReached(std::uint64_t _revision);
+	/// Notes that the configuration in the content was the store's newest. It may be older than the one in force,
+	/// after the store was restored from a copy.
+	void confirmConfig(Micros _confirmed);
 	void confirmUnchanged(std::uint64_t _revision, Micros _confirmed);
 	bool acceptUpdate(Micros _requestedAt, const ContentUpdate& _update);
 	void readStore();
--- a/src/gateway/storesyncapply.cpp
+++ b/src/gateway/storesyncapply.cpp
@@ -4,6 +4,7 @@
 // The part of StoreSync that applies content to the other parts of the gateway.
 
 #include "beacongate/errors.h"
+#include "coordination/storerevision.h"
 #include "daemon/logging.h"
 #include "gateway/contentfingerprint.h"
 #include "gateway/memberkeys.h"
@@ -55,7 +56,7 @@
 	{
 		m_rejectedRevision = _item.revision;
 		logEvent(LogLevel::Error, "config-refused",
-				 {{"revision", std::to_string(_item.revision)}, {"detail", error.what()}});
+				 {{"revision", StoreRevision::text(_item.revision)}, {"detail", error.what()}});
 	}
 	return m_parsedConfig;
 }
@@ -96,6 +97,7 @@
 void StoreSync::apply(StoreContent _content, bool _fromPeer)
 {
 	const Micros now = monotonicNow();
+	m_context.onStoreEra(StoreRevision::eraOf(_content.revision));
 	loadBookkeeping(_content);
 	StoreSnapshot snapshot;
 	snapshot.revision = _content.revision;
@@ -122,6 +124,7 @@
 void StoreSync::applyChanges(const ContentUpdate& _update, Micros _confirmed)
 {
 	const Micros now = monotonicNow();
+	m_context.onStoreEra(StoreRevision::eraOf(_update.revision));
 	StoreContent& content = m_context.content;
 	const AppliedUpdate applied = applyUpdate(content, _update);
 	m_context.history.onUpdated(applied.removed, content.revision);
@@ -175,7 +178,7 @@
 		m_context.admission.onLimitsChanged();
 		logEvent(LogLevel::Info, "config-in-force",
 				 {{"version", std::to_string(m_context.directory.config()->version)},
-				  {"revision", std::to_string(content.revision)},
+				  {"revision", StoreRevision::text(content.revision)},
 				  {"from", _fromPeer ? "peer" : "store"},
 				  {"backends", std::to_string(m_context.directory.backends().size())}});
 	}
--- a/src/gateway/storesyncpeers.cpp
+++ b/src/gateway/storesyncpeers.cpp
@@ -107,7 +107,7 @@
 	}
 	if (content->revision == m_context.content.revision)
 	{
-		m_context.directory.confirm(content->confirmed);
+		confirmConfig(content->confirmed);
 		confirmUnchanged(content->revision, content->confirmed);
 		return;
 	}
@@ -152,7 +152,7 @@
 	const std::string& body = m_bodyCache.body(
 		_revision, content.revision,
 		[&] { return encodeUpdateBody(m_context.history.updateSince(content, _revision, filter)); });
-	const std::uint64_t version = m_context.directory.config() ? m_context.directory.config()->version : 0;
+	const std::uint64_t version = m_parsedConfig ? m_parsedConfig->version : 0;
 	return encodeUpdate({_revision, content.revision, monotonicNow() - content.confirmed, version}, body);
 }
 
--- a/tests/gatewayrestoredstoretest.cpp
+++ b/tests/gatewayrestoredstoretest.cpp
@@ -5,6 +5,7 @@
 /// Guards against gateways keeping to what a store has lost that was restored from a copy.
 
 #include "gatewayfixture.h"
+#include "protocol/json.h"
 
 #include <thread>
 
@@ -60,6 +61,46 @@
 		}
 	}
 
+	/// Sends requests to all gateways for a while.
+	void callFor(Micros _span, const std::string& _name)
+	{
+		const Micros end = monotonicNow() + _span;
+		for (unsigned number = 0; monotonicNow() < end; ++number)
+		{
+			call("GET", "/safe/", _name + std::to_string(number), "key", 1 + number % kGateways);
+			pause(10 * kMillisecond);
+		}
+	}
+
+	/// Checks that no window was reported with different counts, and that tokens rise from holder to holder.
+	void expectOneHolder()
+	{
+		std::map<std::uint64_t, std::string> counts;
+		std::map<std::uint64_t, std::string> holders;
+		std::uint64_t newest = 0;
+		for (const standin::DutyCall& made : duties->calls())
+		{
+			EXPECT_GE(made.fence, newest) << made.body;
+			newest = std::max(newest, made.fence);
+			EXPECT_EQ(holders.try_emplace(made.fence, made.holder).first->second, made.holder) << made.fence;
+			if (made.target.find("usage") != std::string::npos)
+			{
+				const Json report = Json::parse(made.body);
+				const auto window = report.at("windowId").get<std::uint64_t>();
+				const std::string total = report.at("counts").dump();
+				EXPECT_EQ(counts.try_emplace(window, total).first->second, total) << "window " << window;
+			}
+		}
+		EXPECT_GE(holders.size(), 2u) << "the duties were taken again";
+	}
+
+	/// @returns the index of the gateway that made the last duty call.
+	std::size_t holderIndex()
+	{
+		const std::string name = duties->calls().back().holder;
+		return static_cast<std::size_t>(std::atoi(name.c_str() + 1)) - 1;
+	}
+
 	bool isServed(unsigned _gateway, const std::string& _key, const std::string& _id)
 	{
 		return statusOf(call("GET", "/safe/", _id, _key, _gateway)) == 200;
@@ -107,7 +148,7 @@
 	const Micros end = monotonicNow() + kSecond;
 	while (monotonicNow() < end)
 	{
-		EXPECT_EQ(statusOf(call("GET", "/safe/", "e", "key", 1)), 401u);
+		EXPECT_FALSE(isServed(1, "key", "e"));
 		EXPECT_TRUE(isServed(2, "key2", "e2"));
 		pause(50 * kMillisecond);
 	}
@@ -159,4 +200,47 @@
 	}
 }
 
+TEST_F(GatewayRestoredStoreTest, holderThatTheStoreForgotReportsNoWindowTwice)
+{
+	callFor(2 * kSecond, "j");
+	restore(1);
+	callFor(8 * kSecond, "k");
+	expectOneHolder();
+}
+
+TEST_F(GatewayRestoredStoreTest, successorOfAHolderThatTheStoreForgotReportsNoWindowTwice)
+{
+	callFor(2 * kSecond, "l");
+	const std::size_t holder = holderIndex();
+	store->setFault(StoreFault::Silent);
+	gateways[holder]->stop();
+	store->restoreCopy();
+	store->setFault(StoreFault::None);
+	callFor(10 * kSecond, "m");
+	expectOneHolder();
+}
+
+TEST_F(GatewayRestoredStoreTest, gatewaysRegisterAgainAfterARestore)
+{
+	GatewaySettings late = settings(kGateways + 1);
+	late.dataCentre = "z1";
+	startGateway(late);
+	ASSERT_TRUE(await([&] { return store->keys(std::string(kMemberPrefix)).size() == kGateways + 1; }));
+	restore(1);
+	EXPECT_TRUE(await([&] { return store->keys(std::string(kMemberPrefix)).size() == kGateways + 1; }, kApplySpan));
+}
+
+TEST_F(GatewayRestoredStoreTest, secondRestoreIsFollowedAsWell)
+{
+	restore(1);
+	pause(kApplySpan);
+	restore(1);
+	store->put(platform::kConfigKey, config(5, {"key5"}));
+	pause(kApplySpan);
+	for (unsigned number = 1; number <= kGateways; ++number)
+	{
+		EXPECT_TRUE(isServed(number, "key5", "n" + std::to_string(number))) << "gateway " << number;
+	}
+}
+
 } // namespace beacongate::test
