--- a/src/gateway/dutyholder.cpp
+++ b/src/gateway/dutyholder.cpp
@@ -6,6 +6,7 @@
 #include "coordination/storerevision.h"
 #include "daemon/logging.h"
 #include "gateway/memberkeys.h"
+#include "gateway/storeera.h"
 #include "platform/dutycalls.h"
 #include "platform/storecalls.h"
 #include "protocol/usagecodec.h"
@@ -103,15 +104,6 @@
 	m_context.holdsDuties = false;
 }
 
-bool DutyHolder::metRestore(const std::optional<HttpAnswer>& _answer, std::uint64_t _restores)
-{
-	if (_answer)
-	{
-		m_context.onStoreEra(platform::readEra(_answer));
-	}
-	return m_context.storeRestores != _restores;
-}
-
 void DutyHolder::rememberRecords()
 {
 	const auto& items = m_context.content.items;
@@ -213,7 +205,7 @@
 						 [self = shared_from_this(), sent,
 						  restores = m_context.storeRestores](const std::optional<HttpAnswer>& _answer)
 						 {
-							 if (self->metRestore(_answer, restores))
+							 if (metRestore(self->m_context, _answer, restores))
 							 {
 								 return;
 							 }
@@ -243,7 +235,7 @@
 						 [self = shared_from_this(), _lease, _span, _sent, fence,
 						  restores = m_context.storeRestores](const std::optional<HttpAnswer>& _answer)
 						 {
-							 if (self->metRestore(_answer, restores))
+							 if (metRestore(self->m_context, _answer, restores))
 							 {
 								 return;
 							 }
@@ -276,7 +268,7 @@
 						 [self = shared_from_this(), sent, lease = m_leaseId,
 						  restores = m_context.storeRestores](const std::optional<HttpAnswer>& _answer)
 						 {
-							 if (self->metRestore(_answer, restores))
+							 if (metRestore(self->m_context, _answer, restores))
 							 {
 								 return;
 							 }
@@ -358,7 +350,7 @@
 						   restores = m_context.storeRestores](const std::optional<HttpAnswer>& _answer)
 						  {
 							  self->m_storingCounts = false;
-							  const bool restored = self->metRestore(_answer, restores);
+							  const bool restored = metRestore(self->m_context, _answer, restores);
 							  if (!restored && platform::readTransaction(_answer).outcome == KvOutcome::Done)
 							  {
 								  self->m_storedCounts = text;
@@ -394,7 +386,7 @@
 						  restores = m_context.storeRestores](const std::optional<HttpAnswer>& _answer)
 						 {
 							 self->m_pendingWindows.erase(_window);
-							 if (self->metRestore(_answer, restores))
+							 if (metRestore(self->m_context, _answer, restores))
 							 {
 								 return;
 							 }
--- a/src/gateway/dutyholder.h
+++ b/src/gateway/dutyholder.h
@@ -49,10 +49,6 @@
 	}
 
 private:
-	/// Notes the store's era in an answer.
-	/// @param[in] _restores Restores that were known when the call was sent.
-	/// @returns true if the store was restored since: the answer's result does not hold.
-	bool metRestore(const std::optional<HttpAnswer>& _answer, std::uint64_t _restores);
 	/// Remembers the fencing token and the counts that the store holds, since it may lose them.
 	void rememberRecords();
 	/// @returns true if another gateway may have reported a window whose record a restore of the store has removed.
--- a/src/gateway/rangereader.cpp
+++ b/src/gateway/rangereader.cpp
@@ -6,6 +6,7 @@
 #include "beacongate/limits.h"
 #include "coordination/storerevision.h"
 #include "daemon/clock.h"
+#include "gateway/storeera.h"
 #include "platform/documents.h"
 #include "platform/storecalls.h"
 
@@ -75,10 +76,7 @@
 {
 	const Micros now = monotonicNow();
 	const std::optional<KvPage> page = platform::readRange(_answer);
-	if (_answer)
-	{
-		m_context.onStoreEra(platform::readEra(_answer));
-	}
+	noteStoreEra(m_context, _answer);
 	const bool tooManyRequests = _answer && _answer->status == kTooManyRequests;
 	const Micros requestedAt = std::exchange(m_requestedAt, kNever);
 	if (page)
--- a/src/gateway/registration.cpp
+++ b/src/gateway/registration.cpp
@@ -4,6 +4,7 @@
 #include "gateway/registration.h"
 
 #include "gateway/memberkeys.h"
+#include "gateway/storeera.h"
 #include "platform/storecalls.h"
 
 namespace beacongate
@@ -54,15 +55,6 @@
 	schedule(kMinRestoredDelay + members * kRestoredDelayPerMember);
 }
 
-bool Registration::metRestore(const std::optional<HttpAnswer>& _answer, std::uint64_t _restores)
-{
-	if (_answer)
-	{
-		m_context.onStoreEra(platform::readEra(_answer));
-	}
-	return m_context.storeRestores != _restores;
-}
-
 void Registration::schedule(Micros _span)
 {
 	m_timer.expires_after(std::chrono::microseconds(m_context.jittered(_span)));
@@ -95,7 +87,7 @@
 		platform::leaseCall(kLeaseSpan), kCallTimeout,
 		[self = shared_from_this(), restores = m_context.storeRestores](const std::optional<HttpAnswer>& _answer)
 		{
-			if (self->metRestore(_answer, restores))
+			if (metRestore(self->m_context, _answer, restores))
 			{
 				return;
 			}
@@ -122,7 +114,7 @@
 		platform::transactionCall(change), kCallTimeout,
 		[self = shared_from_this(), restores = m_context.storeRestores](const std::optional<HttpAnswer>& _answer)
 		{
-			if (self->metRestore(_answer, restores))
+			if (metRestore(self->m_context, _answer, restores))
 			{
 				return;
 			}
@@ -143,7 +135,7 @@
 		platform::renewCall(m_lease), kCallTimeout,
 		[self = shared_from_this(), restores = m_context.storeRestores](const std::optional<HttpAnswer>& _answer)
 		{
-			if (self->metRestore(_answer, restores))
+			if (metRestore(self->m_context, _answer, restores))
 			{
 				return;
 			}
--- a/src/gateway/registration.h
+++ b/src/gateway/registration.h
@@ -32,11 +32,6 @@
 	void onStoreRestored();
 
 private:
-	/// Notes the store's era in an answer.
-	/// @param[in] _restores Restores that were known when the call was sent.
-	/// @returns true if the store was restored since: the answer's result does not hold, and onStoreRestored() has
-	/// begun anew.
-	bool metRestore(const std::optional<HttpAnswer>& _answer, std::uint64_t _restores);
 	void schedule(Micros _span);
 	void requestLease();
 	void writeEntry();
--- a/src/gateway/relayslotwriter.cpp
+++ b/src/gateway/relayslotwriter.cpp
@@ -6,6 +6,7 @@
 #include "coordination/relayslots.h"
 #include "daemon/logging.h"
 #include "gateway/memberkeys.h"
+#include "gateway/storeera.h"
 #include "gateway/storesync_p.h"
 #include "platform/storecalls.h"
 
@@ -82,10 +83,7 @@
 					[self = shared_from_this(), _key](const std::optional<HttpAnswer>& _answer)
 					{
 						self->m_writing = false;
-						if (_answer)
-						{
-							self->m_context.onStoreEra(platform::readEra(_answer));
-						}
+						noteStoreEra(self->m_context, _answer);
 						const bool written = platform::readTransaction(_answer).outcome == KvOutcome::Done;
 						logEvent(written ? LogLevel::Info : LogLevel::Warning, "relay-slot",
 								 {{"key", _key}, {"written", written ? "yes" : "no"}});
--- a/src/gateway/storesync.cpp
+++ b/src/gateway/storesync.cpp
@@ -6,6 +6,7 @@
 #include "coordination/storerevision.h"
 #include "daemon/logging.h"
 #include "gateway/memberkeys.h"
+#include "gateway/storeera.h"
 #include "gateway/storesync_p.h"
 #include "platform/documents.h"
 #include "platform/storecalls.h"
@@ -392,10 +393,7 @@
 void StoreSync::onWatch(const std::optional<HttpAnswer>& _answer)
 {
 	m_watching = false;
-	if (_answer)
-	{
-		m_context.onStoreEra(platform::readEra(_answer));
-	}
+	noteStoreEra(m_context, _answer);
 	const std::optional<KvEvents> events = platform::readWatch(_answer);
 	if (!events)
 	{
