--- a/tests/gatewaypartitiontest.cpp
+++ b/tests/gatewaypartitiontest.cpp
@@ -40,7 +40,7 @@
 		for (int& filler : m_fillers)
 		{
 			filler = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-			connect(filler, reinterpret_cast<const sockaddr*>(&target), sizeof target);
+			static_cast<void>(connect(filler, reinterpret_cast<const sockaddr*>(&target), sizeof target));
 		}
 	}
 
