Leave usage counts out that cannot be decoded, and end the delays of a restore

And all but the last holder took vacant duties 1 s later for ever after a restore; that ends after 10 s.

Test: usageCountsThatCannotBeReadAreLeftOut.

--- a/src/gateway/dutyholder.cpp
+++ b/src/gateway/dutyholder.cpp
@@ -3,6 +3,7 @@
 
 #include "gateway/dutyholder.h"
 
+#include "beacongate/errors.h"
 #include "coordination/storerevision.h"
 #include "daemon/logging.h"
 #include "gateway/memberkeys.h"
@@ -29,6 +30,8 @@
 /// Delay per rank before a member tries to take vacant duties: one try is three calls to the store.
 constexpr Micros kAcquireDelayPerRank = 100 * kMillisecond;
 constexpr Micros kUnregisteredAcquireDelay = 3 * kSecond; ///< Delay of a gateway that is not registered yet.
+/// For how long after a restore of the store its last holder takes the duties before the others.
+constexpr Micros kRestoredSpan = 10 * kSecond;
 /// Delay after a restore of the store for all but the last holder, which alone knows all that it has reported.
 constexpr Micros kRestoredAcquireDelay = 1 * kSecond;
 /// Fencing tokens of an era begin here, times the era: a restored store does not know the last ones of the era
@@ -115,15 +118,30 @@
 	for (auto item = items.lower_bound(prefix); item != items.end() && item->first.starts_with(prefix); ++item)
 	{
 		const std::uint64_t window = std::strtoull(item->first.c_str() + prefix.size(), nullptr, 10);
-		if (!m_fixedCounts.count(window))
+		if (!m_fixedCounts.count(window) && m_unreadableRevision != item->second.revision)
 		{
-			m_fixedCounts[window] = decodeTotals(item->second.value);
+			rememberCounts(window, item->second);
 		}
 	}
 	const std::uint64_t current = m_context.currentWindow(monotonicNow());
 	std::erase_if(m_fixedCounts, [current](const auto& _entry) { return _entry.first + kWindowsKept < current; });
 }
 
+void DutyHolder::rememberCounts(std::uint64_t _window, const KvItem& _item)
+{
+	try
+	{
+		m_fixedCounts[_window] = decodeTotals(_item.value);
+	}
+	catch (const Error& error)
+	{
+		m_fixedCounts.erase(_window);
+		m_unreadableRevision = _item.revision;
+		logEvent(LogLevel::Warning, "usage-counts-unreadable",
+				 {{"window", std::to_string(_window)}, {"detail", error.what()}});
+	}
+}
+
 bool DutyHolder::mayBeReported(std::uint64_t _window) const
 {
 	const Micros windowEnd = static_cast<Micros>(_window + 1) * m_context.settings.usageWindow;
@@ -193,8 +211,9 @@
 	const std::optional<std::size_t> position = m_context.relays.position();
 	const Micros delay =
 		position ? kAcquireDelayPerRank * static_cast<Micros>(*position) : kUnregisteredAcquireDelay;
-	const Micros restoredDelay = m_context.storeRestores > 0 && !m_wasLastHolder ? kRestoredAcquireDelay : 0;
-	if (sent - m_vacantSince < (m_wasLastHolder ? 0 : delay) + restoredDelay)
+	const bool restored = m_context.storeRestores > 0 && sent - m_context.storeRestoredAt < kRestoredSpan;
+	const Micros restoredDelay = m_wasLastHolder ? 0 : delay + kRestoredAcquireDelay;
+	if (sent - m_vacantSince < (restored ? restoredDelay : delay))
 	{
 		return;
 	}
@@ -400,7 +419,7 @@
 							 {
 								 if (item.key == usageKey(_window) && item.revision != 0)
 								 {
-									 self->sendWindow(_window, decodeTotals(item.value));
+									 self->rememberCounts(_window, item);
 								 }
 							 }
 						 });
--- a/src/gateway/dutyholder.h
+++ b/src/gateway/dutyholder.h
@@ -51,6 +51,7 @@
 private:
 	/// Remembers the fencing token and the counts that the store holds, since it may lose them.
 	void rememberRecords();
+	void rememberCounts(std::uint64_t _window, const KvItem& _item);
 	/// @returns true if another gateway may have reported a window whose record a restore of the store has removed.
 	bool mayBeReported(std::uint64_t _window) const;
 	void schedule();
@@ -87,6 +88,7 @@
 	std::set<std::uint64_t> m_reportedWindows; ///< Windows whose report the platform has accepted.
 	/// Counts of recent windows that are stored or were sent; no other counts may be sent for them.
 	std::map<std::uint64_t, std::map<std::string, std::uint64_t>> m_fixedCounts;
+	std::uint64_t m_unreadableRevision = 0;   ///< Revision of the last counts that could not be decoded.
 	std::uint64_t m_highestFence = 0;         ///< Largest fencing token that was seen.
 	bool m_wasLastHolder = false;             ///< This gateway held the duties last before the store was restored.
 	std::set<std::uint64_t> m_pendingWindows; ///< Windows whose counts are being written or reported.
--- a/tests/gatewayrestoredstoretest.cpp
+++ b/tests/gatewayrestoredstoretest.cpp
@@ -7,6 +7,7 @@
 #include "gatewayfixture.h"
 #include "protocol/json.h"
 
+#include <ctime>
 #include <thread>
 
 namespace beacongate::test
@@ -230,6 +231,18 @@
 	EXPECT_TRUE(await([&] { return store->keys(std::string(kMemberPrefix)).size() == kGateways + 1; }, kApplySpan));
 }
 
+TEST_F(GatewayRestoredStoreTest, usageCountsThatCannotBeReadAreLeftOut)
+{
+	const auto window = static_cast<std::uint64_t>(std::time(nullptr));
+	for (std::uint64_t number = window - 5; number < window + 5; ++number)
+	{
+		store->put(std::string(kUsagePrefix) + std::to_string(number), "\xff");
+	}
+	const std::size_t before = duties->calls().size();
+	EXPECT_TRUE(await([&] { return duties->calls().size() > before; }, 12 * kSecond));
+	EXPECT_TRUE(isServed(1, "key", "o"));
+}
+
 TEST_F(GatewayRestoredStoreTest, secondRestoreIsFollowedAsWell)
 {
 	restore(1);
