--- a/src/gateway/dutyholder.cpp
+++ b/src/gateway/dutyholder.cpp
@@ -118,13 +118,18 @@
 	for (auto item = items.lower_bound(prefix); item != items.end() && item->first.starts_with(prefix); ++item)
 	{
 		const std::uint64_t window = std::strtoull(item->first.c_str() + prefix.size(), nullptr, 10);
-		if (!m_fixedCounts.count(window) && m_unreadableRevision != item->second.revision)
+		if (!m_fixedCounts.count(window) && m_unreadableCounts[window] != item->second.revision)
 		{
 			rememberCounts(window, item->second);
 		}
 	}
 	const std::uint64_t current = m_context.currentWindow(monotonicNow());
-	std::erase_if(m_fixedCounts, [current](const auto& _entry) { return _entry.first + kWindowsKept < current; });
+	const auto isOld = [current](const auto& _entry)
+	{
+		return _entry.first + kWindowsKept < current;
+	};
+	std::erase_if(m_fixedCounts, isOld);
+	std::erase_if(m_unreadableCounts, isOld);
 }
 
 void DutyHolder::rememberCounts(std::uint64_t _window, const KvItem& _item)
@@ -136,7 +141,7 @@
 	catch (const Error& error)
 	{
 		m_fixedCounts.erase(_window);
-		m_unreadableRevision = _item.revision;
+		m_unreadableCounts[_window] = _item.revision;
 		logEvent(LogLevel::Warning, "usage-counts-unreadable",
 				 {{"window", std::to_string(_window)}, {"detail", error.what()}});
 	}
--- a/src/gateway/dutyholder.h
+++ b/src/gateway/dutyholder.h
@@ -88,7 +88,8 @@
 	std::set<std::uint64_t> m_reportedWindows; ///< Windows whose report the platform has accepted.
 	/// Counts of recent windows that are stored or were sent; no other counts may be sent for them.
 	std::map<std::uint64_t, std::map<std::string, std::uint64_t>> m_fixedCounts;
-	std::uint64_t m_unreadableRevision = 0;   ///< Revision of the last counts that could not be decoded.
+	/// Revisions of counts that could not be decoded, by window.
+	std::map<std::uint64_t, std::uint64_t> m_unreadableCounts;
 	std::uint64_t m_highestFence = 0;         ///< Largest fencing token that was seen.
 	bool m_wasLastHolder = false;             ///< This gateway held the duties last before the store was restored.
 	std::set<std::uint64_t> m_pendingWindows; ///< Windows whose counts are being written or reported.
