Do not ask again for windows whose counts cannot be decoded

Such windows were finalized anew in each tick, one call to the store each, and decoded and logged again once they were old. They are passed over now.

--- a/src/gateway/dutyholder.cpp
+++ b/src/gateway/dutyholder.cpp
@@ -114,16 +114,16 @@
 	{
 		m_highestFence = std::max(m_highestFence, readFence(fence->second.value));
 	}
+	const std::uint64_t current = m_context.currentWindow(monotonicNow());
 	const std::string prefix(kUsagePrefix);
 	for (auto item = items.lower_bound(prefix); item != items.end() && item->first.starts_with(prefix); ++item)
 	{
 		const std::uint64_t window = std::strtoull(item->first.c_str() + prefix.size(), nullptr, 10);
-		if (!m_fixedCounts.count(window) && m_unreadableCounts[window] != item->second.revision)
+		if (window + kWindowsKept >= current && !m_fixedCounts.count(window))
 		{
 			rememberCounts(window, item->second);
 		}
 	}
-	const std::uint64_t current = m_context.currentWindow(monotonicNow());
 	const auto isOld = [current](const auto& _entry)
 	{
 		return _entry.first + kWindowsKept < current;
@@ -134,9 +134,15 @@
 
 void DutyHolder::rememberCounts(std::uint64_t _window, const KvItem& _item)
 {
+	const auto unreadable = m_unreadableCounts.find(_window);
+	if (unreadable != m_unreadableCounts.end() && unreadable->second == _item.revision)
+	{
+		return;
+	}
 	try
 	{
 		m_fixedCounts[_window] = decodeTotals(_item.value);
+		m_unreadableCounts.erase(_window);
 	}
 	catch (const Error& error)
 	{
@@ -333,7 +339,8 @@
 	{
 		const Micros windowEnd = static_cast<Micros>(window + 1) * m_context.settings.usageWindow;
 		const bool settled = m_context.clock.trueTime(_now) >= windowEnd + kCountsSettleTime;
-		if (!settled || m_reportedWindows.count(window) || m_pendingWindows.count(window) || mayBeReported(window))
+		if (!settled || m_reportedWindows.count(window) || m_pendingWindows.count(window) ||
+			m_unreadableCounts.count(window) || mayBeReported(window))
 		{
 			continue;
 		}
