Log the software version of each attempt, and which stream a request takes up

Change: the record's version is kept, and the lines of attempts and requests name it, with Resumes and Last-Event-Id. No decision depends on them.

--- a/include/beacongate/routing.h
+++ b/include/beacongate/routing.h
@@ -153,6 +153,7 @@
 	std::string id;
 	std::uint64_t born = 0; ///< Start time of the incarnation in Unix milliseconds; 0 where it is not given.
 	std::string service;
+	std::string version; ///< Version of its software.
 	Address address;
 	std::string dataCentre;
 	unsigned slots = 1;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -334,6 +334,7 @@
 	m_attempt.backend = _backend.record.identity();
 	m_attempt.key = _backend.key;
 	m_attempt.address = _backend.record.address;
+	m_attempt.version = _backend.record.version;
 	m_attempt.sent = now;
 	m_triedBackends.push_back(_backend.record.id);
 	m_attempt.slots = _backend.record.slots;
@@ -537,6 +538,9 @@
 			  {"outcome", _outcome},
 			  {"status", std::to_string(_status)},
 			  {"backend", m_attempt.backend.id.empty() ? "-" : m_attempt.backend.id},
+			  {"version", m_attempt.version.empty() ? "-" : m_attempt.version},
+			  {"resumes", m_info.resumedId.empty() ? "-" : m_info.resumedId},
+			  {"after_event", m_info.lastEventId.empty() ? "-" : m_info.lastEventId},
 			  {"via", m_attempt.via.empty() ? "-" : m_attempt.via},
 			  {"content", toString(m_fingerprint)},
 			  {"sent", std::to_string(m_sendCount)},
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -65,6 +65,7 @@
 		BackendKey key;      ///< Identifies the backend server's incarnation.
 		BackendKey crashKey; ///< See CrashLedger::nextCrashKey().
 		Address address;
+		std::string version; ///< Software version of the backend server.
 		OutgoingCall::Ptr call;
 		std::string via; ///< Host of the gateway through which it is connected; empty for a direct connection.
 		Micros sent = 0; ///< When the attempt started.
--- a/src/gateway/exchangeanswers.cpp
+++ b/src/gateway/exchangeanswers.cpp
@@ -345,6 +345,7 @@
 			 {{"request", m_info.id},
 			  {"content", toString(m_fingerprint)},
 			  {"backend", m_attempt.backend.id},
+			  {"version", m_attempt.version},
 			  {"result", std::string(toString(_result))},
 			  {"via", m_attempt.via.empty() ? "-" : m_attempt.via},
 			  {"connection", std::string(connectionText())},
--- a/src/gateway/requestinfo.h
+++ b/src/gateway/requestinfo.h
@@ -27,6 +27,7 @@
 	std::uint64_t outputTokens = 0; ///< Largest number of tokens that it generates.
 	std::vector<PromptPart> parts;
 	std::string lastEventId; ///< Empty if the stream starts at its beginning.
+	std::string resumedId;   ///< Id of the caller's attempt that delivered the stream's first event; may be empty.
 };
 
 /// Fields that a gateway sets on a forwarded request.
