--- a/tests/gatewayfixture.h
+++ b/tests/gatewayfixture.h
@@ -176,11 +176,11 @@
 	}
 
 	void registerWorker(unsigned _number, const std::string& _state,
-						std::uint64_t _born = standin::kFirstStartTimeMs)
+						std::uint64_t _born = standin::kFirstStartTimeMs, const std::string& _version = "v1")
 	{
 		constexpr unsigned kSlots = 4;
 		const Address address{host(100 + _number), kWorkerPort};
-		store->put("servers/" + workerId(_number), standin::formatRecord(address, kSlots, _state, _born));
+		store->put("servers/" + workerId(_number), standin::formatRecord(address, kSlots, _state, _born, _version));
 	}
 
 	static std::string config(std::uint64_t _version, const std::vector<std::string>& _keys = {"key"})
--- a/tools/standin/platformsite.cpp
+++ b/tools/standin/platformsite.cpp
@@ -66,7 +66,8 @@
 	return document.dump();
 }
 
-std::string formatRecord(const Address& _address, unsigned _slots, const std::string& _state, std::uint64_t _born)
+std::string formatRecord(const Address& _address, unsigned _slots, const std::string& _state, std::uint64_t _born,
+						 const std::string& _version)
 {
 	const Json record{{"service", kSiteService},
 					  {"address", toString(_address)},
@@ -74,7 +75,7 @@
 					  {"slots", _slots},
 					  {"state", _state},
 					  {"coldRemainingMs", 0},
-					  {"version", "v1"},
+					  {"version", _version},
 					  {"sequence", 1},
 					  {"born", _born}};
 	return record.dump();
--- a/tools/standin/platformsite.h
+++ b/tools/standin/platformsite.h
@@ -62,8 +62,9 @@
 /// @returns a backend server's record as a JSON document.
 /// @param[in] _state State in the platform's terms: ready or draining.
 /// @param[in] _born Start time of the backend server, in Unix milliseconds.
+/// @param[in] _version Version of its software.
 std::string formatRecord(const Address& _address, unsigned _slots, const std::string& _state,
-						 std::uint64_t _born = kFirstStartTimeMs);
+						 std::uint64_t _born = kFirstStartTimeMs, const std::string& _version = "v1");
 
 /// Values of a gateway's settings file.
 struct SiteGateway
