Continue a broken stream only at the software version that began it

Callers saw streams whose events came from two software versions, which do not fit together. Change: the record keeps it, Directory narrows a service's servers to it, and the version of the first event that was passed on binds the stream; candidates are narrowed before backoffs, limits and the balancer, so that no fallback overrides it. A stream with no server of its version left ends at once.

--- a/src/coordination/directory.cpp
+++ b/src/coordination/directory.cpp
@@ -183,6 +183,7 @@
 	const bool newlyLeaving = _record.leaves && !known.record.leaves;
 	known.record = _record;
 	known.key = BackendKey(_record.identity());
+	known.version = VersionKey(_record.service, _record.version);
 	known.record.draining = _record.draining || wasDraining;
 	if (known.record.draining && known.drainingSince == kNever)
 	{
@@ -303,13 +304,14 @@
 	return listingState(_backend, _now) != ListingState::Gone;
 }
 
-std::vector<const KnownBackend*> Directory::usableOf(const std::string& _service, Micros _now) const
+std::vector<const KnownBackend*> Directory::usableOf(const std::string& _service, Micros _now,
+													 std::optional<VersionKey> _version) const
 {
 	std::vector<const KnownBackend*> usable;
 	std::vector<const KnownBackend*> vanished;
 	for (const auto& [id, known] : m_backends)
 	{
-		if (known.record.service != _service)
+		if (known.record.service != _service || (_version && known.version != *_version))
 		{
 			continue;
 		}
--- a/src/coordination/directory.h
+++ b/src/coordination/directory.h
@@ -11,10 +11,12 @@
 #include "coordination/backendkey.h"
 #include "coordination/departurelog.h"
 #include "coordination/drainbudget.h"
+#include "coordination/versionkey.h"
 
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -48,6 +50,7 @@
 {
 	BackendRecord record;
 	BackendKey key;             ///< Key of the record's incarnation.
+	VersionKey version;         ///< Key of the record's service and software version.
 	Micros leavesAt = kNever;   ///< When it will be reclaimed.
 	Micros coldUntil = 0;       ///< It is slow after its start until then.
 	Micros vanishedAt = kNever; ///< When its record was first found missing or unreadable.
@@ -209,7 +212,9 @@
 
 	/// @returns a service's backend servers that may get new work; those in state Vanished only if there are no
 	/// others.
-	std::vector<const KnownBackend*> usableOf(const std::string& _service, Micros _now) const;
+	/// @param[in] _version Only servers of this software version are returned; any if there is none.
+	std::vector<const KnownBackend*> usableOf(const std::string& _service, Micros _now,
+											  std::optional<VersionKey> _version = std::nullopt) const;
 
 private:
 	static ListingState listingStateOf(const KnownBackend& _known, Micros _now);
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -299,6 +299,10 @@
 		refuse(Failure::RequestBlocked, "backend servers crash when they run this request");
 		return true;
 	}
+	if (refuseWithoutVersion(now))
+	{
+		return true;
+	}
 	if (!admit())
 	{
 		return m_finished;
@@ -335,6 +339,7 @@
 	m_attempt.key = _backend.key;
 	m_attempt.address = _backend.record.address;
 	m_attempt.version = _backend.record.version;
+	m_attempt.versionKey = _backend.version;
 	m_attempt.sent = now;
 	m_triedBackends.push_back(_backend.record.id);
 	m_attempt.slots = _backend.record.slots;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -65,7 +65,8 @@
 		BackendKey key;      ///< Identifies the backend server's incarnation.
 		BackendKey crashKey; ///< See CrashLedger::nextCrashKey().
 		Address address;
-		std::string version; ///< Software version of the backend server.
+		std::string version;   ///< Software version of the backend server.
+		VersionKey versionKey; ///< Key of that version.
 		OutgoingCall::Ptr call;
 		std::string via; ///< Host of the gateway through which it is connected; empty for a direct connection.
 		Micros sent = 0; ///< When the attempt started.
@@ -121,6 +122,11 @@
 	/// Chooses a backend server. Requests that may crash their servers are kept apart.
 	Placement place(const Availability& _available, Micros _now);
 	bool isBlocked() const;
+	/// @returns the backend servers that take work and may run the request.
+	std::vector<const KnownBackend*> usableBackends(Micros _now) const;
+	/// Refuses a stream that cannot go on, since no backend server of its software version takes work.
+	/// @returns true if the request was refused.
+	bool refuseWithoutVersion(Micros _now);
 	/// @returns the delay after which the caller of a refused request may retry.
 	Micros retryAfter(Micros _now);
 	/// Reports the result of a request that was one of the few after a backoff.
@@ -191,6 +197,9 @@
 	double m_quotaTaken = 0.0;
 	QuotaTicket m_quotaTicket;
 	std::optional<std::uint64_t> m_lastEventId;
+	/// Software version of the stream's first event. Events of two versions do not fit together, so that the stream
+	/// may go on only there.
+	std::optional<VersionKey> m_streamVersion;
 	boost::asio::steady_timer m_timer;
 };
 
--- a/src/gateway/exchangeanswers.cpp
+++ b/src/gateway/exchangeanswers.cpp
@@ -174,6 +174,7 @@
 	if (!m_streaming)
 	{
 		m_streaming = true;
+		m_streamVersion = m_attempt.versionKey;
 		m_session->startAnswer(m_attempt.head.status, endToEndHeaders(m_attempt.head.headers), events);
 	}
 	else
--- a/src/gateway/exchangeplacement.cpp
+++ b/src/gateway/exchangeplacement.cpp
@@ -12,6 +12,21 @@
 
 namespace beacongate
 {
+std::vector<const KnownBackend*> Exchange::usableBackends(Micros _now) const
+{
+	return m_context.directory.usableOf(m_service, _now, m_streamVersion);
+}
+
+bool Exchange::refuseWithoutVersion(Micros _now)
+{
+	if (!m_streamVersion || !usableBackends(_now).empty())
+	{
+		return false;
+	}
+	refuse(Failure::NoBackend, "no backend server of the stream's software version takes work", kShortRetryAfter);
+	return true;
+}
+
 bool Exchange::isBlocked() const
 {
 	return m_context.crashes.suspicionOf(m_fingerprint) == Suspicion::Blocked;
@@ -37,8 +52,7 @@
 {
 	// Backoffs and limits are applied before the balancer chooses, so that no fallback of the balancer overrides
 	// them.
-	Availability available =
-		m_context.backoffs.available(m_context.directory.usableOf(m_service, _now), _excluded, _now);
+	Availability available = m_context.backoffs.available(usableBackends(_now), _excluded, _now);
 	m_context.limits.narrow(available, _now, m_context.clock.trueTime(_now));
 	m_context.brittle.narrow(available, m_context.balancer, m_context.clock.trueTime(_now));
 	return available;
@@ -51,9 +65,8 @@
 	if (m_context.limits.size() > 0)
 	{
 		const Micros until = m_mayHaveRun ? context.waitUntil : std::min(context.answerTarget, context.waitUntil);
-		const std::optional<std::size_t> allowed =
-			m_context.limits.requestsUntil(m_context.directory.usableOf(m_service, _now),
-										   m_context.clock.trueTime(_now), m_context.clock.trueTime(until));
+		const std::optional<std::size_t> allowed = m_context.limits.requestsUntil(
+			usableBackends(_now), m_context.clock.trueTime(_now), m_context.clock.trueTime(until));
 		context.behindLimit = allowed && m_dispatcher.waitingBefore(this) >= *allowed;
 	}
 	return context;
