Find the software version at which a stream began that its caller takes up

Callers saw streams go on at another software version when they came back, mostly at another gateway, since the first one had been killed. Change: before the first event is passed on, a gateway tells two others, ranked by rendezvous hashing over the members in different data centres; any gateway asks four of the ranking. Datagrams of a new kind (9), which earlier builds drop. In streamsGoOnWhileTheStoreIsDown the gateways confirm keys for 30 s instead of 3 s: with the store down its new streams were refused for their keys, so that it could not have passed on any code.

--- /dev/null
+++ b/src/coordination/streamorigins.cpp
@@ -0,0 +1,172 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+#include "coordination/streamorigins.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace beacongate
+{
+void StreamOrigins::store(const StreamOriginRecord& _record, Micros _now)
+{
+	const Micros until = _now + std::clamp(_record.lifetime, kMinLifetime, kMaxLifetime);
+	const auto [entry, isNew] = m_streams.insert_or_assign(_record.stream, Entry{_record.version, until});
+	if (!isNew)
+	{
+		return;
+	}
+	m_order.push_back(_record.stream);
+	while (m_order.size() > kMaxStreams)
+	{
+		m_streams.erase(m_order.front());
+		m_order.pop_front();
+	}
+}
+
+std::optional<VersionKey> StreamOrigins::find(StreamKey _stream, Micros _now) const
+{
+	const auto entry = m_streams.find(_stream);
+	const bool valid = entry != m_streams.end() && _now <= entry->second.until;
+	return valid ? std::optional(entry->second.version) : std::nullopt;
+}
+
+void StreamOrigins::onBegun(StreamKey _stream, VersionKey _version, Micros _lifetime, Micros _now)
+{
+	const StreamOriginRecord record{_stream, _version, _lifetime};
+	store(record, _now);
+	for (const std::string& host : m_homes.of(_stream, kHolders))
+	{
+		if (host != m_host)
+		{
+			m_send(host, record);
+		}
+	}
+}
+
+OriginVerdict StreamOrigins::search(OriginTicket& _ticket, StreamKey _stream, ServiceKey _service, Micros _listAge,
+									Micros _now, std::function<void()> _found)
+{
+	if (_ticket.id == 0 && !find(_stream, _now))
+	{
+		_ticket.id = ++m_lastId;
+		Search& search = m_searches[_ticket.id];
+		search.stream = _stream;
+		search.service = _service;
+		search.started = _now;
+		search.silent = m_homes.of(_stream, kAsked);
+		search.found = std::move(_found);
+		std::erase(search.silent, m_host);
+		sendQueries(_ticket.id, search);
+	}
+	if (const auto version = find(_stream, _now))
+	{
+		abandon(_ticket);
+		return {OriginState::Known, *version};
+	}
+	Search& search = m_searches[_ticket.id];
+	const Micros elapsed = _now - search.started;
+	if (!search.silent.empty() && elapsed < kSearchTimeout)
+	{
+		if (!search.resent && elapsed >= kResendDelay)
+		{
+			search.resent = true;
+			sendQueries(_ticket.id, search);
+		}
+		return {};
+	}
+	const OriginVerdict verdict = conclude(search, _listAge);
+	abandon(_ticket);
+	return verdict;
+}
+
+OriginVerdict StreamOrigins::conclude(const Search& _search, Micros _listAge) const
+{
+	std::set<VersionKey> possible = _search.recentVersions;
+	for (const VersionKey& version : m_history.versionsOf(_search.service))
+	{
+		possible.insert(version);
+	}
+	const bool informed = _search.answers > 0 || _listAge < kFreshListAge;
+	if (informed && possible.size() == 1)
+	{
+		return {OriginState::Known, *possible.begin()};
+	}
+	return {OriginState::Unknown, {}, !_search.silent.empty()};
+}
+
+void StreamOrigins::abandon(OriginTicket& _ticket)
+{
+	m_searches.erase(std::exchange(_ticket.id, 0));
+}
+
+void StreamOrigins::sendQueries(std::uint64_t _id, const Search& _search)
+{
+	// Where sending delivers at once, an answer changes the search.
+	const std::vector<std::string> hosts = _search.silent;
+	const StreamOriginQuery query{_id, _search.stream, _search.service};
+	for (const std::string& host : hosts)
+	{
+		m_send(host, query);
+	}
+}
+
+void StreamOrigins::onMessage(const std::string& _host, const StreamOriginMessage& _message, Micros _now)
+{
+	if (const auto* record = std::get_if<StreamOriginRecord>(&_message))
+	{
+		store(*record, _now);
+	}
+	else if (const auto* query = std::get_if<StreamOriginQuery>(&_message))
+	{
+		onQuery(_host, *query, _now);
+	}
+	else if (const auto* answer = std::get_if<StreamOriginAnswer>(&_message))
+	{
+		if (const auto search = m_searches.find(answer->id); answer->version && search != m_searches.end())
+		{
+			store({search->second.stream, *answer->version, kMinLifetime}, _now);
+		}
+		onAnswer(_host, *answer);
+	}
+}
+
+void StreamOrigins::onQuery(const std::string& _host, const StreamOriginQuery& _query, Micros _now)
+{
+	StreamOriginAnswer answer{_query.id, find(_query.stream, _now), {}};
+	if (!answer.version)
+	{
+		answer.recentVersions = m_history.versionsOf(_query.service);
+		answer.recentVersions.resize(std::min(answer.recentVersions.size(), StreamOriginAnswer::kMaxVersions));
+	}
+	m_send(_host, answer);
+}
+
+void StreamOrigins::onAnswer(const std::string& _host, const StreamOriginAnswer& _answer)
+{
+	const auto found = m_searches.find(_answer.id);
+	if (found == m_searches.end())
+	{
+		return;
+	}
+	Search& search = found->second;
+	search.answers += std::erase(search.silent, _host);
+	search.recentVersions.insert(_answer.recentVersions.begin(), _answer.recentVersions.end());
+	if (search.silent.empty() || _answer.version)
+	{
+		// The callback may end the search, so it is copied first.
+		const std::function<void()> call = search.found;
+		call();
+	}
+}
+
+void StreamOrigins::expire(Micros _now)
+{
+	while (!m_order.empty() && !find(m_order.front(), _now))
+	{
+		m_streams.erase(m_order.front());
+		m_order.pop_front();
+	}
+}
+
+} // namespace beacongate
--- /dev/null
+++ b/src/coordination/streamorigins.h
@@ -0,0 +1,160 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// Remembers at which software version each stream began, and finds it where a caller takes the stream up.
+
+#ifndef BEACONGATE_COORDINATION_STREAMORIGINS_H
+#define BEACONGATE_COORDINATION_STREAMORIGINS_H
+
+#include "coordination/streamhomes.h"
+#include "coordination/streamorigin.h"
+#include "coordination/versionhistory.h"
+
+#include <deque>
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace beacongate
+{
+/// What is known of a stream that is taken up.
+enum class OriginState
+{
+	Pending, ///< Other gateways have been asked.
+	Known,   ///< It began at one version.
+	Unknown, ///< It may have begun at one of several versions.
+};
+
+/// Result of a search.
+struct OriginVerdict
+{
+	OriginState state = OriginState::Pending;
+	VersionKey version;     ///< If it is known.
+	bool mayBeKnown = true; ///< A gateway that was asked has not answered, so that a later search may find it.
+};
+
+/// A request's search; kept by the request between calls.
+struct OriginTicket
+{
+	std::uint64_t id = 0; ///< 0 if no search is under way.
+};
+
+/// Table of the streams that began at this gateway, or that others have told it.
+///
+/// A caller whose connection broke comes back at any gateway, mostly because the first one has ended. So a gateway
+/// tells some others, the stream's homes, before it passes the first event on, and any gateway finds them again by
+/// rendezvous hashing. The costs do not grow with the fleet: kHolders datagrams for each stream that begins and
+/// kAsked for each one that is taken up.
+///
+/// Where no home knows a stream, it goes on only if its service had a single version for as long as streams live.
+class StreamOrigins
+{
+public:
+	using Send = std::function<void(const std::string& _host, const StreamOriginMessage& _message)>;
+
+	/// Homes that are told of a stream: one may be lost with the gateway that began it.
+	static constexpr std::size_t kHolders = 2;
+	/// Homes that are asked. More than those that are told, since the list of members may have changed meanwhile.
+	static constexpr std::size_t kAsked = 4;
+	/// Homes that have not answered are asked again after this time, since datagrams may be lost.
+	static constexpr Micros kResendDelay = 40 * kMillisecond;
+	/// A search ends after this time: several round trips between data centres.
+	static constexpr Micros kSearchTimeout = 250 * kMillisecond;
+	/// A list of backend servers that was confirmed within this time shows all versions at which a stream can have
+	/// begun, also where no other gateway answers.
+	static constexpr Micros kFreshListAge = 1500 * kMillisecond;
+	/// Bounds of the time for which a stream is remembered.
+	static constexpr Micros kMinLifetime = 30 * kSecond;
+	static constexpr Micros kMaxLifetime = 600 * kSecond;
+	/// Streams that are remembered, which bounds the memory to some 3 MB; the oldest give way.
+	static constexpr std::size_t kMaxStreams = 32768;
+
+	/// @param[in] _host Host of this gateway.
+	/// @param[in] _firstId Number from which searches are counted; another one at each start.
+	StreamOrigins(const VersionHistory& _history, std::string _host, std::uint64_t _firstId)
+		: m_history(_history), m_host(std::move(_host)), m_lastId(_firstId)
+	{
+	}
+
+	/// Sets the function that sends a message to another gateway.
+	void setSend(Send _send)
+	{
+		m_send = std::move(_send);
+	}
+
+	/// Replaces the known members of the fleet.
+	void setMembers(const std::set<MemberRecord>& _members)
+	{
+		m_homes.setMembers(_members);
+	}
+
+	/// Notes that a stream begins, and tells its homes. Must be called before its first event is passed on.
+	/// @param[in] _lifetime For how long the caller may take it up.
+	void onBegun(StreamKey _stream, VersionKey _version, Micros _lifetime, Micros _now);
+
+	/// Searches for the version at which a stream began. Must be called again while the result is pending.
+	/// @param[in] _listAge Age of this gateway's list of backend servers.
+	/// @param[in] _found Called when an answer ends the search.
+	OriginVerdict search(OriginTicket& _ticket, StreamKey _stream, ServiceKey _service, Micros _listAge,
+						 Micros _now, std::function<void()> _found);
+
+	/// Ends a search whose request has ended.
+	void abandon(OriginTicket& _ticket);
+
+	/// Processes a message from another gateway.
+	void onMessage(const std::string& _host, const StreamOriginMessage& _message, Micros _now);
+
+	/// Forgets the streams that can no longer be taken up. Must be called several times a minute.
+	void expire(Micros _now);
+
+	/// @returns the number of streams that are remembered.
+	std::size_t size() const
+	{
+		return m_streams.size();
+	}
+
+private:
+	struct Entry
+	{
+		VersionKey version;
+		Micros until = 0;
+	};
+
+	struct Search
+	{
+		StreamKey stream;
+		ServiceKey service;
+		Micros started = 0;
+		bool resent = false;
+		std::vector<std::string> silent; ///< Hosts that have not answered.
+		std::size_t answers = 0;
+		std::optional<VersionKey> version;
+		std::set<VersionKey> recentVersions; ///< As the answers list them.
+		std::function<void()> found;
+	};
+
+	void store(const StreamOriginRecord& _record, Micros _now);
+	std::optional<VersionKey> find(StreamKey _stream, Micros _now) const;
+	void sendQueries(std::uint64_t _id, const Search& _search);
+	/// @returns the result of a search that no home's knowledge has ended.
+	OriginVerdict conclude(const Search& _search, Micros _listAge) const;
+	void onQuery(const std::string& _host, const StreamOriginQuery& _query, Micros _now);
+	void onAnswer(const std::string& _host, const StreamOriginAnswer& _answer);
+
+	const VersionHistory& m_history;
+	std::string m_host;
+	std::uint64_t m_lastId;
+	Send m_send;
+	StreamHomes m_homes;
+	std::unordered_map<StreamKey, Entry, StreamKeyHash> m_streams;
+	std::deque<StreamKey> m_order; ///< Keys by their first arrival.
+	std::unordered_map<std::uint64_t, Search> m_searches;
+};
+
+} // namespace beacongate
+
+#endif // BEACONGATE_COORDINATION_STREAMORIGINS_H
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -209,7 +209,7 @@
 	{
 		if (const auto self = weak.lock())
 		{
-			self->onQuotaDecided();
+			self->onDecided();
 		}
 	};
 	const QuotaVerdict verdict =
@@ -228,7 +228,7 @@
 	return true;
 }
 
-void Exchange::onQuotaDecided()
+void Exchange::onDecided()
 {
 	if (tryDispatch())
 	{
@@ -299,6 +299,10 @@
 		refuse(Failure::RequestBlocked, "backend servers crash when they run this request");
 		return true;
 	}
+	if (!resolveStreamVersion(now))
+	{
+		return m_finished;
+	}
 	if (refuseWithoutVersion(now))
 	{
 		return true;
@@ -522,6 +526,7 @@
 	m_finished = true;
 	m_timer.cancel();
 	m_context.admission.abandon(m_quotaTicket);
+	m_context.origins.abandon(m_originTicket);
 	if (m_attempt.call)
 	{
 		m_attempt.call->cancel();
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -100,8 +100,6 @@
 	/// @returns true if the request may run; if false, it was refused or waits for a quota grant.
 	bool admit();
 	bool takeQuota();
-	/// Continues after a grantor has decided.
-	void onQuotaDecided();
 	/// Charges the team's quota for a retry of a request that may have run.
 	void chargeRetry();
 	/// Adds the request to the demand of its service, whether or not it succeeds.
@@ -124,6 +122,15 @@
 	bool isBlocked() const;
 	/// @returns the backend servers that take work and may run the request.
 	std::vector<const KnownBackend*> usableBackends(Micros _now) const;
+	/// @returns the key under which gateways remember where the stream began.
+	StreamKey streamKey() const;
+	/// Finds the software version at which a stream began that the caller takes up.
+	/// @returns true if the request may go on; if false, it waits for other gateways or was refused.
+	bool resolveStreamVersion(Micros _now);
+	/// Binds the request to a software version and to the service that has it.
+	void bindToVersion(VersionKey _version);
+	/// Continues after a decision of other gateways.
+	void onDecided();
 	/// Refuses a stream that cannot go on, since no backend server of its software version takes work.
 	/// @returns true if the request was refused.
 	bool refuseWithoutVersion(Micros _now);
@@ -147,6 +154,8 @@
 	void logLimitChange(std::optional<double> _before) const;
 	void onBody(std::string_view _bytes);
 	void onEvents(std::string_view _bytes);
+	/// Binds the stream to the software version of its first event, before that event is passed on.
+	void noteStreamBegun();
 	void onDone();
 	void onFault(CallFault _fault);
 	void failAttempt(AttemptResult _result);
@@ -200,6 +209,7 @@
 	/// Software version of the stream's first event. Events of two versions do not fit together, so that the stream
 	/// may go on only there.
 	std::optional<VersionKey> m_streamVersion;
+	OriginTicket m_originTicket;
 	boost::asio::steady_timer m_timer;
 };
 
--- a/src/gateway/exchangeanswers.cpp
+++ b/src/gateway/exchangeanswers.cpp
@@ -174,7 +174,7 @@
 	if (!m_streaming)
 	{
 		m_streaming = true;
-		m_streamVersion = m_attempt.versionKey;
+		noteStreamBegun();
 		m_session->startAnswer(m_attempt.head.status, endToEndHeaders(m_attempt.head.headers), events);
 	}
 	else
@@ -196,6 +196,17 @@
 	}
 }
 
+void Exchange::noteStreamBegun()
+{
+	const bool known = m_streamVersion.has_value();
+	m_streamVersion = m_attempt.versionKey;
+	if (!known && m_route->resumable)
+	{
+		const Micros lifetime = m_info.deadline.value_or(0);
+		m_context.origins.onBegun(streamKey(), m_attempt.versionKey, lifetime, monotonicNow());
+	}
+}
+
 void Exchange::onDone()
 {
 	if (m_attempt.info.misdirected)
--- a/src/gateway/exchangeplacement.cpp
+++ b/src/gateway/exchangeplacement.cpp
@@ -17,6 +17,54 @@
 	return m_context.directory.usableOf(m_service, _now, m_streamVersion);
 }
 
+StreamKey Exchange::streamKey() const
+{
+	const bool takenUp = !m_info.lastEventId.empty() && !m_info.resumedId.empty();
+	return {m_team ? std::string_view(m_team->name) : std::string_view(), takenUp ? m_info.resumedId : m_info.id};
+}
+
+bool Exchange::resolveStreamVersion(Micros _now)
+{
+	const bool takenUp = m_route->kind == RouteKind::Stream && m_route->resumable && !m_info.lastEventId.empty();
+	if (!takenUp || m_streamVersion)
+	{
+		return true;
+	}
+	const auto found = [weak = weak_from_this()]
+	{
+		if (const auto self = weak.lock())
+		{
+			self->onDecided();
+		}
+	};
+	const OriginVerdict verdict = m_context.origins.search(m_originTicket, streamKey(), ServiceKey(m_service),
+														   m_context.directory.listAge(_now), _now, found);
+	if (verdict.state == OriginState::Unknown)
+	{
+		refuse(Failure::NoBackend, "the software version at which the stream began is not known",
+			   verdict.mayBeKnown ? kShortRetryAfter : 0);
+	}
+	if (verdict.state != OriginState::Known)
+	{
+		return false;
+	}
+	bindToVersion(verdict.version);
+	return true;
+}
+
+void Exchange::bindToVersion(VersionKey _version)
+{
+	m_streamVersion = _version;
+	// Each arrival of a request draws one of its route's services; the stream has to go on at its own.
+	for (const WeightedService& part : m_route->split)
+	{
+		if (m_context.versions.contains(ServiceKey(part.service), _version))
+		{
+			m_service = part.service;
+		}
+	}
+}
+
 bool Exchange::refuseWithoutVersion(Micros _now)
 {
 	if (!m_streamVersion || !usableBackends(_now).empty())
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -44,6 +44,7 @@
 {
 	m_context.onDirectoryChanged = [this]
 	{
+		m_context.versions.update(m_context.directory, monotonicNow());
 		m_dispatcher.wake();
 	};
 }
@@ -259,6 +260,7 @@
 	metrics.setGauge("beacongate_backends_known", static_cast<double>(m_context.directory.backends().size()));
 	metrics.setGauge("beacongate_backends_usable", static_cast<double>(usable));
 	metrics.setGauge("beacongate_backends_in_backoff", static_cast<double>(inBackoff));
+	metrics.setGauge("beacongate_streams_remembered", static_cast<double>(m_context.origins.size()));
 	metrics.setGauge("beacongate_backends_limited", static_cast<double>(m_context.limits.size()));
 	metrics.setGauge("beacongate_backends_brittle", static_cast<double>(m_context.brittle.size()));
 	metrics.setGauge("beacongate_requests_suspected",
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -28,8 +28,10 @@
 #include "coordination/sharedretrybudget.h"
 #include "coordination/storereachability.h"
 #include "coordination/streamlengths.h"
+#include "coordination/streamorigins.h"
 #include "coordination/suspectplacement.h"
 #include "coordination/usageledger.h"
+#include "coordination/versionhistory.h"
 #include "daemon/clock.h"
 #include "daemon/logging.h"
 #include "gateway/backendconnector.h"
@@ -127,6 +129,8 @@
 	StoreReachability storeReachability;
 	Balancer balancer;
 	BackoffTable backoffs;
+	VersionHistory versions;
+	StreamOrigins origins{versions, settings.callers.host, run.incarnation};
 	BackendLimits limits;
 	BrittleServers brittle;
 	CrashLedger crashes;
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -18,6 +18,7 @@
 		list.push_back({{"id", id},
 						{"born", known.record.born},
 						{"service", known.record.service},
+						{"version", known.record.version},
 						{"dataCentre", known.record.dataCentre},
 						{"usable", known.usable()},
 						{"draining", known.record.draining},
--- a/src/gateway/gossiper.cpp
+++ b/src/gateway/gossiper.cpp
@@ -12,6 +12,7 @@
 #include "gateway/memberkeys.h"
 #include "protocol/gossipcodec.h"
 #include "protocol/limitcodec.h"
+#include "protocol/origincodec.h"
 #include "protocol/quotacodec.h"
 
 #include <algorithm>
@@ -41,6 +42,8 @@
 /// Gateways that receive the usage of all data centres beside the duty holder: those that rank first, of which one
 /// takes the duties over if the holder is lost.
 constexpr std::size_t kDutySuccessors = 2;
+/// Interval at which the versions of an unchanged list are noted as still serving.
+constexpr Micros kVersionUpdateInterval = 1 * kSecond;
 constexpr std::size_t kRepeatRounds = 4; ///< Rounds in which a change is repeated, since datagrams may be lost.
 constexpr Micros kTallyLogInterval = kSecond; ///< Time between two log lines about refused requests of a team.
 /// Rounds between two reports to a collector that is considered silent.
@@ -99,6 +102,8 @@
 	m_context.clock.update(wallClockNow(), monotonicNow());
 	m_context.admission.setSend([this](const std::string& _host, const QuotaMessage& _message)
 								{ sendBytes(DatagramPurpose::QuotaGrant, encodeQuota(_message), _host); });
+	m_context.origins.setSend([this](const std::string& _host, const StreamOriginMessage& _message)
+							  { sendBytes(DatagramPurpose::StreamOrigin, encodeOrigin(_message), _host); });
 	receive();
 	tick();
 }
@@ -177,6 +182,8 @@
 	m_context.quotas.advance(now);
 	m_context.admission.setGrantors(m_context.relays.allTopMembers());
 	logGrantorNotices();
+	m_context.origins.expire(now);
+	updateVersions(now);
 	m_context.retryBudget.setMembers(members);
 	const std::size_t listed = std::max(m_context.relays.memberCount(), m_context.relays.index() + 1);
 	m_context.limits.setMembers(listed, m_context.relays.index());
@@ -209,6 +216,15 @@
 		});
 }
 
+void Gossiper::updateVersions(Micros _now)
+{
+	if (_now - m_versionsUpdatedAt >= kVersionUpdateInterval)
+	{
+		m_versionsUpdatedAt = _now;
+		m_context.versions.update(m_context.directory, _now);
+	}
+}
+
 void Gossiper::logLeavingNotices()
 {
 	for (const DepartureNotice& notice : m_context.directory.takeDepartureNotices())
--- a/src/gateway/gossiper.h
+++ b/src/gateway/gossiper.h
@@ -48,6 +48,7 @@
 private:
 	void tick();
 	void recordLoopDelay(Micros _now);
+	void updateVersions(Micros _now);
 	void logLeavingNotices();
 	void logQuotaGaps();
 	/// Logs once a second the admission counts of each team that had requests refused.
@@ -63,6 +64,7 @@
 	void send(const GossipMessage& _message, const std::string& _host);
 	void sendBytes(DatagramPurpose _purpose, const std::string& _bytes, const std::string& _host);
 	void onQuotaDatagram(std::string_view _bytes, const std::string& _sender);
+	void onOriginDatagram(std::string_view _bytes, const std::string& _sender);
 	void onLimitDatagram(std::string_view _bytes, const std::string& _sender);
 	void onQuotaMessage(const QuotaMessage& _message, const std::string& _sender);
 	void logGrantorNotices();
@@ -111,6 +113,7 @@
 	std::size_t m_departureTurn = 0; ///< Number of messages that named departures.
 	Micros m_due = kNever;           ///< When the next round is due.
 	Micros m_talliesLoggedAt = kLongAgo;
+	Micros m_versionsUpdatedAt = kLongAgo;
 	FleetTable m_table;
 	FleetFollower m_follower;
 	/// The sums that reports are answered with, and when they were computed.
--- a/src/gateway/gossiperreceive.cpp
+++ b/src/gateway/gossiperreceive.cpp
@@ -9,6 +9,7 @@
 #include "protocol/crashcodec.h"
 #include "protocol/gossipcodec.h"
 #include "protocol/limitcodec.h"
+#include "protocol/origincodec.h"
 #include "protocol/quotacodec.h"
 
 #include <algorithm>
@@ -82,6 +83,18 @@
 	onQuotaMessage(*message, _sender);
 }
 
+void Gossiper::onOriginDatagram(std::string_view _bytes, const std::string& _sender)
+{
+	const std::optional<StreamOriginMessage> message = decodeOrigin(_bytes);
+	if (!message)
+	{
+		onUnreadable(_sender);
+		return;
+	}
+	m_context.traffic.onReceived(DatagramPurpose::StreamOrigin, _bytes.size());
+	m_context.origins.onMessage(_sender, *message, monotonicNow());
+}
+
 void Gossiper::onLimitDatagram(std::string_view _bytes, const std::string& _sender)
 {
 	const std::optional<std::vector<BackendLimitRecord>> records = decodeLimits(_bytes);
@@ -128,6 +141,11 @@
 		onLimitDatagram(_bytes, _sender);
 		return;
 	}
+	if (isOriginDatagram(_bytes))
+	{
+		onOriginDatagram(_bytes, _sender);
+		return;
+	}
 	if (isQuotaDatagram(_bytes))
 	{
 		onQuotaDatagram(_bytes, _sender);
--- a/src/gateway/storesyncapply.cpp
+++ b/src/gateway/storesyncapply.cpp
@@ -73,6 +73,7 @@
 		members.insert(member);
 	}
 	m_context.relays.setMembers(members);
+	m_context.origins.setMembers(members);
 	m_context.peers.setRegistered(std::move(hosts));
 }
 
--- a/src/gateway/trafficcounters.h
+++ b/src/gateway/trafficcounters.h
@@ -26,6 +26,7 @@
 	QuotaGrant,
 	Crash,
 	Limit,
+	StreamOrigin,
 	Count_ ///< Number of purposes.
 };
 
--- a/src/protocol/datagramkind.h
+++ b/src/protocol/datagramkind.h
@@ -21,6 +21,7 @@
 {
 	CrashReport = 7,
 	LimitReport = 8,
+	StreamOrigin = 9,
 };
 
 /// @returns true if a datagram is a MessagePack list of up to 15 fields, the second of which is the kind.
--- a/tests/gatewayreturnedversiontest.cpp
+++ b/tests/gatewayreturnedversiontest.cpp
@@ -35,7 +35,10 @@
 	{
 		for (unsigned number = 1; number <= kGateways; ++number)
 		{
-			startGateway(settings(number));
+			GatewaySettings gatewaySettings = settings(number);
+			// Keys stay valid while the store is down.
+			gatewaySettings.revocationSpan = 30 * kSecond;
+			startGateway(gatewaySettings);
 		}
 		// Gateways list each other within a few rounds.
 		std::this_thread::sleep_for(std::chrono::seconds(1));
