--- a/tools/standin/platform.h
+++ b/tools/standin/platform.h
@@ -184,10 +184,12 @@
 /// A worker's reaction to some requests: it crashes a while after it has begun to run one of them.
 struct WorkerCrashRule
 {
-	std::vector<std::string> bodies;      ///< Bodies of the requests that crash the worker.
-	Micros delay = 60 * kMillisecond;     ///< Time from the start of the request until the crash.
-	Micros downtime = 3 * kSecond;        ///< Time for which connections are refused.
-	std::function<void()> onCrash = {};   ///< Called on the worker's thread when it crashes.
+	std::vector<std::string> bodies; ///< Bodies of the requests that crash the worker.
+	std::vector<std::string> parts =
+		{};                             ///< Parts of prompts that crash it once it has begun to answer, as hex ids.
+	Micros delay = 60 * kMillisecond;   ///< Time from the start of the request until the crash.
+	Micros downtime = 3 * kSecond;      ///< Time for which connections are refused.
+	std::function<void()> onCrash = {}; ///< Called on the worker's thread when it crashes.
 	std::function<void()> onRestart = {}; ///< Called on the worker's thread when it accepts connections again.
 };
 
@@ -300,6 +302,7 @@
 	/// Calls a function after a span.
 	void schedule(Micros _span, std::function<void()> _function);
 	bool rejectsNext();
+	bool holdsCrashingPart(const MessageHead& _request) const;
 	/// Notes a rejection for want of room. A brittle worker that had too many crashes.
 	void onNoRoom();
 	void stream(const ConnectionPtr& _connection, unsigned _next);
--- a/tools/standin/platformworker.cpp
+++ b/tools/standin/platformworker.cpp
@@ -286,6 +286,14 @@
 		   (m_fault == WorkerFault::RejectsSome && m_arrived++ % kRejectionPeriod == 0);
 }
 
+bool PlatformWorker::holdsCrashingPart(const MessageHead& _request) const
+{
+	const std::string parts = "," + std::string(findHeader(_request.headers, platform::kPromptParts));
+	return std::any_of(m_crashRule.parts.begin(), m_crashRule.parts.end(),
+					   [&parts](const std::string& _part)
+					   { return parts.find("," + _part + ":") != std::string::npos; });
+}
+
 void PlatformWorker::onRequest(const ConnectionPtr& _connection)
 {
 	const MessageHead& request = _connection->parser->head();
@@ -327,7 +335,14 @@
 						  request.headers, monotonicNow()});
 	}
 	const std::vector<std::string>& crashing = m_crashRule.bodies;
-	const bool crashes = std::find(crashing.begin(), crashing.end(), _connection->body) != crashing.end();
+	const bool partCrashes = holdsCrashingPart(request);
+	const bool crashes =
+		partCrashes || std::find(crashing.begin(), crashing.end(), _connection->body) != crashing.end();
+	if (partCrashes)
+	{
+		_connection->tcp->send(
+			head(_connection, 200, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
+	}
 	if (crashes)
 	{
 		schedule(m_crashRule.delay, [this, run = _connection->run] { crash(m_runs[run].content()); });
