--- a/src/gateway/exchangeanswers.cpp
+++ b/src/gateway/exchangeanswers.cpp
@@ -10,6 +10,8 @@
 #include "platform/headers.h"
 #include "transport/forwarding.h"
 
+#include <sstream>
+
 namespace beacongate
 {
 namespace
@@ -19,6 +21,18 @@
 constexpr unsigned kMultipleChoices = 300;
 constexpr unsigned kServerError = 500;
 constexpr unsigned kServiceUnavailable = 503;
+constexpr std::size_t kMaxLoggedParts = 8;
+
+/// @returns for the log the ids of a prompt's parts, without the last one, which belongs to one request alone.
+std::string partsText(const std::vector<PromptPart>& _parts)
+{
+	std::ostringstream text;
+	for (std::size_t index = 0; index + 1 < _parts.size() && index < kMaxLoggedParts; ++index)
+	{
+		text << (index == 0 ? "" : ",") << std::hex << _parts[index].id;
+	}
+	return text.str().empty() ? "-" : text.str();
+}
 } // namespace
 
 void Exchange::onHead(const MessageHead& _head)
@@ -356,6 +370,7 @@
 	logEvent(LogLevel::Info, "attempt-failed",
 			 {{"request", m_info.id},
 			  {"content", toString(m_fingerprint)},
+			  {"parts", partsText(m_placement.parts)},
 			  {"backend", m_attempt.backend.id},
 			  {"version", m_attempt.version},
 			  {"result", std::string(toString(_result))},
