Make the simulation of crashing requests follow its seed alone

Cause: crashfleettest failed once (severalCulprits, 4 sends where 3 are allowed) and passed when run again: requests on a server were ordered by their addresses, so that a seed did not determine a run. Change: they are ordered by number; the bound and the seeds stay.

--- a/tests/crashfleet.h
+++ b/tests/crashfleet.h
@@ -147,6 +147,7 @@
 
 	struct Request
 	{
+		std::uint64_t id = 0; ///< Orders requests, so that a seed determines the whole run.
 		CrashSubjects content;
 		std::optional<unsigned> culprit;
 		unsigned gateway = 0;
@@ -158,11 +159,21 @@
 
 	using RequestPtr = std::shared_ptr<Request>;
 
+	struct RequestOrder
+	{
+		bool operator()(const RequestPtr& _left, const RequestPtr& _right) const
+		{
+			return _left->id < _right->id;
+		}
+	};
+
+	using RequestSet = std::set<RequestPtr, RequestOrder>;
+
 	struct Server
 	{
 		KnownBackend known;
 		bool up = true;
-		std::set<RequestPtr> running;
+		RequestSet running;
 	};
 
 	struct Event
@@ -219,7 +230,7 @@
 		schedule(drawExponential(static_cast<double>(kSecond) / m_case.requestsASecond),
 				 [this]
 				 {
-					 const auto request = std::make_shared<Request>();
+					 const RequestPtr request = makeRequest();
 					 const std::uint64_t number = ++m_number;
 					 request->content.request = {1, 0, m_case.lookups == 0 ? number : number % m_case.lookups};
 					 addParts(*request);
@@ -229,12 +240,19 @@
 				 });
 	}
 
+	RequestPtr makeRequest()
+	{
+		const auto request = std::make_shared<Request>();
+		request->id = ++m_requestCount;
+		return request;
+	}
+
 	void scheduleCulprit(unsigned _culprit)
 	{
 		schedule(drawExponential(static_cast<double>(kSecond) / m_case.culpritsASecond),
 				 [this, _culprit]
 				 {
-					 const auto request = std::make_shared<Request>();
+					 const RequestPtr request = makeRequest();
 					 request->content.request = {1, 1, m_case.culpritsAreParts ? 100 + ++m_number : _culprit};
 					 request->culprit = _culprit;
 					 addParts(*request);
@@ -405,7 +423,7 @@
 	void crash(Server& _server)
 	{
 		const BackendKey key = _server.known.key;
-		const std::set<RequestPtr> lost = std::move(_server.running);
+		const RequestSet lost = std::move(_server.running);
 		_server.running.clear();
 		_server.up = false;
 		schedule(kDowntime, [this, &_server] { renew(_server); });
@@ -455,6 +473,7 @@
 	std::uint64_t m_order = 0;
 	std::uint64_t m_born = 0;
 	std::uint64_t m_number = 0;
+	std::uint64_t m_requestCount = 0;
 	Micros m_now = 0;
 	CrashFleetResult m_result;
 };
