--- a/tests/crashfleet.h
+++ b/tests/crashfleet.h
@@ -242,7 +242,7 @@
 
 	RequestPtr makeRequest()
 	{
-		const auto request = std::make_shared<Request>();
+		auto request = std::make_shared<Request>();
 		request->id = ++m_requestCount;
 		return request;
 	}
