Test streams that have neither a length nor chunks

Change: a stand-in sends unframed streams, whole or ended inside an event; no change of the gateway.

--- a/tools/standin/platform.h
+++ b/tools/standin/platform.h
@@ -170,15 +170,17 @@
 enum class WorkerFault
 {
 	None,
-	Rejects,     ///< Answers 503 and marks the request as not executed.
-	RejectsSome, ///< Rejects every third request in this way.
-	Fails,       ///< Runs the request and answers 500.
-	Resets,      ///< Runs the request and resets the connection.
-	Hangs,       ///< Runs the request and does not answer.
-	WrongId,     ///< Answers with the id of another request.
-	CutsStream,  ///< Closes the connection in the middle of an event.
-	Unframed,    ///< Sends an answer without a length and resets the connection.
-	Misdirected, ///< Answers 421, as if the request was meant for another worker.
+	Rejects,        ///< Answers 503 and marks the request as not executed.
+	RejectsSome,    ///< Rejects every third request in this way.
+	Fails,          ///< Runs the request and answers 500.
+	Resets,         ///< Runs the request and resets the connection.
+	Hangs,          ///< Runs the request and does not answer.
+	WrongId,        ///< Answers with the id of another request.
+	CutsStream,     ///< Closes the connection in the middle of an event.
+	Unframed,       ///< Sends an answer without a length and resets the connection.
+	UnframedStream, ///< Sends streams without a length or chunks, which end with the connection.
+	CutsUnframed,   ///< The same, and closes the connection in the middle of an event.
+	Misdirected,    ///< Answers 421, as if the request was meant for another worker.
 };
 
 /// A worker's reaction to some requests: it crashes a while after it has begun to run one of them.
@@ -306,6 +308,10 @@
 	/// Notes a rejection for want of room. A brittle worker that had too many crashes.
 	void onNoRoom();
 	void stream(const ConnectionPtr& _connection, unsigned _next);
+	/// @returns true if streams have no length and no chunks.
+	bool sendsUnframed() const;
+	/// Sends part of a stream, as a chunk unless streams are unframed.
+	void sendPart(const ConnectionPtr& _connection, const std::string& _bytes) const;
 	static std::string formatEvent(const std::string& _requestId, unsigned _number);
 	std::string head(const ConnectionPtr& _connection, unsigned _status, const std::string& _more);
 
--- a/tools/standin/platformworker.cpp
+++ b/tools/standin/platformworker.cpp
@@ -366,7 +366,9 @@
 	{
 		const std::string_view last = findHeader(request.headers, platform::kLastEvent);
 		_connection->tcp->send(
-			head(_connection, 200, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
+			head(_connection, 200,
+				 std::string("Content-Type: text/event-stream\r\n") +
+					 (sendsUnframed() ? "Connection: close\r\n" : "Transfer-Encoding: chunked\r\n")));
 		stream(_connection, last.empty() ? 1 : std::atoi(std::string(last).c_str()) + 1);
 		return;
 	}
@@ -411,6 +413,23 @@
 	return events;
 }
 
+bool PlatformWorker::sendsUnframed() const
+{
+	return m_fault == WorkerFault::UnframedStream || m_fault == WorkerFault::CutsUnframed;
+}
+
+void PlatformWorker::sendPart(const ConnectionPtr& _connection, const std::string& _bytes) const
+{
+	if (sendsUnframed())
+	{
+		_connection->tcp->send(_bytes);
+		return;
+	}
+	char size[16];
+	std::snprintf(size, sizeof size, "%zx\r\n", _bytes.size());
+	_connection->tcp->send(size + _bytes + "\r\n");
+}
+
 void PlatformWorker::stream(const ConnectionPtr& _connection, unsigned _next)
 {
 	if (_connection->ended)
@@ -420,20 +439,19 @@
 	if (_next > kEvents)
 	{
 		_connection->ended = true;
-		_connection->tcp->send("0\r\n\r\n");
+		sendsUnframed() ? _connection->tcp->closeAfterSending() : _connection->tcp->send("0\r\n\r\n");
 		return;
 	}
 	const std::string event = formatEvent(_connection->requestId, _next);
-	char size[16];
-	std::snprintf(size, sizeof size, "%zx\r\n", event.size());
-	if (m_fault == WorkerFault::CutsStream && _next > kEvents / 2)
+	const bool cuts = m_fault == WorkerFault::CutsStream || m_fault == WorkerFault::CutsUnframed;
+	if (cuts && _next > kEvents / 2)
 	{
 		_connection->ended = true;
-		_connection->tcp->send(size + event.substr(0, event.size() / 2));
+		sendPart(_connection, event.substr(0, event.size() / 2));
 		_connection->tcp->closeAfterSending();
 		return;
 	}
-	_connection->tcp->send(size + event + "\r\n");
+	sendPart(_connection, event);
 	auto timer = std::make_shared<asio::steady_timer>(m_loop.context(), std::chrono::microseconds(kEventPause));
 	timer->async_wait([this, timer, _connection, _next](const BoostError&) { stream(_connection, _next + 1); });
 }
