Name what is blocked in a refusal for crashes

Cause: where a part of the prompt is blocked, its request's own fingerprint in the log is not the one to release. Change: the detail names the fingerprint against which the most is known. Result: gatewaycrashtest's blockedRequestIsRefusedAtOnceForGood passes; seen in its log.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -302,7 +302,9 @@
 	}
 	if (isBlocked())
 	{
-		refuse(Failure::RequestBlocked, "backend servers crash when they run this request");
+		refuse(Failure::RequestBlocked,
+			   "backend servers crash when they run this request, or a part of its prompt: " +
+				   toString(m_context.crashes.mostSuspected(m_subjects)));
 		return true;
 	}
 	if (!resolveStreamVersion(now))
