--- a/tests/brittlefleet.h
+++ b/tests/brittlefleet.h
@@ -35,6 +35,7 @@
 	unsigned reportsUnderWay = 0; ///< Intervals until a report has arrived.
 	double room = 1.0;            ///< Share of the slots that the servers have room for.
 	bool told = true;             ///< Gateways know that the servers are brittle.
+	bool learns = false;          ///< Gateways learn it from answers to requests of their own.
 };
 
 struct Outcome
@@ -62,12 +63,12 @@
 			m_gateways.push_back(std::make_unique<GatewayState>(number));
 			m_gateways.back()->brittle.setMembers(_fleet.gateways, number,
 												  _fleet.reportInterval * (1 + _fleet.reportsUnderWay));
-			for (const Server& server : m_servers)
+		}
+		for (const Server& server : m_servers)
+		{
+			if (_fleet.told)
 			{
-				if (_fleet.told)
-				{
-					m_gateways.back()->brittle.onAnswer(server.known.key, _fleet.rejections);
-				}
+				tellAll(server.known.key);
 			}
 		}
 	}
@@ -117,11 +118,12 @@
 		std::deque<Micros> queue;
 	};
 
-	/// Requests in flight at one moment.
+	/// Requests in flight at one moment, by number of the server.
 	struct Report
 	{
-		std::map<GatewayState*, std::vector<unsigned>> own; ///< By gateway and number of the server.
-		std::map<std::uint32_t, unsigned> totals;
+		std::map<GatewayState*, std::vector<unsigned>> own;
+		std::vector<BackendKey> keys;
+		std::vector<unsigned> totals;
 	};
 
 	struct Running
@@ -136,8 +138,18 @@
 		std::vector<Running> running;
 		std::deque<Micros> rejected;
 		Micros downUntil = 0;
+		unsigned starts = 0; ///< Starts after the first one.
 	};
 
+	/// Notes what an answer says.
+	void learn(GatewayState& _gateway, BackendKey _key)
+	{
+		if (m_fleet.learns)
+		{
+			_gateway.brittle.onAnswer(_key, m_fleet.rejections);
+		}
+	}
+
 	void release(GatewayState& _gateway, BackendKey _key, bool _rejected, Micros _now)
 	{
 		_gateway.balancer.onEnded(_key, {}, false);
@@ -152,6 +164,7 @@
 			{
 				if (request.end <= _now)
 				{
+					learn(*request.gateway, server.known.key);
 					release(*request.gateway, server.known.key, false, _now);
 					m_served += 1.0;
 				}
@@ -168,13 +181,15 @@
 			return;
 		}
 		Report& newest = m_reports.emplace_back();
-		for (auto& gateway : m_gateways)
+		for (const Server& server : m_servers)
 		{
-			for (const Server& server : m_servers)
+			newest.keys.push_back(server.known.key);
+			newest.totals.push_back(0);
+			for (auto& gateway : m_gateways)
 			{
 				const unsigned own = gateway->claimsAt(server.known.key, _now);
 				newest.own[gateway.get()].push_back(own);
-				newest.totals[server.known.key.value] += own;
+				newest.totals.back() += own;
 			}
 		}
 		if (m_reports.size() <= m_fleet.reportsUnderWay)
@@ -186,9 +201,8 @@
 			std::vector<BackendLoad> others;
 			for (std::size_t index = 0; index < m_servers.size(); ++index)
 			{
-				const BackendKey key = m_servers[index].known.key;
 				const unsigned own = m_reports.front().own[gateway.get()][index];
-				others.push_back({key, m_reports.front().totals[key.value] - own, 0});
+				others.push_back({m_reports.front().keys[index], m_reports.front().totals[index] - own, 0});
 			}
 			gateway->balancer.setPeerLoads("others", others, _now);
 		}
@@ -231,6 +245,7 @@
 			server.running.push_back({_now + m_fleet.serviceTime, &_gateway});
 			return;
 		}
+		learn(_gateway, _key);
 		release(_gateway, _key, true, _now);
 		server.rejected.push_back(_now);
 		while (server.rejected.front() <= _now - kSecond)
@@ -253,6 +268,20 @@
 			release(*request.gateway, _server.known.key, false, _now);
 		}
 		_server.running.clear();
+		++_server.starts;
+		_server.known.key = BackendKey(_server.known.record.id + '-' + std::to_string(_server.starts));
+		if (m_fleet.told)
+		{
+			tellAll(_server.known.key);
+		}
+	}
+
+	void tellAll(BackendKey _key)
+	{
+		for (auto& gateway : m_gateways)
+		{
+			gateway->brittle.onAnswer(_key, m_fleet.rejections);
+		}
 	}
 
 	Fleet m_fleet;
