--- a/tests/brittlefleet.h
+++ b/tests/brittlefleet.h
@@ -36,6 +36,9 @@
 	double room = 1.0;            ///< Share of the slots that the servers have room for.
 	bool told = true;             ///< Gateways know that the servers are brittle.
 	bool learns = false;          ///< Gateways learn it from answers to requests of their own.
+	/// Time from the first answers that name the servers brittle until rejections count.
+	Micros grace = 0;
+	unsigned waiting = 0; ///< Requests beyond its slots that a server lets wait until then.
 };
 
 struct Outcome
@@ -48,7 +51,7 @@
 class Simulation
 {
 public:
-	explicit Simulation(const Fleet& _fleet) : m_fleet(_fleet), m_random(7)
+	explicit Simulation(const Fleet& _fleet) : m_fleet(_fleet), m_countedFrom(kSecond + _fleet.grace), m_random(7)
 	{
 		for (unsigned number = 0; number < _fleet.servers; ++number)
 		{
@@ -79,12 +82,13 @@
 							   static_cast<double>(m_fleet.serviceTime);
 		std::poisson_distribution<unsigned> arrivals(perTick);
 		unsigned asked = 0;
-		for (Micros now = kSecond; now < kSecond + _span; now += kTick)
+		const Micros end = m_countedFrom + _span;
+		for (Micros now = kSecond; now < end; now += kTick)
 		{
 			endRequests(now);
 			report(now);
 			const unsigned count = arrivals(m_random);
-			asked += count;
+			asked += now < m_countedFrom ? 0 : count;
 			for (unsigned number = 0; number < count; ++number)
 			{
 				m_gateways[m_random() % m_gateways.size()]->queue.push_back(now);
@@ -166,7 +170,7 @@
 				{
 					learn(*request.gateway, server.known.key);
 					release(*request.gateway, server.known.key, false, _now);
-					m_served += 1.0;
+					m_served += _now < m_countedFrom ? 0.0 : 1.0;
 				}
 			}
 			std::erase_if(server.running, [_now](const Running& _request) { return _request.end <= _now; });
@@ -240,13 +244,19 @@
 		Server& server = *std::find_if(m_servers.begin(), m_servers.end(),
 									   [_key](const Server& _server) { return _server.known.key == _key; });
 		_gateway.brittle.onPlaced(server.known, _gateway.balancer, _now);
-		if (static_cast<double>(server.running.size()) < m_fleet.room * m_fleet.slots)
+		const auto running = static_cast<unsigned>(server.running.size());
+		const unsigned waiting = _now < m_countedFrom ? m_fleet.waiting : 0;
+		if (running < m_fleet.room * m_fleet.slots + waiting)
 		{
-			server.running.push_back({_now + m_fleet.serviceTime, &_gateway});
+			server.running.push_back({_now + m_fleet.serviceTime * (1 + running / m_fleet.slots), &_gateway});
 			return;
 		}
 		learn(_gateway, _key);
 		release(_gateway, _key, true, _now);
+		if (_now < m_countedFrom)
+		{
+			return;
+		}
 		server.rejected.push_back(_now);
 		while (server.rejected.front() <= _now - kSecond)
 		{
@@ -285,6 +295,7 @@
 	}
 
 	Fleet m_fleet;
+	Micros m_countedFrom; ///< From then on rejections and served requests count.
 	std::mt19937 m_random;
 	std::vector<Server> m_servers;
 	std::vector<std::unique_ptr<GatewayState>> m_gateways;
