--- a/src/coordination/streamhomes.cpp
+++ b/src/coordination/rendezvoushomes.cpp
@@ -1,14 +1,16 @@
 // Copyright 2026 The beacongate authors.
 // Licence: BSD-2-Clause, see LICENSE.
 
-#include "coordination/streamhomes.h"
+#include "coordination/rendezvoushomes.h"
+
+#include <xxhash.h>
 
 #include <algorithm>
 #include <utility>
 
 namespace beacongate
 {
-void StreamHomes::setMembers(const std::set<MemberRecord>& _members)
+void RendezvousHomes::setMembers(const std::set<MemberRecord>& _members)
 {
 	m_members.clear();
 	for (const MemberRecord& member : _members)
@@ -17,13 +19,13 @@
 	}
 }
 
-std::vector<std::string> StreamHomes::of(StreamKey _stream, std::size_t _count) const
+std::vector<std::string> RendezvousHomes::of(std::uint64_t _key, std::size_t _count) const
 {
 	std::vector<std::pair<std::uint64_t, const Member*>> ranking;
 	ranking.reserve(m_members.size());
 	for (const Member& member : m_members)
 	{
-		ranking.emplace_back(XXH3_64bits_withSeed(&_stream.value, sizeof _stream.value, member.hash), &member);
+		ranking.emplace_back(XXH3_64bits_withSeed(&_key, sizeof _key, member.hash), &member);
 	}
 	std::sort(ranking.begin(), ranking.end());
 	std::vector<std::string> homes;
--- /dev/null
+++ b/src/coordination/slotgrantor.cpp
@@ -0,0 +1,241 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+#include "coordination/slotgrantor.h"
+
+#include <algorithm>
+#include <unordered_set>
+
+namespace beacongate
+{
+SlotGrantor::Server& SlotGrantor::serverOf(BackendKey _key, Micros _now)
+{
+	const auto [entry, isNew] = m_servers.try_emplace(_key);
+	if (isNew)
+	{
+		entry->second.began = _now;
+	}
+	return entry->second;
+}
+
+SlotGrantor::Server& SlotGrantor::serverOf(const SlotRequest& _request, unsigned _reported, Micros _now)
+{
+	Server& server = serverOf(_request.use.backend, _now);
+	server.slots = std::max(1u, _request.slots);
+	server.rejections = _request.rejections;
+	server.reported = _reported;
+	if (!server.requested)
+	{
+		server.requested = true;
+		// A server that bears no rejection cannot be tried: its slots are taken for its room.
+		const auto assumed = static_cast<unsigned>(kAssumedRoom * server.slots);
+		server.proven = server.rejections < 1.0
+							? server.slots
+							: std::clamp(occupied(server, _now), std::max(1u, assumed), server.slots);
+		server.trialPause = firstTrialPause(server);
+	}
+	return server;
+}
+
+Micros SlotGrantor::firstTrialPause(const Server& _server)
+{
+	return static_cast<Micros>(static_cast<double>(kSecond) / std::max(1.0, kTrialsShare * _server.rejections));
+}
+
+unsigned SlotGrantor::trialSize(const Server& _server)
+{
+	return std::max(1u, static_cast<unsigned>(kTrialShare * _server.rejections));
+}
+
+void SlotGrantor::noteUse(Server& _server, const SlotUse& _use, const std::string& _host, Micros _now)
+{
+	Holder& holder = _server.holders[_host];
+	holder.inFlight = _use.inFlight;
+	holder.heard = _now;
+	std::erase_if(holder.unconfirmed, [&_use](const Grant& _grant) { return _grant.number <= _use.lastGrant; });
+	if (holder.inFlight == 0 && holder.unconfirmed.empty())
+	{
+		_server.holders.erase(_host);
+	}
+}
+
+unsigned SlotGrantor::occupied(const Server& _server, Micros _now)
+{
+	std::size_t count = 0;
+	for (const auto& [host, holder] : _server.holders)
+	{
+		count += holder.inFlight + holder.unconfirmed.size();
+	}
+	const bool starting = _now - _server.began < kStartSpan;
+	return std::max(static_cast<unsigned>(count), starting ? _server.reported : 0);
+}
+
+void SlotGrantor::update(Server& _server, Micros _now)
+{
+	for (auto& [host, holder] : _server.holders)
+	{
+		std::erase_if(holder.unconfirmed,
+					  [_now](const Grant& _grant) { return _now - _grant.at > kGrantLifetime; });
+	}
+	std::erase_if(_server.holders,
+				  [_now](const auto& _entry)
+				  {
+					  const Holder& holder = _entry.second;
+					  const bool unused = holder.inFlight == 0 && holder.unconfirmed.empty();
+					  return unused || _now - holder.heard > kUseLifetime;
+				  });
+	std::erase_if(_server.queue, [_now](const Waiting& _waiting) { return _waiting.until < _now; });
+	while (!_server.rejectedAt.empty() && _server.rejectedAt.front() <= _now - kSecond)
+	{
+		_server.rejectedAt.pop_front();
+	}
+	if (_server.tried > 0 && _now - _server.trialAt >= kTrialSpan)
+	{
+		_server.proven = std::min(_server.slots, _server.proven + _server.tried);
+		_server.tried = 0;
+		_server.trialPause = firstTrialPause(_server);
+	}
+}
+
+bool SlotGrantor::mayGrant(const Server& _server, Micros _now)
+{
+	const unsigned inUse = occupied(_server, _now);
+	if (inUse >= _server.slots)
+	{
+		return false;
+	}
+	// One more rejected trial must not make the server fall over.
+	const double rejected = static_cast<double>(_server.rejectedAt.size());
+	if (rejected > 0.0 && rejected + trialSize(_server) > _server.rejections)
+	{
+		return false;
+	}
+	if (inUse < _server.proven)
+	{
+		return true;
+	}
+	return _now >= _server.nextTrial && _server.tried < trialSize(_server);
+}
+
+SlotAnswer SlotGrantor::grant(Server& _server, BackendKey _key, const std::string& _host, std::uint64_t _id,
+							  Micros _now)
+{
+	if (occupied(_server, _now) >= _server.proven)
+	{
+		_server.trialAt = _server.tried == 0 ? _now : _server.trialAt;
+		++_server.tried;
+	}
+	Holder& holder = _server.holders[_host];
+	holder.heard = _now;
+	holder.unconfirmed.push_back({++m_lastGrant, _id, _now});
+	return {_id, _key, SlotOutcome::Granted, m_lastGrant};
+}
+
+SlotAnswer SlotGrantor::decide(const SlotRequest& _request, const std::string& _host, unsigned _reported,
+							   Micros _now)
+{
+	const BackendKey key = _request.use.backend;
+	Server& server = serverOf(_request, _reported, _now);
+	noteUse(server, _request.use, _host, _now);
+	update(server, _now);
+	// A request that comes again was answered before, and the answer was lost.
+	if (const auto holder = server.holders.find(_host); holder != server.holders.end())
+	{
+		for (const Grant& granted : holder->second.unconfirmed)
+		{
+			if (granted.request == _request.id)
+			{
+				return {_request.id, key, SlotOutcome::Granted, granted.number};
+			}
+		}
+	}
+	const auto same = [&](const Waiting& _waiting)
+	{
+		return _waiting.id == _request.id && _waiting.host == _host;
+	};
+	if (std::any_of(server.queue.begin(), server.queue.end(), same))
+	{
+		return {_request.id, key, SlotOutcome::Queued, 0};
+	}
+	serveQueue(key, server, _now);
+	if (server.queue.empty() && mayGrant(server, _now))
+	{
+		return grant(server, key, _host, _request.id, _now);
+	}
+	if (_request.patience <= 0 || server.queue.size() >= std::size_t{kQueueFactor} * server.slots)
+	{
+		return {_request.id, key, SlotOutcome::Denied, 0};
+	}
+	const auto isBehind = [&](const Waiting& _waiting)
+	{
+		return _waiting.priority > _request.priority;
+	};
+	const auto place = std::find_if(server.queue.begin(), server.queue.end(), isBehind);
+	server.queue.insert(place, {_host, _request.id, _request.priority, _now + _request.patience});
+	return {_request.id, key, SlotOutcome::Queued, 0};
+}
+
+void SlotGrantor::onRejected(Server& _server, Micros _now)
+{
+	_server.rejectedAt.push_back(_now);
+	_server.proven = std::min(_server.proven, std::max(1u, occupied(_server, _now)));
+	_server.tried = 0;
+	_server.nextTrial = _now + _server.trialPause;
+	_server.trialPause = std::min(2 * _server.trialPause, kMaxTrialPause);
+}
+
+void SlotGrantor::onReport(const SlotReport& _report, const std::string& _host, Micros _now)
+{
+	Server& server = serverOf(_report.use.backend, _now);
+	noteUse(server, _report.use, _host, _now);
+	update(server, _now);
+	if (_report.rejected)
+	{
+		onRejected(server, _now);
+	}
+	serveQueue(_report.use.backend, server, _now);
+}
+
+void SlotGrantor::serveQueue(BackendKey _key, Server& _server, Micros _now)
+{
+	while (!_server.queue.empty() && mayGrant(_server, _now))
+	{
+		const Waiting first = _server.queue.front();
+		_server.queue.erase(_server.queue.begin());
+		m_send(first.host, grant(_server, _key, first.host, first.id, _now));
+	}
+}
+
+void SlotGrantor::advance(Micros _now)
+{
+	for (auto& [key, server] : m_servers)
+	{
+		if (!server.queue.empty())
+		{
+			update(server, _now);
+			serveQueue(key, server, _now);
+		}
+	}
+}
+
+std::size_t SlotGrantor::queued() const
+{
+	std::size_t count = 0;
+	for (const auto& [key, server] : m_servers)
+	{
+		count += server.queue.size();
+	}
+	return count;
+}
+
+void SlotGrantor::retain(const std::map<std::string, KnownBackend>& _known)
+{
+	std::unordered_set<BackendKey, BackendKeyHash> keys;
+	for (const auto& [id, known] : _known)
+	{
+		keys.insert(known.key);
+	}
+	std::erase_if(m_servers, [&keys](const auto& _entry) { return !keys.count(_entry.first); });
+}
+
+} // namespace beacongate
--- /dev/null
+++ b/src/coordination/slotpermits.cpp
@@ -0,0 +1,314 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+#include "coordination/slotpermits.h"
+
+#include <algorithm>
+#include <unordered_set>
+#include <utility>
+
+namespace beacongate
+{
+namespace
+{
+/// Longest interval between two polls of a waiting request while this process runs. A longer one is a stall of this
+/// process, in which no answer could be read, and does not count as waiting.
+constexpr Micros kMaxPollInterval = 50 * kMillisecond;
+} // namespace
+
+void SlotPermits::setMembers(const std::set<MemberRecord>& _members)
+{
+	m_homes.setMembers(_members);
+	m_memberCount = std::max<std::size_t>(1, _members.size());
+	for (auto& [key, server] : m_servers)
+	{
+		server.homes.clear();
+	}
+}
+
+SlotPermits::Server& SlotPermits::serverOf(BackendKey _key)
+{
+	Server& server = m_servers[_key];
+	if (server.homes.empty())
+	{
+		server.homes = m_homes.of(_key.value, kHomes);
+	}
+	return server;
+}
+
+SlotUse SlotPermits::useOf(BackendKey _key, Server& _server, const std::string& _home, Micros _now) const
+{
+	std::erase_if(_server.abandonedUntil, [_now](Micros _until) { return _until <= _now; });
+	const auto abandoned = static_cast<unsigned>(_server.abandonedUntil.size());
+	return {_key, m_loads.ownInFlight(_key) + abandoned + _server.unplaced,
+			_home == _server.grantor ? _server.lastGrant : 0};
+}
+
+SlotVerdict SlotPermits::take(SlotTicket& _ticket, const SlotNeed& _need, Micros _now, Decided _decided)
+{
+	if (_ticket.id != 0 && _ticket.backend != _need.backend)
+	{
+		abandon(_ticket, _now);
+	}
+	if (_ticket.id == 0)
+	{
+		_ticket = {++m_lastId, _need.backend};
+		Pending& pending = m_pending[_ticket.id];
+		pending.need = _need;
+		pending.decided = std::move(_decided);
+		pending.polledAt = _now;
+		for (const std::string& home : serverOf(_need.backend).homes)
+		{
+			const auto silence = m_silent.find(home);
+			if (silence == m_silent.end() || silence->second.until <= _now)
+			{
+				pending.homes.push_back(home);
+			}
+		}
+		askNext(_ticket.id, pending, _now);
+	}
+	Pending& pending = m_pending.at(_ticket.id);
+	poll(_ticket.id, pending, _now);
+	if (pending.state == State::Asked || pending.state == State::Queued)
+	{
+		return SlotVerdict::Pending;
+	}
+	const bool granted = pending.state == State::Granted;
+	Server& server = serverOf(_need.backend);
+	server.unplaced -= granted ? 1 : 0;
+	server.passedOverUntil = granted ? server.passedOverUntil : _now + kDeniedSpan;
+	m_pending.erase(std::exchange(_ticket.id, 0));
+	return granted ? SlotVerdict::Granted : SlotVerdict::Denied;
+}
+
+void SlotPermits::askNext(std::uint64_t _id, Pending& _pending, Micros _now)
+{
+	_pending.waited = 0;
+	_pending.resent = false;
+	_pending.state = State::Asked;
+	if (_pending.nextHome == _pending.homes.size())
+	{
+		const bool allowed = allowsAlone(_pending.need);
+		_pending.state = allowed ? State::Granted : State::Denied;
+		serverOf(_pending.need.backend).unplaced += allowed ? 1 : 0;
+		return;
+	}
+	const std::string home = _pending.homes[_pending.nextHome++];
+	ask(_id, _pending, home, _now);
+}
+
+void SlotPermits::ask(std::uint64_t _id, const Pending& _pending, const std::string& _home, Micros _now)
+{
+	const SlotNeed& need = _pending.need;
+	const SlotRequest request{_id,           useOf(need.backend, serverOf(need.backend), _home, _now),
+							  need.slots,    need.rejections,
+							  need.priority, std::min(need.patience, kMaxPatience)};
+	if (_home == m_host)
+	{
+		const unsigned reported = m_loads.totalInFlight(need.backend);
+		apply(m_pending.at(_id), m_host, m_grantor.decide(request, m_host, reported, _now));
+		return;
+	}
+	m_send(_home, request);
+}
+
+void SlotPermits::poll(std::uint64_t _id, Pending& _pending, Micros _now)
+{
+	_pending.waited += std::min(_now - std::exchange(_pending.polledAt, _now), kMaxPollInterval);
+	if (_pending.state == State::Queued && _pending.waited > kMaxPatience + kAnswerTimeout)
+	{
+		_pending.state = State::Denied;
+	}
+	if (_pending.state != State::Asked && _pending.state != State::Queued)
+	{
+		return;
+	}
+	const std::string home = _pending.homes[_pending.nextHome - 1];
+	if (_pending.state == State::Queued)
+	{
+		home == m_host ? m_grantor.advance(_now) : void();
+		return;
+	}
+	if (_pending.waited > kAnswerTimeout)
+	{
+		noteSilence(home, _now);
+		askNext(_id, _pending, _now);
+	}
+	else if (!_pending.resent && _pending.waited > kResendDelay)
+	{
+		_pending.resent = true;
+		ask(_id, _pending, home, _now);
+	}
+}
+
+void SlotPermits::noteSilence(const std::string& _host, Micros _now)
+{
+	Silence& silence = m_silent[_host];
+	if (silence.until <= _now)
+	{
+		silence.span = std::clamp(2 * silence.span, kSilentSpan, kMaxSilentSpan);
+		silence.until = _now + silence.span;
+	}
+}
+
+bool SlotPermits::allowsAlone(const SlotNeed& _need) const
+{
+	const auto share = std::max<std::size_t>(1, _need.slots / m_memberCount);
+	return m_loads.ownInFlight(_need.backend) < share && m_loads.totalInFlight(_need.backend) < _need.slots;
+}
+
+void SlotPermits::apply(Pending& _pending, const std::string& _host, const SlotAnswer& _answer)
+{
+	Server& server = serverOf(_pending.need.backend);
+	if (server.grantor != _host)
+	{
+		server.grantor = _host;
+		server.lastGrant = 0;
+	}
+	switch (_answer.outcome)
+	{
+	case SlotOutcome::Granted:
+		server.lastGrant = std::max(server.lastGrant, _answer.grant);
+		++server.unplaced;
+		_pending.state = State::Granted;
+		break;
+	case SlotOutcome::Queued:
+		_pending.state = State::Queued;
+		_pending.waited = 0;
+		break;
+	case SlotOutcome::Denied:
+		_pending.state = State::Denied;
+		break;
+	}
+}
+
+void SlotPermits::onAnswer(const std::string& _host, const SlotAnswer& _answer, Micros _now)
+{
+	m_silent.erase(_host);
+	const auto found = m_pending.find(_answer.id);
+	const bool waits = found != m_pending.end() &&
+					   (found->second.state == State::Asked || found->second.state == State::Queued) &&
+					   found->second.homes[found->second.nextHome - 1] == _host;
+	if (!waits)
+	{
+		if (_answer.outcome == SlotOutcome::Granted)
+		{
+			Server& server = serverOf(_answer.backend);
+			server.lastGrant =
+				server.grantor == _host ? std::max(server.lastGrant, _answer.grant) : server.lastGrant;
+			sendReport(_answer.backend, false, _now);
+		}
+		return;
+	}
+	Pending& pending = found->second;
+	apply(pending, _host, _answer);
+	if (pending.state == State::Granted || pending.state == State::Denied)
+	{
+		// The callback may erase the pending request, so it is copied first.
+		const Decided call = pending.decided;
+		call();
+	}
+}
+
+const KnownBackend* SlotPermits::waitsFor(SlotTicket& _ticket, const Availability& _available, Micros _now)
+{
+	if (_ticket.id == 0)
+	{
+		return nullptr;
+	}
+	const auto found =
+		std::find_if(_available.open.begin(), _available.open.end(),
+					 [&_ticket](const KnownBackend* _backend) { return _backend->key == _ticket.backend; });
+	if (found == _available.open.end())
+	{
+		abandon(_ticket, _now);
+		return nullptr;
+	}
+	return *found;
+}
+
+void SlotPermits::abandon(SlotTicket& _ticket, Micros _now)
+{
+	// A grant that arrives later is returned, since no request waits for it.
+	const auto pending = m_pending.find(std::exchange(_ticket.id, 0));
+	if (pending == m_pending.end())
+	{
+		return;
+	}
+	const bool granted = pending->second.state == State::Granted;
+	m_pending.erase(pending);
+	if (granted)
+	{
+		--serverOf(_ticket.backend).unplaced;
+		sendReport(_ticket.backend, false, _now);
+	}
+}
+
+void SlotPermits::onEnded(BackendKey _key, bool _rejected, bool _abandoned, Micros _now)
+{
+	if (_abandoned)
+	{
+		serverOf(_key).abandonedUntil.push_back(_now + kAbandonedSpan);
+	}
+	sendReport(_key, _rejected, _now);
+}
+
+void SlotPermits::sendReport(BackendKey _key, bool _rejected, Micros _now)
+{
+	Server& server = serverOf(_key);
+	server.reportedAt = _now;
+	std::vector<std::string> homes = server.homes;
+	homes.resize(std::min(homes.size(), kReported));
+	if (!server.grantor.empty() && std::find(homes.begin(), homes.end(), server.grantor) == homes.end())
+	{
+		homes.push_back(server.grantor);
+	}
+	for (const std::string& home : homes)
+	{
+		const SlotReport report{useOf(_key, server, home, _now), _rejected};
+		if (home == m_host)
+		{
+			m_grantor.onReport(report, m_host, _now);
+		}
+		else
+		{
+			m_send(home, report);
+		}
+	}
+}
+
+void SlotPermits::report(const std::vector<BackendKey>& _keys, Micros _now)
+{
+	for (const BackendKey key : _keys)
+	{
+		Server& server = serverOf(key);
+		const bool inUse = useOf(key, server, server.grantor, _now).inFlight > 0;
+		if (inUse && _now - server.reportedAt >= kReportInterval)
+		{
+			sendReport(key, false, _now);
+		}
+	}
+}
+
+void SlotPermits::narrow(Availability& _available, const SlotTicket& _ticket, Micros _now) const
+{
+	const auto passedOver = [&](const KnownBackend* _backend)
+	{
+		const auto server = m_servers.find(_backend->key);
+		const bool waitedFor = _ticket.id != 0 && _ticket.backend == _backend->key;
+		return !waitedFor && server != m_servers.end() && server->second.passedOverUntil > _now;
+	};
+	_available.limited = std::erase_if(_available.open, passedOver) > 0 || _available.limited;
+}
+
+void SlotPermits::retain(const std::map<std::string, KnownBackend>& _known)
+{
+	std::unordered_set<BackendKey, BackendKeyHash> keys;
+	for (const auto& [id, known] : _known)
+	{
+		keys.insert(known.key);
+	}
+	std::erase_if(m_servers, [&keys](const auto& _entry) { return !keys.count(_entry.first); });
+}
+
+} // namespace beacongate
--- /dev/null
+++ b/src/coordination/slotpermits.h
@@ -0,0 +1,192 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// Asks other gateways for slots of brittle backend servers.
+
+#ifndef BEACONGATE_COORDINATION_SLOTPERMITS_H
+#define BEACONGATE_COORDINATION_SLOTPERMITS_H
+
+#include "coordination/backofftable.h"
+#include "coordination/balancer.h"
+#include "coordination/rendezvoushomes.h"
+#include "coordination/slotgrantor.h"
+
+#include <deque>
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace beacongate
+{
+/// A request's wait for a slot; kept by the request between calls.
+struct SlotTicket
+{
+	std::uint64_t id = 0; ///< Number of the request for a slot; 0 for none.
+	BackendKey backend;
+};
+
+/// The slot that a request needs.
+struct SlotNeed
+{
+	BackendKey backend;
+	unsigned slots = 1;      ///< Slots of the backend server.
+	double rejections = 0.0; ///< Rejections that it bears in a second.
+	unsigned priority = 0;   ///< A smaller value goes first.
+	Micros patience = 0;     ///< For how long the request can wait.
+};
+
+enum class SlotVerdict : std::uint8_t
+{
+	Granted, ///< The request has to be sent now.
+	Pending,
+	Denied, ///< The backend server is to be passed over for a while.
+};
+
+/// This gateway's slots at brittle backend servers.
+///
+/// The grantor of a server is the first of its homes, which all gateways find by rendezvous hashing. The second one
+/// takes its place if it does not answer; it hears all reports as well, so that it knows what is in use. Costs, for
+/// each request to a brittle server and whatever the size of the fleet: one question, one or two answers, and
+/// kReported reports at its end.
+class SlotPermits
+{
+public:
+	using Send = std::function<void(const std::string& _host, const SlotMessage& _message)>;
+	using Decided = std::function<void()>;
+
+	/// Homes that are asked, one after the other.
+	static constexpr std::size_t kHomes = 3;
+	/// Homes that are told of what is in use.
+	static constexpr std::size_t kReported = 2;
+	/// Time without an answer after which a request is sent once more, since datagrams get lost.
+	static constexpr Micros kResendDelay = 50 * kMillisecond;
+	/// Time without an answer after which the next home is asked.
+	static constexpr Micros kAnswerTimeout = 120 * kMillisecond;
+	/// Time for which a home that did not answer is not asked. It doubles with each further failure, since gateways
+	/// of an earlier build never answer.
+	static constexpr Micros kSilentSpan = 1 * kSecond;
+	static constexpr Micros kMaxSilentSpan = 8 * kSecond;
+	/// Longest time in a grantor's queue. Meanwhile other servers may have free slots.
+	static constexpr Micros kMaxPatience = 150 * kMillisecond;
+	/// Time for which a server whose grantor denied a slot is passed over.
+	static constexpr Micros kDeniedSpan = 50 * kMillisecond;
+	/// Time for which a request still counts at its server after its caller has left, since some servers go on
+	/// running requests whose connections were closed.
+	static constexpr Micros kAbandonedSpan = 1 * kSecond;
+	/// Interval between two reports of what is in use.
+	static constexpr Micros kReportInterval = 1 * kSecond;
+
+	/// @param[in] _host Host of this gateway.
+	/// @param[in] _firstId Number from which requests are counted; another one at each start.
+	SlotPermits(const Balancer& _loads, SlotGrantor& _grantor, std::string _host, std::uint64_t _firstId)
+		: m_loads(_loads), m_grantor(_grantor), m_host(std::move(_host)), m_lastId(_firstId)
+	{
+	}
+
+	/// Sets the function that sends a message to another gateway.
+	void setSend(Send _send)
+	{
+		m_send = std::move(_send);
+	}
+
+	/// Replaces the known members of the fleet.
+	void setMembers(const std::set<MemberRecord>& _members);
+
+	/// Asks for a slot. Must be called again while the verdict is Pending.
+	/// @param[in] _decided Called when an answer has arrived.
+	SlotVerdict take(SlotTicket& _ticket, const SlotNeed& _need, Micros _now, Decided _decided);
+
+	/// @returns the backend server for whose slot a request waits, if it is among those that may be used; else
+	/// nullptr, after ending a wait for another one.
+	const KnownBackend* waitsFor(SlotTicket& _ticket, const Availability& _available, Micros _now);
+
+	/// Ends a request for a slot that is not needed any more.
+	void abandon(SlotTicket& _ticket, Micros _now);
+
+	/// Notes that a request at a brittle server has ended.
+	/// @param[in] _rejected The server rejected it for want of room.
+	/// @param[in] _abandoned It was sent, and ended without an answer.
+	void onEnded(BackendKey _key, bool _rejected, bool _abandoned, Micros _now);
+
+	/// Processes the answer of another gateway, or of this one.
+	void onAnswer(const std::string& _host, const SlotAnswer& _answer, Micros _now);
+
+	/// Reports what is in use at brittle servers. Must be called several times a second.
+	/// @param[in] _keys Brittle servers at which this gateway may have requests in flight.
+	void report(const std::vector<BackendKey>& _keys, Micros _now);
+
+	/// Removes servers that are to be passed over for a while, but not the one for which a request waits. They may
+	/// take requests at any moment.
+	void narrow(Availability& _available, const SlotTicket& _ticket, Micros _now) const;
+
+	/// Removes backend servers that are no longer known.
+	void retain(const std::map<std::string, KnownBackend>& _known);
+
+private:
+	enum class State : std::uint8_t
+	{
+		Asked,
+		Queued,
+		Granted,
+		Denied,
+	};
+
+	struct Pending
+	{
+		SlotNeed need;
+		State state = State::Asked;
+		std::vector<std::string> homes; ///< That can be asked, best first.
+		std::size_t nextHome = 0;
+		bool resent = false;
+		Micros polledAt = 0;
+		Micros waited = 0; ///< For the last home.
+		Decided decided;
+	};
+
+	struct Server
+	{
+		std::vector<std::string> homes; ///< Best first; empty if they have to be determined.
+		std::string grantor;            ///< Home that answered last.
+		std::uint64_t lastGrant = 0;    ///< Of that home.
+		unsigned unplaced = 0;          ///< Grants whose requests have not been sent yet.
+		Micros passedOverUntil = 0;
+		std::deque<Micros> abandonedUntil; ///< Ends of the times for which abandoned requests count.
+		Micros reportedAt = kLongAgo;
+	};
+
+	struct Silence
+	{
+		Micros until = 0;
+		Micros span = 0;
+	};
+
+	Server& serverOf(BackendKey _key);
+	SlotUse useOf(BackendKey _key, Server& _server, const std::string& _home, Micros _now) const;
+	void sendReport(BackendKey _key, bool _rejected, Micros _now);
+	void askNext(std::uint64_t _id, Pending& _pending, Micros _now);
+	void ask(std::uint64_t _id, const Pending& _pending, const std::string& _home, Micros _now);
+	void poll(std::uint64_t _id, Pending& _pending, Micros _now);
+	void apply(Pending& _pending, const std::string& _host, const SlotAnswer& _answer);
+	/// Decides where no home answers.
+	bool allowsAlone(const SlotNeed& _need) const;
+	void noteSilence(const std::string& _host, Micros _now);
+
+	const Balancer& m_loads;
+	SlotGrantor& m_grantor;
+	std::string m_host;
+	std::uint64_t m_lastId;
+	Send m_send;
+	RendezvousHomes m_homes;
+	std::size_t m_memberCount = 1;
+	std::unordered_map<std::uint64_t, Pending> m_pending;
+	std::unordered_map<BackendKey, Server, BackendKeyHash> m_servers;
+	std::map<std::string, Silence> m_silent; ///< By host.
+};
+
+} // namespace beacongate
+
+#endif // BEACONGATE_COORDINATION_SLOTPERMITS_H
--- a/src/coordination/streamorigins.cpp
+++ b/src/coordination/streamorigins.cpp
@@ -35,7 +35,7 @@
 {
 	const StreamOriginRecord record{_stream, _version, _lifetime};
 	store(record, _now);
-	for (const std::string& host : m_homes.of(_stream, kHolders))
+	for (const std::string& host : m_homes.of(_stream.value, kHolders))
 	{
 		if (host != m_host)
 		{
@@ -54,7 +54,7 @@
 		search.stream = _stream;
 		search.service = _service;
 		search.started = _now;
-		search.silent = m_homes.of(_stream, kAsked);
+		search.silent = m_homes.of(_stream.value, kAsked);
 		search.found = std::move(_found);
 		std::erase(search.silent, m_host);
 		sendQueries(_ticket.id, search);
--- a/src/coordination/streamorigins.h
+++ b/src/coordination/streamorigins.h
@@ -7,7 +7,7 @@
 #ifndef BEACONGATE_COORDINATION_STREAMORIGINS_H
 #define BEACONGATE_COORDINATION_STREAMORIGINS_H
 
-#include "coordination/streamhomes.h"
+#include "coordination/rendezvoushomes.h"
 #include "coordination/streamorigin.h"
 #include "coordination/versionhistory.h"
 
@@ -149,7 +149,7 @@
 	std::string m_host;
 	std::uint64_t m_lastId;
 	Send m_send;
-	StreamHomes m_homes;
+	RendezvousHomes m_homes;
 	std::unordered_map<StreamKey, Entry, StreamKeyHash> m_streams;
 	std::deque<StreamKey> m_order; ///< Keys by their first arrival.
 	std::unordered_map<std::uint64_t, Search> m_searches;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -329,12 +329,12 @@
 	}
 	m_placement.tokensPerMilli = m_context.engines.tokensPerSecond(m_service) / kMillisPerSecond;
 	const Availability candidates = available(now);
-	const Placement placement = place(candidates, now);
-	if (!placement.backend || placement.full || m_context.suspects.mustWait(m_subjects))
+	const KnownBackend* backend = chooseBackend(candidates, now);
+	if (!backend)
 	{
 		return refuseWithoutRoom(candidates, now);
 	}
-	send(*placement.backend);
+	send(*backend);
 	return true;
 }
 
@@ -360,7 +360,6 @@
 						  m_context.limits.take(_backend.key, m_context.clock.trueTime(now));
 	m_attempt.backoffProbe = m_context.backoffs.onPlaced(_backend.key, now);
 	m_context.balancer.onSent(_backend.key, m_placement);
-	m_context.brittle.onPlaced(_backend, m_context.balancer, m_context.clock.trueTime(now));
 	m_context.suspects.onPlaced(m_subjects, _backend.key);
 	CallOptions options;
 	options.noBody = m_request.head.method == "HEAD";
@@ -535,11 +534,12 @@
 	m_timer.cancel();
 	m_context.admission.abandon(m_quotaTicket);
 	m_context.origins.abandon(m_originTicket);
+	m_context.slots.abandon(m_slotTicket, monotonicNow());
 	if (m_attempt.call)
 	{
 		m_attempt.call->cancel();
 		m_attempt.call = nullptr;
-		releaseBackend();
+		releaseBackend(m_attempt.requestSent);
 		m_dispatcher.wake();
 	}
 	if (m_queued)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -121,6 +121,13 @@
 	/// Chooses a backend server. Requests that may crash their servers are kept apart.
 	Placement place(const Availability& _available, Micros _now);
 	bool isBlocked() const;
+	/// Chooses a backend server, and takes a slot of it if it is brittle.
+	/// @returns nullptr if the request has to wait.
+	const KnownBackend* chooseBackend(Availability _available, Micros _now);
+	/// @returns the rejections that each server of the request's service bears in a second; nothing if they are not
+	/// brittle.
+	std::optional<double> bearableRejections(Micros _now) const;
+	SlotVerdict takeSlot(const KnownBackend& _backend, double _rejections, Micros _now);
 	/// @returns the backend servers that take work and may run the request.
 	std::vector<const KnownBackend*> usableBackends(Micros _now) const;
 	/// @returns the key under which gateways remember where the stream began.
@@ -167,7 +174,8 @@
 	/// Ends an attempt that gave a complete answer.
 	void completeAttempt();
 	void closeAttempt(bool _succeeded);
-	void releaseBackend();
+	/// @param[in] _abandoned The request was sent, and nothing waits for its answer any more.
+	void releaseBackend(bool _abandoned);
 	void countUsage();
 	void forwardAnswer();
 	void finishStream();
@@ -211,6 +219,7 @@
 	/// may go on only there.
 	std::optional<VersionKey> m_streamVersion;
 	OriginTicket m_originTicket;
+	SlotTicket m_slotTicket;
 	boost::asio::steady_timer m_timer;
 };
 
--- a/src/gateway/exchangeanswers.cpp
+++ b/src/gateway/exchangeanswers.cpp
@@ -20,6 +20,7 @@
 constexpr unsigned kOk = 200;
 constexpr unsigned kMultipleChoices = 300;
 constexpr unsigned kServerError = 500;
+constexpr unsigned kTooManyRequests = 429;
 constexpr unsigned kServiceUnavailable = 503;
 constexpr std::size_t kMaxLoggedParts = 8;
 
@@ -97,7 +98,8 @@
 	}
 	if (!info.misdirected && (info.bearableRejections || !info.brittlenessUnreadable))
 	{
-		const bool changed = m_context.brittle.onAnswer(m_attempt.key, info.bearableRejections);
+		const bool changed = m_context.brittle.onAnswer(ServiceKey(m_service), info.bearableRejections,
+														m_context.clock.trueTime(monotonicNow()));
 		if (changed)
 		{
 			const auto& borne = info.bearableRejections;
@@ -297,7 +299,7 @@
 	}
 	m_attempt.call->cancel();
 	m_attempt.call = nullptr;
-	releaseBackend();
+	releaseBackend(false);
 	if (!m_attempt.withheld)
 	{
 		m_context.balancer.onOutcome(m_attempt.key, _succeeded, monotonicNow());
@@ -305,12 +307,18 @@
 	m_dispatcher.wake();
 }
 
-void Exchange::releaseBackend()
+void Exchange::releaseBackend(bool _abandoned)
 {
 	endBackoffProbe(false);
 	m_context.balancer.onEnded(m_attempt.key, m_placement, m_attempt.firstEventSeen);
-	const bool noRoom = m_attempt.info.notExecuted && m_attempt.head.status == kServiceUnavailable;
-	m_context.brittle.onEnded(m_attempt.key, m_context.balancer, noRoom, m_context.clock.trueTime(monotonicNow()));
+	const Micros now = monotonicNow();
+	if (bearableRejections(now))
+	{
+		const unsigned status = m_attempt.head.status;
+		const bool noRoom =
+			m_attempt.info.notExecuted && (status == kServiceUnavailable || status == kTooManyRequests);
+		m_context.slots.onEnded(m_attempt.key, noRoom, _abandoned, now);
+	}
 	m_context.suspects.onEnded(m_subjects, m_attempt.key);
 	if (m_attempt.slots > 0 && m_placement.promptTokens == 0)
 	{
@@ -372,6 +380,7 @@
 		(candidates.waitsForBackoff() && decideOnOverload(roomContext(now), candidates) == OverloadDecision::Wait);
 	const AttemptDecision decision = decideAfterAttempt(_result, context);
 	m_context.metrics.onFailedAttempt(m_service, toString(_result));
+	const std::optional<double> rejections = bearableRejections(now);
 	logEvent(LogLevel::Info, "attempt-failed",
 			 {{"request", m_info.id},
 			  {"content", toString(m_subjects.request)},
@@ -384,6 +393,9 @@
 			  {"status", std::to_string(m_attempt.head.status)},
 			  {"sent", std::to_string(m_sendCount)},
 			  {"backoff_left_ms", millisText(m_attempt.backoffLeft)},
+			  {"brittle", rejections ? std::to_string(*rejections) : "-"},
+			  {"in_flight", std::to_string(m_context.balancer.ownInFlight(m_attempt.key))},
+			  {"all_in_flight", std::to_string(m_context.balancer.totalInFlight(m_attempt.key))},
 			  {"asked_backoff_ms", m_attempt.info.backoff ? millisText(*m_attempt.info.backoff) : "-"},
 			  {"says_leaving", m_attempt.info.leaving ? "yes" : "no"},
 			  {"ms", millisText(now - m_attempt.sent)},
--- a/src/gateway/exchangeplacement.cpp
+++ b/src/gateway/exchangeplacement.cpp
@@ -91,6 +91,53 @@
 			   : m_context.balancer.choose(_available.open, m_placement, m_triedBackends, _now);
 }
 
+std::optional<double> Exchange::bearableRejections(Micros _now) const
+{
+	return m_context.brittle.size() == 0
+			   ? std::nullopt
+			   : m_context.brittle.rejectionsOf(ServiceKey(m_service), m_context.clock.trueTime(_now));
+}
+
+const KnownBackend* Exchange::chooseBackend(Availability _available, Micros _now)
+{
+	const std::optional<double> rejections = bearableRejections(_now);
+	if (!rejections || m_context.suspects.mustWait(m_subjects))
+	{
+		m_context.slots.abandon(m_slotTicket, _now);
+		const Placement placement = place(_available, _now);
+		return placement.full || m_context.suspects.mustWait(m_subjects) ? nullptr : placement.backend;
+	}
+	while (true)
+	{
+		const KnownBackend* backend = m_context.slots.waitsFor(m_slotTicket, _available, _now);
+		// The grantor of a server knows better than load reports whether it is full.
+		backend = backend ? backend : place(_available, _now).backend;
+		const SlotVerdict verdict = backend ? takeSlot(*backend, *rejections, _now) : SlotVerdict::Pending;
+		if (verdict != SlotVerdict::Denied)
+		{
+			return verdict == SlotVerdict::Granted ? backend : nullptr;
+		}
+		std::erase(_available.open, backend);
+	}
+}
+
+SlotVerdict Exchange::takeSlot(const KnownBackend& _backend, double _rejections, Micros _now)
+{
+	SlotNeed need{_backend.key, _backend.record.slots, _rejections, m_priority, timeLeft(_now)};
+	if (!m_mayHaveRun)
+	{
+		need.patience = std::min(need.patience, m_request.received + m_route->targetLatency - _now);
+	}
+	return m_context.slots.take(m_slotTicket, need, _now,
+								[weak = weak_from_this()]
+								{
+									if (const auto self = weak.lock())
+									{
+										self->onDecided();
+									}
+								});
+}
+
 Availability Exchange::available(Micros _now) const
 {
 	return availableWithout(m_triedBackends, _now);
@@ -102,7 +149,7 @@
 	// them.
 	Availability available = m_context.backoffs.available(usableBackends(_now), _excluded, _now);
 	m_context.limits.narrow(available, _now, m_context.clock.trueTime(_now));
-	m_context.brittle.narrow(available, m_context.balancer, m_context.clock.trueTime(_now));
+	m_context.slots.narrow(available, m_slotTicket, _now);
 	return available;
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -249,9 +249,12 @@
 	GatewayMetrics& metrics = m_context.metrics;
 	std::size_t usable = 0;
 	std::size_t inBackoff = 0;
+	std::size_t brittle = 0;
+	const Micros agreed = m_context.clock.trueTime(now);
 	for (const auto& [id, known] : m_context.directory.backends())
 	{
 		usable += known.usable() ? 1 : 0;
+		brittle += m_context.brittle.rejectionsOf(ServiceKey(known.record.service), agreed) ? 1 : 0;
 		inBackoff += m_context.backoffs.left(known.key, now) > 0 ? 1 : 0;
 	}
 	const auto& config = m_context.directory.config();
@@ -262,7 +265,8 @@
 	metrics.setGauge("beacongate_backends_in_backoff", static_cast<double>(inBackoff));
 	metrics.setGauge("beacongate_streams_remembered", static_cast<double>(m_context.origins.size()));
 	metrics.setGauge("beacongate_backends_limited", static_cast<double>(m_context.limits.size()));
-	metrics.setGauge("beacongate_backends_brittle", static_cast<double>(m_context.brittle.size()));
+	metrics.setGauge("beacongate_backends_brittle", static_cast<double>(brittle));
+	metrics.setGauge("beacongate_slot_requests_queued", static_cast<double>(m_context.slotGrantor.queued()));
 	metrics.setGauge("beacongate_requests_suspected",
 					 static_cast<double>(m_context.crashes.countOf(Suspicion::Suspected)));
 	metrics.setGauge("beacongate_requests_blocked",
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -11,7 +11,7 @@
 #include "coordination/backendlimits.h"
 #include "coordination/backofftable.h"
 #include "coordination/balancer.h"
-#include "coordination/brittleservers.h"
+#include "coordination/brittleservices.h"
 #include "coordination/contenthistory.h"
 #include "coordination/crashledger.h"
 #include "coordination/demandmeter.h"
@@ -26,6 +26,7 @@
 #include "coordination/readershare.h"
 #include "coordination/relaychoice.h"
 #include "coordination/sharedretrybudget.h"
+#include "coordination/slotpermits.h"
 #include "coordination/storereachability.h"
 #include "coordination/streamlengths.h"
 #include "coordination/streamorigins.h"
@@ -132,7 +133,9 @@
 	VersionHistory versions;
 	StreamOrigins origins{versions, settings.callers.host, run.incarnation};
 	BackendLimits limits;
-	BrittleServers brittle;
+	BrittleServices brittle;
+	SlotGrantor slotGrantor{run.incarnation};
+	SlotPermits slots{balancer, slotGrantor, settings.callers.host, run.incarnation};
 	CrashLedger crashes;
 	SuspectPlacement suspects{crashes};
 	QuotaLedger quotas;
--- a/src/gateway/gossiper.cpp
+++ b/src/gateway/gossiper.cpp
@@ -79,7 +79,9 @@
 Gossiper::Gossiper(GatewayContext& _context)
 	: m_context(_context), m_socket(_context.loop), m_timer(_context.loop), m_buffer(limits::kGossipBytes),
 	  m_crashExchange(_context, [this](const std::string& _bytes, const std::string& _host)
-					  { sendBytes(DatagramPurpose::Crash, _bytes, _host); })
+					  { sendBytes(DatagramPurpose::Crash, _bytes, _host); }),
+	  m_slotExchange(_context, [this](DatagramPurpose _purpose, const std::string& _bytes, const std::string& _host)
+					 { sendBytes(_purpose, _bytes, _host); })
 {
 	try
 	{
@@ -104,12 +106,14 @@
 								{ sendBytes(DatagramPurpose::QuotaGrant, encodeQuota(_message), _host); });
 	m_context.origins.setSend([this](const std::string& _host, const StreamOriginMessage& _message)
 							  { sendBytes(DatagramPurpose::StreamOrigin, encodeOrigin(_message), _host); });
+	m_slotExchange.init();
 	receive();
 	tick();
 }
 
 void Gossiper::shutdown()
 {
+	m_slotExchange.shutdown();
 	m_timer.cancel();
 	BoostError ignored;
 	m_socket.close(ignored);
@@ -144,7 +148,6 @@
 	FleetSums sums;
 	sums.gateways = 1;
 	sums.loads = m_context.balancer.ownLoads();
-	m_context.brittle.addClaims(sums.loads, m_context.clock.trueTime(monotonicNow()));
 	sums.demand = m_context.demand.ownReports();
 	if (m_context.directory.config())
 	{
@@ -187,7 +190,6 @@
 	m_context.retryBudget.setMembers(members);
 	const std::size_t listed = std::max(m_context.relays.memberCount(), m_context.relays.index() + 1);
 	m_context.limits.setMembers(listed, m_context.relays.index());
-	m_context.brittle.setMembers(listed, m_context.relays.index(), GossipPlan::propagationDelay(members));
 	m_context.balancer.setPeerLoadLifetime(
 		std::max(kSecond, kPeerLoadLifetimeFactor * GossipPlan::propagationDelay(members)));
 	m_context.balancer.setManyGateways(m_context.usesCollectors());
@@ -202,6 +204,7 @@
 	}
 	m_crashExchange.tick(isCollector(), now);
 	sendLimits(now);
+	m_slotExchange.tick(isCollector(), now);
 	++m_round;
 	const Micros pause = m_context.jittered(GossipPlan::roundInterval(members));
 	m_due = now + pause;
--- a/src/gateway/gossiper.h
+++ b/src/gateway/gossiper.h
@@ -14,6 +14,7 @@
 #include "coordination/usagereportplan.h"
 #include "gateway/crashexchange.h"
 #include "gateway/gatewaycontext.h"
+#include "gateway/slotexchange.h"
 
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -131,6 +132,7 @@
 	TeamSelection m_teamSelection;
 	std::vector<QuotaReport> m_fleetQuotas; ///< Counters of all teams in m_sums.
 	CrashExchange m_crashExchange;
+	SlotExchange m_slotExchange;
 	std::uint64_t m_unreadableCount = 0; ///< Datagrams of an unknown format since the start.
 };
 
--- a/src/gateway/gossiperreceive.cpp
+++ b/src/gateway/gossiperreceive.cpp
@@ -11,6 +11,7 @@
 #include "protocol/limitcodec.h"
 #include "protocol/origincodec.h"
 #include "protocol/quotacodec.h"
+#include "protocol/slotcodec.h"
 
 #include <algorithm>
 #include <utility>
@@ -136,6 +137,13 @@
 		m_context.traffic.onReceived(DatagramPurpose::Crash, _bytes.size());
 		return;
 	}
+	if (isSlotDatagram(_bytes) || isBrittleDatagram(_bytes))
+	{
+		const bool readable = isSlotDatagram(_bytes) ? m_slotExchange.onSlotDatagram(_bytes, _sender)
+													 : m_slotExchange.onBrittleDatagram(_bytes, _sender);
+		readable ? void() : onUnreadable(_sender);
+		return;
+	}
 	if (isLimitDatagram(_bytes))
 	{
 		onLimitDatagram(_bytes, _sender);
--- a/src/gateway/storesyncapply.cpp
+++ b/src/gateway/storesyncapply.cpp
@@ -74,6 +74,7 @@
 	}
 	m_context.relays.setMembers(members);
 	m_context.origins.setMembers(members);
+	m_context.slots.setMembers(members);
 	m_context.peers.setRegistered(std::move(hosts));
 }
 
@@ -165,7 +166,8 @@
 	m_context.balancer.retain(known);
 	m_context.backoffs.retain(known);
 	m_context.limits.retain(known);
-	m_context.brittle.retain(known);
+	m_context.slots.retain(known);
+	m_context.slotGrantor.retain(known);
 }
 
 void StoreSync::onApplied(bool _newConfig, bool _fromPeer, Micros _now)
--- a/src/gateway/trafficcounters.h
+++ b/src/gateway/trafficcounters.h
@@ -27,6 +27,8 @@
 	Crash,
 	Limit,
 	StreamOrigin,
+	SlotGrant,
+	Brittle,
 	Count_ ///< Number of purposes.
 };
 
--- a/src/protocol/datagramkind.h
+++ b/src/protocol/datagramkind.h
@@ -22,6 +22,8 @@
 	CrashReport = 7,
 	LimitReport = 8,
 	StreamOrigin = 9,
+	SlotGrant = 10,
+	BrittleReport = 11,
 };
 
 /// @returns true if a datagram is a MessagePack list of up to 15 fields, the second of which is the kind.
--- /dev/null
+++ b/src/protocol/slotcodec.cpp
@@ -0,0 +1,221 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+#include "protocol/slotcodec.h"
+
+#include "protocol/datagramkind.h"
+#include "protocol/json.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace beacongate
+{
+namespace
+{
+constexpr unsigned kSlotKind = static_cast<unsigned>(DatagramKind::SlotGrant);
+constexpr unsigned kBrittleKind = static_cast<unsigned>(DatagramKind::BrittleReport);
+
+/// Third field of a datagram about slots.
+enum class Content : std::uint8_t
+{
+	Request,
+	Answer,
+	Report,
+};
+
+Json startFields(Content _content)
+{
+	return Json::array({kDatagramFormat, kSlotKind, static_cast<unsigned>(_content)});
+}
+
+void addUse(Json& _fields, const SlotUse& _use)
+{
+	_fields.push_back(_use.backend.value);
+	_fields.push_back(_use.inFlight);
+	_fields.push_back(_use.lastGrant);
+}
+
+/// Encodes each type of message as a list of fields.
+struct Encoder
+{
+	Json operator()(const SlotRequest& _request) const
+	{
+		Json fields = startFields(Content::Request);
+		addUse(fields, _request.use);
+		fields.push_back(_request.id);
+		fields.push_back(_request.slots);
+		fields.push_back(_request.rejections);
+		fields.push_back(_request.priority);
+		fields.push_back(_request.patience);
+		return fields;
+	}
+
+	Json operator()(const SlotAnswer& _answer) const
+	{
+		Json fields = startFields(Content::Answer);
+		fields.push_back(_answer.backend.value);
+		fields.push_back(_answer.id);
+		fields.push_back(static_cast<unsigned>(_answer.outcome));
+		fields.push_back(_answer.grant);
+		return fields;
+	}
+
+	Json operator()(const SlotReport& _report) const
+	{
+		Json fields = startFields(Content::Report);
+		addUse(fields, _report.use);
+		fields.push_back(_report.rejected);
+		return fields;
+	}
+};
+
+/// @throws Json::exception where the field has the wrong type, or is no number of rejections.
+double decodeRejections(const Json& _field)
+{
+	const double rejections = _field.get<double>();
+	if (!std::isfinite(rejections) || rejections < 0.0)
+	{
+		throw Json::other_error::create(0, "not a number of rejections", nullptr);
+	}
+	return rejections;
+}
+
+/// @throws Json::exception where a field is missing or has the wrong type.
+SlotUse decodeUse(const Json& _fields)
+{
+	SlotUse use;
+	use.backend.value = _fields.at(3).get<std::uint32_t>();
+	use.inFlight = _fields.at(4).get<unsigned>();
+	use.lastGrant = _fields.at(5).get<std::uint64_t>();
+	return use;
+}
+
+/// @throws Json::exception where a field is missing or has the wrong type.
+SlotRequest decodeRequest(const Json& _fields)
+{
+	SlotRequest request;
+	request.use = decodeUse(_fields);
+	request.id = _fields.at(6).get<std::uint64_t>();
+	request.slots = _fields.at(7).get<unsigned>();
+	request.rejections = decodeRejections(_fields.at(8));
+	request.priority = _fields.at(9).get<unsigned>();
+	request.patience = _fields.at(10).get<Micros>();
+	return request;
+}
+
+/// @throws Json::exception where a field is missing or has the wrong type.
+SlotAnswer decodeAnswer(const Json& _fields)
+{
+	SlotAnswer answer;
+	answer.backend.value = _fields.at(3).get<std::uint32_t>();
+	answer.id = _fields.at(4).get<std::uint64_t>();
+	const auto outcome = _fields.at(5).get<unsigned>();
+	if (outcome > static_cast<unsigned>(SlotOutcome::Denied))
+	{
+		throw Json::other_error::create(0, "not an outcome", nullptr);
+	}
+	answer.outcome = static_cast<SlotOutcome>(outcome);
+	answer.grant = _fields.at(6).get<std::uint64_t>();
+	return answer;
+}
+
+/// @returns the message; nothing where its content is unknown.
+/// @throws Json::exception where a field is missing or has the wrong type.
+std::optional<SlotMessage> decodeFields(const Json& _fields)
+{
+	switch (_fields.at(2).get<unsigned>())
+	{
+	case static_cast<unsigned>(Content::Request):
+		return decodeRequest(_fields);
+	case static_cast<unsigned>(Content::Answer):
+		return decodeAnswer(_fields);
+	case static_cast<unsigned>(Content::Report):
+		return SlotReport{decodeUse(_fields), _fields.at(6).get<bool>()};
+	default:
+		return std::nullopt;
+	}
+}
+
+/// @returns true if the fields are those of a datagram of a kind. A later format may have more fields at its end,
+/// which are ignored.
+/// @throws Json::exception where a field is missing or has the wrong type.
+bool hasKind(const Json& _fields, unsigned _kind)
+{
+	return _fields.is_array() && _fields.at(0).get<std::uint64_t>() >= kDatagramFormat &&
+		   _fields.at(1).get<unsigned>() == _kind;
+}
+} // namespace
+
+std::string encodeSlot(const SlotMessage& _message)
+{
+	std::string bytes;
+	Json::to_msgpack(std::visit(Encoder(), _message), bytes);
+	return bytes;
+}
+
+bool isSlotDatagram(std::string_view _bytes)
+{
+	return isOfKind(_bytes, DatagramKind::SlotGrant);
+}
+
+std::optional<SlotMessage> decodeSlot(std::string_view _bytes)
+{
+	const Json fields = Json::from_msgpack(_bytes.begin(), _bytes.end(), true, false);
+	try
+	{
+		return hasKind(fields, kSlotKind) ? decodeFields(fields) : std::nullopt;
+	}
+	catch (const Json::exception&)
+	{
+		return std::nullopt;
+	}
+}
+
+std::string encodeBrittle(const std::vector<BrittleServiceRecord>& _records)
+{
+	Json records = Json::array();
+	for (const BrittleServiceRecord& record : _records)
+	{
+		records.push_back(Json::array({record.service.value, record.rejections, record.age}));
+	}
+	std::string bytes;
+	Json::to_msgpack(Json::array({kDatagramFormat, kBrittleKind, std::move(records)}), bytes);
+	return bytes;
+}
+
+bool isBrittleDatagram(std::string_view _bytes)
+{
+	return isOfKind(_bytes, DatagramKind::BrittleReport);
+}
+
+std::optional<std::vector<BrittleServiceRecord>> decodeBrittle(std::string_view _bytes)
+{
+	const Json fields = Json::from_msgpack(_bytes.begin(), _bytes.end(), true, false);
+	try
+	{
+		if (!hasKind(fields, kBrittleKind))
+		{
+			return std::nullopt;
+		}
+		const Json& encoded = fields.at(2);
+		std::vector<BrittleServiceRecord> records;
+		for (std::size_t index = 0; index < std::min(encoded.size(), kMaxBrittleRecords); ++index)
+		{
+			const Json& entry = encoded.at(index);
+			BrittleServiceRecord record;
+			record.service.value = entry.at(0).get<std::uint64_t>();
+			record.rejections = decodeRejections(entry.at(1));
+			record.age = std::max<Micros>(0, entry.at(2).get<Micros>());
+			records.push_back(record);
+		}
+		return records;
+	}
+	catch (const Json::exception&)
+	{
+		return std::nullopt;
+	}
+}
+
+} // namespace beacongate
--- a/tests/brittlefleet.h
+++ b/tests/brittlefleet.h
@@ -7,7 +7,8 @@
 #ifndef BEACONGATE_TESTS_BRITTLEFLEET_H
 #define BEACONGATE_TESTS_BRITTLEFLEET_H
 
-#include "coordination/brittleservers.h"
+#include "coordination/brittleservices.h"
+#include "coordination/slotpermits.h"
 
 #include <algorithm>
 #include <deque>
@@ -15,6 +16,8 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace beacongate::test
@@ -22,6 +25,9 @@
 inline constexpr Micros kTick = 5 * kMillisecond;
 inline constexpr Micros kQueueTime = 400 * kMillisecond; ///< Requests that wait for longer are given up.
 inline constexpr Micros kDowntime = 3 * kSecond;
+/// Fleets of more gateways report to collectors, and draw the servers that they compare.
+inline constexpr unsigned kManyGateways = 16;
+inline const ServiceKey kService{"service"};
 
 struct Fleet
 {
@@ -64,14 +70,21 @@
 		for (unsigned number = 0; number < _fleet.gateways; ++number)
 		{
 			m_gateways.push_back(std::make_unique<GatewayState>(number));
-			m_gateways.back()->brittle.setMembers(_fleet.gateways, number,
-												  _fleet.reportInterval * (1 + _fleet.reportsUnderWay));
+			m_gateways.back()->balancer.setManyGateways(_fleet.gateways > kManyGateways);
+			m_byHost[m_gateways.back()->host] = m_gateways.back().get();
+			connect(*m_gateways.back());
 		}
-		for (const Server& server : m_servers)
+		std::set<MemberRecord> members;
+		for (const auto& gateway : m_gateways)
+		{
+			members.insert({gateway->host, "z" + std::to_string(members.size() % 4), 0});
+		}
+		for (const auto& gateway : m_gateways)
 		{
+			gateway->permits.setMembers(members);
 			if (_fleet.told)
 			{
-				tellAll(server.known.key);
+				gateway->services.onAnswer(kService, _fleet.rejections, kSecond);
 			}
 		}
 	}
@@ -85,13 +98,15 @@
 		const Micros end = m_countedFrom + _span;
 		for (Micros now = kSecond; now < end; now += kTick)
 		{
+			m_now = now;
+			deliverAll();
 			endRequests(now);
 			report(now);
 			const unsigned count = arrivals(m_random);
 			asked += now < m_countedFrom ? 0 : count;
 			for (unsigned number = 0; number < count; ++number)
 			{
-				m_gateways[m_random() % m_gateways.size()]->queue.push_back(now);
+				m_gateways[m_random() % m_gateways.size()]->queue.push_back({now, {}});
 			}
 			for (std::size_t index = 0; index < m_gateways.size(); ++index)
 			{
@@ -104,22 +119,43 @@
 	}
 
 private:
-	struct GatewayState
+	struct Queued
 	{
-		explicit GatewayState(unsigned _number) : balancer("z", _number + 1)
-		{
-		}
+		Micros arrived = 0;
+		SlotTicket ticket;
+	};
 
-		unsigned claimsAt(BackendKey _key, Micros _now) const
+	struct GatewayState
+	{
+		explicit GatewayState(unsigned _number)
+			: host("gateway-" + std::to_string(_number)), balancer("z", _number + 1),
+			  permits(balancer, grantor, host, _number << kIdBits)
 		{
-			std::vector<BackendLoad> loads{{_key, balancer.ownInFlight(_key), 0}};
-			brittle.addClaims(loads, _now);
-			return loads.front().inFlight;
 		}
 
+		static constexpr unsigned kIdBits = 20; ///< Bits of the numbers of one gateway's requests for slots.
+		std::string host;
 		Balancer balancer;
-		BrittleServers brittle;
-		std::deque<Micros> queue;
+		SlotGrantor grantor;
+		SlotPermits permits;
+		BrittleServices services;
+		std::deque<Queued> queue;
+	};
+
+	/// A datagram between gateways.
+	struct Message
+	{
+		Micros due = 0;
+		std::string from;
+		std::string to;
+		SlotMessage content;
+	};
+
+	/// What gateways tell each other of brittle services.
+	struct Statement
+	{
+		Micros due = 0;
+		std::vector<BrittleServiceRecord> records;
 	};
 
 	/// Requests in flight at one moment, by number of the server.
@@ -146,18 +182,78 @@
 	};
 
 	/// Notes what an answer says.
-	void learn(GatewayState& _gateway, BackendKey _key)
+	void learn(GatewayState& _gateway, Micros _now)
+	{
+		if (m_fleet.told || m_fleet.learns)
+		{
+			_gateway.services.onAnswer(kService, m_fleet.rejections, _now);
+		}
+	}
+
+	void connect(GatewayState& _gateway)
 	{
-		if (m_fleet.learns)
+		const auto post = [this, &_gateway](const std::string& _host, const SlotMessage& _message)
+		{
+			m_messages.push_back({m_now + kTick, _gateway.host, _host, _message});
+		};
+		_gateway.grantor.setSend(post);
+		_gateway.permits.setSend(post);
+	}
+
+	void deliver(const Message& _message)
+	{
+		GatewayState& gateway = *m_byHost.at(_message.to);
+		if (const auto* answer = std::get_if<SlotAnswer>(&_message.content))
+		{
+			gateway.permits.onAnswer(_message.from, *answer, m_now);
+		}
+		else if (const auto* report = std::get_if<SlotReport>(&_message.content))
+		{
+			gateway.grantor.onReport(*report, _message.from, m_now);
+		}
+		else
 		{
-			_gateway.brittle.onAnswer(_key, m_fleet.rejections);
+			const auto& request = std::get<SlotRequest>(_message.content);
+			const unsigned reported = gateway.balancer.totalInFlight(request.use.backend);
+			const SlotAnswer decision = gateway.grantor.decide(request, _message.from, reported, m_now);
+			m_messages.push_back({m_now + kTick, gateway.host, _message.from, decision});
 		}
 	}
 
+	void deliverAll()
+	{
+		while (!m_messages.empty() && m_messages.front().due <= m_now)
+		{
+			const Message message = m_messages.front();
+			m_messages.pop_front();
+			deliver(message);
+		}
+		while (!m_statements.empty() && m_statements.front().due <= m_now)
+		{
+			for (auto& gateway : m_gateways)
+			{
+				gateway->services.merge(m_statements.front().records, m_now);
+			}
+			m_statements.pop_front();
+		}
+		for (auto& gateway : m_gateways)
+		{
+			gateway->grantor.advance(m_now);
+		}
+	}
+
+	bool isBrittle(const GatewayState& _gateway) const
+	{
+		return _gateway.services.rejectionsOf(kService, m_now).has_value();
+	}
+
 	void release(GatewayState& _gateway, BackendKey _key, bool _rejected, Micros _now)
 	{
 		_gateway.balancer.onEnded(_key, {}, false);
-		_gateway.brittle.onEnded(_key, _gateway.balancer, _rejected, _now);
+		if (isBrittle(_gateway))
+		{
+			_gateway.permits.onEnded(_key, _rejected, false, _now);
+		}
 	}
 
 	void endRequests(Micros _now)
@@ -168,7 +264,7 @@
 			{
 				if (request.end <= _now)
 				{
-					learn(*request.gateway, server.known.key);
+					learn(*request.gateway, _now);
 					release(*request.gateway, server.known.key, false, _now);
 					m_served += _now < m_countedFrom ? 0.0 : 1.0;
 				}
@@ -185,13 +281,23 @@
 			return;
 		}
 		Report& newest = m_reports.emplace_back();
+		std::vector<BackendKey> keys;
+		std::transform(m_servers.begin(), m_servers.end(), std::back_inserter(keys),
+					   [](const Server& _server) { return _server.known.key; });
+		for (auto& gateway : m_gateways)
+		{
+			const Micros due = _now + m_fleet.reportInterval * (1 + m_fleet.reportsUnderWay);
+			auto records = gateway->services.takeChanges(false, 32, _now);
+			records.empty() ? void() : m_statements.push_back({due, std::move(records)});
+			isBrittle(*gateway) ? gateway->permits.report(keys, _now) : void();
+		}
 		for (const Server& server : m_servers)
 		{
 			newest.keys.push_back(server.known.key);
 			newest.totals.push_back(0);
 			for (auto& gateway : m_gateways)
 			{
-				const unsigned own = gateway->claimsAt(server.known.key, _now);
+				const unsigned own = gateway->balancer.ownInFlight(server.known.key);
 				newest.own[gateway.get()].push_back(own);
 				newest.totals.back() += own;
 			}
@@ -215,27 +321,57 @@
 
 	void dispatch(GatewayState& _gateway, Micros _now)
 	{
-		while (!_gateway.queue.empty())
+		std::deque<Queued> remaining;
+		for (Queued& queued : std::exchange(_gateway.queue, {}))
 		{
-			if (_now - _gateway.queue.front() > kQueueTime)
+			if (_now - queued.arrived > kQueueTime)
 			{
-				_gateway.queue.pop_front();
-				continue;
+				_gateway.permits.abandon(queued.ticket, _now);
 			}
+			else if (!tryDispatch(_gateway, queued, _now))
+			{
+				remaining.push_back(queued);
+			}
+		}
+		_gateway.queue = std::move(remaining);
+	}
+
+	/// @returns true if the request was sent.
+	bool tryDispatch(GatewayState& _gateway, Queued& _queued, Micros _now)
+	{
+		const bool brittle = isBrittle(_gateway);
+		for (unsigned tries = 0; tries < m_servers.size(); ++tries)
+		{
 			Availability available;
 			for (const Server& server : m_servers)
 			{
 				server.downUntil <= _now ? available.open.push_back(&server.known) : void();
 			}
-			_gateway.brittle.narrow(available, _gateway.balancer, _now);
-			const Placement placement = _gateway.balancer.choose(available.open, {}, {}, _now);
-			if (!placement.backend || placement.full)
+			brittle ? _gateway.permits.narrow(available, _queued.ticket, _now) : void();
+			const KnownBackend* backend = _gateway.permits.waitsFor(_queued.ticket, available, _now);
+			if (!backend)
+			{
+				const Placement placement = _gateway.balancer.choose(available.open, {}, {}, _now);
+				backend = placement.full && !brittle ? nullptr : placement.backend;
+			}
+			if (!backend)
+			{
+				return false;
+			}
+			const SlotNeed need{backend->key, m_fleet.slots, m_fleet.rejections, 0,
+								kQueueTime - (_now - _queued.arrived)};
+			const SlotVerdict verdict =
+				brittle ? _gateway.permits.take(_queued.ticket, need, _now, [] {}) : SlotVerdict::Granted;
+			if (verdict == SlotVerdict::Granted)
+			{
+				send(_gateway, backend->key, _now);
+			}
+			if (verdict != SlotVerdict::Denied)
 			{
-				return;
+				return verdict == SlotVerdict::Granted;
 			}
-			_gateway.queue.pop_front();
-			send(_gateway, placement.backend->key, _now);
 		}
+		return false;
 	}
 
 	void send(GatewayState& _gateway, BackendKey _key, Micros _now)
@@ -243,7 +379,6 @@
 		_gateway.balancer.onSent(_key, {});
 		Server& server = *std::find_if(m_servers.begin(), m_servers.end(),
 									   [_key](const Server& _server) { return _server.known.key == _key; });
-		_gateway.brittle.onPlaced(server.known, _gateway.balancer, _now);
 		const auto running = static_cast<unsigned>(server.running.size());
 		const unsigned waiting = _now < m_countedFrom ? m_fleet.waiting : 0;
 		if (running < m_fleet.room * m_fleet.slots + waiting)
@@ -251,7 +386,7 @@
 			server.running.push_back({_now + m_fleet.serviceTime * (1 + running / m_fleet.slots), &_gateway});
 			return;
 		}
-		learn(_gateway, _key);
+		learn(_gateway, _now);
 		release(_gateway, _key, true, _now);
 		if (_now < m_countedFrom)
 		{
@@ -280,18 +415,6 @@
 		_server.running.clear();
 		++_server.starts;
 		_server.known.key = BackendKey(_server.known.record.id + '-' + std::to_string(_server.starts));
-		if (m_fleet.told)
-		{
-			tellAll(_server.known.key);
-		}
-	}
-
-	void tellAll(BackendKey _key)
-	{
-		for (auto& gateway : m_gateways)
-		{
-			gateway->brittle.onAnswer(_key, m_fleet.rejections);
-		}
 	}
 
 	Fleet m_fleet;
@@ -300,6 +423,10 @@
 	std::vector<Server> m_servers;
 	std::vector<std::unique_ptr<GatewayState>> m_gateways;
 	std::deque<Report> m_reports;
+	std::unordered_map<std::string, GatewayState*> m_byHost;
+	std::deque<Message> m_messages;
+	std::deque<Statement> m_statements;
+	Micros m_now = kSecond;
 	unsigned m_falls = 0;
 	double m_served = 0.0;
 };
--- a/tests/brittleserverstest.cpp
+++ b/tests/brittleserverstest.cpp
@@ -52,25 +52,49 @@
 	EXPECT_GT(Simulation(fleet).run(kSpan).falls, 2 + fleet.servers / 10);
 }
 
-TEST(BrittleServers, serverThatIsBrittleNoMoreIsNotNarrowed)
+TEST(BrittleServers, serviceIsBrittleNoMoreOnceNoServerSaysSo)
+{
+	BrittleServices services;
+	EXPECT_TRUE(services.onAnswer(kService, 0.0, kSecond));
+	EXPECT_FALSE(services.onAnswer(kService, std::nullopt, 2 * kSecond)); // A server that has just started.
+	EXPECT_EQ(services.rejectionsOf(kService, 2 * kSecond), 0.0);
+	EXPECT_EQ(services.rejectionsOf(kService, kSecond + BrittleServices::kValidity), std::nullopt);
+	services.expire(kSecond + BrittleServices::kValidity);
+	EXPECT_EQ(services.size(), 0u);
+}
+
+TEST(BrittleServers, statementReachesGatewaysThatHeardNoServer)
+{
+	BrittleServices heard;
+	BrittleServices other;
+	heard.onAnswer(kService, 3.0, kSecond);
+	EXPECT_EQ(other.merge(heard.takeChanges(false, 1, kSecond), kSecond).size(), 1u);
+	EXPECT_EQ(other.rejectionsOf(kService, kSecond), 3.0);
+	EXPECT_TRUE(other.takeChanges(false, 1, kSecond).empty()); // Collectors alone pass on what others heard.
+	EXPECT_EQ(other.takeChanges(true, 1, kSecond).size(), 1u);
+}
+
+TEST(BrittleServers, serverWhoseGrantorDeniedASlotIsPassedOver)
 {
-	BrittleServers brittle;
 	Balancer balancer("z");
+	SlotGrantor grantor;
+	SlotPermits permits(balancer, grantor, "a", 0);
+	permits.setMembers({{"a", "z", 0}});
 	KnownBackend backend;
-	backend.key = BackendKey("a");
-	backend.record.slots = 1;
-	brittle.setMembers(100, 7, kSecond);
-	brittle.onAnswer(backend.key, 0.0);
-	EXPECT_EQ(brittle.size(), 1u);
+	backend.key = BackendKey("server");
 	Availability available;
 	available.open = {&backend};
-	brittle.narrow(available, balancer, 0);
+	const SlotNeed need{backend.key, 1, 3.0, 0, 0};
+	SlotTicket first;
+	EXPECT_EQ(permits.take(first, need, 0, [] {}), SlotVerdict::Granted);
+	SlotTicket second;
+	EXPECT_EQ(permits.take(second, need, 0, [] {}), SlotVerdict::Denied);
+	permits.narrow(available, second, 0);
 	EXPECT_TRUE(available.open.empty());
 	EXPECT_TRUE(available.limited);
-	brittle.onAnswer(backend.key, std::nullopt);
 	available = {};
 	available.open = {&backend};
-	brittle.narrow(available, balancer, 0);
+	permits.narrow(available, second, SlotPermits::kDeniedSpan);
 	EXPECT_EQ(available.open.size(), 1u);
 }
 
--- /dev/null
+++ b/tests/slotgrantortest.cpp
@@ -0,0 +1,141 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// Tests the grantor of a brittle backend server's slots by itself.
+
+#include "coordination/slotgrantor.h"
+
+#include <gtest/gtest.h>
+
+namespace beacongate::test
+{
+namespace
+{
+constexpr unsigned kSlots = 4;
+constexpr double kRejections = 8.0;
+constexpr Micros kPatience = 100 * kMillisecond;
+const BackendKey kServer{"server"};
+
+SlotRequest request(std::uint64_t _id, unsigned _inFlight = 0, std::uint64_t _lastGrant = 0, unsigned _priority = 0)
+{
+	return {_id, {kServer, _inFlight, _lastGrant}, kSlots, kRejections, _priority, kPatience};
+}
+} // namespace
+
+class SlotGrantorTest : public testing::Test
+{
+protected:
+	SlotGrantorTest()
+	{
+		grantor.setSend([this](const std::string& _host, const SlotAnswer& _answer)
+						{ sent.emplace_back(_host, _answer.id); });
+	}
+
+	/// Grants all slots to one gateway, one after the other so that each counts as proven.
+	/// @returns the last grant.
+	SlotAnswer grantAll(const std::string& _host)
+	{
+		SlotAnswer last;
+		for (unsigned number = 1; number <= kSlots; ++number)
+		{
+			now += SlotGrantor::kTrialSpan;
+			last = grantor.decide(request(number, number - 1, last.grant), _host, 0, now);
+			EXPECT_EQ(last.outcome, SlotOutcome::Granted) << number;
+		}
+		return last;
+	}
+
+	SlotGrantor grantor;
+	std::vector<std::pair<std::string, std::uint64_t>> sent;
+	Micros now = kSecond;
+};
+
+TEST_F(SlotGrantorTest, neverGrantsMoreThanTheSlots)
+{
+	grantAll("a");
+	EXPECT_EQ(grantor.decide(request(9), "b", 0, now).outcome, SlotOutcome::Queued);
+}
+
+TEST_F(SlotGrantorTest, freedSlotGoesToTheMostUrgentRequest)
+{
+	const SlotAnswer last = grantAll("a");
+	grantor.decide(request(1, 0, 0, 2), "b", 0, now);
+	grantor.decide(request(1, 0, 0, 1), "c", 0, now);
+	grantor.onReport({{kServer, kSlots - 1, last.grant}, false}, "a", now);
+	ASSERT_EQ(sent.size(), 1u);
+	EXPECT_EQ(sent.front().first, "c");
+}
+
+TEST_F(SlotGrantorTest, requestThatComesAgainGetsTheSameGrant)
+{
+	const SlotAnswer first = grantor.decide(request(1), "a", 0, now);
+	EXPECT_EQ(grantor.decide(request(1), "a", 0, now).grant, first.grant);
+}
+
+TEST_F(SlotGrantorTest, queueIsBounded)
+{
+	grantAll("a");
+	for (std::uint64_t id = 1; id <= SlotGrantor::kQueueFactor * kSlots; ++id)
+	{
+		EXPECT_EQ(grantor.decide(request(id), "b", 0, now).outcome, SlotOutcome::Queued);
+	}
+	EXPECT_EQ(grantor.decide(request(99), "b", 0, now).outcome, SlotOutcome::Denied);
+}
+
+TEST_F(SlotGrantorTest, slotsOfAGatewayThatIsGoneAreGrantedAgain)
+{
+	const SlotAnswer last = grantAll("a");
+	grantor.onReport({{kServer, kSlots, last.grant}, false}, "a", now);
+	now += SlotGrantor::kUseLifetime + 1;
+	EXPECT_EQ(grantor.decide(request(9), "b", 0, now).outcome, SlotOutcome::Granted);
+}
+
+TEST_F(SlotGrantorTest, grantWhoseAnswerWasLostIsGrantedAgain)
+{
+	grantAll("a");
+	now += SlotGrantor::kGrantLifetime + SlotGrantor::kTrialSpan + 1;
+	EXPECT_EQ(grantor.decide(request(9), "b", 0, now).outcome, SlotOutcome::Granted);
+}
+
+TEST_F(SlotGrantorTest, requestsInFlightBeforeTheFirstOneCount)
+{
+	EXPECT_EQ(grantor.decide(request(1), "a", kSlots, now).outcome, SlotOutcome::Queued);
+	grantor.onReport({{kServer, kSlots, 0}, false}, "b", now);
+	now += SlotGrantor::kStartSpan;
+	EXPECT_EQ(grantor.decide(request(2), "a", 0, now).outcome, SlotOutcome::Queued);
+}
+
+TEST_F(SlotGrantorTest, rejectionLowersTheSlotsThatAreUsed)
+{
+	const SlotAnswer last = grantAll("a");
+	// The server rejected the fourth request, and goes on with three.
+	grantor.onReport({{kServer, kSlots - 1, last.grant}, true}, "a", now);
+	EXPECT_EQ(grantor.decide(request(9), "b", 0, now).outcome, SlotOutcome::Queued);
+	grantor.onReport({{kServer, kSlots - 2, last.grant}, false}, "a", now);
+	EXPECT_EQ(sent.size(), 1u);
+}
+
+TEST_F(SlotGrantorTest, trialsNeverCauseMoreRejectionsThanAreBorne)
+{
+	unsigned rejected = 0;
+	std::uint64_t id = 0;
+	SlotAnswer last;
+	// The server has room for two requests, which never end.
+	for (const Micros end = now + kSecond; now < end; now += kMillisecond)
+	{
+		const unsigned running = std::min(2u, static_cast<unsigned>(last.grant) - rejected);
+		const SlotAnswer answer = grantor.decide(request(++id, running, last.grant), "a", 0, now);
+		if (answer.outcome == SlotOutcome::Granted)
+		{
+			last = answer;
+			const bool noRoom = running == 2;
+			rejected += noRoom ? 1 : 0;
+			grantor.onReport({{kServer, noRoom ? 2 : running + 1, last.grant}, noRoom}, "a", now);
+		}
+	}
+	EXPECT_GT(rejected, 0u);
+	EXPECT_LE(rejected, kRejections * SlotGrantor::kTrialsShare);
+}
+
+} // namespace beacongate::test
