--- a/tests/brittlefleet.h
+++ b/tests/brittlefleet.h
@@ -321,6 +321,7 @@
 
 	void dispatch(GatewayState& _gateway, Micros _now)
 	{
+		findServersUp(_now);
 		std::deque<Queued> remaining;
 		for (Queued& queued : std::exchange(_gateway.queue, {}))
 		{
@@ -336,21 +337,26 @@
 		_gateway.queue = std::move(remaining);
 	}
 
+	void findServersUp(Micros _now)
+	{
+		m_up = {};
+		for (const Server& server : m_servers)
+		{
+			server.downUntil <= _now ? m_up.open.push_back(&server.known) : void();
+		}
+	}
+
 	/// @returns true if the request was sent.
 	bool tryDispatch(GatewayState& _gateway, Queued& _queued, Micros _now)
 	{
 		const bool brittle = isBrittle(_gateway);
 		for (unsigned tries = 0; tries < m_servers.size(); ++tries)
 		{
-			Availability available;
-			for (const Server& server : m_servers)
-			{
-				server.downUntil <= _now ? available.open.push_back(&server.known) : void();
-			}
-			brittle ? _gateway.permits.narrow(available, _queued.ticket, _now) : void();
-			const KnownBackend* backend = _gateway.permits.waitsFor(_queued.ticket, available, _now);
+			const KnownBackend* backend = _gateway.permits.waitsFor(_queued.ticket, m_up, _now);
 			if (!backend)
 			{
+				Availability available = m_up;
+				brittle ? _gateway.permits.narrow(available, _queued.ticket, _now) : void();
 				const Placement placement = _gateway.balancer.choose(available.open, {}, {}, _now);
 				backend = placement.full && !brittle ? nullptr : placement.backend;
 			}
@@ -426,6 +432,7 @@
 	std::unordered_map<std::string, GatewayState*> m_byHost;
 	std::deque<Message> m_messages;
 	std::deque<Statement> m_statements;
+	Availability m_up; ///< Servers that run.
 	Micros m_now = kSecond;
 	unsigned m_falls = 0;
 	double m_served = 0.0;
--- a/tests/brittleserverstest.cpp
+++ b/tests/brittleserverstest.cpp
@@ -87,6 +87,7 @@
 	const SlotNeed need{backend.key, 1, 3.0, 0, 0};
 	SlotTicket first;
 	EXPECT_EQ(permits.take(first, need, 0, [] {}), SlotVerdict::Granted);
+	balancer.onSent(backend.key, {});
 	SlotTicket second;
 	EXPECT_EQ(permits.take(second, need, 0, [] {}), SlotVerdict::Denied);
 	permits.narrow(available, second, 0);
