Soak brittle backend servers

Cause: no soak had brittle servers, so that homes which are killed, paused or stopped were not tested. Change: profile brittle: all eight servers name themselves brittle for 7 s to 11 s and let no request wait, beside the gateway and store faults of limits; checked: falls, and half of the requests served at gateways that were not disturbed.

--- a/tests/soakcheckertest.cpp
+++ b/tests/soakcheckertest.cpp
@@ -399,4 +399,28 @@
 	EXPECT_EQ(countOf(seen, Promise::ServerLimitKept), 0u);
 }
 
+TEST(SoakChecker, reportsBrittleServersThatFellOverOrServedLittle)
+{
+	Observations seen;
+	seen.brittleSpans = {{8, 10 * kSecond, 30 * kSecond}};
+	for (unsigned number = 0; number < 10; ++number)
+	{
+		ObservedRequest request;
+		request.id = "r" + std::to_string(number);
+		request.sent = 20 * kSecond;
+		request.ended = 21 * kSecond;
+		request.correct = number < 5;
+		seen.requests.push_back(request);
+	}
+	seen.arrivals = {{"r0", "w1", 20 * kSecond, 0}};
+	seen.crashes = {{"w1", 20 * kSecond, ""}, {"w1", 20 * kSecond, ""}, {"w1", 12 * kSecond, ""}};
+	EXPECT_EQ(countOf(seen, Promise::BrittleStand), 0u);
+	seen.crashes.push_back({"w1", 20 * kSecond, ""});
+	EXPECT_EQ(countOf(seen, Promise::BrittleStand), 1u);
+	seen.requests[0].correct = false;
+	EXPECT_EQ(countOf(seen, Promise::BrittleStand), 2u);
+	seen.disruptions = {{"pause", 18 * kSecond, 19 * kSecond, 0}};
+	EXPECT_EQ(countOf(seen, Promise::BrittleStand), 0u);
+}
+
 } // namespace beacongate::test
--- a/tools/soak.cpp
+++ b/tools/soak.cpp
@@ -88,10 +88,11 @@
 		{"answers", soak::SoakProfile::Answers},
 		{"crashes", soak::SoakProfile::Crashes},
 		{"limits", soak::SoakProfile::Limits},
+		{"brittle", soak::SoakProfile::Brittle},
 		{"quotas", soak::SoakProfile::Quotas},
 		{"lowered-quotas", soak::SoakProfile::LoweredQuotas}};
 	app.add_option("--profile", options.profile,
-				   "Faults to inject: mixed, departures, narrow-departures, answers, crashes, limits, quotas "
+				   "Faults to inject: mixed, departures, narrow-departures, answers, crashes, limits, brittle, quotas "
 				   "or lowered-quotas [mixed]")
 		->transform(CLI::CheckedTransformer(profiles, CLI::ignore_case));
 	app.add_option("--gateways", options.gateways, "Number of gateways [3]")
--- a/tools/soak/answercheck.cpp
+++ b/tools/soak/answercheck.cpp
@@ -180,4 +180,76 @@
 	}
 }
 
+namespace
+{
+/// @returns true if a fall is the fault of gateways that were not disturbed.
+bool countsAsFall(const Observations& _seen, const ObservedCrash& _fall,
+				  const std::unordered_map<std::string, const ObservedRequest*>& _requests)
+{
+	std::size_t counted = 0;
+	std::size_t all = 0;
+	for (const ObservedArrival& arrival : _seen.arrivals)
+	{
+		const auto request = _requests.find(arrival.id);
+		const bool before = arrival.at > _fall.at - kSecond && arrival.at <= _fall.at;
+		if (arrival.backend != _fall.backend || !before || request == _requests.end())
+		{
+			continue;
+		}
+		++all;
+		const unsigned gateway = request->second->gateway;
+		counted += ranThroughout(_seen, gateway, _fall.at - _seen.bounds.contact, _fall.at) ? 1 : 0;
+	}
+	return 2 * counted > all;
+}
+
+void checkBrittleSpan(const Observations& _seen, const BrittleSpan& _span,
+					  const std::unordered_map<std::string, const ObservedRequest*>& _requests,
+					  std::vector<Finding>& _findings)
+{
+	const Micros from = _span.from + _seen.bounds.contact;
+	const auto falls = std::count_if(_seen.crashes.begin(), _seen.crashes.end(),
+									 [&](const ObservedCrash& _crash) {
+										 return _crash.at >= from && _crash.at <= _span.until &&
+												countsAsFall(_seen, _crash, _requests);
+									 });
+	const double allowed =
+		_seen.bounds.fallsAllowed + _seen.bounds.fallShareAllowed * static_cast<double>(_span.servers);
+	if (static_cast<double>(falls) > allowed)
+	{
+		_findings.push_back({Promise::BrittleStand, std::to_string(_span.servers) + " brittle servers fell over " +
+														std::to_string(falls) + " times"});
+	}
+	std::size_t sent = 0;
+	std::size_t served = 0;
+	for (const ObservedRequest& request : _seen.requests)
+	{
+		const bool within = request.sent >= from && request.ended <= _span.until;
+		if (within && ranThroughout(_seen, request.gateway, request.sent - _seen.bounds.contact, request.ended))
+		{
+			++sent;
+			served += request.correct ? 1 : 0;
+		}
+	}
+	if (static_cast<double>(served) < _seen.bounds.brittleServedShare * static_cast<double>(sent))
+	{
+		_findings.push_back({Promise::BrittleStand, std::to_string(served) + " of " + std::to_string(sent) +
+														" requests were served while servers were brittle"});
+	}
+}
+} // namespace
+
+void checkBrittleServers(const Observations& _seen, std::vector<Finding>& _findings)
+{
+	std::unordered_map<std::string, const ObservedRequest*> requests;
+	for (const ObservedRequest& request : _seen.requests)
+	{
+		requests[request.id] = &request;
+	}
+	for (const BrittleSpan& span : _seen.brittleSpans)
+	{
+		checkBrittleSpan(_seen, span, requests, _findings);
+	}
+}
+
 } // namespace beacongate::soak
--- a/tools/soak/answercheck.h
+++ b/tools/soak/answercheck.h
@@ -21,6 +21,12 @@
 /// paused in the time that gateways have for a change.
 void checkServerLimits(const Observations& _seen, std::vector<Finding>& _findings);
 
+/// Adds a finding for each span in which brittle backend servers fell over more often than allowed, or in which too
+/// few requests were served by gateways that were not disturbed.
+/// @remarks A fall counts if most requests that arrived at the server in the second before came from gateways that
+/// were not killed, stopped or paused in the time that gateways have for a change.
+void checkBrittleServers(const Observations& _seen, std::vector<Finding>& _findings);
+
 } // namespace beacongate::soak
 
 #endif // BEACONGATE_TOOLS_SOAK_ANSWERCHECK_H
--- a/tools/soak/checker.cpp
+++ b/tools/soak/checker.cpp
@@ -378,6 +378,8 @@
 		return "crashing-stopped";
 	case Promise::ServedBesideCrash:
 		return "served-beside-crash";
+	case Promise::BrittleStand:
+		return "brittle-stand";
 	case Promise::ServerLimitKept:
 		return "server-limit-kept";
 	}
@@ -407,6 +409,7 @@
 	checkQuotas(_seen, findings);
 	checkCrashes(_seen, findings);
 	checkServerLimits(_seen, findings);
+	checkBrittleServers(_seen, findings);
 	return findings;
 }
 
--- a/tools/soak/observations.h
+++ b/tools/soak/observations.h
@@ -104,6 +104,14 @@
 	Micros until = kNever;
 };
 
+/// A time in which all backend servers named themselves brittle.
+struct BrittleSpan
+{
+	std::size_t servers = 0;
+	Micros from = 0;
+	Micros until = kNever;
+};
+
 /// A fault or a change that was injected into a gateway, all gateways, the store or a backend server.
 struct Disruption
 {
@@ -164,6 +172,9 @@
 	double limitFactor = 1.5;         ///< Factor on what a server's limit allows in a window.
 	double limitSlack = 5.0;          ///< Requests in a window in addition.
 	Micros quotaWindow = 8 * kSecond; ///< Window over which a team's runs are counted.
+	double fallsAllowed = 2.0;        ///< Falls of brittle backend servers in one span.
+	double fallShareAllowed = 0.1;    ///< Falls in addition, as a share of the number of servers.
+	double brittleServedShare = 0.5;  ///< Share of the requests sent in a brittle span that have to be served.
 	double quotaTolerance = 0.1;      ///< Share of the window's limit that may run in addition.
 };
 
@@ -176,6 +187,7 @@
 	std::vector<ObservedArrival> arrivals;
 	std::vector<ObservedCrash> crashes;
 	std::vector<ServerLimit> serverLimits;
+	std::vector<BrittleSpan> brittleSpans;
 	std::vector<Disruption> disruptions;
 	std::vector<PlannedStop> stops;
 	std::vector<Departure> departures;
--- a/tools/soak/soak.cpp
+++ b/tools/soak/soak.cpp
@@ -41,6 +41,7 @@
 constexpr Micros kSettleSpan = 7 * kSecond;
 constexpr Micros kVerifySpan = 3 * kSecond;
 constexpr Micros kStartSpan = 15 * kSecond;
+constexpr Micros kBrittleCallTime = 60 * kMillisecond;
 constexpr Micros kLoweredQuietSpan = 20 * kSecond; ///< Span without faults after limits were lowered.
 constexpr unsigned kMaxRequestsPerConnection = 6;
 
@@ -115,10 +116,15 @@
 	backend->address = {host(kBackendProxyHost), worker.port};
 	backend->worker = std::make_unique<standin::PlatformWorker>(backend->id, worker);
 	backend->link = std::make_unique<FaultProxy>(backend->address, worker);
-	if (m_options.profile == SoakProfile::Crashes)
+	const bool falls = m_options.profile == SoakProfile::Brittle;
+	if (falls || m_options.profile == SoakProfile::Crashes)
 	{
 		setCrashRule(*backend);
 	}
+	if (falls)
+	{
+		backend->worker->setCallTime(kBrittleCallTime);
+	}
 	putRecord(*backend, "ready");
 	m_backends.push_back(std::move(backend));
 }
@@ -126,8 +132,9 @@
 void Soak::putRecord(const Backend& _backend, const char* _state)
 {
 	constexpr unsigned kSlots = 32;
+	const unsigned slots = m_options.profile == SoakProfile::Brittle ? kBrittleSlots : kSlots;
 	m_store->put(platform::kServersPrefix + _backend.id,
-				 standin::formatRecord(_backend.address, kSlots, _state, _backend.born));
+				 standin::formatRecord(_backend.address, slots, _state, _backend.born));
 }
 
 void Soak::putConfig()
@@ -370,7 +377,8 @@
 	std::signal(SIGPIPE, SIG_IGN);
 	m_store = std::make_unique<standin::PlatformStore>(Address{host(kPlatformHost), kStorePort});
 	m_duties = std::make_unique<standin::PlatformDuties>(Address{host(kPlatformHost), kDutyPort});
-	const bool many = m_options.profile == SoakProfile::Crashes || m_options.profile == SoakProfile::Limits;
+	const bool many = m_options.profile == SoakProfile::Crashes || m_options.profile == SoakProfile::Limits ||
+					  m_options.profile == SoakProfile::Brittle;
 	const unsigned backends = many ? kManyBackends : kBackends;
 	for (unsigned number = 0; number < backends; ++number)
 	{
@@ -437,6 +445,12 @@
 			runUntil(monotonicNow() + drawSpan(100 * kMillisecond, 1500 * kMillisecond));
 			continue;
 		}
+		if (m_options.profile == SoakProfile::Brittle)
+		{
+			injectBrittleFault();
+			runUntil(monotonicNow() + drawSpan(300 * kMillisecond, 2500 * kMillisecond));
+			continue;
+		}
 		if (m_options.profile == SoakProfile::Crashes)
 		{
 			injectCrashFault();
--- a/tools/soak/soak.h
+++ b/tools/soak/soak.h
@@ -49,6 +49,9 @@
 	/// Backend servers name limits in their answers for a while, beside stalls, pauses, kills and stops of gateways
 	/// and faults of the store.
 	Limits,
+	/// Backend servers name themselves brittle for a while and let no requests wait, beside the same faults as
+	/// Limits.
+	Brittle,
 };
 
 /// Parameters of a soak.
@@ -128,6 +131,8 @@
 	void setCrashRule(Backend& _backend);
 	void nameLimit();
 	void injectLimitFault();
+	void makeBrittle();
+	void injectBrittleFault();
 	void makeCrashing(ObservedRequest& _request, std::minstd_rand& _random) const;
 	void crashBackend();
 	void injectCrashFault();
@@ -181,6 +186,7 @@
 	std::mutex m_mutex; ///< Guards m_seen, which callers' threads write as well.
 	Observations m_seen;
 	std::uint64_t m_version = 0;
+	bool m_brittle = false;          ///< Backend servers name themselves brittle.
 	unsigned m_extraRoutes = 0;      ///< Additional routes that enlarge the configuration.
 	bool m_bandwidthLimited = false; ///< The store's answers are sent at a low bandwidth.
 };
--- a/tools/soak/soak_p.h
+++ b/tools/soak/soak_p.h
@@ -20,6 +20,9 @@
 /// Port at which gateways accept requests.
 inline constexpr std::uint16_t kCallerPort = 19100;
 
+/// Slots of backend servers that may be brittle.
+inline constexpr unsigned kBrittleSlots = 4;
+
 /// A gateway with the link between it and the store.
 struct Soak::Gateway
 {
--- a/tools/soak/soakanswers.cpp
+++ b/tools/soak/soakanswers.cpp
@@ -100,6 +100,52 @@
 	kind < 6 ? disturbGateway(kind) : nameLimit();
 }
 
+void Soak::makeBrittle()
+{
+	constexpr std::array kBorneRejections = {3, 5, 10};
+	m_brittle = true;
+	const int rejections = kBorneRejections[drawIndex(kBorneRejections.size())];
+	std::size_t number = 0;
+	{
+		const std::lock_guard<std::mutex> guard(m_mutex);
+		number = m_seen.brittleSpans.size();
+		m_seen.brittleSpans.push_back({m_backends.size(), monotonicNow(), kNever});
+	}
+	for (const auto& backend : m_backends)
+	{
+		backend->worker->setBrittle(rejections, m_seen.bounds.contact);
+	}
+	schedule(m_seen.bounds.contact,
+			 [this]
+			 {
+				 for (const auto& backend : m_backends)
+				 {
+					 backend->worker->setRoom(kBrittleSlots);
+				 }
+			 });
+	schedule(m_seen.bounds.contact + drawSpan(4 * kSecond, 8 * kSecond),
+			 [this, number]
+			 {
+				 {
+					 const std::lock_guard<std::mutex> guard(m_mutex);
+					 m_seen.brittleSpans[number].until = monotonicNow();
+				 }
+				 for (const auto& backend : m_backends)
+				 {
+					 backend->worker->setRoom(0);
+					 backend->worker->setBrittle(-1);
+				 }
+				 m_brittle = false;
+			 });
+}
+
+void Soak::injectBrittleFault()
+{
+	const std::size_t kind = drawIndex(10);
+	kind < 6 ? disturbGateway(kind) : void();
+	m_brittle ? void() : makeBrittle();
+}
+
 void Soak::injectAnswerFault()
 {
 	const auto number = static_cast<unsigned>(drawIndex(m_gateways.size()));
