Repeat the report that a slot is free

Cause, found by reading: a lost report of a gateway's last request at a server kept the slot for 3.5 s, as no other message followed; and the entry of a server that was removed beside an open grant counted below zero. Change: the report is repeated once after 100 ms, the count stops at zero.

--- a/src/coordination/slotpermits.cpp
+++ b/src/coordination/slotpermits.cpp
@@ -75,12 +75,18 @@
 	}
 	const bool granted = pending.state == State::Granted;
 	Server& server = serverOf(_need.backend);
-	server.unplaced -= granted ? 1 : 0;
+	granted ? onPlaced(server) : void();
 	server.passedOverUntil = granted ? server.passedOverUntil : _now + kDeniedSpan;
 	m_pending.erase(std::exchange(_ticket.id, 0));
 	return granted ? SlotVerdict::Granted : SlotVerdict::Denied;
 }
 
+void SlotPermits::onPlaced(Server& _server)
+{
+	// The entry is new, without grants, if the server was removed from the list meanwhile.
+	_server.unplaced -= std::min(_server.unplaced, 1u);
+}
+
 void SlotPermits::askNext(std::uint64_t _id, Pending& _pending, Micros _now)
 {
 	_pending.waited = 0;
@@ -239,7 +245,7 @@
 	m_pending.erase(pending);
 	if (granted)
 	{
-		--serverOf(_ticket.backend).unplaced;
+		onPlaced(serverOf(_ticket.backend));
 		sendReport(_ticket.backend, false, _now);
 	}
 }
@@ -257,6 +263,7 @@
 {
 	Server& server = serverOf(_key);
 	server.reportedAt = _now;
+	server.repeats = true;
 	std::vector<std::string> homes = server.homes;
 	homes.resize(std::min(homes.size(), kReported));
 	if (!server.grantor.empty() && std::find(homes.begin(), homes.end(), server.grantor) == homes.end())
@@ -283,9 +290,11 @@
 	{
 		Server& server = serverOf(key);
 		const bool inUse = useOf(key, server, server.grantor, _now).inFlight > 0;
-		if (inUse && _now - server.reportedAt >= kReportInterval)
+		const Micros age = _now - server.reportedAt;
+		if (inUse ? age >= kReportInterval : server.repeats && age >= kRepeatDelay)
 		{
 			sendReport(key, false, _now);
+			server.repeats = inUse;
 		}
 	}
 }
--- a/src/coordination/slotpermits.h
+++ b/src/coordination/slotpermits.h
@@ -79,6 +79,9 @@
 	static constexpr Micros kAbandonedSpan = 1 * kSecond;
 	/// Interval between two reports of what is in use.
 	static constexpr Micros kReportInterval = 1 * kSecond;
+	/// Time after which the report that nothing is in use any more is repeated once. If it got lost, no other
+	/// message would follow, and the grantor would keep the slot until SlotGrantor::kUseLifetime has passed.
+	static constexpr Micros kRepeatDelay = 100 * kMillisecond;
 
 	/// @param[in] _host Host of this gateway.
 	/// @param[in] _firstId Number from which requests are counted; another one at each start.
@@ -156,6 +159,7 @@
 		Micros passedOverUntil = 0;
 		std::deque<Micros> abandonedUntil; ///< Ends of the times for which abandoned requests count.
 		Micros reportedAt = kLongAgo;
+		bool repeats = false; ///< The last report has not been repeated.
 	};
 
 	struct Silence
@@ -166,6 +170,8 @@
 
 	Server& serverOf(BackendKey _key);
 	SlotUse useOf(BackendKey _key, Server& _server, const std::string& _home, Micros _now) const;
+	/// Notes that a granted request has been sent, or will not be.
+	static void onPlaced(Server& _server);
 	void sendReport(BackendKey _key, bool _rejected, Micros _now);
 	void askNext(std::uint64_t _id, Pending& _pending, Micros _now);
 	void ask(std::uint64_t _id, const Pending& _pending, const std::string& _home, Micros _now);
--- /dev/null
+++ b/tests/slotpermitstest.cpp
@@ -0,0 +1,160 @@
+// Copyright 2026 The beacongate authors.
+// Licence: BSD-2-Clause, see LICENSE.
+
+/// @file
+/// Tests how a gateway asks for slots of brittle backend servers.
+
+#include "coordination/slotpermits.h"
+
+#include <gtest/gtest.h>
+
+namespace beacongate::test
+{
+namespace
+{
+constexpr Micros kPoll = 10 * kMillisecond;
+const BackendKey kServer{"server"};
+const SlotNeed kNeed{kServer, 4, 3.0, 0, SlotPermits::kMaxPatience};
+} // namespace
+
+/// A gateway whose three homes are other ones. All messages that it sends are kept.
+class SlotPermitsTest : public testing::Test
+{
+protected:
+	SlotPermitsTest()
+	{
+		permits.setSend([this](const std::string& _host, const SlotMessage& _message)
+						{ sent.emplace_back(_host, _message); });
+		permits.setMembers({{"b", "z", 0}, {"c", "z", 0}, {"d", "z", 0}});
+		backend.key = kServer;
+	}
+
+	SlotVerdict take()
+	{
+		return permits.take(ticket, kNeed, now, [this] { ++decisions; });
+	}
+
+	/// Polls until the verdict is another one than Pending.
+	SlotVerdict takeInTime()
+	{
+		SlotVerdict verdict = take();
+		for (unsigned polls = 0; polls < 200 && verdict == SlotVerdict::Pending; ++polls)
+		{
+			now += kPoll;
+			verdict = take();
+		}
+		return verdict;
+	}
+
+	template <typename Message> std::vector<Message> messages() const
+	{
+		std::vector<Message> found;
+		for (const auto& [host, message] : sent)
+		{
+			const auto* content = std::get_if<Message>(&message);
+			content ? found.push_back(*content) : void();
+		}
+		return found;
+	}
+
+	void answer(SlotOutcome _outcome, std::uint64_t _grant = 0)
+	{
+		const auto request = std::get<SlotRequest>(sent.back().second);
+		permits.onAnswer(sent.back().first, {request.id, kServer, _outcome, _grant}, now);
+	}
+
+	Balancer balancer{"z"};
+	SlotGrantor grantor;
+	SlotPermits permits{balancer, grantor, "a", 0};
+	KnownBackend backend;
+	SlotTicket ticket;
+	std::vector<std::pair<std::string, SlotMessage>> sent;
+	Micros now = kSecond;
+	unsigned decisions = 0;
+};
+
+TEST_F(SlotPermitsTest, grantedRequestMayBeSent)
+{
+	EXPECT_EQ(take(), SlotVerdict::Pending);
+	answer(SlotOutcome::Granted, 7);
+	EXPECT_EQ(decisions, 1u);
+	EXPECT_EQ(take(), SlotVerdict::Granted);
+}
+
+TEST_F(SlotPermitsTest, requestIsSentAgainAndThenToTheNextHome)
+{
+	take();
+	const std::string first = sent.front().first;
+	now += SlotPermits::kResendDelay;
+	take();
+	now += kPoll;
+	take();
+	ASSERT_EQ(sent.size(), 2u);
+	EXPECT_EQ(sent.back().first, first);
+	for (unsigned polls = 0; polls < 10; ++polls)
+	{
+		now += kPoll;
+		take();
+	}
+	EXPECT_NE(sent.back().first, first);
+}
+
+TEST_F(SlotPermitsTest, withoutAnyAnswerThisGatewayUsesItsEqualShare)
+{
+	EXPECT_EQ(takeInTime(), SlotVerdict::Granted);
+	balancer.onSent(kServer, {});
+	EXPECT_EQ(takeInTime(), SlotVerdict::Denied); // One of four slots for each of three gateways.
+}
+
+TEST_F(SlotPermitsTest, grantThatNoRequestWaitsForIsReturned)
+{
+	take();
+	const auto request = std::get<SlotRequest>(sent.back().second);
+	const std::string home = sent.back().first;
+	permits.abandon(ticket, now);
+	permits.onAnswer(home, {request.id, kServer, SlotOutcome::Granted, 7}, now);
+	ASSERT_FALSE(messages<SlotReport>().empty());
+	EXPECT_EQ(messages<SlotReport>().front().use.inFlight, 0u);
+}
+
+TEST_F(SlotPermitsTest, grantOfARequestThatEndsBeforeItIsSentIsReturned)
+{
+	take();
+	answer(SlotOutcome::Granted, 7);
+	permits.abandon(ticket, now);
+	ASSERT_FALSE(messages<SlotReport>().empty());
+	EXPECT_EQ(messages<SlotReport>().front().use.lastGrant, 7u);
+	EXPECT_EQ(messages<SlotReport>().front().use.inFlight, 0u);
+}
+
+TEST_F(SlotPermitsTest, serverThatIsGoneLeavesNothingInUse)
+{
+	take();
+	answer(SlotOutcome::Granted, 7);
+	permits.retain({});
+	permits.abandon(ticket, now);
+	EXPECT_EQ(messages<SlotReport>().front().use.inFlight, 0u);
+}
+
+TEST_F(SlotPermitsTest, reportOfTheLastRequestsEndIsRepeatedOnce)
+{
+	permits.onEnded(kServer, false, false, now);
+	const std::size_t homes = sent.size();
+	for (unsigned round = 0; round < 5; ++round)
+	{
+		now += SlotPermits::kRepeatDelay;
+		permits.report({kServer}, now);
+	}
+	EXPECT_EQ(sent.size(), 2 * homes);
+}
+
+TEST_F(SlotPermitsTest, abandonedRequestCountsForAWhile)
+{
+	permits.onEnded(kServer, false, true, now);
+	EXPECT_EQ(messages<SlotReport>().back().use.inFlight, 1u);
+	now += SlotPermits::kAbandonedSpan;
+	permits.onEnded(kServer, false, false, now);
+	EXPECT_EQ(messages<SlotReport>().back().use.inFlight, 0u);
+}
+
+} // namespace beacongate::test
