--- a/tests/slotgrantortest.cpp
+++ b/tests/slotgrantortest.cpp
@@ -76,7 +76,7 @@
 TEST_F(SlotGrantorTest, queueIsBounded)
 {
 	grantAll("a");
-	for (std::uint64_t id = 1; id <= SlotGrantor::kQueueFactor * kSlots; ++id)
+	for (std::uint64_t id = 1; id <= std::uint64_t{SlotGrantor::kQueueFactor} * kSlots; ++id)
 	{
 		EXPECT_EQ(grantor.decide(request(id), "b", 0, now).outcome, SlotOutcome::Queued);
 	}
