--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -356,8 +356,8 @@
 	m_triedBackends.push_back(_backend.record.id);
 	m_attempt.slots = _backend.record.slots;
 	m_attempt.resumed = m_lastEventId.has_value() || !m_info.lastEventId.empty();
-	m_attempt.slotTaken = m_context.limits.limitOf(_backend.key) &&
-						  m_context.limits.take(_backend.key, m_context.clock.trueTime(now));
+	m_attempt.limit = m_context.limits.limitOf(_backend.key);
+	m_attempt.slotTaken = m_attempt.limit && m_context.limits.take(_backend.key, m_context.clock.trueTime(now));
 	m_attempt.backoffProbe = m_context.backoffs.onPlaced(_backend.key, now);
 	m_context.balancer.onSent(_backend.key, m_placement);
 	m_context.suspects.onPlaced(m_subjects, _backend.key);
@@ -568,7 +568,10 @@
 			  {"config_age_ms", millisText(m_context.directory.age(now))},
 			  {"list_age_ms", m_sendCount == 0 ? "-" : millisText(m_attempt.listAge)},
 			  {"standing", m_sendCount == 0 ? "-" : std::string(toString(m_attempt.listingState))},
-			  {"backoff_left_ms", millisText(m_attempt.backoffLeft)}});
+			  {"backoff_left_ms", millisText(m_attempt.backoffLeft)},
+			  {"limit_per_s", m_attempt.limit ? std::to_string(*m_attempt.limit) : "-"},
+			  {"members", std::to_string(m_context.relays.memberCount())},
+			  {"member_index", std::to_string(m_context.relays.index())}});
 }
 
 } // namespace beacongate
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -77,9 +77,10 @@
 		EventSplitter events;
 		Micros listAge = 0; ///< Age of the list of backend servers when the request was sent.
 		ListingState listingState = ListingState::Gone; ///< State of the backend server in that list.
-		bool slotTaken = false;    ///< A slot was taken under the server's limit, see BackendLimits.
-		bool backoffProbe = false; ///< This is one of the few requests that a server gets after its backoff.
-		Micros backoffLeft = 0;    ///< Remaining backoff of the server when the request was sent.
+		bool slotTaken = false;      ///< A slot was taken under the server's limit, see BackendLimits.
+		std::optional<double> limit; ///< Requests a second that the server was known to allow when it was chosen.
+		bool backoffProbe = false;   ///< This is one of the few requests that a server gets after its backoff.
+		Micros backoffLeft = 0;      ///< Remaining backoff of the server when the request was sent.
 		/// The request was not sent, for a reason that is not the backend server's fault.
 		bool withheld = false;
 		bool refused = false; ///< The connection was refused.
