--- a/tools/soak.cpp
+++ b/tools/soak.cpp
@@ -88,7 +88,9 @@
 		{"answers", soak::SoakProfile::Answers},
 		{"crashes", soak::SoakProfile::Crashes},
 		{"limits", soak::SoakProfile::Limits},
+		{"limits-members", soak::SoakProfile::LimitsMembers},
 		{"brittle", soak::SoakProfile::Brittle},
+		{"brittle-members", soak::SoakProfile::BrittleMembers},
 		{"quotas", soak::SoakProfile::Quotas},
 		{"lowered-quotas", soak::SoakProfile::LoweredQuotas}};
 	app.add_option(
--- a/tools/soak/soak.cpp
+++ b/tools/soak/soak.cpp
@@ -116,7 +116,7 @@
 	backend->address = {host(kBackendProxyHost), worker.port};
 	backend->worker = std::make_unique<standin::PlatformWorker>(backend->id, worker);
 	backend->link = std::make_unique<FaultProxy>(backend->address, worker);
-	const bool falls = m_options.profile == SoakProfile::Brittle;
+	const bool falls = hasBrittleServers();
 	if (falls || m_options.profile == SoakProfile::Crashes)
 	{
 		setCrashRule(*backend);
@@ -132,7 +132,7 @@
 void Soak::putRecord(const Backend& _backend, const char* _state)
 {
 	constexpr unsigned kSlots = 32;
-	const unsigned slots = m_options.profile == SoakProfile::Brittle ? kBrittleSlots : kSlots;
+	const unsigned slots = hasBrittleServers() ? kBrittleSlots : kSlots;
 	m_store->put(platform::kServersPrefix + _backend.id,
 				 standin::formatRecord(_backend.address, slots, _state, _backend.born));
 }
@@ -377,8 +377,7 @@
 	std::signal(SIGPIPE, SIG_IGN);
 	m_store = std::make_unique<standin::PlatformStore>(Address{host(kPlatformHost), kStorePort});
 	m_duties = std::make_unique<standin::PlatformDuties>(Address{host(kPlatformHost), kDutyPort});
-	const bool many = m_options.profile == SoakProfile::Crashes || m_options.profile == SoakProfile::Limits ||
-					  m_options.profile == SoakProfile::Brittle;
+	const bool many = m_options.profile == SoakProfile::Crashes || hasServerLimits() || hasBrittleServers();
 	const unsigned backends = many ? kManyBackends : kBackends;
 	for (unsigned number = 0; number < backends; ++number)
 	{
@@ -451,6 +450,12 @@
 			runUntil(monotonicNow() + drawSpan(300 * kMillisecond, 2500 * kMillisecond));
 			continue;
 		}
+		if (hasServerLimits() || hasBrittleServers())
+		{
+			injectMemberFault();
+			runUntil(monotonicNow() + drawSpan(100 * kMillisecond, 1500 * kMillisecond));
+			continue;
+		}
 		if (m_options.profile == SoakProfile::Crashes)
 		{
 			injectCrashFault();
--- a/tools/soak/soak.h
+++ b/tools/soak/soak.h
@@ -52,6 +52,10 @@
 	/// Backend servers name themselves brittle for a while and let no requests wait, beside the same faults as
 	/// Limits.
 	Brittle,
+	/// Limits, while many gateways stop in series or are killed at once, and leases run out.
+	LimitsMembers,
+	/// Brittle, beside the same changes of the members as in LimitsMembers.
+	BrittleMembers,
 };
 
 /// Parameters of a soak.
@@ -131,6 +135,13 @@
 	void setCrashRule(Backend& _backend);
 	void nameLimit();
 	void injectLimitFault();
+	/// @returns true if backend servers name limits in this soak.
+	bool hasServerLimits() const;
+	/// @returns true if backend servers are brittle in this soak.
+	bool hasBrittleServers() const;
+	void stopInSeries();
+	void killHalf();
+	void injectMemberFault();
 	void makeBrittle();
 	void injectBrittleFault();
 	void makeCrashing(ObservedRequest& _request, std::minstd_rand& _random) const;
--- a/tools/standin/platform.cpp
+++ b/tools/standin/platform.cpp
@@ -476,6 +476,19 @@
 		});
 }
 
+void PlatformStore::endLeases()
+{
+	m_loop.run(
+		[&]
+		{
+			for (auto& [number, lease] : m_leases)
+			{
+				lease.first = 0;
+			}
+			expireLeases();
+		});
+}
+
 void PlatformStore::expireLeases()
 {
 	const Micros now = monotonicNow();
--- a/tools/standin/platform.h
+++ b/tools/standin/platform.h
@@ -87,6 +87,9 @@
 	/// Drops the event history and closes the open watches. Watches from an earlier revision are answered with 410.
 	void compactHistory();
 
+	/// Ends all leases at once, as an outage that is longer than they last.
+	void endLeases();
+
 	/// Copies the store's state.
 	void takeCopy();
 
