--- a/src/coordination/backendlimits.cpp
+++ b/src/coordination/backendlimits.cpp
@@ -10,8 +10,11 @@
 {
 void BackendLimits::setMembers(std::size_t _count, std::size_t _index)
 {
-	m_members = std::max<std::size_t>(1, _count);
-	m_index = _index % m_members;
+	const std::size_t members = std::max<std::size_t>(1, _count);
+	const std::size_t index = _index % members;
+	m_changes += members != m_members || index != m_index ? 1 : 0;
+	m_members = members;
+	m_index = index;
 }
 
 void BackendLimits::onAnswer(BackendKey _key, std::optional<double> _limit, Micros _sent, Micros _now,
@@ -47,6 +50,7 @@
 	{
 		entry.slot = std::max<Micros>(1, static_cast<Micros>(static_cast<double>(kSecond) / rate));
 		entry.nextSlot = static_cast<std::uint64_t>(_agreed / entry.slot) + 1;
+		entry.dealt = m_changes;
 	}
 }
 
@@ -106,51 +110,33 @@
 	return first + (m_index + m_members - owner) % m_members;
 }
 
-bool BackendLimits::take(BackendKey _key, Micros _agreed)
+Micros BackendLimits::takeTurn(BackendKey _key, Micros _agreed)
 {
-	const auto entry = m_entries.find(_key);
-	if (entry == m_entries.end() || entry->second.rate <= 0.0)
+	const auto found = m_entries.find(_key);
+	if (found == m_entries.end() || found->second.rate <= 0.0)
 	{
-		return true;
+		return 0;
 	}
-	const std::uint64_t slot = ownSlot(_key, entry->second, _agreed);
-	if (static_cast<Micros>(slot) * entry->second.slot > _agreed)
+	Entry& entry = found->second;
+	if (entry.dealt != m_changes)
 	{
-		return false;
+		entry.dealt = m_changes;
+		entry.nextSlot = std::max(entry.nextSlot, static_cast<std::uint64_t>(_agreed / entry.slot) + 1);
 	}
-	entry->second.nextSlot = slot + 1;
-	return true;
-}
-
-void BackendLimits::narrow(Availability& _available, Micros _now, Micros _agreed) const
-{
-	if (m_entries.empty())
+	const std::uint64_t slot = ownSlot(_key, entry, _agreed);
+	const Micros wait = static_cast<Micros>(slot) * entry.slot - _agreed;
+	if (wait > 0)
 	{
-		return;
+		return wait;
 	}
-	const auto mustWait = [&](const KnownBackend* _backend)
-	{
-		const Entry* entry = find(_backend->key);
-		if (!entry)
-		{
-			return false;
-		}
-		const auto slot = static_cast<Micros>(ownSlot(_backend->key, *entry, _agreed));
-		const Micros wait = slot * entry->slot - _agreed;
-		if (wait <= 0)
-		{
-			return false;
-		}
-		_available.earliestEnd = std::min(_available.earliestEnd, _now + wait);
-		return true;
-	};
-	std::erase_if(_available.open, mustWait);
+	entry.nextSlot = slot + 1;
+	return 0;
 }
 
-std::optional<std::size_t> BackendLimits::requestsUntil(const std::vector<const KnownBackend*>& _backends,
-														Micros _agreed, Micros _until) const
+std::optional<std::size_t> BackendLimits::requestsWithin(const std::vector<const KnownBackend*>& _backends,
+														 Micros _span) const
 {
-	std::size_t count = 0;
+	double count = 0.0;
 	for (const KnownBackend* backend : _backends)
 	{
 		const Entry* entry = find(backend->key);
@@ -158,11 +144,9 @@
 		{
 			return std::nullopt;
 		}
-		const std::uint64_t first = ownSlot(backend->key, *entry, _agreed);
-		const auto last = static_cast<std::uint64_t>(std::max(_agreed, _until) / entry->slot);
-		count += first > last ? 0 : 1 + static_cast<std::size_t>((last - first) / m_members);
+		count += 1.0 + entry->rate * secondsOf(std::max<Micros>(0, _span) + RequestPace::kBurstSpan);
 	}
-	return count;
+	return static_cast<std::size_t>(count);
 }
 
 void BackendLimits::retain(const std::map<std::string, KnownBackend>& _known)
--- a/src/coordination/backendlimits.h
+++ b/src/coordination/backendlimits.h
@@ -2,12 +2,14 @@
 // Licence: BSD-2-Clause, see LICENSE.
 
 /// @file
-/// Keeps the requests of all gateways to a backend server within the rate that the server names in its answers.
+/// Remembers the rates that backend servers name in their answers, and gives turns where no gateway grants
+/// requests.
 
 #ifndef BEACONGATE_COORDINATION_BACKENDLIMITS_H
 #define BEACONGATE_COORDINATION_BACKENDLIMITS_H
 
-#include "coordination/backofftable.h"
+#include "coordination/directory.h"
+#include "coordination/requestpace.h"
 
 #include <cstdint>
 #include <map>
@@ -25,20 +27,17 @@
 	Micros age = 0;              ///< Time since the server said so.
 };
 
-/// Rates that backend servers named, by incarnation, and this gateway's turns under them.
+/// Rates that backend servers named, by incarnation.
 ///
-/// Time is divided into slots, one for each request that a server allows. All gateways take turns: the slots of a
-/// server belong to them in order of their index in the list of members, beginning at a place that the server's key
-/// determines. Each gateway knows its slots without a message, and each slot allows one request. Equal shares of
-/// the rate would be the same on average; with turns they are not all used at the same time, and a share of less
-/// than a request is still one request in a while.
+/// Gateways tell each other of limits that are named, changed or ended. Without it, a gateway would hear of a limit
+/// after it has sent requests, and of its end only in its next answer. What was said later holds.
 ///
-/// Gateways tell each other of limits that are named, changed or ended. Without it, a gateway would hear of the end
-/// of a limit in its next slot alone, which comes after minutes where there are many gateways. What was said later
-/// holds.
-///
-/// Slots are counted in the time that most gateways agree on (AgreedClock). While gateways disagree on the members,
-/// two may use one slot and none another one; on average the rate is kept.
+/// Requests under a limit are granted by one gateway (SlotGrantor). A gateway that reaches no such gateway takes
+/// turns: time is divided into slots, one for each request that a server allows, and the slots belong to all
+/// gateways in order of their index in the list of members, beginning at a place that the server's key determines.
+/// Slots are counted in the time that most gateways agree on (AgreedClock). A change of the members gives the slots
+/// to other gateways, so that a slot which began before is not used any more. While gateways disagree on the
+/// members, some slots have two owners and others none.
 class BackendLimits
 {
 public:
@@ -46,9 +45,8 @@
 	/// for a server at the start of its slot often has one soon after; all unused slots together allow as many
 	/// requests at once as the rate does in this time.
 	static constexpr Micros kSlotLifetime = 1 * kSecond;
-	/// Lowest rate applied, in requests a second. A server that names 0 is asked again at this rate, since only its
-	/// answers tell that the limit has ended.
-	static constexpr double kMinRate = 0.1;
+	/// Lowest rate applied, in requests a second.
+	static constexpr double kMinRate = RequestPace::kMinRate;
 	/// Highest rate applied, in requests a second; a limit above it is none.
 	static constexpr double kMaxRate = 10000.0;
 
@@ -69,16 +67,13 @@
 	std::optional<double> limitOf(BackendKey _key) const;
 
 	/// Takes a slot of a server.
-	/// @returns false if the server has a limit and this gateway has no slot now.
-	bool take(BackendKey _key, Micros _agreed);
-
-	/// Removes servers from which no request may be sent now, and sets when the first one may be used.
-	void narrow(Availability& _available, Micros _now, Micros _agreed) const;
+	/// @returns 0 if the slot was taken, or the server has no limit; else the time until this gateway's next slot.
+	Micros takeTurn(BackendKey _key, Micros _agreed);
 
-	/// @returns the number of requests that this gateway may send to the given servers until a time, as far as
-	/// their limits are concerned; nothing if one of them has no limit.
-	std::optional<std::size_t> requestsUntil(const std::vector<const KnownBackend*>& _backends, Micros _agreed,
-											 Micros _until) const;
+	/// @returns the largest number of requests that the given servers allow within a span; nothing if one of them
+	/// has no limit.
+	std::optional<std::size_t> requestsWithin(const std::vector<const KnownBackend*>& _backends,
+											  Micros _span) const;
 
 	/// Times for which each change is reported, since datagrams may be lost.
 	static constexpr unsigned kReportRounds = 4;
@@ -103,6 +98,7 @@
 		double rate = 0.0;          ///< 0 after the limit has ended.
 		Micros slot = kSecond;      ///< Length of a slot.
 		std::uint64_t nextSlot = 0; ///< First slot that this gateway has not used.
+		std::uint64_t dealt = 0;    ///< Number of the change of the members after which nextSlot was set.
 		Micros saidAt = 0;          ///< Agreed time at which the server last named the limit, or no limit.
 		unsigned reportRounds = 0;  ///< Rounds in which the last change is still to be reported.
 		bool ownChange = false;     ///< The last change was in an answer to this gateway.
@@ -120,6 +116,7 @@
 	std::unordered_map<BackendKey, Entry, BackendKeyHash> m_entries;
 	std::size_t m_members = 1;
 	std::size_t m_index = 0;
+	std::uint64_t m_changes = 0; ///< Changes of the members.
 };
 
 } // namespace beacongate
--- a/src/coordination/slotgrant.h
+++ b/src/coordination/slotgrant.h
@@ -2,7 +2,8 @@
 // Licence: BSD-2-Clause, see LICENSE.
 
 /// @file
-/// Messages between gateways about the slots of brittle backend servers. Their encoding is in protocol/slotcodec.h.
+/// Messages between gateways about the slots of brittle backend servers and about servers with limits. Their
+/// encoding is in protocol/slotcodec.h.
 
 #ifndef BEACONGATE_COORDINATION_SLOTGRANT_H
 #define BEACONGATE_COORDINATION_SLOTGRANT_H
@@ -11,6 +12,7 @@
 #include "coordination/directory.h"
 
 #include <cstdint>
+#include <optional>
 #include <variant>
 
 namespace beacongate
@@ -24,15 +26,16 @@
 	std::uint64_t lastGrant = 0;
 };
 
-/// Asks for a slot.
+/// Asks for leave to send a request to a brittle server or to one with a limit.
 struct SlotRequest
 {
 	std::uint64_t id = 0; ///< Number given by the requester.
 	SlotUse use;
-	unsigned slots = 1;      ///< Slots of the backend server.
-	double rejections = 0.0; ///< Rejections that it bears in a second.
-	unsigned priority = 0;   ///< A smaller value goes first.
-	Micros patience = 0;     ///< For how long the request may be queued.
+	unsigned slots = 1;               ///< Slots of the backend server.
+	std::optional<double> rejections; ///< Rejections that it bears in a second; nothing if it is not brittle.
+	unsigned priority = 0;            ///< A smaller value goes first.
+	Micros patience = 0;              ///< For how long the request may be queued.
+	std::optional<double> limit = {}; ///< Requests a second that it allows; nothing if it names no limit.
 };
 
 /// Decision on a request for a slot.
@@ -50,6 +53,8 @@
 	BackendKey backend;
 	SlotOutcome outcome = SlotOutcome::Denied;
 	std::uint64_t grant = 0; ///< Number of the grant; a later grant of the same grantor has a larger one.
+	Micros wait =
+		0; ///< Time after which a denied request may be granted, as far as the server's limit is concerned.
 };
 
 /// Tells what a gateway has in flight, after a request has ended and at intervals.
@@ -57,9 +62,18 @@
 {
 	SlotUse use;
 	bool rejected = false; ///< The backend server rejected the request that ended, for want of room.
+	bool unused = false;   ///< A grant of the receiver is not used.
 };
 
-using SlotMessage = std::variant<SlotRequest, SlotAnswer, SlotReport>;
+/// Tells that a request is sent to a server with a limit without a grant of the receiver, which may have to grant
+/// the next ones.
+struct PacedNotice
+{
+	BackendKey backend;
+	double limit = 0.0; ///< Requests a second that it allows.
+};
+
+using SlotMessage = std::variant<SlotRequest, SlotAnswer, SlotReport, PacedNotice>;
 
 } // namespace beacongate
 
--- a/src/coordination/slotgrantor.cpp
+++ b/src/coordination/slotgrantor.cpp
@@ -22,8 +22,13 @@
 {
 	Server& server = serverOf(_request.use.backend, _now);
 	server.slots = std::max(1u, _request.slots);
-	server.rejections = _request.rejections;
 	server.reported = _reported;
+	_request.limit ? setPace(server, *_request.limit, _now) : void();
+	if (!_request.rejections)
+	{
+		return server;
+	}
+	server.rejections = *_request.rejections;
 	if (!server.requested)
 	{
 		server.requested = true;
@@ -97,7 +102,18 @@
 	}
 }
 
-bool SlotGrantor::mayGrant(const Server& _server, Micros _now)
+void SlotGrantor::setPace(Server& _server, double _limit, Micros _now)
+{
+	_server.pace ? _server.pace->setRate(_limit, _now) : void(_server.pace.emplace(_limit, _now));
+}
+
+bool SlotGrantor::mayGrant(const Server& _server, const Waiting& _request, Micros _now)
+{
+	const bool paced = !_request.needsPace || _server.pace->waitFor(1, _now) == 0;
+	return paced && (!_request.needsSlot || hasSlot(_server, _now));
+}
+
+bool SlotGrantor::hasSlot(const Server& _server, Micros _now)
 {
 	const unsigned inUse = occupied(_server, _now);
 	if (inUse >= _server.slots)
@@ -117,18 +133,22 @@
 	return _now >= _server.nextTrial && _server.tried < trialSize(_server);
 }
 
-SlotAnswer SlotGrantor::grant(Server& _server, BackendKey _key, const std::string& _host, std::uint64_t _id,
-							  Micros _now)
+SlotAnswer SlotGrantor::grant(Server& _server, BackendKey _key, const Waiting& _request, Micros _now)
 {
-	if (occupied(_server, _now) >= _server.proven)
+	if (_server.pace)
+	{
+		_server.pace->onSent(_now);
+		m_paced ? m_paced(_key, _server.pace->rate()) : void();
+	}
+	if (_request.needsSlot && occupied(_server, _now) >= _server.proven)
 	{
 		_server.trialAt = _server.tried == 0 ? _now : _server.trialAt;
 		++_server.tried;
 	}
-	Holder& holder = _server.holders[_host];
+	Holder& holder = _server.holders[_request.host];
 	holder.heard = _now;
-	holder.unconfirmed.push_back({++m_lastGrant, _id, _now});
-	return {_id, _key, SlotOutcome::Granted, m_lastGrant};
+	holder.unconfirmed.push_back({++m_lastGrant, _request.id, _now});
+	return {_request.id, _key, SlotOutcome::Granted, m_lastGrant};
 }
 
 SlotAnswer SlotGrantor::decide(const SlotRequest& _request, const std::string& _host, unsigned _reported,
@@ -158,23 +178,43 @@
 		return {_request.id, key, SlotOutcome::Queued, 0};
 	}
 	serveQueue(key, server, _now);
-	if (server.queue.empty() && mayGrant(server, _now))
-	{
-		return grant(server, key, _host, _request.id, _now);
-	}
-	if (_request.patience <= 0 || server.queue.size() >= std::size_t{kQueueFactor} * server.slots)
+	const Waiting waiting{_host,
+						  _request.id,
+						  _request.priority,
+						  _now + _request.patience,
+						  _request.rejections.has_value(),
+						  _request.limit.has_value()};
+	if (server.queue.empty() && mayGrant(server, waiting, _now))
 	{
-		return {_request.id, key, SlotOutcome::Denied, 0};
+		return grant(server, key, waiting, _now);
 	}
 	const auto isBehind = [&](const Waiting& _waiting)
 	{
 		return _waiting.priority > _request.priority;
 	};
 	const auto place = std::find_if(server.queue.begin(), server.queue.end(), isBehind);
-	server.queue.insert(place, {_host, _request.id, _request.priority, _now + _request.patience});
+	const auto before = static_cast<std::size_t>(std::distance(server.queue.begin(), place));
+	const Micros wait = waiting.needsPace ? server.pace->waitFor(before + 1, _now) : 0;
+	const bool full = server.queue.size() >= std::size_t{kQueueFactor} * server.slots;
+	if (_request.patience <= 0 || full || wait > _request.patience)
+	{
+		return deny(server, _request, wait, _now);
+	}
+	server.queue.insert(place, waiting);
 	return {_request.id, key, SlotOutcome::Queued, 0};
 }
 
+SlotAnswer SlotGrantor::deny(Server& _server, const SlotRequest& _request, Micros _wait, Micros _now)
+{
+	SlotAnswer answer{_request.id, _request.use.backend, SlotOutcome::Denied, 0};
+	if (_request.limit)
+	{
+		_server.nextAsk = std::clamp(_server.nextAsk + kAskInterval, _now + _wait, _now + _wait + kMaxAskDelay);
+		answer.wait = _server.nextAsk - _now;
+	}
+	return answer;
+}
+
 void SlotGrantor::onRejected(Server& _server, Micros _now)
 {
 	_server.rejectedAt.push_back(_now);
@@ -193,16 +233,27 @@
 	{
 		onRejected(server, _now);
 	}
+	if (_report.unused && server.pace)
+	{
+		server.pace->onReturned(_now);
+	}
 	serveQueue(_report.use.backend, server, _now);
 }
 
+void SlotGrantor::onPaced(const PacedNotice& _notice, Micros _now)
+{
+	Server& server = serverOf(_notice.backend, _now);
+	setPace(server, _notice.limit, _now);
+	server.pace->onSent(_now);
+}
+
 void SlotGrantor::serveQueue(BackendKey _key, Server& _server, Micros _now)
 {
-	while (!_server.queue.empty() && mayGrant(_server, _now))
+	while (!_server.queue.empty() && mayGrant(_server, _server.queue.front(), _now))
 	{
 		const Waiting first = _server.queue.front();
 		_server.queue.erase(_server.queue.begin());
-		m_send(first.host, grant(_server, _key, first.host, first.id, _now));
+		m_send(first.host, grant(_server, _key, first, _now));
 	}
 }
 
--- a/src/coordination/slotgrantor.h
+++ b/src/coordination/slotgrantor.h
@@ -2,11 +2,12 @@
 // Licence: BSD-2-Clause, see LICENSE.
 
 /// @file
-/// Grants the slots of brittle backend servers to all gateways.
+/// Grants the slots of brittle backend servers, and the requests that limits allow, to all gateways.
 
 #ifndef BEACONGATE_COORDINATION_SLOTGRANTOR_H
 #define BEACONGATE_COORDINATION_SLOTGRANTOR_H
 
+#include "coordination/requestpace.h"
 #include "coordination/slotgrant.h"
 
 #include <deque>
@@ -18,7 +19,11 @@
 
 namespace beacongate
 {
-/// The slots of the backend servers that this gateway grants.
+/// The slots and the requests under limits that this gateway grants.
+///
+/// A server with a limit takes a number of requests a second from all gateways together. Turns or shares for each
+/// gateway would change hands with every change of the members, and leave unused what a gateway does not need. So
+/// one gateway paces each server (RequestPace), and notes the requests that others granted.
 ///
 /// A brittle server falls over if it rejects more than a number of requests in a second, whichever gateways sent
 /// them. Load reports are too old to prevent that, and a share of the slots for each gateway is less than one slot
@@ -32,6 +37,7 @@
 {
 public:
 	using Send = std::function<void(const std::string& _host, const SlotAnswer& _answer)>;
+	using Paced = std::function<void(BackendKey _backend, double _limit)>;
 
 	/// Share of its slots for which a server is taken to have room before any are tried.
 	static constexpr double kAssumedRoom = 0.5;
@@ -52,6 +58,11 @@
 	static constexpr Micros kStartSpan = 1500 * kMillisecond;
 	/// Largest number of requests that wait for a server, as a multiple of its slots.
 	static constexpr unsigned kQueueFactor = 2;
+	/// Time between the next questions of two gateways that were denied under a limit. It bounds the questions
+	/// about a server without room, whatever the number of gateways.
+	static constexpr Micros kAskInterval = 5 * kMillisecond;
+	/// Longest time by which that delays a gateway.
+	static constexpr Micros kMaxAskDelay = 4 * kSecond;
 
 	/// @param[in] _firstGrant Start of the numbering, drawn at random at each start.
 	explicit SlotGrantor(std::uint64_t _firstGrant = 0) : m_lastGrant(_firstGrant)
@@ -64,6 +75,12 @@
 		m_send = std::move(_send);
 	}
 
+	/// Sets the function that is told of each request granted at a server with a limit.
+	void setPaced(Paced _paced)
+	{
+		m_paced = std::move(_paced);
+	}
+
 	/// Decides on a request.
 	/// @param[in] _host Gateway that sent it.
 	/// @param[in] _reported Requests in flight at the server by the load reports of all gateways.
@@ -72,6 +89,9 @@
 	/// Processes a report of a gateway.
 	void onReport(const SlotReport& _report, const std::string& _host, Micros _now);
 
+	/// Processes a notice of a gateway.
+	void onPaced(const PacedNotice& _notice, Micros _now);
+
 	/// Answers the queued requests for which slots have become free. Must be called every few milliseconds while
 	/// requests are queued.
 	void advance(Micros _now);
@@ -98,12 +118,15 @@
 		Micros heard = 0;
 	};
 
+	/// A request, and what it has to be granted for.
 	struct Waiting
 	{
 		std::string host;
 		std::uint64_t id = 0;
 		unsigned priority = 0;
 		Micros until = 0;
+		bool needsSlot = false; ///< The server is brittle.
+		bool needsPace = false; ///< The server has a limit.
 	};
 
 	struct Server
@@ -121,6 +144,8 @@
 		Micros nextTrial = 0;
 		Micros trialPause = 0;         ///< Pause after the next rejection.
 		std::deque<Micros> rejectedAt; ///< Rejections within the last second.
+		std::optional<RequestPace> pace;
+		Micros nextAsk = 0; ///< When the gateway that was denied last may ask again.
 	};
 
 	Server& serverOf(BackendKey _key, Micros _now);
@@ -131,15 +156,20 @@
 	static void update(Server& _server, Micros _now);
 	/// @returns the slots in use, as far as is known.
 	static unsigned occupied(const Server& _server, Micros _now);
-	static bool mayGrant(const Server& _server, Micros _now);
+	static bool mayGrant(const Server& _server, const Waiting& _request, Micros _now);
+	/// @returns true if a slot is free, or may be tried.
+	static bool hasSlot(const Server& _server, Micros _now);
+	static void setPace(Server& _server, double _limit, Micros _now);
+	static SlotAnswer deny(Server& _server, const SlotRequest& _request, Micros _wait, Micros _now);
 	/// @returns the number of slots that one trial adds.
 	static unsigned trialSize(const Server& _server);
 	static Micros firstTrialPause(const Server& _server);
-	SlotAnswer grant(Server& _server, BackendKey _key, const std::string& _host, std::uint64_t _id, Micros _now);
+	SlotAnswer grant(Server& _server, BackendKey _key, const Waiting& _request, Micros _now);
 	void serveQueue(BackendKey _key, Server& _server, Micros _now);
 
 	std::uint64_t m_lastGrant;
 	Send m_send;
+	Paced m_paced;
 	std::unordered_map<BackendKey, Server, BackendKeyHash> m_servers;
 };
 
--- a/src/coordination/slotpermits.cpp
+++ b/src/coordination/slotpermits.cpp
@@ -52,7 +52,7 @@
 	}
 	if (_ticket.id == 0)
 	{
-		_ticket = {++m_lastId, _need.backend};
+		_ticket = {++m_lastId, _need.backend, false};
 		Pending& pending = m_pending[_ticket.id];
 		pending.need = _need;
 		pending.decided = std::move(_decided);
@@ -75,12 +75,31 @@
 	}
 	const bool granted = pending.state == State::Granted;
 	Server& server = serverOf(_need.backend);
-	granted ? onPlaced(server) : void();
-	server.passedOverUntil = granted ? server.passedOverUntil : _now + kDeniedSpan;
+	if (granted)
+	{
+		onPlaced(server);
+		_ticket.paced = pending.need.limit.has_value();
+	}
+	else
+	{
+		server.passedOverUntil = _now + std::max(kDeniedSpan, pending.wait);
+		server.atLimit = pending.need.limit && (pending.wait > 0 || !pending.need.rejections);
+	}
 	m_pending.erase(std::exchange(_ticket.id, 0));
 	return granted ? SlotVerdict::Granted : SlotVerdict::Denied;
 }
 
+bool SlotPermits::isQueued(const SlotTicket& _ticket) const
+{
+	const auto pending = m_pending.find(_ticket.id);
+	return pending != m_pending.end() && pending->second.state == State::Queued;
+}
+
+Micros SlotPermits::patienceOf(const SlotNeed& _need)
+{
+	return std::min(_need.patience, _need.limit ? kMaxPacedPatience : kMaxPatience);
+}
+
 void SlotPermits::onPlaced(Server& _server)
 {
 	// The entry is new, without grants, if the server was removed from the list meanwhile.
@@ -92,11 +111,10 @@
 	_pending.waited = 0;
 	_pending.resent = false;
 	_pending.state = State::Asked;
+	_pending.askedAt = _now;
 	if (_pending.nextHome == _pending.homes.size())
 	{
-		const bool allowed = allowsAlone(_pending.need);
-		_pending.state = allowed ? State::Granted : State::Denied;
-		serverOf(_pending.need.backend).unplaced += allowed ? 1 : 0;
+		decideAlone(_pending, _now);
 		return;
 	}
 	const std::string home = _pending.homes[_pending.nextHome++];
@@ -108,7 +126,8 @@
 	const SlotNeed& need = _pending.need;
 	const SlotRequest request{_id,           useOf(need.backend, serverOf(need.backend), _home, _now),
 							  need.slots,    need.rejections,
-							  need.priority, std::min(need.patience, kMaxPatience)};
+							  need.priority, patienceOf(need),
+							  need.limit};
 	if (_home == m_host)
 	{
 		const unsigned reported = m_loads.totalInFlight(need.backend);
@@ -121,7 +140,7 @@
 void SlotPermits::poll(std::uint64_t _id, Pending& _pending, Micros _now)
 {
 	_pending.waited += std::min(_now - std::exchange(_pending.polledAt, _now), kMaxPollInterval);
-	if (_pending.state == State::Queued && _pending.waited > kMaxPatience + kAnswerTimeout)
+	if (_pending.state == State::Queued && _pending.waited > patienceOf(_pending.need) + kAnswerTimeout)
 	{
 		_pending.state = State::Denied;
 	}
@@ -157,7 +176,50 @@
 	}
 }
 
-bool SlotPermits::allowsAlone(const SlotNeed& _need) const
+void SlotPermits::decideAlone(Pending& _pending, Micros _now)
+{
+	const SlotNeed& need = _pending.need;
+	bool allowed = !need.rejections || hasShareLeft(need);
+	if (allowed && need.limit)
+	{
+		_pending.wait = m_takeTurn ? m_takeTurn(need.backend) : 0;
+		allowed = _pending.wait == 0;
+	}
+	_pending.state = allowed ? State::Granted : State::Denied;
+	if (!allowed)
+	{
+		return;
+	}
+	++serverOf(need.backend).unplaced;
+	if (need.limit)
+	{
+		// The homes may be slow and not gone.
+		m_grantor.onPaced({need.backend, *need.limit}, _now);
+		tellPaced(need.backend, *need.limit);
+	}
+}
+
+void SlotPermits::tellPaced(BackendKey _key, double _limit)
+{
+	const std::vector<std::string>& homes = serverOf(_key).homes;
+	const std::size_t count = std::min(homes.size(), kReported);
+	for (std::size_t place = 0; place < count; ++place)
+	{
+		homes[place] != m_host ? m_send(homes[place], PacedNotice{_key, _limit}) : void();
+	}
+}
+
+void SlotPermits::onLimitEnded(BackendKey _key)
+{
+	const auto server = m_servers.find(_key);
+	if (server != m_servers.end() && server->second.atLimit)
+	{
+		server->second.passedOverUntil = 0;
+		server->second.atLimit = false;
+	}
+}
+
+bool SlotPermits::hasShareLeft(const SlotNeed& _need) const
 {
 	const auto share = std::max<std::size_t>(1, _need.slots / m_memberCount);
 	return m_loads.ownInFlight(_need.backend) < share && m_loads.totalInFlight(_need.backend) < _need.slots;
@@ -184,6 +246,7 @@
 		break;
 	case SlotOutcome::Denied:
 		_pending.state = State::Denied;
+		_pending.wait = _answer.wait;
 		break;
 	}
 }
@@ -197,16 +260,17 @@
 					   found->second.homes[found->second.nextHome - 1] == _host;
 	if (!waits)
 	{
-		if (_answer.outcome == SlotOutcome::Granted)
-		{
-			Server& server = serverOf(_answer.backend);
-			server.lastGrant =
-				server.grantor == _host ? std::max(server.lastGrant, _answer.grant) : server.lastGrant;
-			sendReport(_answer.backend, false, _now);
-		}
+		_answer.outcome == SlotOutcome::Granted ? onUnusedGrant(_host, _answer, _now) : void();
 		return;
 	}
 	Pending& pending = found->second;
+	const bool tooOld = pending.need.limit && _now - pending.askedAt > kMaxPacedPatience + kAnswerTimeout;
+	if (tooOld && _answer.outcome == SlotOutcome::Granted)
+	{
+		pending.state = State::Denied;
+		onUnusedGrant(_host, _answer, _now);
+		return;
+	}
 	apply(pending, _host, _answer);
 	if (pending.state == State::Granted || pending.state == State::Denied)
 	{
@@ -216,6 +280,27 @@
 	}
 }
 
+void SlotPermits::onUnusedGrant(const std::string& _host, const SlotAnswer& _answer, Micros _now)
+{
+	Server& server = serverOf(_answer.backend);
+	if (server.grantor == _host)
+	{
+		// An answer that arrives twice is no second grant.
+		const bool isNew = _answer.grant > server.lastGrant;
+		server.lastGrant = std::max(server.lastGrant, _answer.grant);
+		isNew ? returnGrant(_answer.backend, _now) : void();
+	}
+	sendReport(_answer.backend, false, _now);
+}
+
+void SlotPermits::returnGrant(BackendKey _key, Micros _now)
+{
+	Server& server = serverOf(_key);
+	SlotReport report{useOf(_key, server, server.grantor, _now), false};
+	report.unused = true;
+	server.grantor.empty() ? void() : sendTo(server.grantor, report, _now);
+}
+
 const KnownBackend* SlotPermits::waitsFor(SlotTicket& _ticket, const Availability& _available, Micros _now)
 {
 	if (_ticket.id == 0)
@@ -235,6 +320,7 @@
 
 void SlotPermits::abandon(SlotTicket& _ticket, Micros _now)
 {
+	_ticket.paced = false;
 	// A grant that arrives later is returned, since no request waits for it.
 	const auto pending = m_pending.find(std::exchange(_ticket.id, 0));
 	if (pending == m_pending.end())
@@ -242,11 +328,13 @@
 		return;
 	}
 	const bool granted = pending->second.state == State::Granted;
+	const bool paced = pending->second.need.limit.has_value();
 	m_pending.erase(pending);
 	if (granted)
 	{
 		onPlaced(serverOf(_ticket.backend));
 		sendReport(_ticket.backend, false, _now);
+		paced ? returnGrant(_ticket.backend, _now) : void();
 	}
 }
 
@@ -272,18 +360,15 @@
 	}
 	for (const std::string& home : homes)
 	{
-		const SlotReport report{useOf(_key, server, home, _now), _rejected};
-		if (home == m_host)
-		{
-			m_grantor.onReport(report, m_host, _now);
-		}
-		else
-		{
-			m_send(home, report);
-		}
+		sendTo(home, {useOf(_key, server, home, _now), _rejected}, _now);
 	}
 }
 
+void SlotPermits::sendTo(const std::string& _home, const SlotReport& _report, Micros _now)
+{
+	_home == m_host ? m_grantor.onReport(_report, m_host, _now) : m_send(_home, _report);
+}
+
 void SlotPermits::report(const std::vector<BackendKey>& _keys, Micros _now)
 {
 	for (const BackendKey key : _keys)
@@ -305,9 +390,21 @@
 	{
 		const auto server = m_servers.find(_backend->key);
 		const bool waitedFor = _ticket.id != 0 && _ticket.backend == _backend->key;
-		return !waitedFor && server != m_servers.end() && server->second.passedOverUntil > _now;
+		if (waitedFor || server == m_servers.end() || server->second.passedOverUntil <= _now)
+		{
+			return false;
+		}
+		if (server->second.atLimit)
+		{
+			_available.earliestEnd = std::min(_available.earliestEnd, server->second.passedOverUntil);
+		}
+		else
+		{
+			_available.limited = true;
+		}
+		return true;
 	};
-	_available.limited = std::erase_if(_available.open, passedOver) > 0 || _available.limited;
+	std::erase_if(_available.open, passedOver);
 }
 
 void SlotPermits::retain(const std::map<std::string, KnownBackend>& _known)
--- a/src/coordination/slotpermits.h
+++ b/src/coordination/slotpermits.h
@@ -27,16 +27,18 @@
 {
 	std::uint64_t id = 0; ///< Number of the request for a slot; 0 for none.
 	BackendKey backend;
+	bool paced = false; ///< The last grant was one under the server's limit.
 };
 
 /// The slot that a request needs.
 struct SlotNeed
 {
 	BackendKey backend;
-	unsigned slots = 1;      ///< Slots of the backend server.
-	double rejections = 0.0; ///< Rejections that it bears in a second.
-	unsigned priority = 0;   ///< A smaller value goes first.
-	Micros patience = 0;     ///< For how long the request can wait.
+	unsigned slots = 1;               ///< Slots of the backend server.
+	std::optional<double> rejections; ///< Rejections that it bears in a second; nothing if it is not brittle.
+	unsigned priority = 0;            ///< A smaller value goes first.
+	Micros patience = 0;              ///< For how long the request can wait.
+	std::optional<double> limit = {}; ///< Requests a second that it allows; nothing if it names no limit.
 };
 
 enum class SlotVerdict : std::uint8_t
@@ -46,17 +48,21 @@
 	Denied, ///< The backend server is to be passed over for a while.
 };
 
-/// This gateway's slots at brittle backend servers.
+/// This gateway's slots at brittle backend servers, and its requests under limits.
 ///
 /// The grantor of a server is the first of its homes, which all gateways find by rendezvous hashing. The second one
 /// takes its place if it does not answer; it hears all reports as well, so that it knows what is in use. Costs, for
 /// each request to a brittle server and whatever the size of the fleet: one question, one or two answers, and
-/// kReported reports at its end.
+/// kReported reports at its end; for each request under a limit: one question, one or two answers, and a notice of
+/// the grantor to the next home, so that the limit holds if that one takes over.
 class SlotPermits
 {
 public:
 	using Send = std::function<void(const std::string& _host, const SlotMessage& _message)>;
 	using Decided = std::function<void()>;
+	/// Takes a turn under a server's limit if one is due.
+	/// @returns 0 if it was taken, else the time until the next one.
+	using TakeTurn = std::function<Micros(BackendKey _backend)>;
 
 	/// Homes that are asked, one after the other.
 	static constexpr std::size_t kHomes = 3;
@@ -72,6 +78,11 @@
 	static constexpr Micros kMaxSilentSpan = 8 * kSecond;
 	/// Longest time in a grantor's queue. Meanwhile other servers may have free slots.
 	static constexpr Micros kMaxPatience = 150 * kMillisecond;
+	/// The same for a server with a limit: its grantor knows when each queued request is granted.
+	static constexpr Micros kMaxPacedPatience = 1 * kSecond;
+	/// Age from which a grant under a limit is not used any more. Requests that were held up together would reach
+	/// the server together.
+	static constexpr Micros kMaxGrantAge = 1 * kSecond;
 	/// Time for which a server whose grantor denied a slot is passed over.
 	static constexpr Micros kDeniedSpan = 50 * kMillisecond;
 	/// Time for which a request still counts at its server after its caller has left, since some servers go on
@@ -96,6 +107,12 @@
 		m_send = std::move(_send);
 	}
 
+	/// Sets the function that decides under limits where no home answers.
+	void setTakeTurn(TakeTurn _takeTurn)
+	{
+		m_takeTurn = std::move(_takeTurn);
+	}
+
 	/// Replaces the known members of the fleet.
 	void setMembers(const std::set<MemberRecord>& _members);
 
@@ -107,6 +124,9 @@
 	/// nullptr, after ending a wait for another one.
 	const KnownBackend* waitsFor(SlotTicket& _ticket, const Availability& _available, Micros _now);
 
+	/// @returns true if a request waits in the queue of a grantor.
+	bool isQueued(const SlotTicket& _ticket) const;
+
 	/// Ends a request for a slot that is not needed any more.
 	void abandon(SlotTicket& _ticket, Micros _now);
 
@@ -115,6 +135,12 @@
 	/// @param[in] _abandoned It was sent, and ended without an answer.
 	void onEnded(BackendKey _key, bool _rejected, bool _abandoned, Micros _now);
 
+	/// Tells the other homes of a server that a request is sent there which they have not granted.
+	void tellPaced(BackendKey _key, double _limit);
+
+	/// Notes that a server names no limit any more.
+	void onLimitEnded(BackendKey _key);
+
 	/// Processes the answer of another gateway, or of this one.
 	void onAnswer(const std::string& _host, const SlotAnswer& _answer, Micros _now);
 
@@ -122,8 +148,8 @@
 	/// @param[in] _keys Brittle servers at which this gateway may have requests in flight.
 	void report(const std::vector<BackendKey>& _keys, Micros _now);
 
-	/// Removes servers that are to be passed over for a while, but not the one for which a request waits. They may
-	/// take requests at any moment.
+	/// Removes servers that are to be passed over for a while, but not the one for which a request waits. Brittle
+	/// ones may take requests at any moment; for those at their limits, the time is known.
 	void narrow(Availability& _available, const SlotTicket& _ticket, Micros _now) const;
 
 	/// Removes backend servers that are no longer known.
@@ -145,8 +171,10 @@
 		std::vector<std::string> homes; ///< That can be asked, best first.
 		std::size_t nextHome = 0;
 		bool resent = false;
+		Micros askedAt = 0; ///< When the last home was asked first.
 		Micros polledAt = 0;
 		Micros waited = 0; ///< For the last home.
+		Micros wait = 0;   ///< Time until a denied request may be granted under the server's limit.
 		Decided decided;
 	};
 
@@ -157,6 +185,7 @@
 		std::uint64_t lastGrant = 0;    ///< Of that home.
 		unsigned unplaced = 0;          ///< Grants whose requests have not been sent yet.
 		Micros passedOverUntil = 0;
+		bool atLimit = false;              ///< It is passed over because of its limit.
 		std::deque<Micros> abandonedUntil; ///< Ends of the times for which abandoned requests count.
 		Micros reportedAt = kLongAgo;
 		bool repeats = false; ///< The last report has not been repeated.
@@ -173,12 +202,21 @@
 	/// Notes that a granted request has been sent, or will not be.
 	static void onPlaced(Server& _server);
 	void sendReport(BackendKey _key, bool _rejected, Micros _now);
+	/// Sends a report to one home, or processes it if that is this gateway.
+	void sendTo(const std::string& _home, const SlotReport& _report, Micros _now);
+	/// Processes a grant that no request waits for.
+	void onUnusedGrant(const std::string& _host, const SlotAnswer& _answer, Micros _now);
+	/// Returns a grant under a limit that no request uses.
+	void returnGrant(BackendKey _key, Micros _now);
+	static Micros patienceOf(const SlotNeed& _need);
 	void askNext(std::uint64_t _id, Pending& _pending, Micros _now);
 	void ask(std::uint64_t _id, const Pending& _pending, const std::string& _home, Micros _now);
 	void poll(std::uint64_t _id, Pending& _pending, Micros _now);
 	void apply(Pending& _pending, const std::string& _host, const SlotAnswer& _answer);
 	/// Decides where no home answers.
-	bool allowsAlone(const SlotNeed& _need) const;
+	void decideAlone(Pending& _pending, Micros _now);
+	/// @returns true if this gateway has its share of a brittle server's slots left.
+	bool hasShareLeft(const SlotNeed& _need) const;
 	void noteSilence(const std::string& _host, Micros _now);
 
 	const Balancer& m_loads;
@@ -186,6 +224,7 @@
 	std::string m_host;
 	std::uint64_t m_lastId;
 	Send m_send;
+	TakeTurn m_takeTurn;
 	RendezvousHomes m_homes;
 	std::size_t m_memberCount = 1;
 	std::unordered_map<std::uint64_t, Pending> m_pending;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -332,7 +332,8 @@
 	const KnownBackend* backend = chooseBackend(candidates, now);
 	if (!backend)
 	{
-		return refuseWithoutRoom(candidates, now);
+		// Servers at their limits may just have been found.
+		return refuseWithoutRoom(m_context.limits.size() > 0 ? available(now) : candidates, now);
 	}
 	send(*backend);
 	return true;
@@ -357,7 +358,7 @@
 	m_attempt.slots = _backend.record.slots;
 	m_attempt.resumed = m_lastEventId.has_value() || !m_info.lastEventId.empty();
 	m_attempt.limit = m_context.limits.limitOf(_backend.key);
-	m_attempt.slotTaken = m_attempt.limit && m_context.limits.take(_backend.key, m_context.clock.trueTime(now));
+	m_attempt.paced = m_slotTicket.paced;
 	m_attempt.backoffProbe = m_context.backoffs.onPlaced(_backend.key, now);
 	m_context.balancer.onSent(_backend.key, m_placement);
 	m_context.suspects.onPlaced(m_subjects, _backend.key);
@@ -439,11 +440,9 @@
 	const bool listed =
 		m_context.directory.takesWork(m_attempt.backend, now) && !m_context.directory.listOutdated(now);
 	const bool inBackoff = m_context.backoffs.left(m_attempt.key, now) > 0;
-	m_attempt.withheld = !inTime || !listed || inBackoff || isBlocked();
-	if (!m_attempt.withheld && !m_attempt.slotTaken)
-	{
-		m_attempt.withheld = !m_context.limits.take(m_attempt.key, m_context.clock.trueTime(now));
-	}
+	const bool granted = m_attempt.paced && now - m_attempt.sent <= SlotPermits::kMaxGrantAge;
+	const bool overLimit = !granted && m_context.limits.limitOf(m_attempt.key);
+	m_attempt.withheld = !inTime || !listed || inBackoff || overLimit || isBlocked();
 	return !m_attempt.withheld;
 }
 
@@ -570,6 +569,7 @@
 			  {"standing", m_sendCount == 0 ? "-" : std::string(toString(m_attempt.listingState))},
 			  {"backoff_left_ms", millisText(m_attempt.backoffLeft)},
 			  {"limit_per_s", m_attempt.limit ? std::to_string(*m_attempt.limit) : "-"},
+			  {"paced", m_attempt.paced ? "yes" : "no"},
 			  {"members", std::to_string(m_context.relays.memberCount())},
 			  {"member_index", std::to_string(m_context.relays.index())}});
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -77,7 +77,7 @@
 		EventSplitter events;
 		Micros listAge = 0; ///< Age of the list of backend servers when the request was sent.
 		ListingState listingState = ListingState::Gone; ///< State of the backend server in that list.
-		bool slotTaken = false;      ///< A slot was taken under the server's limit, see BackendLimits.
+		bool paced = false;                             ///< It was granted under the server's limit.
 		std::optional<double> limit; ///< Requests a second that the server was known to allow when it was chosen.
 		bool backoffProbe = false;   ///< This is one of the few requests that a server gets after its backoff.
 		Micros backoffLeft = 0;      ///< Remaining backoff of the server when the request was sent.
@@ -122,13 +122,17 @@
 	/// Chooses a backend server. Requests that may crash their servers are kept apart.
 	Placement place(const Availability& _available, Micros _now);
 	bool isBlocked() const;
-	/// Chooses a backend server, and takes a slot of it if it is brittle.
+	/// Chooses a backend server, and asks its grantor if it is brittle or names a limit.
 	/// @returns nullptr if the request has to wait.
 	const KnownBackend* chooseBackend(Availability _available, Micros _now);
+	/// @returns a backend server without a limit that has room, for a request that is queued at one with a limit;
+	/// nullptr if there is none.
+	const KnownBackend* replaceQueued(Availability _available, std::optional<double> _rejections, Micros _now);
 	/// @returns the rejections that each server of the request's service bears in a second; nothing if they are not
 	/// brittle.
 	std::optional<double> bearableRejections(Micros _now) const;
-	SlotVerdict takeSlot(const KnownBackend& _backend, double _rejections, Micros _now);
+	SlotVerdict takeSlot(const KnownBackend& _backend, std::optional<double> _rejections,
+						 std::optional<double> _limit, Micros _now);
 	/// @returns the backend servers that take work and may run the request.
 	std::vector<const KnownBackend*> usableBackends(Micros _now) const;
 	/// @returns the key under which gateways remember where the stream began.
--- a/src/gateway/exchangeplacement.cpp
+++ b/src/gateway/exchangeplacement.cpp
@@ -101,29 +101,61 @@
 const KnownBackend* Exchange::chooseBackend(Availability _available, Micros _now)
 {
 	const std::optional<double> rejections = bearableRejections(_now);
-	if (!rejections || m_context.suspects.mustWait(m_subjects))
+	if (m_context.suspects.mustWait(m_subjects))
 	{
 		m_context.slots.abandon(m_slotTicket, _now);
-		const Placement placement = place(_available, _now);
-		return placement.full || m_context.suspects.mustWait(m_subjects) ? nullptr : placement.backend;
+		return nullptr;
 	}
 	while (true)
 	{
 		const KnownBackend* backend = m_context.slots.waitsFor(m_slotTicket, _available, _now);
-		// The grantor of a server knows better than load reports whether it is full.
-		backend = backend ? backend : place(_available, _now).backend;
-		const SlotVerdict verdict = backend ? takeSlot(*backend, *rejections, _now) : SlotVerdict::Pending;
+		if (!backend)
+		{
+			const Placement placement = place(_available, _now);
+			// The grantor of a brittle server knows better than load reports whether it is full.
+			backend = placement.full && !rejections ? nullptr : placement.backend;
+		}
+		if (!backend)
+		{
+			return nullptr;
+		}
+		const std::optional<double> limit = m_context.limits.limitOf(backend->key);
+		if (!rejections && !limit)
+		{
+			m_context.slots.abandon(m_slotTicket, _now);
+			return backend;
+		}
+		const SlotVerdict verdict = takeSlot(*backend, rejections, limit, _now);
 		if (verdict != SlotVerdict::Denied)
 		{
-			return verdict == SlotVerdict::Granted ? backend : nullptr;
+			return verdict == SlotVerdict::Granted ? backend
+												   : replaceQueued(std::move(_available), rejections, _now);
 		}
 		std::erase(_available.open, backend);
 	}
 }
 
-SlotVerdict Exchange::takeSlot(const KnownBackend& _backend, double _rejections, Micros _now)
+const KnownBackend* Exchange::replaceQueued(Availability _available, std::optional<double> _rejections, Micros _now)
+{
+	if (_rejections || !m_context.slots.isQueued(m_slotTicket))
+	{
+		return nullptr;
+	}
+	std::erase_if(_available.open, [this](const KnownBackend* _backend)
+				  { return m_context.limits.limitOf(_backend->key).has_value(); });
+	const Placement placement = place(_available, _now);
+	if (!placement.backend || placement.full)
+	{
+		return nullptr;
+	}
+	m_context.slots.abandon(m_slotTicket, _now);
+	return placement.backend;
+}
+
+SlotVerdict Exchange::takeSlot(const KnownBackend& _backend, std::optional<double> _rejections,
+							   std::optional<double> _limit, Micros _now)
 {
-	SlotNeed need{_backend.key, _backend.record.slots, _rejections, m_priority, timeLeft(_now)};
+	SlotNeed need{_backend.key, _backend.record.slots, _rejections, m_priority, timeLeft(_now), _limit};
 	if (!m_mayHaveRun)
 	{
 		need.patience = std::min(need.patience, m_request.received + m_route->targetLatency - _now);
@@ -148,7 +180,6 @@
 	// Backoffs and limits are applied before the balancer chooses, so that no fallback of the balancer overrides
 	// them.
 	Availability available = m_context.backoffs.available(usableBackends(_now), _excluded, _now);
-	m_context.limits.narrow(available, _now, m_context.clock.trueTime(_now));
 	m_context.slots.narrow(available, m_slotTicket, _now);
 	return available;
 }
@@ -160,8 +191,8 @@
 	if (m_context.limits.size() > 0)
 	{
 		const Micros until = m_mayHaveRun ? context.waitUntil : std::min(context.answerTarget, context.waitUntil);
-		const std::optional<std::size_t> allowed = m_context.limits.requestsUntil(
-			usableBackends(_now), m_context.clock.trueTime(_now), m_context.clock.trueTime(until));
+		const std::optional<std::size_t> allowed =
+			m_context.limits.requestsWithin(usableBackends(_now), until - _now);
 		context.behindLimit = allowed && m_dispatcher.waitingBefore(this) >= *allowed;
 	}
 	return context;
--- a/src/gateway/gossiperreceive.cpp
+++ b/src/gateway/gossiperreceive.cpp
@@ -106,6 +106,10 @@
 	}
 	m_context.traffic.onReceived(DatagramPurpose::Limit, _bytes.size());
 	m_context.limits.merge(*records, m_context.clock.trueTime(monotonicNow()));
+	for (const BackendLimitRecord& record : *records)
+	{
+		m_context.limits.limitOf(record.key) ? void() : m_context.slots.onLimitEnded(record.key);
+	}
 }
 
 void Gossiper::onQuotaMessage(const QuotaMessage& _message, const std::string& _sender)
--- a/src/gateway/slotexchange.cpp
+++ b/src/gateway/slotexchange.cpp
@@ -30,6 +30,11 @@
 {
 	m_context.slots.setSend([this](const std::string& _host, const SlotMessage& _message)
 							{ sendSlot(_message, _host); });
+	m_context.slots.setTakeTurn(
+		[this](BackendKey _key)
+		{ return m_context.limits.takeTurn(_key, m_context.clock.trueTime(monotonicNow())); });
+	m_context.slotGrantor.setPaced([this](BackendKey _key, double _limit)
+								   { m_context.slots.tellPaced(_key, _limit); });
 	m_context.slotGrantor.setSend(
 		[this](const std::string& _host, const SlotAnswer& _answer)
 		{
@@ -138,6 +143,10 @@
 	{
 		m_context.slotGrantor.onReport(*report, _sender, now);
 	}
+	else if (const auto* notice = std::get_if<PacedNotice>(&*message))
+	{
+		m_context.slotGrantor.onPaced(*notice, now);
+	}
 	return true;
 }
 
--- a/src/protocol/slotcodec.cpp
+++ b/src/protocol/slotcodec.cpp
@@ -23,8 +23,11 @@
 	Request,
 	Answer,
 	Report,
+	PacedNotice,
 };
 
+constexpr double kNone = -1.0; ///< Encodes that a server is not brittle, or names no limit.
+
 Json startFields(Content _content)
 {
 	return Json::array({kDatagramFormat, kSlotKind, static_cast<unsigned>(_content)});
@@ -46,9 +49,10 @@
 		addUse(fields, _request.use);
 		fields.push_back(_request.id);
 		fields.push_back(_request.slots);
-		fields.push_back(_request.rejections);
+		fields.push_back(_request.rejections.value_or(kNone));
 		fields.push_back(_request.priority);
 		fields.push_back(_request.patience);
+		fields.push_back(_request.limit.value_or(kNone));
 		return fields;
 	}
 
@@ -59,6 +63,7 @@
 		fields.push_back(_answer.id);
 		fields.push_back(static_cast<unsigned>(_answer.outcome));
 		fields.push_back(_answer.grant);
+		fields.push_back(_answer.wait);
 		return fields;
 	}
 
@@ -67,6 +72,15 @@
 		Json fields = startFields(Content::Report);
 		addUse(fields, _report.use);
 		fields.push_back(_report.rejected);
+		fields.push_back(_report.unused);
+		return fields;
+	}
+
+	Json operator()(const PacedNotice& _notice) const
+	{
+		Json fields = startFields(Content::PacedNotice);
+		fields.push_back(_notice.backend.value);
+		fields.push_back(_notice.limit);
 		return fields;
 	}
 };
@@ -82,6 +96,18 @@
 	return rejections;
 }
 
+/// @returns the number; nothing for kNone.
+/// @throws Json::exception where the field has the wrong type, or is no finite number.
+std::optional<double> decodeOptional(const Json& _field)
+{
+	const double value = _field.get<double>();
+	if (!std::isfinite(value))
+	{
+		throw Json::other_error::create(0, "not a finite number", nullptr);
+	}
+	return value < 0.0 ? std::nullopt : std::optional<double>(value);
+}
+
 /// @throws Json::exception where a field is missing or has the wrong type.
 SlotUse decodeUse(const Json& _fields)
 {
@@ -99,9 +125,11 @@
 	request.use = decodeUse(_fields);
 	request.id = _fields.at(6).get<std::uint64_t>();
 	request.slots = _fields.at(7).get<unsigned>();
-	request.rejections = decodeRejections(_fields.at(8));
+	request.rejections = decodeOptional(_fields.at(8));
 	request.priority = _fields.at(9).get<unsigned>();
 	request.patience = _fields.at(10).get<Micros>();
+	// An earlier build does not send it.
+	request.limit = _fields.size() > 11 ? decodeOptional(_fields.at(11)) : std::nullopt;
 	return request;
 }
 
@@ -118,9 +146,32 @@
 	}
 	answer.outcome = static_cast<SlotOutcome>(outcome);
 	answer.grant = _fields.at(6).get<std::uint64_t>();
+	answer.wait = _fields.size() > 7 ? std::max<Micros>(0, _fields.at(7).get<Micros>()) : 0;
 	return answer;
 }
 
+/// @throws Json::exception where a field is missing or has the wrong type.
+SlotReport decodeReport(const Json& _fields)
+{
+	SlotReport report{decodeUse(_fields), _fields.at(6).get<bool>()};
+	report.unused = _fields.size() > 7 && _fields.at(7).get<bool>();
+	return report;
+}
+
+/// @throws Json::exception where a field is missing or has the wrong type.
+PacedNotice decodePacedNotice(const Json& _fields)
+{
+	PacedNotice notice;
+	notice.backend.value = _fields.at(3).get<std::uint32_t>();
+	const std::optional<double> limit = decodeOptional(_fields.at(4));
+	if (!limit)
+	{
+		throw Json::other_error::create(0, "not a limit", nullptr);
+	}
+	notice.limit = *limit;
+	return notice;
+}
+
 /// @returns the message; nothing where its content is unknown.
 /// @throws Json::exception where a field is missing or has the wrong type.
 std::optional<SlotMessage> decodeFields(const Json& _fields)
@@ -132,7 +183,9 @@
 	case static_cast<unsigned>(Content::Answer):
 		return decodeAnswer(_fields);
 	case static_cast<unsigned>(Content::Report):
-		return SlotReport{decodeUse(_fields), _fields.at(6).get<bool>()};
+		return decodeReport(_fields);
+	case static_cast<unsigned>(Content::PacedNotice):
+		return decodePacedNotice(_fields);
 	default:
 		return std::nullopt;
 	}
--- a/src/protocol/slotcodec.h
+++ b/src/protocol/slotcodec.h
@@ -2,7 +2,8 @@
 // Licence: BSD-2-Clause, see LICENSE.
 
 /// @file
-/// MessagePack encoding of the datagrams about brittle backend servers: docs/DESIGN.md, "Gateways of two builds".
+/// MessagePack encoding of the datagrams about brittle backend servers and those with limits: docs/DESIGN.md,
+/// "Gateways of two builds".
 
 #ifndef BEACONGATE_PROTOCOL_SLOTCODEC_H
 #define BEACONGATE_PROTOCOL_SLOTCODEC_H
--- a/tests/backendlimitstest.cpp
+++ b/tests/backendlimitstest.cpp
@@ -58,7 +58,7 @@
 		for (Micros now = 0; now < span; now += static_cast<Micros>(gap(random) * static_cast<double>(kSecond)))
 		{
 			const std::size_t number = random() % gateways;
-			if (tables[number].take(kServer, kStart + now + errors[number]))
+			if (tables[number].takeTurn(kServer, kStart + now + errors[number]) == 0)
 			{
 				sent.push_back(now);
 			}
@@ -124,9 +124,9 @@
 TEST(BackendLimits, serverWithoutALimitIsNotLimited)
 {
 	BackendLimits limits;
-	EXPECT_TRUE(limits.take(kServer, kStart));
+	EXPECT_EQ(limits.takeTurn(kServer, kStart), 0);
 	limits.onAnswer(kServer, std::nullopt, 1, 2, kStart);
-	EXPECT_TRUE(limits.take(kServer, kStart));
+	EXPECT_EQ(limits.takeTurn(kServer, kStart), 0);
 	EXPECT_EQ(limits.size(), 0u);
 }
 
@@ -184,10 +184,10 @@
 	expectKeptAndUsed({8, 0.0, 40.0}, 0.0);
 	BackendLimits limits;
 	limits.onAnswer(kServer, 0.0, 0, 0, kStart);
-	EXPECT_TRUE(limits.take(kServer, kStart + 20 * kSecond));
+	EXPECT_EQ(limits.takeTurn(kServer, kStart + 20 * kSecond), 0);
 }
 
-TEST(BackendLimits, serversWithoutASlotAreLeftOutAndTheNextSlotIsNamed)
+TEST(BackendLimits, gatewayWithoutATurnIsToldItsNextOne)
 {
 	BackendLimits limits;
 	KnownBackend limited;
@@ -196,18 +196,25 @@
 	other.key = BackendKey("w2", 1);
 	limits.setMembers(4, 1);
 	limits.onAnswer(kServer, 1.0, 0, 0, kStart);
-	Availability available{{&limited, &other}};
-	limits.narrow(available, 5, kStart);
-	ASSERT_EQ(available.open.size(), 1u);
-	EXPECT_EQ(available.open.front(), &other);
-	EXPECT_LE(available.earliestEnd, 5 + 5 * kSecond);
-	const Micros slot = available.earliestEnd - 5 + kStart;
-	EXPECT_FALSE(limits.take(kServer, slot - 1));
-	EXPECT_EQ(limits.requestsUntil({&limited}, kStart, slot - 1), 0u);
-	EXPECT_EQ(limits.requestsUntil({&limited}, kStart, slot + 8 * kSecond), 3u);
-	EXPECT_EQ(limits.requestsUntil({&limited, &other}, kStart, slot - 1), std::nullopt);
-	EXPECT_TRUE(limits.take(kServer, slot));
-	EXPECT_FALSE(limits.take(kServer, slot));
+	const Micros wait = limits.takeTurn(kServer, kStart);
+	EXPECT_GT(wait, 0);
+	EXPECT_LE(wait, 5 * kSecond);
+	EXPECT_EQ(limits.takeTurn(kServer, kStart + wait - 1), 1);
+	EXPECT_EQ(limits.takeTurn(kServer, kStart + wait), 0);
+	EXPECT_EQ(limits.takeTurn(kServer, kStart + wait), 4 * kSecond);
+	EXPECT_EQ(limits.requestsWithin({&limited}, 8 * kSecond), 9u);
+	EXPECT_EQ(limits.requestsWithin({&limited, &other}, 8 * kSecond), std::nullopt);
+}
+
+TEST(BackendLimits, turnThatBeganBeforeAChangeOfTheMembersIsNotTaken)
+{
+	BackendLimits limits;
+	limits.setMembers(4, 1);
+	limits.onAnswer(kServer, 1.0, 0, 0, kStart);
+	const Micros wait = limits.takeTurn(kServer, kStart);
+	// The slot that has just begun may have been used by its owner before the change.
+	limits.setMembers(1, 0);
+	EXPECT_EQ(limits.takeTurn(kServer, kStart + wait + 1), kSecond - 1);
 }
 
 TEST(OverloadPolicy, requestBehindTheLimitIsRefusedAtOnce)
--- a/tests/limitfleet.h
+++ b/tests/limitfleet.h
@@ -8,10 +8,13 @@
 #define BEACONGATE_TESTS_LIMITFLEET_H
 
 #include "coordination/backendlimits.h"
+#include "coordination/slotpermits.h"
 #include "memberchurn.h"
 
 #include <deque>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -40,19 +43,42 @@
 	double usedShare = 0.0; ///< Of what its limit allows over the whole run.
 };
 
+/// A request that waits at a gateway.
+struct WaitingRequest
+{
+	Micros arrived = 0;
+	SlotTicket ticket;
+};
+
 /// One gateway as far as limits are concerned.
 class LimitedGateway
 {
 public:
-	LimitedGateway(unsigned _number, Micros _agreed)
-		: m_host(MemberTimeline::hostOf(_number)), m_relays({m_host, "z" + std::to_string(_number % 4), 0}),
-		  m_agreed(_agreed)
+	using Send = std::function<void(const std::string& _host, const SlotMessage& _message)>;
+
+	/// @param[in] _run Number of the process among all of the fleet.
+	LimitedGateway(unsigned _number, std::uint64_t _run, Micros _agreed, const Micros& _now, const Send& _send)
+		: m_host(MemberTimeline::hostOf(_number)), m_grantor(_run << kIdBits),
+		  m_permits(m_balancer, m_grantor, m_host, _run << kIdBits),
+		  m_relays({m_host, "z" + std::to_string(_number % 4), 0}), m_agreed(_agreed)
+	{
+		m_server.key = kLimitedServer;
+		m_server.record.slots = kSlots;
+		m_grantor.setSend(_send);
+		m_permits.setSend(_send);
+		m_grantor.setPaced([this](BackendKey _key, double _limit) { m_permits.tellPaced(_key, _limit); });
+		m_permits.setTakeTurn([this, &_now](BackendKey _key) { return m_limits.takeTurn(_key, m_agreed + _now); });
+	}
+
+	const std::string& host() const
 	{
+		return m_host;
 	}
 
 	void setMembers(const std::set<MemberRecord>& _members)
 	{
 		m_relays.setMembers(_members);
+		m_permits.setMembers(_members);
 		const std::size_t listed = std::max(m_relays.memberCount(), m_relays.index() + 1);
 		m_limits.setMembers(listed, m_relays.index());
 	}
@@ -63,17 +89,73 @@
 		m_limits.onAnswer(kLimitedServer, _limit, _now, _now, m_agreed + _now);
 	}
 
-	/// @returns true if a request has to be sent now.
-	bool take(Micros _now)
+	/// Processes a message of another gateway.
+	/// @returns the answer, if it is a question.
+	std::optional<SlotAnswer> receive(const std::string& _from, const SlotMessage& _message, Micros _now)
+	{
+		if (const auto* request = std::get_if<SlotRequest>(&_message))
+		{
+			return m_grantor.decide(*request, _from, 0, _now);
+		}
+		if (const auto* answer = std::get_if<SlotAnswer>(&_message))
+		{
+			m_permits.onAnswer(_from, *answer, _now);
+		}
+		else if (const auto* report = std::get_if<SlotReport>(&_message))
+		{
+			m_grantor.onReport(*report, _from, _now);
+		}
+		else
+		{
+			m_grantor.onPaced(std::get<PacedNotice>(_message), _now);
+		}
+		return std::nullopt;
+	}
+
+	void advance(Micros _now)
+	{
+		m_grantor.advance(_now);
+	}
+
+	/// Tries to send a request.
+	/// @param[in] _until Until when it can wait.
+	SlotVerdict take(WaitingRequest& _request, Micros _until, Micros _now)
+	{
+		const std::optional<double> limit = m_limits.limitOf(kLimitedServer);
+		if (!limit)
+		{
+			return SlotVerdict::Granted;
+		}
+		Availability available;
+		available.open = {&m_server};
+		m_permits.narrow(available, _request.ticket, _now);
+		if (available.open.empty())
+		{
+			return available.earliestEnd > _until ? SlotVerdict::Denied : SlotVerdict::Pending;
+		}
+		const SlotNeed need{kLimitedServer, kSlots, std::nullopt, 0, _until - _now, limit};
+		const SlotVerdict verdict = m_permits.take(_request.ticket, need, _now, [] {});
+		return verdict == SlotVerdict::Denied ? SlotVerdict::Pending : verdict;
+	}
+
+	/// Ends a request that has not been sent.
+	void abandon(WaitingRequest& _request, Micros _now)
 	{
-		return m_limits.take(kLimitedServer, m_agreed + _now);
+		m_permits.abandon(_request.ticket, _now);
 	}
 
 private:
+	static constexpr unsigned kSlots = 12;
+	static constexpr unsigned kIdBits = 24; ///< Bits of the numbers of one process's requests.
+
 	std::string m_host;
+	Balancer m_balancer{"z"};
+	SlotGrantor m_grantor;
+	SlotPermits m_permits;
 	RelayChoice m_relays;
 	BackendLimits m_limits;
 	Micros m_agreed;
+	KnownBackend m_server;
 };
 
 /// One run of a fleet.
@@ -99,10 +181,11 @@
 		{
 			startAndStop();
 			answerRequests();
+			deliverMessages();
 			for (unsigned count = arrivals(m_random); count > 0; --count)
 			{
 				Gateway& gateway = drawGateway();
-				gateway.core ? gateway.waiting.push_back(m_now) : void();
+				gateway.core ? gateway.waiting.push_back({m_now, {}}) : void();
 			}
 			for (std::size_t index = 0; index < m_gateways.size(); ++index)
 			{
@@ -121,7 +204,7 @@
 	{
 		std::unique_ptr<LimitedGateway> core; ///< Empty while its process does not run.
 		std::size_t version = 0;              ///< Of the list of members.
-		std::deque<Micros> waiting;           ///< Times at which the waiting requests came.
+		std::deque<WaitingRequest> waiting;
 		Micros stillUntil = 0;
 		Micros nextStandstill = 0;
 	};
@@ -132,6 +215,15 @@
 		std::size_t gateway = 0;
 	};
 
+	/// A datagram between gateways.
+	struct Message
+	{
+		Micros due = 0;
+		std::string from;
+		std::size_t to = 0;
+		SlotMessage content;
+	};
+
 	double draw()
 	{
 		return std::uniform_real_distribution<double>()(m_random);
@@ -161,7 +253,12 @@
 			const bool starts = !gateway.core;
 			if (starts)
 			{
-				gateway.core = std::make_unique<LimitedGateway>(number, kStart);
+				gateway.core = std::make_unique<LimitedGateway>(
+					number, ++m_runs, kStart, m_now,
+					[this, from = MemberTimeline::hostOf(number)](const std::string& _to,
+																  const SlotMessage& _message) {
+						m_messages.push_back({m_now + kLimitTick, from, numberOf(_to), _message});
+					});
 			}
 			const std::size_t version =
 				starts ? m_members.newestVersion(m_now) : m_members.versionAt(number, gateway.version, m_now);
@@ -197,22 +294,62 @@
 		}
 	}
 
+	static std::size_t numberOf(const std::string& _host)
+	{
+		return std::stoul(_host.substr(_host.rfind('-') + 1));
+	}
+
+	/// Delivers what is due. A gateway that stands still reads its messages afterwards, and one that does not run
+	/// gets none.
+	void deliverMessages()
+	{
+		for (std::size_t count = m_messages.size(); count > 0; --count)
+		{
+			const Message message = m_messages.front();
+			m_messages.pop_front();
+			Gateway& gateway = m_gateways[message.to];
+			if (message.due > m_now || m_now < gateway.stillUntil)
+			{
+				m_messages.push_back(message);
+				continue;
+			}
+			const auto answer =
+				gateway.core ? gateway.core->receive(message.from, message.content, m_now) : std::nullopt;
+			if (answer)
+			{
+				m_messages.push_back({m_now + kLimitTick, gateway.core->host(), numberOf(message.from), *answer});
+			}
+		}
+	}
+
 	void dispatch(Gateway& _gateway)
 	{
 		if (!_gateway.core || m_now < _gateway.stillUntil)
 		{
 			return;
 		}
-		while (!_gateway.waiting.empty() && m_now - _gateway.waiting.front() > kPatience)
-		{
-			_gateway.waiting.pop_front();
-		}
-		while (!_gateway.waiting.empty() && _gateway.core->take(m_now))
+		_gateway.core->advance(m_now);
+		std::deque<WaitingRequest> remaining;
+		for (WaitingRequest& request : std::exchange(_gateway.waiting, {}))
 		{
-			_gateway.waiting.pop_front();
-			m_sent.push_back(m_now);
-			m_answers.push_back({m_now + kAnswerTime, static_cast<std::size_t>(&_gateway - m_gateways.data())});
+			const Micros until = request.arrived + kPatience;
+			const SlotVerdict verdict =
+				m_now > until ? SlotVerdict::Denied : _gateway.core->take(request, until, m_now);
+			if (verdict == SlotVerdict::Pending)
+			{
+				remaining.push_back(request);
+			}
+			else if (verdict == SlotVerdict::Granted)
+			{
+				m_sent.push_back(m_now);
+				m_answers.push_back({m_now + kAnswerTime, static_cast<std::size_t>(&_gateway - m_gateways.data())});
+			}
+			else
+			{
+				_gateway.core->abandon(request, m_now);
+			}
 		}
+		_gateway.waiting = std::move(remaining);
 	}
 
 	LimitOutcome outcome() const
@@ -235,6 +372,8 @@
 	std::vector<Gateway> m_gateways;
 	std::deque<Micros> m_sent;
 	std::deque<Answer> m_answers;
+	std::deque<Message> m_messages;
+	std::uint64_t m_runs = 0; ///< Processes started so far.
 	Micros m_now = 0;
 };
 
--- a/tests/slotcodectest.cpp
+++ b/tests/slotcodectest.cpp
@@ -5,6 +5,8 @@
 /// Tests the encoding of datagrams about brittle backend servers.
 
 #include "protocol/slotcodec.h"
+#include "protocol/datagramkind.h"
+#include "protocol/json.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -43,22 +45,60 @@
 	EXPECT_EQ(request.rejections, 2.5);
 	EXPECT_EQ(request.priority, 3u);
 	EXPECT_EQ(request.patience, 150 * kMillisecond);
+	EXPECT_FALSE(request.limit);
+}
+
+TEST(SlotCodec, requestUnderALimitKeepsItsFields)
+{
+	const auto request = decoded<SlotRequest>(SlotRequest{42, use(), 16, std::nullopt, 3, 1, 0.5});
+	EXPECT_FALSE(request.rejections);
+	EXPECT_EQ(request.limit, 0.5);
+}
+
+TEST(SlotCodec, noticeKeepsItsFields)
+{
+	const auto notice = decoded<PacedNotice>(PacedNotice{BackendKey("server"), 2.5});
+	EXPECT_EQ(notice.backend, BackendKey("server"));
+	EXPECT_EQ(notice.limit, 2.5);
+	EXPECT_FALSE(decodeSlot(encodeSlot(PacedNotice{BackendKey("server"), -1.0})));
+}
+
+TEST(SlotCodec, messagesOfAnEarlierBuildAreRead)
+{
+	const auto read = [](const Json& _fields)
+	{
+		std::string bytes;
+		Json::to_msgpack(_fields, bytes);
+		return decodeSlot(bytes);
+	};
+	const unsigned kind = static_cast<unsigned>(DatagramKind::SlotGrant);
+	const auto request = read(Json::array({kDatagramFormat, kind, 0, 5, 1, 9, 42, 16, 2.5, 3, 1}));
+	ASSERT_TRUE(request);
+	EXPECT_FALSE(std::get<SlotRequest>(*request).limit);
+	const auto answer = read(Json::array({kDatagramFormat, kind, 1, 5, 42, 0, 9}));
+	ASSERT_TRUE(answer);
+	EXPECT_EQ(std::get<SlotAnswer>(*answer).wait, 0);
+	const auto report = read(Json::array({kDatagramFormat, kind, 2, 5, 1, 9, true}));
+	ASSERT_TRUE(report);
+	EXPECT_FALSE(std::get<SlotReport>(*report).unused);
 }
 
 TEST(SlotCodec, answerKeepsItsFields)
 {
-	const auto answer = decoded<SlotAnswer>(SlotAnswer{42, BackendKey("server"), SlotOutcome::Queued, 9});
+	const auto answer = decoded<SlotAnswer>(SlotAnswer{42, BackendKey("server"), SlotOutcome::Denied, 9, 7});
 	EXPECT_EQ(answer.id, 42u);
 	EXPECT_EQ(answer.backend, BackendKey("server"));
-	EXPECT_EQ(answer.outcome, SlotOutcome::Queued);
+	EXPECT_EQ(answer.outcome, SlotOutcome::Denied);
 	EXPECT_EQ(answer.grant, 9u);
+	EXPECT_EQ(answer.wait, 7);
 }
 
 TEST(SlotCodec, reportKeepsItsFields)
 {
-	const auto report = decoded<SlotReport>(SlotReport{use(), true});
+	const auto report = decoded<SlotReport>(SlotReport{use(), true, true});
 	expectUse(report.use);
 	EXPECT_TRUE(report.rejected);
+	EXPECT_TRUE(report.unused);
 }
 
 TEST(SlotCodec, statementsKeepTheirFields)
--- a/tests/slotgrantortest.cpp
+++ b/tests/slotgrantortest.cpp
@@ -138,4 +138,107 @@
 	EXPECT_LE(rejected, kRejections * SlotGrantor::kTrialsShare);
 }
 
+/// A server with a limit of ten requests a second.
+class PacedGrantorTest : public SlotGrantorTest
+{
+protected:
+	static constexpr double kLimit = 10.0;
+	static constexpr Micros kInterval = 100 * kMillisecond;
+
+	PacedGrantorTest()
+	{
+		grantor.setPaced([this](BackendKey, double _limit) { paced.push_back(_limit); });
+		ask("a", 0); // The grantor begins to pace the server.
+		now += 10 * kSecond;
+	}
+
+	SlotAnswer ask(const std::string& _host, Micros _patience)
+	{
+		return grantor.decide({++m_lastId, {kServer, 0, 0}, kSlots, std::nullopt, 0, _patience, kLimit}, _host, 0,
+							  now);
+	}
+
+	/// @returns the number of requests that are granted at once.
+	unsigned countGranted()
+	{
+		unsigned granted = 0;
+		while (ask("a", 0).outcome == SlotOutcome::Granted)
+		{
+			++granted;
+		}
+		return granted;
+	}
+
+	std::vector<double> paced;
+
+private:
+	std::uint64_t m_lastId = 0;
+};
+
+TEST_F(PacedGrantorTest, requestsAreGrantedAtTheServersRate)
+{
+	EXPECT_EQ(countGranted(), 5u) << "the requests of half a second may be sent at once";
+	unsigned granted = 0;
+	for (const Micros end = now + 4 * kSecond; now < end; now += 10 * kMillisecond)
+	{
+		granted += countGranted();
+	}
+	EXPECT_NEAR(granted, 40, 1);
+	EXPECT_EQ(paced, std::vector<double>(granted + 5, kLimit));
+}
+
+TEST_F(PacedGrantorTest, grantorThatHasJustBegunGrantsNothingAtOnce)
+{
+	SlotGrantor restarted;
+	const SlotRequest request{1, {kServer, 0, 0}, kSlots, std::nullopt, 0, 0, kLimit};
+	const SlotAnswer answer = restarted.decide(request, "a", 0, now);
+	EXPECT_EQ(answer.outcome, SlotOutcome::Denied);
+	EXPECT_EQ(answer.wait, kInterval);
+}
+
+TEST_F(PacedGrantorTest, requestIsQueuedOnlyIfItsTurnComesInTime)
+{
+	countGranted();
+	EXPECT_EQ(ask("a", 2 * kInterval).outcome, SlotOutcome::Queued);
+	EXPECT_EQ(ask("b", 2 * kInterval).outcome, SlotOutcome::Queued);
+	const SlotAnswer third = ask("c", 2 * kInterval);
+	EXPECT_EQ(third.outcome, SlotOutcome::Denied);
+	EXPECT_EQ(third.wait, 3 * kInterval);
+	now += kInterval;
+	grantor.advance(now);
+	EXPECT_EQ(sent.size(), 1u);
+	now += kInterval;
+	grantor.advance(now);
+	EXPECT_EQ(sent.size(), 2u);
+}
+
+TEST_F(PacedGrantorTest, requestsThatOthersGrantedCount)
+{
+	for (unsigned number = 0; number < 5; ++number)
+	{
+		grantor.onPaced({kServer, kLimit}, now);
+	}
+	EXPECT_EQ(ask("a", 0).outcome, SlotOutcome::Denied);
+}
+
+TEST_F(PacedGrantorTest, grantThatIsReturnedIsGrantedAgain)
+{
+	countGranted();
+	grantor.onReport({{kServer, 0, 0}, false, true}, "a", now);
+	EXPECT_EQ(countGranted(), 1u);
+}
+
+TEST_F(PacedGrantorTest, questionsOfDeniedGatewaysAreSpread)
+{
+	countGranted();
+	const Micros first = ask("a", 0).wait;
+	for (unsigned number = 0; number < 2000; ++number)
+	{
+		ask("b", 0);
+	}
+	const Micros last = ask("c", 0).wait;
+	EXPECT_GE(last, first + SlotGrantor::kMaxAskDelay / 2);
+	EXPECT_LE(last, kInterval + SlotGrantor::kMaxAskDelay);
+}
+
 } // namespace beacongate::test
--- a/tests/slotpermitstest.cpp
+++ b/tests/slotpermitstest.cpp
@@ -8,6 +8,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace beacongate::test
 {
 namespace
@@ -157,4 +159,116 @@
 	EXPECT_EQ(messages<SlotReport>().back().use.inFlight, 0u);
 }
 
+/// The same gateway, and a server with a limit.
+class PacedPermitsTest : public SlotPermitsTest
+{
+protected:
+	static constexpr double kLimit = 2.0;
+
+	PacedPermitsTest()
+	{
+		permits.setTakeTurn([this](BackendKey) { return untilTurn; });
+	}
+
+	SlotVerdict takePaced()
+	{
+		const SlotNeed need{kServer, 4, std::nullopt, 0, kSecond, kLimit};
+		return permits.take(ticket, need, now, [this] { ++decisions; });
+	}
+
+	SlotVerdict takePacedInTime()
+	{
+		SlotVerdict verdict = takePaced();
+		for (unsigned polls = 0; polls < 200 && verdict == SlotVerdict::Pending; ++polls)
+		{
+			now += kPoll;
+			verdict = takePaced();
+		}
+		return verdict;
+	}
+
+	void deny(Micros _wait)
+	{
+		const auto request = std::get<SlotRequest>(sent.back().second);
+		permits.onAnswer(sent.back().first, {request.id, kServer, SlotOutcome::Denied, 0, _wait}, now);
+	}
+
+	Availability narrowed()
+	{
+		Availability available;
+		available.open = {&backend};
+		permits.narrow(available, ticket, now);
+		return available;
+	}
+
+	Micros untilTurn = 0;
+};
+
+TEST_F(PacedPermitsTest, limitIsAskedWithTheRequest)
+{
+	takePaced();
+	ASSERT_EQ(messages<SlotRequest>().size(), 1u);
+	EXPECT_EQ(messages<SlotRequest>().front().limit, kLimit);
+	EXPECT_FALSE(messages<SlotRequest>().front().rejections);
+	answer(SlotOutcome::Granted, 7);
+	EXPECT_EQ(takePaced(), SlotVerdict::Granted);
+	EXPECT_TRUE(ticket.paced);
+}
+
+TEST_F(PacedPermitsTest, serverAtItsLimitIsLeftOutUntilItHasRoom)
+{
+	takePaced();
+	deny(400 * kMillisecond);
+	EXPECT_EQ(takePaced(), SlotVerdict::Denied);
+	EXPECT_TRUE(narrowed().waitsForBackoff());
+	EXPECT_EQ(narrowed().earliestEnd, now + 400 * kMillisecond);
+	now += 400 * kMillisecond;
+	EXPECT_EQ(narrowed().open.size(), 1u);
+}
+
+TEST_F(PacedPermitsTest, serverWhoseLimitEndedIsUsedAtOnce)
+{
+	takePaced();
+	deny(400 * kMillisecond);
+	takePaced();
+	permits.onLimitEnded(kServer);
+	EXPECT_EQ(narrowed().open.size(), 1u);
+}
+
+TEST_F(PacedPermitsTest, withoutAnyAnswerThisGatewayTakesItsTurnsAndTellsTheHomes)
+{
+	EXPECT_EQ(takePacedInTime(), SlotVerdict::Granted);
+	EXPECT_EQ(messages<PacedNotice>().size(), SlotPermits::kReported);
+	untilTurn = 3 * kSecond;
+	EXPECT_EQ(takePacedInTime(), SlotVerdict::Denied);
+	EXPECT_EQ(narrowed().earliestEnd, now + untilTurn);
+	EXPECT_EQ(messages<PacedNotice>().size(), SlotPermits::kReported);
+}
+
+TEST_F(PacedPermitsTest, grantThatCameLateIsReturnedOnce)
+{
+	takePaced();
+	const auto request = std::get<SlotRequest>(sent.back().second);
+	const std::string home = sent.back().first;
+	permits.onAnswer(home, {request.id, kServer, SlotOutcome::Queued, 0}, now);
+	permits.abandon(ticket, now);
+	const auto countUnused = [this]
+	{
+		const auto reports = messages<SlotReport>();
+		return std::count_if(reports.begin(), reports.end(),
+							 [](const SlotReport& _report) { return _report.unused; });
+	};
+	permits.onAnswer(home, {request.id, kServer, SlotOutcome::Granted, 7}, now);
+	permits.onAnswer(home, {request.id, kServer, SlotOutcome::Granted, 7}, now);
+	EXPECT_EQ(countUnused(), 1);
+}
+
+TEST_F(PacedPermitsTest, grantFromBeforeAStandstillIsNotUsed)
+{
+	takePaced();
+	now += 2 * kSecond;
+	answer(SlotOutcome::Granted, 7);
+	EXPECT_EQ(takePaced(), SlotVerdict::Denied);
+}
+
 } // namespace beacongate::test
