Keep members that the store stops listing for a while

What callers saw: after the leases of all gateways had run out, a server that names a limit got ten times what it allows, for up to 19 s.

Cause (H1): the homes of backend servers and the turns under limits followed the store's list of members at once. A lease that ran out is noticed at its next renewal, after up to 19 s; meanwhile the list is empty, no gateway has a home to ask, and each takes the turns of a fleet of one.

Change: RetainedMembers keeps a member for 22 s after the store listed it last, longer than a renewal takes; homes and turns are shared out among these. A home that does not run is passed over as it does not answer. Relays, collectors and the homes of streams follow the list as before.

--- a/src/coordination/relaychoice.h
+++ b/src/coordination/relaychoice.h
@@ -39,6 +39,16 @@
 class RelayChoice
 {
 public:
+	/// Orders by rank, the first rank first.
+	struct ByRank
+	{
+		bool operator()(const MemberRecord& _left, const MemberRecord& _right) const
+		{
+			return _left.cpuPercent != _right.cpuPercent ? _left.cpuPercent > _right.cpuPercent
+														 : _left.host < _right.host;
+		}
+	};
+
 	/// Largest fleet in which the first member of each data centre reads the store itself.
 	static constexpr std::size_t kSmallFleet = limits::kGossipPeers;
 	/// A member that failed is not chosen for this long.
@@ -119,16 +129,6 @@
 	std::optional<std::size_t> position() const;
 
 private:
-	/// Orders by rank, the first rank first.
-	struct ByRank
-	{
-		bool operator()(const MemberRecord& _left, const MemberRecord& _right) const
-		{
-			return _left.cpuPercent != _right.cpuPercent ? _left.cpuPercent > _right.cpuPercent
-														 : _left.host < _right.host;
-		}
-	};
-
 	using Ranked = std::set<MemberRecord, ByRank>;
 
 	bool isAvoided(const std::string& _host, Micros _now) const;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -570,8 +570,8 @@
 			  {"backoff_left_ms", millisText(m_attempt.backoffLeft)},
 			  {"limit_per_s", m_attempt.limit ? std::to_string(*m_attempt.limit) : "-"},
 			  {"paced", m_attempt.paced ? "yes" : "no"},
-			  {"members", std::to_string(m_context.relays.memberCount())},
-			  {"member_index", std::to_string(m_context.relays.index())}});
+			  {"members", std::to_string(m_context.members.count())},
+			  {"members_listed", std::to_string(m_context.relays.memberCount())}});
 }
 
 } // namespace beacongate
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -25,6 +25,7 @@
 #include "coordination/quotaledger.h"
 #include "coordination/readershare.h"
 #include "coordination/relaychoice.h"
+#include "coordination/retainedmembers.h"
 #include "coordination/sharedretrybudget.h"
 #include "coordination/slotpermits.h"
 #include "coordination/storereachability.h"
@@ -109,6 +110,13 @@
 		}
 	}
 
+	/// Shares homes and turns out among the members. Must be called after each change of them.
+	void shareOutAmongMembers()
+	{
+		slots.setMembers(members.members());
+		limits.setMembers(members.count(), members.index());
+	}
+
 	/// @returns the number of the usage window that is open now.
 	std::uint64_t currentWindow(Micros _now) const
 	{
@@ -132,6 +140,9 @@
 	BackoffTable backoffs;
 	VersionHistory versions;
 	StreamOrigins origins{versions, settings.callers.host, run.incarnation};
+	/// The members among which the homes and turns of backend servers are shared out; relays are chosen among
+	/// listed members.
+	RetainedMembers members{{settings.callers.host, settings.dataCentre, settings.cpuPercent}};
 	BackendLimits limits;
 	BrittleServices brittle;
 	SlotGrantor slotGrantor{run.incarnation};
--- a/src/gateway/gossiper.cpp
+++ b/src/gateway/gossiper.cpp
@@ -188,8 +188,7 @@
 	m_context.origins.expire(now);
 	updateVersions(now);
 	m_context.retryBudget.setMembers(members);
-	const std::size_t listed = std::max(m_context.relays.memberCount(), m_context.relays.index() + 1);
-	m_context.limits.setMembers(listed, m_context.relays.index());
+	m_context.members.expire(now) ? m_context.shareOutAmongMembers() : void();
 	m_context.balancer.setPeerLoadLifetime(
 		std::max(kSecond, kPeerLoadLifetimeFactor * GossipPlan::propagationDelay(members)));
 	m_context.balancer.setManyGateways(m_context.usesCollectors());
--- a/src/gateway/storesyncapply.cpp
+++ b/src/gateway/storesyncapply.cpp
@@ -74,7 +74,7 @@
 	}
 	m_context.relays.setMembers(members);
 	m_context.origins.setMembers(members);
-	m_context.slots.setMembers(members);
+	m_context.members.update(members, monotonicNow()) ? m_context.shareOutAmongMembers() : void();
 	m_context.peers.setRegistered(std::move(hosts));
 }
 
--- a/tests/limitfleet.h
+++ b/tests/limitfleet.h
@@ -8,6 +8,7 @@
 #define BEACONGATE_TESTS_LIMITFLEET_H
 
 #include "coordination/backendlimits.h"
+#include "coordination/retainedmembers.h"
 #include "coordination/slotpermits.h"
 #include "memberchurn.h"
 
@@ -60,7 +61,7 @@
 	LimitedGateway(unsigned _number, std::uint64_t _run, Micros _agreed, const Micros& _now, const Send& _send)
 		: m_host(MemberTimeline::hostOf(_number)), m_grantor(_run << kIdBits),
 		  m_permits(m_balancer, m_grantor, m_host, _run << kIdBits),
-		  m_relays({m_host, "z" + std::to_string(_number % 4), 0}), m_agreed(_agreed)
+		  m_members({m_host, "z" + std::to_string(_number % 4), 0}), m_agreed(_agreed)
 	{
 		m_server.key = kLimitedServer;
 		m_server.record.slots = kSlots;
@@ -75,12 +76,13 @@
 		return m_host;
 	}
 
-	void setMembers(const std::set<MemberRecord>& _members)
+	void setMembers(const std::set<MemberRecord>& _listed, Micros _now)
 	{
-		m_relays.setMembers(_members);
-		m_permits.setMembers(_members);
-		const std::size_t listed = std::max(m_relays.memberCount(), m_relays.index() + 1);
-		m_limits.setMembers(listed, m_relays.index());
+		if (m_members.update(_listed, _now))
+		{
+			m_permits.setMembers(m_members.members());
+			m_limits.setMembers(m_members.count(), m_members.index());
+		}
 	}
 
 	/// Processes an answer of the server.
@@ -152,7 +154,7 @@
 	Balancer m_balancer{"z"};
 	SlotGrantor m_grantor;
 	SlotPermits m_permits;
-	RelayChoice m_relays;
+	RetainedMembers m_members;
 	BackendLimits m_limits;
 	Micros m_agreed;
 	KnownBackend m_server;
@@ -265,7 +267,7 @@
 			if (starts || version != gateway.version)
 			{
 				gateway.version = version;
-				gateway.core->setMembers(m_members.members(version));
+				gateway.core->setMembers(m_members.members(version), m_now);
 			}
 			if (starts && m_now == 0)
 			{
