Tell gateways that start which limits are in force, and lose no grants

A gateway that starts, or was cut off or stood still meanwhile, sent requests as to any server until an answer of that server told it.

Change: a gateway asks three others for the limits in force and the brittle services before it is ready (StartupNews; 300 ms at most, as earlier builds do not answer), and a limit that is named again is told again after 3 s, as brittleness is. Two losses showed in the same test by what callers get and are mended with it: a grant that arrives after its request has gone to the next home is returned to all that counted it, each once; and a new grantor begins with one request instead of none.

--- a/src/coordination/backendlimits.cpp
+++ b/src/coordination/backendlimits.cpp
@@ -39,14 +39,16 @@
 	}
 	entry.saidAt = _saidAt;
 	const double rate = limited ? std::max(*_limit, kMinRate) : 0.0;
-	if (entry.rate == rate)
+	const bool isNew = entry.rate != rate;
+	if (!isNew && (rate <= 0.0 || _saidAt - entry.reportedAt < kRefreshInterval))
 	{
 		return;
 	}
 	entry.rate = rate;
+	entry.reportedAt = _saidAt;
 	entry.reportRounds = kReportRounds;
 	entry.ownChange = _own;
-	if (rate > 0.0)
+	if (isNew && rate > 0.0)
 	{
 		entry.slot = std::max<Micros>(1, static_cast<Micros>(static_cast<double>(kSecond) / rate));
 		entry.nextSlot = static_cast<std::uint64_t>(_agreed / entry.slot) + 1;
@@ -77,6 +79,19 @@
 	return records;
 }
 
+std::vector<BackendLimitRecord> BackendLimits::inForce(Micros _agreed) const
+{
+	std::vector<BackendLimitRecord> records;
+	for (const auto& [key, entry] : m_entries)
+	{
+		if (entry.rate > 0.0)
+		{
+			records.push_back({key, entry.rate, std::max<Micros>(0, _agreed - entry.saidAt)});
+		}
+	}
+	return records;
+}
+
 const BackendLimits::Entry* BackendLimits::find(BackendKey _key) const
 {
 	const auto entry = m_entries.find(_key);
--- a/src/coordination/backendlimits.h
+++ b/src/coordination/backendlimits.h
@@ -77,6 +77,8 @@
 
 	/// Times for which each change is reported, since datagrams may be lost.
 	static constexpr unsigned kReportRounds = 4;
+	/// Interval at which a limit that is named again is reported again, for gateways that could not hear of it.
+	static constexpr Micros kRefreshInterval = 3 * kSecond;
 
 	/// Merges what other gateways heard.
 	void merge(const std::vector<BackendLimitRecord>& _records, Micros _agreed);
@@ -86,6 +88,9 @@
 	/// @param[in] _maxCount Largest number of records; the others remain for the next round.
 	std::vector<BackendLimitRecord> takeChanges(bool _relay, std::size_t _maxCount, Micros _agreed);
 
+	/// @returns all limits in force, for a gateway that has just started.
+	std::vector<BackendLimitRecord> inForce(Micros _agreed) const;
+
 	/// Removes backend servers that are no longer known.
 	void retain(const std::map<std::string, KnownBackend>& _known);
 
@@ -100,6 +105,7 @@
 		std::uint64_t nextSlot = 0; ///< First slot that this gateway has not used.
 		std::uint64_t dealt = 0;    ///< Number of the change of the members after which nextSlot was set.
 		Micros saidAt = 0;          ///< Agreed time at which the server last named the limit, or no limit.
+		Micros reportedAt = 0;      ///< What the server said last when it was reported.
 		unsigned reportRounds = 0;  ///< Rounds in which the last change is still to be reported.
 		bool ownChange = false;     ///< The last change was in an answer to this gateway.
 	};
--- a/src/coordination/brittleservices.cpp
+++ b/src/coordination/brittleservices.cpp
@@ -73,6 +73,17 @@
 	return records;
 }
 
+std::vector<BrittleServiceRecord> BrittleServices::inForce(Micros _agreed) const
+{
+	std::vector<BrittleServiceRecord> records;
+	for (const auto& [service, entry] : m_entries)
+	{
+		const Micros age = std::max<Micros>(0, _agreed - entry.saidAt);
+		age < kValidity ? records.push_back({service, entry.rejections, age}) : void();
+	}
+	return records;
+}
+
 void BrittleServices::expire(Micros _agreed)
 {
 	std::erase_if(m_entries, [_agreed](const auto& _entry) { return _agreed - _entry.second.saidAt >= kValidity; });
--- a/src/coordination/brittleservices.h
+++ b/src/coordination/brittleservices.h
@@ -57,6 +57,9 @@
 	/// @param[in] _maxCount Largest number of records; the others remain for the next round.
 	std::vector<BrittleServiceRecord> takeChanges(bool _relay, std::size_t _maxCount, Micros _agreed);
 
+	/// @returns all services that are brittle, for a gateway that has just started.
+	std::vector<BrittleServiceRecord> inForce(Micros _agreed) const;
+
 	/// Forgets services that are brittle no more.
 	void expire(Micros _agreed);
 
--- a/src/coordination/requestpace.h
+++ b/src/coordination/requestpace.h
@@ -15,7 +15,7 @@
 namespace beacongate
 {
 /// A token bucket with one token for each request. It may be in debt, since requests are also sent without this
-/// gateway's grant. It starts empty: what was sent before is not known, and may have used the limit up.
+/// gateway's grant. It starts with one: what was sent before is not known, and may have used the limit up.
 class RequestPace
 {
 public:
@@ -55,7 +55,7 @@
 	double levelAt(Micros _now) const;
 
 	double m_rate;
-	double m_level = 0.0; ///< Requests that could be sent at once at m_updated; less than 0 for a debt.
+	double m_level = 1.0; ///< Requests that could be sent at once at m_updated; less than 0 for a debt.
 	Micros m_updated;
 };
 
--- a/src/coordination/retainedmembers.cpp
+++ b/src/coordination/retainedmembers.cpp
@@ -4,53 +4,49 @@
 #include "coordination/retainedmembers.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace beacongate
 {
 bool RetainedMembers::update(const std::set<MemberRecord>& _listed, Micros _now)
 {
-	std::set<std::string> hosts;
-	for (const MemberRecord& member : _listed)
-	{
-		hosts.insert(member.host);
-	}
-	// A member that is listed with other values replaces what was known of it.
-	std::erase_if(m_missingSince, [&](const auto& _entry)
-				  { return hosts.count(_entry.first.host) != 0 && _listed.count(_entry.first) == 0; });
-	for (auto& [member, since] : m_missingSince)
+	for (auto& [host, known] : m_known)
 	{
-		since = std::min(since, _now);
+		known.missingSince = std::min(known.missingSince, _now);
 	}
+	bool changed = false;
 	for (const MemberRecord& member : _listed)
 	{
-		m_missingSince[member] = kNever;
+		const auto [entry, isNew] = m_known.try_emplace(member.host);
+		changed = changed || isNew || entry->second.record != member;
+		entry->second = {member, kNever};
 	}
-	std::erase_if(m_missingSince, [_now](const auto& _entry) { return _now - _entry.second > kRetention; });
-	return rebuild();
+	return removeMissing(_now) || changed ? rebuild() : false;
 }
 
 bool RetainedMembers::expire(Micros _now)
 {
-	std::erase_if(m_missingSince, [_now](const auto& _entry) { return _now - _entry.second > kRetention; });
-	return rebuild();
+	return removeMissing(_now) ? rebuild() : false;
+}
+
+bool RetainedMembers::removeMissing(Micros _now)
+{
+	return std::erase_if(m_known,
+						 [_now](const auto& _entry) { return _now - _entry.second.missingSince > kRetention; }) > 0;
 }
 
 bool RetainedMembers::rebuild()
 {
-	std::set<MemberRecord> members;
-	for (const auto& [member, since] : m_missingSince)
+	m_members.clear();
+	for (const auto& [host, known] : m_known)
 	{
-		members.insert(member);
+		m_members.insert(m_members.end(), known.record);
 	}
-	return std::exchange(m_members, members) != members;
+	return true;
 }
 
 std::size_t RetainedMembers::count() const
 {
-	const bool listed = std::any_of(m_members.begin(), m_members.end(),
-									[this](const MemberRecord& _member) { return _member.host == m_own.host; });
-	return m_members.size() + (listed ? 0 : 1);
+	return m_known.size() + (m_known.count(m_own.host) != 0 ? 0 : 1);
 }
 
 std::size_t RetainedMembers::index() const
--- a/src/coordination/retainedmembers.h
+++ b/src/coordination/retainedmembers.h
@@ -12,6 +12,8 @@
 #include <cstddef>
 #include <map>
 #include <set>
+#include <string>
+#include <utility>
 
 namespace beacongate
 {
@@ -53,10 +55,17 @@
 	std::size_t index() const;
 
 private:
+	struct Known
+	{
+		MemberRecord record;
+		Micros missingSince = kNever; ///< kNever while the store lists the member.
+	};
+
+	bool removeMissing(Micros _now);
 	bool rebuild();
 
 	MemberRecord m_own;
-	std::map<MemberRecord, Micros> m_missingSince; ///< kNever for listed members.
+	std::map<std::string, Known> m_known; ///< By host.
 	std::set<MemberRecord> m_members;
 };
 
--- a/src/coordination/slotpermits.cpp
+++ b/src/coordination/slotpermits.cpp
@@ -239,6 +239,8 @@
 		server.lastGrant = std::max(server.lastGrant, _answer.grant);
 		++server.unplaced;
 		_pending.state = State::Granted;
+		_pending.granted = _host;
+		noteGrant(_host, _answer.id);
 		break;
 	case SlotOutcome::Queued:
 		_pending.state = State::Queued;
@@ -283,22 +285,44 @@
 void SlotPermits::onUnusedGrant(const std::string& _host, const SlotAnswer& _answer, Micros _now)
 {
 	Server& server = serverOf(_answer.backend);
-	if (server.grantor == _host)
+	server.lastGrant = server.grantor == _host ? std::max(server.lastGrant, _answer.grant) : server.lastGrant;
+	sendReport(_answer.backend, false, _now);
+	noteGrant(_host, _answer.id) ? returnGrant(_answer.backend, _host, _now) : void();
+}
+
+bool SlotPermits::noteGrant(const std::string& _grantor, std::uint64_t _request)
+{
+	constexpr std::size_t kNoted = 256; ///< An answer that arrives twice does so within a moment.
+	const std::pair<std::string, std::uint64_t> grant{_grantor, _request};
+	if (std::find(m_granted.begin(), m_granted.end(), grant) != m_granted.end())
 	{
-		// An answer that arrives twice is no second grant.
-		const bool isNew = _answer.grant > server.lastGrant;
-		server.lastGrant = std::max(server.lastGrant, _answer.grant);
-		isNew ? returnGrant(_answer.backend, _now) : void();
+		return false;
 	}
-	sendReport(_answer.backend, false, _now);
+	m_granted.push_back(grant);
+	m_granted.size() > kNoted ? m_granted.pop_front() : void();
+	return true;
 }
 
-void SlotPermits::returnGrant(BackendKey _key, Micros _now)
+void SlotPermits::returnGrant(BackendKey _key, const std::string& _grantor, Micros _now)
 {
 	Server& server = serverOf(_key);
-	SlotReport report{useOf(_key, server, server.grantor, _now), false};
-	report.unused = true;
-	server.grantor.empty() ? void() : sendTo(server.grantor, report, _now);
+	for (const std::string& home : toldHomes(server, _grantor))
+	{
+		SlotReport report{useOf(_key, server, home, _now), false};
+		report.unused = true;
+		sendTo(home, report, _now);
+	}
+}
+
+std::vector<std::string> SlotPermits::toldHomes(const Server& _server, const std::string& _more)
+{
+	std::vector<std::string> homes = _server.homes;
+	homes.resize(std::min(homes.size(), kReported));
+	if (!_more.empty() && std::find(homes.begin(), homes.end(), _more) == homes.end())
+	{
+		homes.push_back(_more);
+	}
+	return homes;
 }
 
 const KnownBackend* SlotPermits::waitsFor(SlotTicket& _ticket, const Availability& _available, Micros _now)
@@ -329,12 +353,13 @@
 	}
 	const bool granted = pending->second.state == State::Granted;
 	const bool paced = pending->second.need.limit.has_value();
+	const std::string grantor = pending->second.granted;
 	m_pending.erase(pending);
 	if (granted)
 	{
 		onPlaced(serverOf(_ticket.backend));
 		sendReport(_ticket.backend, false, _now);
-		paced ? returnGrant(_ticket.backend, _now) : void();
+		paced ? returnGrant(_ticket.backend, grantor, _now) : void();
 	}
 }
 
@@ -352,13 +377,7 @@
 	Server& server = serverOf(_key);
 	server.reportedAt = _now;
 	server.repeats = true;
-	std::vector<std::string> homes = server.homes;
-	homes.resize(std::min(homes.size(), kReported));
-	if (!server.grantor.empty() && std::find(homes.begin(), homes.end(), server.grantor) == homes.end())
-	{
-		homes.push_back(server.grantor);
-	}
-	for (const std::string& home : homes)
+	for (const std::string& home : toldHomes(server, server.grantor))
 	{
 		sendTo(home, {useOf(_key, server, home, _now), _rejected}, _now);
 	}
--- a/src/coordination/slotpermits.h
+++ b/src/coordination/slotpermits.h
@@ -168,6 +168,7 @@
 	{
 		SlotNeed need;
 		State state = State::Asked;
+		std::string granted;            ///< Host that granted it; empty if this gateway decided alone.
 		std::vector<std::string> homes; ///< That can be asked, best first.
 		std::size_t nextHome = 0;
 		bool resent = false;
@@ -206,8 +207,13 @@
 	void sendTo(const std::string& _home, const SlotReport& _report, Micros _now);
 	/// Processes a grant that no request waits for.
 	void onUnusedGrant(const std::string& _host, const SlotAnswer& _answer, Micros _now);
-	/// Returns a grant under a limit that no request uses.
-	void returnGrant(BackendKey _key, Micros _now);
+	/// Returns a grant under a limit that no request uses, to its grantor and to the homes which that has told.
+	void returnGrant(BackendKey _key, const std::string& _grantor, Micros _now);
+	/// Notes a grant.
+	/// @returns false if it was noted before: an answer may arrive twice.
+	bool noteGrant(const std::string& _grantor, std::uint64_t _request);
+	/// @returns the homes that are told of what is in use, and one more.
+	static std::vector<std::string> toldHomes(const Server& _server, const std::string& _more);
 	static Micros patienceOf(const SlotNeed& _need);
 	void askNext(std::uint64_t _id, Pending& _pending, Micros _now);
 	void ask(std::uint64_t _id, const Pending& _pending, const std::string& _home, Micros _now);
@@ -230,6 +236,8 @@
 	std::unordered_map<std::uint64_t, Pending> m_pending;
 	std::unordered_map<BackendKey, Server, BackendKeyHash> m_servers;
 	std::map<std::string, Silence> m_silent; ///< By host.
+	/// Grantor and number of the last granted requests, oldest first.
+	std::deque<std::pair<std::string, std::uint64_t>> m_granted;
 };
 
 } // namespace beacongate
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -177,6 +177,7 @@
 	std::function<void()> onStoreRestored;
 	/// Called after the directory has changed.
 	std::function<void()> onDirectoryChanged;
+	bool newsHeard = false; ///< This gateway knows what others know of limits and brittle services, or cannot ask.
 	/// Called when a peer has a newer configuration.
 	std::function<void()> onNewerConfigAtPeer;
 	/// Called when a peer states the fingerprint of its content and when that content was certainly the newest.
--- a/src/gateway/gossiper.cpp
+++ b/src/gateway/gossiper.cpp
@@ -81,7 +81,9 @@
 	  m_crashExchange(_context, [this](const std::string& _bytes, const std::string& _host)
 					  { sendBytes(DatagramPurpose::Crash, _bytes, _host); }),
 	  m_slotExchange(_context, [this](DatagramPurpose _purpose, const std::string& _bytes, const std::string& _host)
-					 { sendBytes(_purpose, _bytes, _host); })
+					 { sendBytes(_purpose, _bytes, _host); }),
+	  m_startupNews(_context, [this](DatagramPurpose _purpose, const std::string& _bytes, const std::string& _host)
+					{ sendBytes(_purpose, _bytes, _host); })
 {
 	try
 	{
@@ -107,6 +109,7 @@
 	m_context.origins.setSend([this](const std::string& _host, const StreamOriginMessage& _message)
 							  { sendBytes(DatagramPurpose::StreamOrigin, encodeOrigin(_message), _host); });
 	m_slotExchange.init();
+	m_startupNews.init();
 	receive();
 	tick();
 }
@@ -114,6 +117,7 @@
 void Gossiper::shutdown()
 {
 	m_slotExchange.shutdown();
+	m_startupNews.shutdown();
 	m_timer.cancel();
 	BoostError ignored;
 	m_socket.close(ignored);
--- a/src/protocol/limitcodec.cpp
+++ b/src/protocol/limitcodec.cpp
@@ -40,6 +40,20 @@
 	return bytes;
 }
 
+std::string encodeNewsQuestion()
+{
+	std::string bytes;
+	Json::to_msgpack(Json::array({kDatagramFormat, kKind, Json::array(), true}), bytes);
+	return bytes;
+}
+
+bool isNewsQuestion(std::string_view _bytes)
+{
+	constexpr std::size_t kAsks = 3; ///< Field that reports do not have.
+	const Json fields = Json::from_msgpack(_bytes.begin(), _bytes.end(), true, false);
+	return isLimitDatagram(_bytes) && fields.is_array() && fields.size() > kAsks && fields.at(kAsks) == true;
+}
+
 bool isLimitDatagram(std::string_view _bytes)
 {
 	return isOfKind(_bytes, DatagramKind::LimitReport);
--- a/src/protocol/limitcodec.h
+++ b/src/protocol/limitcodec.h
@@ -25,6 +25,13 @@
 /// @returns true if the kind of a datagram is that of a report about limits.
 bool isLimitDatagram(std::string_view _bytes);
 
+/// @returns a datagram that asks for the limits in force and the brittle services. It reads as a report without
+/// records to builds that do not know it.
+std::string encodeNewsQuestion();
+
+/// @returns true if a report about limits asks for what is in force.
+bool isNewsQuestion(std::string_view _bytes);
+
 /// @returns the records; nullopt where the bytes are not a valid report about limits.
 std::optional<std::vector<BackendLimitRecord>> decodeLimits(std::string_view _bytes);
 
--- a/tests/backendlimitstest.cpp
+++ b/tests/backendlimitstest.cpp
@@ -179,6 +179,44 @@
 	EXPECT_FALSE(decodeLimits(bytes.substr(0, bytes.size() - 1)));
 }
 
+TEST(BackendLimits, questionOfAStartingGatewayIsNoReport)
+{
+	const std::string question = encodeNewsQuestion();
+	EXPECT_TRUE(isLimitDatagram(question));
+	EXPECT_TRUE(isNewsQuestion(question));
+	EXPECT_FALSE(isNewsQuestion(encodeLimits({})));
+	EXPECT_FALSE(isNewsQuestion(question.substr(0, question.size() - 1)));
+	ASSERT_TRUE(decodeLimits(question)); // A build that does not know it takes it for a report without records.
+	EXPECT_TRUE(decodeLimits(question)->empty());
+}
+
+TEST(BackendLimits, startingGatewayIsToldAllLimitsInForce)
+{
+	BackendLimits limits;
+	const BackendKey ended("w2", 1);
+	limits.onAnswer(kServer, 2.0, 0, 0, kStart);
+	limits.onAnswer(ended, 2.0, 0, 0, kStart);
+	limits.onAnswer(ended, std::nullopt, 10, 20, kStart + 20);
+	BackendLimits starting;
+	starting.merge(limits.inForce(kStart + 60 * kSecond), kStart + 60 * kSecond);
+	EXPECT_EQ(starting.limitOf(kServer), 2.0);
+	EXPECT_EQ(starting.size(), 1u);
+}
+
+TEST(BackendLimits, limitThatIsNamedAgainIsReportedAgain)
+{
+	BackendLimits limits;
+	limits.onAnswer(kServer, 2.0, 0, 0, kStart);
+	for (unsigned round = 0; round < BackendLimits::kReportRounds; ++round)
+	{
+		EXPECT_EQ(limits.takeChanges(false, kMaxLimitRecords, kStart).size(), 1u);
+	}
+	limits.onAnswer(kServer, 2.0, 0, 0, kStart + BackendLimits::kRefreshInterval - 1);
+	EXPECT_TRUE(limits.takeChanges(false, kMaxLimitRecords, kStart).empty());
+	limits.onAnswer(kServer, 2.0, 0, 0, kStart + BackendLimits::kRefreshInterval);
+	EXPECT_EQ(limits.takeChanges(false, kMaxLimitRecords, kStart).size(), 1u);
+}
+
 TEST(BackendLimits, limitOfZeroLeavesAFewRequestsThatTellItsEnd)
 {
 	expectKeptAndUsed({8, 0.0, 40.0}, 0.0);
