Name the query of a starting gateway, and end a server's pace with its limit

Read as a newcomer: StartupNews is StartupQuery, as it asks others for limits and brittle services (startupQueryDone, encodeLimitQuery, isLimitQuery, log event startup-query); names alone. A server that is still brittle after its limit has ended kept its pace at the grantor, which told the next home of each grant for nothing; found by reading, with a test (brittleServerIsNotPacedAfterItsLimitEnded). slotgrantortest and backendlimitstest pass.

--- a/src/coordination/slotgrantor.cpp
+++ b/src/coordination/slotgrantor.cpp
@@ -247,6 +247,21 @@
 	server.pace->onSent(_now);
 }
 
+void SlotGrantor::onLimitEnded(BackendKey _key)
+{
+	const auto server = m_servers.find(_key);
+	const auto needsPace = [](const Waiting& _waiting)
+	{
+		return _waiting.needsPace;
+	};
+	// Requests that are still queued under the limit need the pace.
+	if (server != m_servers.end() &&
+		std::none_of(server->second.queue.begin(), server->second.queue.end(), needsPace))
+	{
+		server->second.pace.reset();
+	}
+}
+
 void SlotGrantor::serveQueue(BackendKey _key, Server& _server, Micros _now)
 {
 	while (!_server.queue.empty() && mayGrant(_server, _server.queue.front(), _now))
--- a/src/coordination/slotgrantor.h
+++ b/src/coordination/slotgrantor.h
@@ -92,6 +92,9 @@
 	/// Processes a notice of a gateway.
 	void onPaced(const PacedNotice& _notice, Micros _now);
 
+	/// Notes that a server names no limit any more.
+	void onLimitEnded(BackendKey _key);
+
 	/// Answers the queued requests for which slots have become free. Must be called every few milliseconds while
 	/// requests are queued.
 	void advance(Micros _now);
--- a/src/gateway/exchangeanswers.cpp
+++ b/src/gateway/exchangeanswers.cpp
@@ -90,7 +90,7 @@
 		const Micros now = monotonicNow();
 		const std::optional<double> before = m_context.limits.limitOf(m_attempt.key);
 		m_context.limits.onAnswer(m_attempt.key, info.limit, m_attempt.sent, now, m_context.clock.trueTime(now));
-		before && !m_context.limits.limitOf(m_attempt.key) ? m_context.slots.onLimitEnded(m_attempt.key) : void();
+		before && !m_context.limits.limitOf(m_attempt.key) ? m_context.onLimitEnded(m_attempt.key) : void();
 		logLimitChange(before);
 	}
 	if (info.brittlenessUnreadable)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -163,7 +163,7 @@
 
 bool Gateway::ready() const
 {
-	if (m_context.stopping || !m_context.directory.config() || !m_context.newsHeard)
+	if (m_context.stopping || !m_context.directory.config() || !m_context.startupQueryDone)
 	{
 		return false;
 	}
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -110,6 +110,13 @@
 		}
 	}
 
+	/// Notes that a backend server names no limit any more.
+	void onLimitEnded(BackendKey _key)
+	{
+		slots.onLimitEnded(_key);
+		slotGrantor.onLimitEnded(_key);
+	}
+
 	/// Shares homes and turns out among the members. Must be called after each change of them.
 	void shareOutAmongMembers()
 	{
@@ -177,7 +184,8 @@
 	std::function<void()> onStoreRestored;
 	/// Called after the directory has changed.
 	std::function<void()> onDirectoryChanged;
-	bool newsHeard = false; ///< This gateway knows what others know of limits and brittle services, or cannot ask.
+	bool startupQueryDone =
+		false; ///< This gateway knows what others know of limits and brittle services, or cannot ask.
 	/// Called when a peer has a newer configuration.
 	std::function<void()> onNewerConfigAtPeer;
 	/// Called when a peer states the fingerprint of its content and when that content was certainly the newest.
--- a/src/gateway/gossiper.cpp
+++ b/src/gateway/gossiper.cpp
@@ -82,8 +82,8 @@
 					  { sendBytes(DatagramPurpose::Crash, _bytes, _host); }),
 	  m_slotExchange(_context, [this](DatagramPurpose _purpose, const std::string& _bytes, const std::string& _host)
 					 { sendBytes(_purpose, _bytes, _host); }),
-	  m_startupNews(_context, [this](DatagramPurpose _purpose, const std::string& _bytes, const std::string& _host)
-					{ sendBytes(_purpose, _bytes, _host); })
+	  m_startupQuery(_context, [this](DatagramPurpose _purpose, const std::string& _bytes, const std::string& _host)
+					 { sendBytes(_purpose, _bytes, _host); })
 {
 	try
 	{
@@ -109,7 +109,7 @@
 	m_context.origins.setSend([this](const std::string& _host, const StreamOriginMessage& _message)
 							  { sendBytes(DatagramPurpose::StreamOrigin, encodeOrigin(_message), _host); });
 	m_slotExchange.init();
-	m_startupNews.init();
+	m_startupQuery.init();
 	receive();
 	tick();
 }
@@ -117,7 +117,7 @@
 void Gossiper::shutdown()
 {
 	m_slotExchange.shutdown();
-	m_startupNews.shutdown();
+	m_startupQuery.shutdown();
 	m_timer.cancel();
 	BoostError ignored;
 	m_socket.close(ignored);
--- a/src/gateway/gossiper.h
+++ b/src/gateway/gossiper.h
@@ -15,7 +15,7 @@
 #include "gateway/crashexchange.h"
 #include "gateway/gatewaycontext.h"
 #include "gateway/slotexchange.h"
-#include "gateway/startupnews.h"
+#include "gateway/startupquery.h"
 
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -134,7 +134,7 @@
 	std::vector<QuotaReport> m_fleetQuotas; ///< Counters of all teams in m_sums.
 	CrashExchange m_crashExchange;
 	SlotExchange m_slotExchange;
-	StartupNews m_startupNews;
+	StartupQuery m_startupQuery;
 	std::uint64_t m_unreadableCount = 0; ///< Datagrams of an unknown format since the start.
 };
 
--- a/src/gateway/gossiperreceive.cpp
+++ b/src/gateway/gossiperreceive.cpp
@@ -105,17 +105,17 @@
 		return;
 	}
 	m_context.traffic.onReceived(DatagramPurpose::Limit, _bytes.size());
-	if (isNewsQuestion(_bytes))
+	if (isLimitQuery(_bytes))
 	{
-		m_startupNews.answer(_sender);
+		m_startupQuery.answer(_sender);
 		return;
 	}
 	m_context.limits.merge(*records, m_context.clock.trueTime(monotonicNow()));
 	for (const BackendLimitRecord& record : *records)
 	{
-		m_context.limits.limitOf(record.key) ? void() : m_context.slots.onLimitEnded(record.key);
+		m_context.limits.limitOf(record.key) ? void() : m_context.onLimitEnded(record.key);
 	}
-	m_startupNews.onAnswered();
+	m_startupQuery.onAnswered();
 }
 
 void Gossiper::onQuotaMessage(const QuotaMessage& _message, const std::string& _sender)
--- a/src/gateway/startupnews.cpp
+++ b/src/gateway/startupquery.cpp
@@ -1,7 +1,7 @@
 // Copyright 2026 The beacongate authors.
 // Licence: BSD-2-Clause, see LICENSE.
 
-#include "gateway/startupnews.h"
+#include "gateway/startupquery.h"
 
 #include "daemon/clock.h"
 #include "daemon/logging.h"
@@ -24,39 +24,39 @@
 constexpr std::size_t kAsked = 3;
 } // namespace
 
-StartupNews::StartupNews(GatewayContext& _context, Send _send)
+StartupQuery::StartupQuery(GatewayContext& _context, Send _send)
 	: m_context(_context), m_send(std::move(_send)), m_timer(_context.loop)
 {
 }
 
-void StartupNews::init()
+void StartupQuery::init()
 {
 	ask();
 }
 
-void StartupNews::shutdown()
+void StartupQuery::shutdown()
 {
 	m_timer.cancel();
 }
 
-void StartupNews::onAnswered()
+void StartupQuery::onAnswered()
 {
-	m_context.newsHeard ? void() : settle("answered");
+	m_context.startupQueryDone ? void() : settle("answered");
 }
 
-void StartupNews::settle(const char* _outcome)
+void StartupQuery::settle(const char* _outcome)
 {
-	m_context.newsHeard = true;
+	m_context.startupQueryDone = true;
 	m_timer.cancel();
 	const Micros waited = m_began == kNever ? 0 : monotonicNow() - m_began;
-	logEvent(LogLevel::Info, "startup-news",
+	logEvent(LogLevel::Info, "startup-query",
 			 {{"outcome", _outcome},
 			  {"limits", std::to_string(m_context.limits.size())},
 			  {"brittle_services", std::to_string(m_context.brittle.size())},
 			  {"ms", millisText(waited)}});
 }
 
-std::vector<std::string> StartupNews::otherGateways(Micros _now)
+std::vector<std::string> StartupQuery::otherGateways(Micros _now)
 {
 	std::vector<std::string> hosts =
 		m_context.usesCollectors() ? m_context.relays.allTopMembers() : m_context.peers.targets(_now);
@@ -66,7 +66,7 @@
 	return hosts;
 }
 
-void StartupNews::ask()
+void StartupQuery::ask()
 {
 	const Micros now = monotonicNow();
 	if (m_context.directory.config())
@@ -80,23 +80,23 @@
 		}
 		for (const std::string& host : hosts)
 		{
-			m_send(DatagramPurpose::Limit, encodeNewsQuestion(), host);
+			m_send(DatagramPurpose::Limit, encodeLimitQuery(), host);
 		}
 	}
 	m_timer.expires_after(std::chrono::microseconds(kAskInterval));
 	m_timer.async_wait(
 		[this](const boost::system::error_code& _error)
 		{
-			if (!_error && !m_context.newsHeard)
+			if (!_error && !m_context.startupQueryDone)
 			{
 				ask();
 			}
 		});
 }
 
-void StartupNews::answer(const std::string& _host)
+void StartupQuery::answer(const std::string& _host)
 {
-	if (!m_context.newsHeard)
+	if (!m_context.startupQueryDone)
 	{
 		return; // This gateway knows no more than the one that asks.
 	}
--- a/src/gateway/startupnews.h
+++ b/src/gateway/startupquery.h
@@ -4,8 +4,8 @@
 /// @file
 /// Asks other gateways, before this one takes requests, which limits backend servers named and which are brittle.
 
-#ifndef BEACONGATE_GATEWAY_STARTUPNEWS_H
-#define BEACONGATE_GATEWAY_STARTUPNEWS_H
+#ifndef BEACONGATE_GATEWAY_STARTUPQUERY_H
+#define BEACONGATE_GATEWAY_STARTUPQUERY_H
 
 #include "gateway/gatewaycontext.h"
 #include "gateway/trafficcounters.h"
@@ -21,12 +21,12 @@
 /// What a gateway that has just started asks, and what others answer. Gateways tell each other of limits and
 /// brittle services as these are named; one that starts later would send requests freely until the servers told it
 /// themselves. It asks a few gateways, whatever the size of the fleet.
-class StartupNews
+class StartupQuery
 {
 public:
 	using Send = std::function<void(DatagramPurpose _purpose, const std::string& _bytes, const std::string& _host)>;
 
-	StartupNews(GatewayContext& _context, Send _send);
+	StartupQuery(GatewayContext& _context, Send _send);
 
 	/// Begins to ask as soon as the other gateways are known.
 	void init();
@@ -55,4 +55,4 @@
 
 } // namespace beacongate
 
-#endif // BEACONGATE_GATEWAY_STARTUPNEWS_H
+#endif // BEACONGATE_GATEWAY_STARTUPQUERY_H
--- a/src/protocol/limitcodec.cpp
+++ b/src/protocol/limitcodec.cpp
@@ -40,14 +40,14 @@
 	return bytes;
 }
 
-std::string encodeNewsQuestion()
+std::string encodeLimitQuery()
 {
 	std::string bytes;
 	Json::to_msgpack(Json::array({kDatagramFormat, kKind, Json::array(), true}), bytes);
 	return bytes;
 }
 
-bool isNewsQuestion(std::string_view _bytes)
+bool isLimitQuery(std::string_view _bytes)
 {
 	constexpr std::size_t kAsks = 3; ///< Field that reports do not have.
 	const Json fields = Json::from_msgpack(_bytes.begin(), _bytes.end(), true, false);
--- a/src/protocol/limitcodec.h
+++ b/src/protocol/limitcodec.h
@@ -27,10 +27,10 @@
 
 /// @returns a datagram that asks for the limits in force and the brittle services. It reads as a report without
 /// records to builds that do not know it.
-std::string encodeNewsQuestion();
+std::string encodeLimitQuery();
 
 /// @returns true if a report about limits asks for what is in force.
-bool isNewsQuestion(std::string_view _bytes);
+bool isLimitQuery(std::string_view _bytes);
 
 /// @returns the records; nullopt where the bytes are not a valid report about limits.
 std::optional<std::vector<BackendLimitRecord>> decodeLimits(std::string_view _bytes);
--- a/tests/backendlimitstest.cpp
+++ b/tests/backendlimitstest.cpp
@@ -181,11 +181,11 @@
 
 TEST(BackendLimits, questionOfAStartingGatewayIsNoReport)
 {
-	const std::string question = encodeNewsQuestion();
+	const std::string question = encodeLimitQuery();
 	EXPECT_TRUE(isLimitDatagram(question));
-	EXPECT_TRUE(isNewsQuestion(question));
-	EXPECT_FALSE(isNewsQuestion(encodeLimits({})));
-	EXPECT_FALSE(isNewsQuestion(question.substr(0, question.size() - 1)));
+	EXPECT_TRUE(isLimitQuery(question));
+	EXPECT_FALSE(isLimitQuery(encodeLimits({})));
+	EXPECT_FALSE(isLimitQuery(question.substr(0, question.size() - 1)));
 	ASSERT_TRUE(decodeLimits(question)); // A build that does not know it takes it for a report without records.
 	EXPECT_TRUE(decodeLimits(question)->empty());
 }
--- a/tests/limitfleet.h
+++ b/tests/limitfleet.h
@@ -91,7 +91,7 @@
 		m_limits.onAnswer(kLimitedServer, _limit, _now, _now, m_agreed + _now);
 	}
 
-	/// Hears from another gateway, as StartupNews asks before a gateway takes requests.
+	/// Hears from another gateway, as StartupQuery asks before a gateway takes requests.
 	void hearFrom(const LimitedGateway& _other, Micros _now)
 	{
 		m_limits.merge(_other.m_limits.inForce(m_agreed + _now), m_agreed + _now);
--- a/tests/slotgrantortest.cpp
+++ b/tests/slotgrantortest.cpp
@@ -231,6 +231,13 @@
 	EXPECT_EQ(countGranted(), 1u);
 }
 
+TEST_F(PacedGrantorTest, brittleServerIsNotPacedAfterItsLimitEnded)
+{
+	grantor.onLimitEnded(kServer);
+	EXPECT_EQ(grantor.decide(request(99), "a", 0, now).outcome, SlotOutcome::Granted);
+	EXPECT_TRUE(paced.empty());
+}
+
 TEST_F(PacedGrantorTest, questionsOfDeniedGatewaysAreSpread)
 {
 	countGranted();
