Confirm keys for longer in the test of records that expire in an outage

Reproduced by eight copies of the test at once: serversWhoseRecordsExpireInAnOutageStayInUse failed in two. Its log: the lone gateway waits 320 ms for an answer to its startup query and has read the store 0.37 s before the outage of 2 s begins; the read that ends the outage is tried up to 0.75 s after the last one that failed; in between two of twelve requests are refused with key-unconfirmed, as the keys are 2.7 s old and this fixture revokes within 3 s.

So the test met revocation, which is not its subject (that keys are refused in time is storeOutageRefusesKeysInTimeButServesAnonymousRequests). Its gateway now has 6 s for revocations; the outage, the removed records and the twelve requests that must all be served are as before.

--- a/tests/gatewaystoretest.cpp
+++ b/tests/gatewaystoretest.cpp
@@ -98,7 +98,9 @@
 
 TEST_F(GatewayTest, serversWhoseRecordsExpireInAnOutageStayInUse)
 {
-	startGateway(settings(1));
+	GatewaySettings gatewaySettings = settings(1);
+	gatewaySettings.revocationSpan = 6 * kSecond; // Keys stay confirmed over the outage and the next read.
+	startGateway(gatewaySettings);
 	store->setFault(StoreFault::Busy);
 	std::this_thread::sleep_for(std::chrono::milliseconds(2000));
 	store->remove("servers/" + workerId(1));
