--- a/tests/brittlefleet.h
+++ b/tests/brittlefleet.h
@@ -8,7 +8,9 @@
 #define BEACONGATE_TESTS_BRITTLEFLEET_H
 
 #include "coordination/brittleservices.h"
+#include "coordination/retainedmembers.h"
 #include "coordination/slotpermits.h"
+#include "memberchurn.h"
 
 #include <algorithm>
 #include <deque>
@@ -25,6 +27,7 @@
 inline constexpr Micros kTick = 5 * kMillisecond;
 inline constexpr Micros kQueueTime = 400 * kMillisecond; ///< Requests that wait for longer are given up.
 inline constexpr Micros kDowntime = 3 * kSecond;
+inline constexpr Micros kSpan = 10 * kSecond;
 /// Fleets of more gateways report to collectors, and draw the servers that they compare.
 inline constexpr unsigned kManyGateways = 16;
 inline const ServiceKey kService{"service"};
@@ -45,6 +48,9 @@
 	/// Time from the first answers that name the servers brittle until rejections count.
 	Micros grace = 0;
 	unsigned waiting = 0; ///< Requests beyond its slots that a server lets wait until then.
+	Churn churn = Churn::None;
+	Micros standstill = 0; ///< Longest time for which a gateway stands still, every 2 s to 4 s.
+	unsigned seed = 7;
 };
 
 struct Outcome
@@ -57,7 +63,10 @@
 class Simulation
 {
 public:
-	explicit Simulation(const Fleet& _fleet) : m_fleet(_fleet), m_countedFrom(kSecond + _fleet.grace), m_random(7)
+	/// @param[in] _span Time that run() takes after the time that does not count.
+	explicit Simulation(const Fleet& _fleet, Micros _span = kSpan)
+		: m_fleet(_fleet), m_span(_span), m_countedFrom(kSecond + _fleet.grace), m_random(_fleet.seed),
+		  m_members(_fleet.gateways, _fleet.churn, kListLag, m_countedFrom + _span, _fleet.seed)
 	{
 		for (unsigned number = 0; number < _fleet.servers; ++number)
 		{
@@ -69,36 +78,22 @@
 		}
 		for (unsigned number = 0; number < _fleet.gateways; ++number)
 		{
-			m_gateways.push_back(std::make_unique<GatewayState>(number));
-			m_gateways.back()->balancer.setManyGateways(_fleet.gateways > kManyGateways);
-			m_byHost[m_gateways.back()->host] = m_gateways.back().get();
-			connect(*m_gateways.back());
-		}
-		std::set<MemberRecord> members;
-		for (const auto& gateway : m_gateways)
-		{
-			members.insert({gateway->host, "z" + std::to_string(members.size() % 4), 0});
-		}
-		for (const auto& gateway : m_gateways)
-		{
-			gateway->permits.setMembers(members);
-			if (_fleet.told)
-			{
-				gateway->services.onAnswer(kService, _fleet.rejections, kSecond);
-			}
+			m_gateways.emplace_back();
+			start(number);
 		}
 	}
 
-	Outcome run(Micros _span)
+	Outcome run()
 	{
 		const double perTick = m_fleet.demand * m_fleet.servers * m_fleet.slots * static_cast<double>(kTick) /
 							   static_cast<double>(m_fleet.serviceTime);
 		std::poisson_distribution<unsigned> arrivals(perTick);
 		unsigned asked = 0;
-		const Micros end = m_countedFrom + _span;
+		const Micros end = m_countedFrom + m_span;
 		for (Micros now = kSecond; now < end; now += kTick)
 		{
 			m_now = now;
+			startAndStop();
 			deliverAll();
 			endRequests(now);
 			report(now);
@@ -106,14 +101,15 @@
 			asked += now < m_countedFrom ? 0 : count;
 			for (unsigned number = 0; number < count; ++number)
 			{
-				m_gateways[m_random() % m_gateways.size()]->queue.push_back({now, {}});
+				GatewayState& gateway = *m_gateways[m_random() % m_gateways.size()];
+				gateway.isUp ? gateway.queue.push_back({now, {}}) : void(asked -= now < m_countedFrom ? 0 : 1);
 			}
 			for (std::size_t index = 0; index < m_gateways.size(); ++index)
 			{
 				dispatch(*m_gateways[(index + static_cast<std::size_t>(now / kTick)) % m_gateways.size()], now);
 			}
 		}
-		const double capacity = static_cast<double>(m_fleet.servers) * m_fleet.slots * static_cast<double>(_span) /
+		const double capacity = static_cast<double>(m_fleet.servers) * m_fleet.slots * static_cast<double>(m_span) /
 								static_cast<double>(m_fleet.serviceTime);
 		return {m_falls, m_served / std::min(capacity, static_cast<double>(asked))};
 	}
@@ -125,11 +121,20 @@
 		SlotTicket ticket;
 	};
 
+	/// A request that has ended.
+	struct Ended
+	{
+		BackendKey key;
+		bool answered = false; ///< Its answer names the server brittle.
+	};
+
 	struct GatewayState
 	{
-		explicit GatewayState(unsigned _number)
-			: host("gateway-" + std::to_string(_number)), balancer("z", _number + 1),
-			  permits(balancer, grantor, host, _number << kIdBits)
+		/// @param[in] _run Number of the process among all of the fleet.
+		GatewayState(unsigned _number, std::uint64_t _run)
+			: host(MemberTimeline::hostOf(_number)), balancer("z", _number + 1), grantor(_run << kIdBits),
+			  permits(balancer, grantor, host, _run << kIdBits),
+			  members({host, MemberTimeline::dataCentreOf(_number), 0})
 		{
 		}
 
@@ -138,8 +143,14 @@
 		Balancer balancer;
 		SlotGrantor grantor;
 		SlotPermits permits;
+		RetainedMembers members;
 		BrittleServices services;
 		std::deque<Queued> queue;
+		std::vector<Ended> ended; ///< Requests of whose end it has to learn.
+		std::size_t version = 0;  ///< Of the list of members.
+		bool isUp = true;
+		Micros stillUntil = 0;
+		Micros nextStandstill = 0;
 	};
 
 	/// A datagram between gateways.
@@ -190,6 +201,88 @@
 		}
 	}
 
+	/// Replaces a gateway by one that has just started.
+	void start(unsigned _number)
+	{
+		m_gateways[_number] = std::make_unique<GatewayState>(_number, ++m_runs);
+		GatewayState& gateway = *m_gateways[_number];
+		gateway.balancer.setManyGateways(m_fleet.gateways > kManyGateways);
+		m_byHost[gateway.host] = &gateway;
+		connect(gateway);
+		gateway.version = m_members.newestVersion(m_now);
+		setMembers(gateway);
+		if (m_fleet.told)
+		{
+			gateway.services.onAnswer(kService, m_fleet.rejections, m_now);
+		}
+	}
+
+	void setMembers(GatewayState& _gateway)
+	{
+		if (_gateway.members.update(m_members.members(_gateway.version), m_now))
+		{
+			_gateway.permits.setMembers(_gateway.members.members());
+		}
+	}
+
+	/// Ends a gateway's process. Servers go on running its requests.
+	void stop(GatewayState& _gateway)
+	{
+		_gateway.isUp = false;
+		_gateway.queue.clear();
+		for (Server& server : m_servers)
+		{
+			for (Running& request : server.running)
+			{
+				request.gateway = request.gateway == &_gateway ? nullptr : request.gateway;
+			}
+		}
+	}
+
+	void startAndStop()
+	{
+		for (unsigned number = 0; number < m_gateways.size(); ++number)
+		{
+			const bool isUp = m_members.isUp(number, m_now);
+			if (isUp && !m_gateways[number]->isUp)
+			{
+				start(number);
+			}
+			GatewayState& gateway = *m_gateways[number];
+			if (!isUp)
+			{
+				gateway.isUp ? stop(gateway) : void();
+				continue;
+			}
+			const std::size_t version = m_members.versionAt(number, gateway.version, m_now);
+			if (version != std::exchange(gateway.version, version))
+			{
+				setMembers(gateway);
+			}
+			standStill(gateway);
+		}
+	}
+
+	void standStill(GatewayState& _gateway)
+	{
+		if (m_fleet.standstill > 0 && m_now >= _gateway.nextStandstill)
+		{
+			_gateway.stillUntil = m_now + draw(0, m_fleet.standstill);
+			_gateway.nextStandstill = m_now + draw(2 * kSecond, 4 * kSecond);
+		}
+	}
+
+	Micros draw(Micros _from, Micros _to)
+	{
+		return std::uniform_int_distribution<Micros>(_from, _to)(m_random);
+	}
+
+	/// @returns true if a gateway's process runs and does not stand still.
+	bool isRunning(const GatewayState& _gateway) const
+	{
+		return _gateway.isUp && m_now >= _gateway.stillUntil;
+	}
+
 	void connect(GatewayState& _gateway)
 	{
 		const auto post = [this, &_gateway](const std::string& _host, const SlotMessage& _message)
@@ -220,14 +313,27 @@
 		}
 	}
 
-	void deliverAll()
+	/// Delivers what is due. A gateway that stands still reads its messages afterwards, and one that does not run
+	/// gets none.
+	void deliverMessages()
 	{
-		while (!m_messages.empty() && m_messages.front().due <= m_now)
+		for (std::size_t count = m_messages.size(); count > 0; --count)
 		{
 			const Message message = m_messages.front();
 			m_messages.pop_front();
-			deliver(message);
+			const GatewayState& gateway = *m_byHost.at(message.to);
+			if (message.due > m_now || (gateway.isUp && !isRunning(gateway)))
+			{
+				m_messages.push_back(message);
+				continue;
+			}
+			gateway.isUp ? deliver(message) : void();
 		}
+	}
+
+	void deliverAll()
+	{
+		deliverMessages();
 		while (!m_statements.empty() && m_statements.front().due <= m_now)
 		{
 			for (auto& gateway : m_gateways)
@@ -238,7 +344,7 @@
 		}
 		for (auto& gateway : m_gateways)
 		{
-			gateway->grantor.advance(m_now);
+			isRunning(*gateway) ? gateway->grantor.advance(m_now) : void();
 		}
 	}
 
@@ -262,15 +368,27 @@
 		{
 			for (const Running& request : server.running)
 			{
-				if (request.end <= _now)
+				if (request.end <= _now && request.gateway)
 				{
-					learn(*request.gateway, _now);
-					release(*request.gateway, server.known.key, false, _now);
+					request.gateway->ended.push_back({server.known.key, true});
 					m_served += _now < m_countedFrom ? 0.0 : 1.0;
 				}
 			}
 			std::erase_if(server.running, [_now](const Running& _request) { return _request.end <= _now; });
 		}
+		for (auto& gateway : m_gateways)
+		{
+			isRunning(*gateway) ? releaseEnded(*gateway, _now) : void();
+		}
+	}
+
+	void releaseEnded(GatewayState& _gateway, Micros _now)
+	{
+		for (const Ended& request : std::exchange(_gateway.ended, {}))
+		{
+			request.answered ? learn(_gateway, _now) : void();
+			release(_gateway, request.key, false, _now);
+		}
 	}
 
 	/// Delivers to each gateway the loads of all others as they were some intervals ago.
@@ -289,7 +407,7 @@
 			const Micros due = _now + m_fleet.reportInterval * (1 + m_fleet.reportsUnderWay);
 			auto records = gateway->services.takeChanges(false, 32, _now);
 			records.empty() ? void() : m_statements.push_back({due, std::move(records)});
-			isBrittle(*gateway) ? gateway->permits.report(keys, _now) : void();
+			isRunning(*gateway) && isBrittle(*gateway) ? gateway->permits.report(keys, _now) : void();
 		}
 		for (const Server& server : m_servers)
 		{
@@ -311,7 +429,8 @@
 			std::vector<BackendLoad> others;
 			for (std::size_t index = 0; index < m_servers.size(); ++index)
 			{
-				const unsigned own = m_reports.front().own[gateway.get()][index];
+				const auto& ownLoads = m_reports.front().own[gateway.get()];
+				const unsigned own = ownLoads.empty() ? 0 : ownLoads[index]; // It may have started since.
 				others.push_back({m_reports.front().keys[index], m_reports.front().totals[index] - own, 0});
 			}
 			gateway->balancer.setPeerLoads("others", others, _now);
@@ -321,6 +440,10 @@
 
 	void dispatch(GatewayState& _gateway, Micros _now)
 	{
+		if (!isRunning(_gateway))
+		{
+			return;
+		}
 		findServersUp(_now);
 		std::deque<Queued> remaining;
 		for (Queued& queued : std::exchange(_gateway.queue, {}))
@@ -416,16 +539,21 @@
 		_server.downUntil = _now + kDowntime;
 		for (const Running& request : _server.running)
 		{
-			release(*request.gateway, _server.known.key, false, _now);
+			request.gateway ? request.gateway->ended.push_back({_server.known.key, false}) : void();
 		}
 		_server.running.clear();
 		++_server.starts;
 		_server.known.key = BackendKey(_server.known.record.id + '-' + std::to_string(_server.starts));
 	}
 
+	static constexpr Micros kListLag = 1 * kSecond; ///< Largest time after which a gateway has heard of a change.
+
 	Fleet m_fleet;
+	Micros m_span;
 	Micros m_countedFrom; ///< From then on rejections and served requests count.
 	std::mt19937 m_random;
+	MemberTimeline m_members;
+	std::uint64_t m_runs = 0; ///< Processes started so far.
 	std::vector<Server> m_servers;
 	std::vector<std::unique_ptr<GatewayState>> m_gateways;
 	std::deque<Report> m_reports;
@@ -438,13 +566,12 @@
 	double m_served = 0.0;
 };
 
-inline constexpr Micros kSpan = 10 * kSecond;
-
 inline std::string describe(const Fleet& _fleet)
 {
 	return std::to_string(_fleet.gateways) + " gateways, " + std::to_string(_fleet.servers) + " servers of " +
 		   std::to_string(_fleet.slots) + " slots, demand " + std::to_string(_fleet.demand) + ", " +
-		   std::to_string(_fleet.rejections) + " rejections borne";
+		   std::to_string(_fleet.rejections) + " rejections borne, members " + toString(_fleet.churn) +
+		   ", standstills " + std::to_string(_fleet.standstill / kMillisecond) + " ms, seed " + std::to_string(_fleet.seed);
 }
 } // namespace beacongate::test
 
--- a/tests/brittlelearningtest.cpp
+++ b/tests/brittlelearningtest.cpp
@@ -42,7 +42,7 @@
 				for (const Fleet& fleet :
 					 {plainServers(gateways, demand, rejections), engines(gateways, demand, rejections)})
 				{
-					const Outcome outcome = Simulation(fleet).run(kSpan);
+					const Outcome outcome = Simulation(fleet).run();
 					EXPECT_LE(outcome.falls, 2 + fleet.servers / 10) << describe(fleet);
 					EXPECT_GE(outcome.servedShare, demand < 1.0 ? kServedAtLowDemand : kServedWhenFull)
 						<< describe(fleet);
--- a/tests/brittleroomtest.cpp
+++ b/tests/brittleroomtest.cpp
@@ -18,7 +18,7 @@
 								   Fleet{40, 30, 64, 2 * kSecond, 3.0, rejections, 250 * kMillisecond, 2, 0.75},
 								   Fleet{8, 4, 6, 60 * kMillisecond, 3.0, rejections, 150 * kMillisecond, 0, 0.5}})
 		{
-			const Outcome outcome = Simulation(fleet).run(kSpan);
+			const Outcome outcome = Simulation(fleet).run();
 			EXPECT_LE(outcome.falls, 2 + fleet.servers / 10) << describe(fleet);
 		}
 	}
--- a/tests/brittleserverstest.cpp
+++ b/tests/brittleserverstest.cpp
@@ -39,7 +39,7 @@
 {
 	for (const Fleet& fleet : fleets())
 	{
-		const Outcome outcome = Simulation(fleet).run(kSpan);
+		const Outcome outcome = Simulation(fleet).run();
 		EXPECT_LE(outcome.falls, 2 + fleet.servers / 10) << describe(fleet);
 		EXPECT_GE(outcome.servedShare, kMinServedShare) << describe(fleet);
 	}
@@ -49,7 +49,7 @@
 {
 	Fleet fleet;
 	fleet.told = false;
-	EXPECT_GT(Simulation(fleet).run(kSpan).falls, 2 + fleet.servers / 10);
+	EXPECT_GT(Simulation(fleet).run().falls, 2 + fleet.servers / 10);
 }
 
 TEST(BrittleServers, serviceIsBrittleNoMoreOnceNoServerSaysSo)
--- a/tests/gatewaylimitmemberstest.cpp
+++ b/tests/gatewaylimitmemberstest.cpp
@@ -17,6 +17,8 @@
 {
 constexpr unsigned kGateways = 24;
 constexpr double kLimit = 2.0; ///< Of each of the two servers.
+/// One and a half times this and the slack are less than twice this, which two gateways that pace would send.
+constexpr double kLargerLimit = 6.0;
 constexpr unsigned kCallers = 16;
 constexpr Micros kCallerPause = 200 * kMillisecond;
 /// Time from the first naming of a limit until it is kept.
@@ -40,8 +42,10 @@
 		}
 	}
 
-	void start(unsigned _gateways)
+	/// @param[in] _limit Of each of the two servers.
+	void start(unsigned _gateways, double _limit = kLimit)
 	{
+		m_limit = _limit;
 		for (unsigned number = 1; number <= _gateways; ++number)
 		{
 			startGateway(settings(number));
@@ -50,7 +54,7 @@
 		pause(2 * kSecond); // All gateways know of each other.
 		for (auto& worker : workers)
 		{
-			worker->setLimit(std::to_string(kLimit));
+			worker->setLimit(std::to_string(_limit));
 		}
 		for (unsigned caller = 0; caller < kCallers; ++caller)
 		{
@@ -82,14 +86,20 @@
 
 	/// Restarts all gateways, one after the other, in several series at once.
 	void restartAll(unsigned _series)
+	{
+		restartFirst(static_cast<unsigned>(gateways.size()), _series);
+	}
+
+	/// Restarts the first gateways in several series at once.
+	void restartFirst(unsigned _count, unsigned _series)
 	{
 		std::vector<std::thread> threads;
 		for (unsigned first = 1; first <= _series; ++first)
 		{
 			threads.emplace_back(
-				[this, first, _series]
+				[this, first, _count, _series]
 				{
-					for (unsigned number = first; number <= gateways.size(); number += _series)
+					for (unsigned number = first; number <= _count; number += _series)
 					{
 						restart(number);
 					}
@@ -135,8 +145,8 @@
 				const auto last = std::lower_bound(first, arrivals.end(), *first + kWindow);
 				most = std::max(most, static_cast<std::size_t>(std::distance(first, last)));
 			}
-			EXPECT_LE(static_cast<double>(most), kTolerance * kLimit * secondsOf(kWindow) + kSlack);
-			EXPECT_GE(static_cast<double>(arrivals.size()), kMinUsedShare * kLimit * secondsOf(end - _moment))
+			EXPECT_LE(static_cast<double>(most), kTolerance * m_limit * secondsOf(kWindow) + kSlack);
+			EXPECT_GE(static_cast<double>(arrivals.size()), kMinUsedShare * m_limit * secondsOf(end - _moment))
 				<< "in " << secondsOf(end - _moment) << " s";
 			std::cout << most << " in a window, " << arrivals.size() << " in " << secondsOf(end - _moment)
 					  << " s\n";
@@ -164,6 +174,7 @@
 
 	static constexpr std::size_t kMaxGateways = 48;
 
+	double m_limit = kLimit;
 	std::array<std::atomic<bool>, kMaxGateways> m_up{};
 	std::vector<std::thread> m_callers;
 	std::atomic<bool> m_stopped = false;
@@ -188,6 +199,17 @@
 	expectKeptAndUsedSince(from);
 }
 
+TEST_F(GatewayLimitMembersTest, limitIsKeptAndUsedWhileHalfRestartAfterAllLeasesRanOut)
+{
+	start(kGateways, kLargerLimit);
+	const Micros from = monotonicNow();
+	store->endLeases();
+	pause(kSecond);
+	restartFirst(kGateways / 2, kGateways / 2);
+	pause(2 * kWindow);
+	expectKeptAndUsedSince(from);
+}
+
 TEST_F(GatewayLimitMembersTest, limitIsKeptAndUsedWhileTheFleetDoubles)
 {
 	start(kGateways);
--- a/tests/memberchurn.h
+++ b/tests/memberchurn.h
@@ -101,7 +101,7 @@
 		{
 			if (m_versions[_version].listed[number])
 			{
-				list->second.insert({hostOf(number), "z" + std::to_string(number % kDataCentres), 0});
+				list->second.insert({hostOf(number), dataCentreOf(number), 0});
 			}
 		}
 		return list->second;
@@ -112,6 +112,11 @@
 		return "gateway-" + std::to_string(_gateway);
 	}
 
+	static std::string dataCentreOf(unsigned _gateway)
+	{
+		return "z" + std::to_string(_gateway % kDataCentres);
+	}
+
 	/// Time from the start of a run until the first change.
 	static constexpr Micros kQuietSpan = 8 * kSecond;
 
--- a/tools/standin/platform.cpp
+++ b/tools/standin/platform.cpp
@@ -153,6 +153,13 @@
 	return value;
 }
 
+std::uint64_t PlatformStore::revisionOf(const std::string& _key)
+{
+	std::uint64_t revision = 0;
+	m_loop.run([&] { revision = m_items.count(_key) ? m_items.at(_key).revision : 0; });
+	return revision;
+}
+
 std::vector<std::string> PlatformStore::keys(const std::string& _prefix)
 {
 	std::vector<std::string> found;
--- a/tools/standin/platform.h
+++ b/tools/standin/platform.h
@@ -74,6 +74,9 @@
 	/// @returns the value of a key, or an empty string if the key is missing.
 	std::string get(const std::string& _key);
 
+	/// @returns the revision of the last write of a key, or 0 if the key is missing.
+	std::uint64_t revisionOf(const std::string& _key);
+
 	/// @returns the keys that begin with a prefix.
 	std::vector<std::string> keys(const std::string& _prefix);
 
