Register at once when the store lacks a gateway's entry

Cause: a gateway learnt that its lease had run out from its next renewal, up to 19 s later. Gateways that started meanwhile saw the few members that were listed again, the others kept all of them, and two homes paced one server.

Change: the list that a gateway reads anyway tells it: where the list is at least as new as its entry and lacks it, the gateway registers again. All do so after a lapse; the calls are drawn from 10 ms for each member, also after a restore of the store (there the span was the same in the mean, but drawn from half of it, and by the members that the new list held). No further calls while an entry is listed; a list older than the entry is ignored.

The simulated timeline 'lapse and starts' models the delay of the product, which this changes: it now draws from the same class. 'Lapse' keeps the renewals of up to 15 s, as gateways that cannot read the store or are of an earlier build have.

--- a/src/coordination/retainedmembers.h
+++ b/src/coordination/retainedmembers.h
@@ -27,7 +27,7 @@
 {
 public:
 	/// Time for which a member is kept after the store listed it last. A gateway whose lease ran out is listed
-	/// again after its next renewal, 19 s later at most.
+	/// again once it reads that it is missing, or else after its next renewal, 19 s later at most.
 	static constexpr Micros kRetention = 22 * kSecond;
 
 	explicit RetainedMembers(MemberRecord _own) : m_own(std::move(_own))
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -119,6 +119,10 @@
 		m_duties = std::make_shared<DutyHolder>(m_context);
 		m_duties->init();
 	}
+	m_context.onMembersRead = [this]
+	{
+		m_registration->onMembersRead();
+	};
 	m_context.onStoreRestored = [this]
 	{
 		m_registration->onStoreRestored();
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -182,6 +182,8 @@
 	std::uint64_t storeRestores = 0;
 	/// Called when the store has been restored from a copy: leases and what was written since the copy are gone.
 	std::function<void()> onStoreRestored;
+	/// Called after the members that the store lists were read.
+	std::function<void()> onMembersRead;
 	/// Called after the directory has changed.
 	std::function<void()> onDirectoryChanged;
 	bool startupQueryDone =
--- a/src/gateway/registration.cpp
+++ b/src/gateway/registration.cpp
@@ -3,6 +3,9 @@
 
 #include "gateway/registration.h"
 
+#include "coordination/registrationspread.h"
+#include "coordination/storerevision.h"
+#include "daemon/logging.h"
 #include "gateway/memberkeys.h"
 #include "gateway/storeera.h"
 #include "platform/storecalls.h"
@@ -20,9 +23,6 @@
 constexpr Micros kRenewInterval = 15 * kSecond;
 constexpr Micros kRetryInterval = 1 * kSecond;
 constexpr Micros kCallTimeout = 1 * kSecond;
-constexpr Micros kMinRestoredDelay = 40 * kMillisecond;
-/// Two writing calls of each gateway stay below half of 400 a second.
-constexpr Micros kRestoredDelayPerMember = 10 * kMillisecond;
 constexpr std::size_t kAnswerBytes = 64u << 10;
 } // namespace
 
@@ -47,17 +47,39 @@
 
 void Registration::onStoreRestored()
 {
-	// The lease may be gone, and its number may have been given to another gateway.
+	// The lease's number may have been given to another gateway.
+	registerAgain();
+}
+
+void Registration::onMembersRead()
+{
+	const StoreContent& content = m_context.content;
+	const bool isCurrent = m_entryWritten && content.revision >= m_entryRevision;
+	if (m_closed || m_context.stopping || !isCurrent || content.items.count(memberKey(m_context.settings.name)))
+	{
+		return;
+	}
+	logEvent(LogLevel::Warning, "registration-lost",
+			 {{"revision", StoreRevision::text(content.revision)}, {"next", "this gateway registers again"}});
+	registerAgain();
+}
+
+void Registration::registerAgain()
+{
 	m_lease = 0;
 	m_entryWritten = false;
-	// All gateways register again, so they are spread over what the store takes.
-	const auto members = static_cast<Micros>(m_context.relays.memberCount());
-	schedule(kMinRestoredDelay + members * kRestoredDelayPerMember);
+	// The same has happened to all gateways, if the store was restored or out of reach.
+	wait(RegistrationSpread::draw(m_context.members.count(), m_context.random));
 }
 
 void Registration::schedule(Micros _span)
 {
-	m_timer.expires_after(std::chrono::microseconds(m_context.jittered(_span)));
+	wait(m_context.jittered(_span));
+}
+
+void Registration::wait(Micros _span)
+{
+	m_timer.expires_after(std::chrono::microseconds(_span));
 	m_timer.async_wait(
 		[self = shared_from_this()](const boost::system::error_code& _error)
 		{
@@ -120,6 +142,7 @@
 			}
 			const KvResult result = platform::readTransaction(_answer);
 			self->m_entryWritten = result.outcome == KvOutcome::Done;
+			self->m_entryRevision = self->m_entryWritten ? result.revision : self->m_entryRevision;
 			if (result.outcome == KvOutcome::LeaseGone)
 			{
 				self->m_lease = 0;
@@ -145,7 +168,8 @@
 				self->m_lease = 0;
 				self->m_entryWritten = false;
 			}
-			self->schedule(renewal.renewed ? kRenewInterval : kRetryInterval);
+			// The entry may have been found missing during the call.
+			self->schedule(renewal.renewed && self->m_entryWritten ? kRenewInterval : kRetryInterval);
 		});
 }
 
--- a/src/gateway/registration.h
+++ b/src/gateway/registration.h
@@ -31,8 +31,13 @@
 	/// Registers again: the lease and the entry may be gone.
 	void onStoreRestored();
 
+	/// Registers again if the store's list lacks this gateway's entry, whose lease then has run out.
+	void onMembersRead();
+
 private:
+	void registerAgain();
 	void schedule(Micros _span);
+	void wait(Micros _span);
 	void requestLease();
 	void writeEntry();
 	void renew();
@@ -42,6 +47,7 @@
 	boost::asio::steady_timer m_timer;
 	std::uint64_t m_lease = 0;
 	bool m_entryWritten = false;
+	std::uint64_t m_entryRevision = 0; ///< Of the last write of the entry.
 	bool m_closed = false;
 };
 
--- a/src/gateway/storesyncapply.cpp
+++ b/src/gateway/storesyncapply.cpp
@@ -76,6 +76,7 @@
 	m_context.origins.setMembers(members);
 	m_context.members.update(members, monotonicNow()) ? m_context.shareOutAmongMembers() : void();
 	m_context.peers.setRegistered(std::move(hosts));
+	m_context.onMembersRead ? m_context.onMembersRead() : void();
 }
 
 void StoreSync::loadBookkeeping(const StoreContent& _content)
--- a/tests/memberchurn.h
+++ b/tests/memberchurn.h
@@ -7,6 +7,7 @@
 #ifndef BEACONGATE_TESTS_MEMBERCHURN_H
 #define BEACONGATE_TESTS_MEMBERCHURN_H
 
+#include "coordination/registrationspread.h"
 #include "coordination/relaychoice.h"
 
 #include <algorithm>
@@ -27,7 +28,9 @@
 	Rolling,    ///< All gateways stop in series, one after the other or several at once, each for 1 s.
 	Added,      ///< A third of the fleet is added within 1 s.
 	Lapse,      ///< All leases run out at once; each gateway is listed again within 15 s, as it renews its lease.
-	LapseAndStarts, ///< The same, and a second later half of the gateways are killed, and register as they start.
+	/// All leases run out at once; each gateway registers once it reads that it is missing. A second later half of
+	/// the gateways are killed, and register as they start.
+	LapseAndStarts,
 };
 
 inline std::string toString(Churn _churn)
@@ -205,26 +208,35 @@
 			}
 			break;
 		case Churn::Lapse:
-			planLapse(0.0);
+			planLapse();
 			break;
 		case Churn::LapseAndStarts:
-			planLapse(0.5);
+			planLapseAndStarts();
 			break;
 		}
 	}
 
-	/// @param[in] _killedShare Share of the gateways that are killed after the lapse.
-	void planLapse(double _killedShare)
+	void planLapse()
 	{
+		for (unsigned number = 0; number < m_gateways; ++number)
+		{
+			m_changes.push_back({kQuietSpan, number, false});
+			m_changes.push_back({kQuietSpan + 1 + draw(kRenewInterval), number, true});
+		}
+	}
+
+	void planLapseAndStarts()
+	{
+		constexpr double kKilledShare = 0.5;
 		constexpr Micros kKilled = kQuietSpan + 1 * kSecond;
 		constexpr Micros kStarted = kKilled + 1 * kSecond;
 		for (unsigned number = 0; number < m_gateways; ++number)
 		{
-			const Micros renewed = kQuietSpan + 1 + draw(kRenewInterval);
-			const bool isKilled =
-				_killedShare > 0.0 && std::uniform_real_distribution<double>()(m_random) < _killedShare;
+			const Micros read = kQuietSpan + 1 + draw(m_lag);
+			const Micros listed = read + RegistrationSpread::draw(m_gateways, m_random);
+			const bool isKilled = std::uniform_real_distribution<double>()(m_random) < kKilledShare;
 			m_changes.push_back({kQuietSpan, number, false});
-			m_changes.push_back({isKilled ? std::min(renewed, kStarted) : renewed, number, true});
+			m_changes.push_back({isKilled ? std::min(listed, kStarted) : listed, number, true});
 			isKilled ? m_offSpans[number].push_back({kKilled, kStarted}) : void();
 		}
 	}
