Keep the homes of brittle servers level, and let those that start refer to others

What callers saw: brittle servers fell over while gateways restart in series, are killed by half, or start after a lapse; requests in flight there were lost.

Cause: a home that has just started, or takes over, does not know what is in flight. Two further ways to the same: a home that had not answered was passed over for up to 8 s after it was back, by each gateway for another time, so that two homes granted; and the third home was told of nothing.

Change: the grantor tells the other homes of each grant (GrantNotice, which the notices about limits become part of). A home refers requests for 1.5 s after it first heard of a server (SlotOutcome::Referred); where all refer, the first that heard of it has to decide. A message from a home ends its silence. As many homes are told as it takes for two that answer. attempt-failed logs granted_by.

Costs: one datagram more for each request to a brittle server; none grows with the fleet. A gateway of an earlier build gets a decision without a referral.

--- a/src/coordination/slotgrant.h
+++ b/src/coordination/slotgrant.h
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <variant>
 
 namespace beacongate
@@ -36,6 +37,7 @@
 	unsigned priority = 0;            ///< A smaller value goes first.
 	Micros patience = 0;              ///< For how long the request may be queued.
 	std::optional<double> limit = {}; ///< Requests a second that it allows; nothing if it names no limit.
+	bool insists = false;             ///< No other home of the server knows more than the receiver.
 };
 
 /// Decision on a request for a slot.
@@ -44,6 +46,7 @@
 	Granted,
 	Queued, ///< Another answer follows if a slot becomes free in time.
 	Denied,
+	Referred, ///< The sender has just become a home of the server; another home may know what is in use there.
 };
 
 /// Answers a request for a slot.
@@ -53,8 +56,9 @@
 	BackendKey backend;
 	SlotOutcome outcome = SlotOutcome::Denied;
 	std::uint64_t grant = 0; ///< Number of the grant; a later grant of the same grantor has a larger one.
-	Micros wait =
-		0; ///< Time after which a denied request may be granted, as far as the server's limit is concerned.
+	/// Time after which a denied request may be granted, as far as the server's limit is concerned, or after which a
+	/// home that referred knows what is in use.
+	Micros wait = 0;
 };
 
 /// Tells what a gateway has in flight, after a request has ended and at intervals.
@@ -65,15 +69,16 @@
 	bool unused = false;   ///< A grant of the receiver is not used.
 };
 
-/// Tells that a request is sent to a server with a limit without a grant of the receiver, which may have to grant
-/// the next ones.
-struct PacedNotice
+/// Tells that a request is sent without a grant of the receiver, which may have to grant the next ones.
+struct GrantNotice
 {
 	BackendKey backend;
-	double limit = 0.0; ///< Requests a second that it allows.
+	std::string holder;               ///< Host of the gateway that sends the request.
+	unsigned inUse = 0;               ///< What it has in flight at the server, this request included.
+	std::optional<double> limit = {}; ///< Requests a second that the server allows; nothing if it names no limit.
 };
 
-using SlotMessage = std::variant<SlotRequest, SlotAnswer, SlotReport, PacedNotice>;
+using SlotMessage = std::variant<SlotRequest, SlotAnswer, SlotReport, GrantNotice>;
 
 } // namespace beacongate
 
--- a/src/coordination/slotgrantor.cpp
+++ b/src/coordination/slotgrantor.cpp
@@ -135,11 +135,7 @@
 
 SlotAnswer SlotGrantor::grant(Server& _server, BackendKey _key, const Waiting& _request, Micros _now)
 {
-	if (_server.pace)
-	{
-		_server.pace->onSent(_now);
-		m_paced ? m_paced(_key, _server.pace->rate()) : void();
-	}
+	_server.pace ? _server.pace->onSent(_now) : void();
 	if (_request.needsSlot && occupied(_server, _now) >= _server.proven)
 	{
 		_server.trialAt = _server.tried == 0 ? _now : _server.trialAt;
@@ -148,6 +144,12 @@
 	Holder& holder = _server.holders[_request.host];
 	holder.heard = _now;
 	holder.unconfirmed.push_back({++m_lastGrant, _request.id, _now});
+	if (m_notify)
+	{
+		const auto inUse = holder.inFlight + static_cast<unsigned>(holder.unconfirmed.size());
+		const auto limit = _server.pace ? std::optional(_server.pace->rate()) : std::nullopt;
+		m_notify({_key, _request.host, inUse, limit}, _now);
+	}
 	return {_request.id, _key, SlotOutcome::Granted, m_lastGrant};
 }
 
@@ -158,6 +160,11 @@
 	Server& server = serverOf(_request, _reported, _now);
 	noteUse(server, _request.use, _host, _now);
 	update(server, _now);
+	const Micros startsUntil = server.began + kStartSpan;
+	if (_request.rejections && !_request.insists && _now < startsUntil)
+	{
+		return {_request.id, key, SlotOutcome::Referred, 0, startsUntil - _now};
+	}
 	// A request that comes again was answered before, and the answer was lost.
 	if (const auto holder = server.holders.find(_host); holder != server.holders.end())
 	{
@@ -240,11 +247,17 @@
 	serveQueue(_report.use.backend, server, _now);
 }
 
-void SlotGrantor::onPaced(const PacedNotice& _notice, Micros _now)
+void SlotGrantor::onNotice(const GrantNotice& _notice, Micros _now)
 {
 	Server& server = serverOf(_notice.backend, _now);
-	setPace(server, _notice.limit, _now);
-	server.pace->onSent(_now);
+	if (_notice.limit)
+	{
+		setPace(server, *_notice.limit, _now);
+		server.pace->onSent(_now);
+	}
+	Holder& holder = server.holders[_notice.holder];
+	holder.inFlight = _notice.inUse;
+	holder.heard = _now;
 }
 
 void SlotGrantor::onLimitEnded(BackendKey _key)
--- a/src/coordination/slotgrantor.h
+++ b/src/coordination/slotgrantor.h
@@ -37,7 +37,7 @@
 {
 public:
 	using Send = std::function<void(const std::string& _host, const SlotAnswer& _answer)>;
-	using Paced = std::function<void(BackendKey _backend, double _limit)>;
+	using Notify = std::function<void(const GrantNotice& _notice, Micros _now)>;
 
 	/// Share of its slots for which a server is taken to have room before any are tried.
 	static constexpr double kAssumedRoom = 0.5;
@@ -53,8 +53,8 @@
 	static constexpr Micros kGrantLifetime = 1 * kSecond;
 	/// Time for which a gateway's requests in flight count after its last message. It reports once a second.
 	static constexpr Micros kUseLifetime = 3500 * kMillisecond;
-	/// Time from the first message about a server until all gateways have reported their use. Until then the
-	/// load reports of the gateways count as well.
+	/// Time from the first message about a server until all gateways have reported their use. Until then requests
+	/// are referred to another home, and the load reports of the gateways count as well.
 	static constexpr Micros kStartSpan = 1500 * kMillisecond;
 	/// Largest number of requests that wait for a server, as a multiple of its slots.
 	static constexpr unsigned kQueueFactor = 2;
@@ -75,10 +75,10 @@
 		m_send = std::move(_send);
 	}
 
-	/// Sets the function that is told of each request granted at a server with a limit.
-	void setPaced(Paced _paced)
+	/// Sets the function that tells other homes of each grant.
+	void setNotify(Notify _notify)
 	{
-		m_paced = std::move(_paced);
+		m_notify = std::move(_notify);
 	}
 
 	/// Decides on a request.
@@ -90,7 +90,7 @@
 	void onReport(const SlotReport& _report, const std::string& _host, Micros _now);
 
 	/// Processes a notice of a gateway.
-	void onPaced(const PacedNotice& _notice, Micros _now);
+	void onNotice(const GrantNotice& _notice, Micros _now);
 
 	/// Notes that a server names no limit any more.
 	void onLimitEnded(BackendKey _key);
@@ -172,7 +172,7 @@
 
 	std::uint64_t m_lastGrant;
 	Send m_send;
-	Paced m_paced;
+	Notify m_notify;
 	std::unordered_map<BackendKey, Server, BackendKeyHash> m_servers;
 };
 
--- a/src/coordination/slotpermits.cpp
+++ b/src/coordination/slotpermits.cpp
@@ -52,19 +52,12 @@
 	}
 	if (_ticket.id == 0)
 	{
-		_ticket = {++m_lastId, _need.backend, false};
+		_ticket = {++m_lastId, _need.backend};
 		Pending& pending = m_pending[_ticket.id];
 		pending.need = _need;
 		pending.decided = std::move(_decided);
 		pending.polledAt = _now;
-		for (const std::string& home : serverOf(_need.backend).homes)
-		{
-			const auto silence = m_silent.find(home);
-			if (silence == m_silent.end() || silence->second.until <= _now)
-			{
-				pending.homes.push_back(home);
-			}
-		}
+		findHomes(pending, _now);
 		askNext(_ticket.id, pending, _now);
 	}
 	Pending& pending = m_pending.at(_ticket.id);
@@ -79,6 +72,7 @@
 	{
 		onPlaced(server);
 		_ticket.paced = pending.need.limit.has_value();
+		_ticket.grantor = pending.granted;
 	}
 	else
 	{
@@ -89,6 +83,30 @@
 	return granted ? SlotVerdict::Granted : SlotVerdict::Denied;
 }
 
+void SlotPermits::findHomes(Pending& _pending, Micros _now)
+{
+	Server& server = serverOf(_pending.need.backend);
+	std::erase_if(server.startingUntil, [_now](const auto& _entry) { return _entry.second <= _now; });
+	for (const std::string& home : server.homes)
+	{
+		if (isSilent(home, _now))
+		{
+			continue;
+		}
+		const auto starting = server.startingUntil.find(home);
+		const bool refers = starting != server.startingUntil.end();
+		refers ? _pending.starting.push_back({starting->second, home}) : _pending.homes.push_back(home);
+	}
+}
+
+void SlotPermits::onReferred(const std::string& _host, const SlotAnswer& _answer, Pending& _pending, Micros _now)
+{
+	const Micros until = _now + _answer.wait;
+	serverOf(_answer.backend).startingUntil[_host] = until;
+	_pending.insists ? void() : void(_pending.starting.emplace_back(until, _host));
+	askNext(_answer.id, _pending, _now);
+}
+
 bool SlotPermits::isQueued(const SlotTicket& _ticket) const
 {
 	const auto pending = m_pending.find(_ticket.id);
@@ -112,6 +130,16 @@
 	_pending.resent = false;
 	_pending.state = State::Asked;
 	_pending.askedAt = _now;
+	if (_pending.nextHome == _pending.homes.size() && !_pending.insists)
+	{
+		// The home that was the first to hear of the server knows most of what is in use.
+		std::sort(_pending.starting.begin(), _pending.starting.end());
+		for (const auto& [until, home] : _pending.starting)
+		{
+			_pending.homes.push_back(home);
+		}
+		_pending.insists = true;
+	}
 	if (_pending.nextHome == _pending.homes.size())
 	{
 		decideAlone(_pending, _now);
@@ -127,11 +155,14 @@
 	const SlotRequest request{_id,           useOf(need.backend, serverOf(need.backend), _home, _now),
 							  need.slots,    need.rejections,
 							  need.priority, patienceOf(need),
-							  need.limit};
+							  need.limit,    _pending.insists};
 	if (_home == m_host)
 	{
 		const unsigned reported = m_loads.totalInFlight(need.backend);
-		apply(m_pending.at(_id), m_host, m_grantor.decide(request, m_host, reported, _now));
+		const SlotAnswer answer = m_grantor.decide(request, m_host, reported, _now);
+		Pending& pending = m_pending.at(_id);
+		answer.outcome == SlotOutcome::Referred ? onReferred(m_host, answer, pending, _now)
+												: apply(pending, m_host, answer);
 		return;
 	}
 	m_send(_home, request);
@@ -190,25 +221,33 @@
 	{
 		return;
 	}
-	++serverOf(need.backend).unplaced;
-	if (need.limit)
-	{
-		// The homes may be slow and not gone.
-		m_grantor.onPaced({need.backend, *need.limit}, _now);
-		tellPaced(need.backend, *need.limit);
-	}
+	Server& server = serverOf(need.backend);
+	++server.unplaced;
+	// The homes may be slow and not gone.
+	const GrantNotice notice{need.backend, m_host, useOf(need.backend, server, "", _now).inFlight, need.limit};
+	m_grantor.onNotice(notice, _now);
+	tellHomes(notice, _now);
 }
 
-void SlotPermits::tellPaced(BackendKey _key, double _limit)
+void SlotPermits::tellHomes(const GrantNotice& _notice, Micros _now)
 {
-	const std::vector<std::string>& homes = serverOf(_key).homes;
-	const std::size_t count = std::min(homes.size(), kReported);
-	for (std::size_t place = 0; place < count; ++place)
+	for (const std::string& home : toldHomes(serverOf(_notice.backend), "", _now))
 	{
-		homes[place] != m_host ? m_send(homes[place], PacedNotice{_key, _limit}) : void();
+		home != m_host ? m_send(home, _notice) : void();
 	}
 }
 
+void SlotPermits::onHeard(const std::string& _host)
+{
+	m_silent.erase(_host);
+}
+
+bool SlotPermits::isSilent(const std::string& _host, Micros _now) const
+{
+	const auto silence = m_silent.find(_host);
+	return silence != m_silent.end() && silence->second.until > _now;
+}
+
 void SlotPermits::onLimitEnded(BackendKey _key)
 {
 	const auto server = m_servers.find(_key);
@@ -246,6 +285,8 @@
 		_pending.state = State::Queued;
 		_pending.waited = 0;
 		break;
+	case SlotOutcome::Referred: // Another home is asked instead, see onReferred().
+		break;
 	case SlotOutcome::Denied:
 		_pending.state = State::Denied;
 		_pending.wait = _answer.wait;
@@ -255,7 +296,7 @@
 
 void SlotPermits::onAnswer(const std::string& _host, const SlotAnswer& _answer, Micros _now)
 {
-	m_silent.erase(_host);
+	onHeard(_host);
 	const auto found = m_pending.find(_answer.id);
 	const bool waits = found != m_pending.end() &&
 					   (found->second.state == State::Asked || found->second.state == State::Queued) &&
@@ -273,7 +314,8 @@
 		onUnusedGrant(_host, _answer, _now);
 		return;
 	}
-	apply(pending, _host, _answer);
+	_answer.outcome == SlotOutcome::Referred ? onReferred(_host, _answer, pending, _now)
+											 : apply(pending, _host, _answer);
 	if (pending.state == State::Granted || pending.state == State::Denied)
 	{
 		// The callback may erase the pending request, so it is copied first.
@@ -306,7 +348,7 @@
 void SlotPermits::returnGrant(BackendKey _key, const std::string& _grantor, Micros _now)
 {
 	Server& server = serverOf(_key);
-	for (const std::string& home : toldHomes(server, _grantor))
+	for (const std::string& home : toldHomes(server, _grantor, _now))
 	{
 		SlotReport report{useOf(_key, server, home, _now), false};
 		report.unused = true;
@@ -314,10 +356,15 @@
 	}
 }
 
-std::vector<std::string> SlotPermits::toldHomes(const Server& _server, const std::string& _more)
+std::vector<std::string> SlotPermits::toldHomes(const Server& _server, const std::string& _more, Micros _now) const
 {
-	std::vector<std::string> homes = _server.homes;
-	homes.resize(std::min(homes.size(), kReported));
+	std::vector<std::string> homes;
+	std::size_t answering = 0;
+	for (auto home = _server.homes.begin(); home != _server.homes.end() && answering < kReported; ++home)
+	{
+		homes.push_back(*home);
+		answering += isSilent(*home, _now) ? 0 : 1;
+	}
 	if (!_more.empty() && std::find(homes.begin(), homes.end(), _more) == homes.end())
 	{
 		homes.push_back(_more);
@@ -377,7 +424,7 @@
 	Server& server = serverOf(_key);
 	server.reportedAt = _now;
 	server.repeats = true;
-	for (const std::string& home : toldHomes(server, server.grantor))
+	for (const std::string& home : toldHomes(server, server.grantor, _now))
 	{
 		sendTo(home, {useOf(_key, server, home, _now), _rejected}, _now);
 	}
--- a/src/coordination/slotpermits.h
+++ b/src/coordination/slotpermits.h
@@ -27,7 +27,8 @@
 {
 	std::uint64_t id = 0; ///< Number of the request for a slot; 0 for none.
 	BackendKey backend;
-	bool paced = false; ///< The last grant was one under the server's limit.
+	bool paced = false;       ///< The last grant was one under the server's limit.
+	std::string grantor = {}; ///< Host that gave the last grant; empty if this gateway decided alone.
 };
 
 /// The slot that a request needs.
@@ -51,10 +52,10 @@
 /// This gateway's slots at brittle backend servers, and its requests under limits.
 ///
 /// The grantor of a server is the first of its homes, which all gateways find by rendezvous hashing. The second one
-/// takes its place if it does not answer; it hears all reports as well, so that it knows what is in use. Costs, for
-/// each request to a brittle server and whatever the size of the fleet: one question, one or two answers, and
-/// kReported reports at its end; for each request under a limit: one question, one or two answers, and a notice of
-/// the grantor to the next home, so that the limit holds if that one takes over.
+/// takes its place if it does not answer; it hears of all grants and reports as well, so that it knows what is in
+/// use. A home that has just started refers to the others until it knows. Costs, for each request whatever the size
+/// of the fleet: one question, one or two answers, a notice of the grantor to the next home, and kReported reports
+/// at its end if the server is brittle. While a home does not answer or starts there are up to kHomes of each.
 class SlotPermits
 {
 public:
@@ -66,7 +67,7 @@
 
 	/// Homes that are asked, one after the other.
 	static constexpr std::size_t kHomes = 3;
-	/// Homes that are told of what is in use.
+	/// Homes that answer and are told of what is in use. Those before them are told as well.
 	static constexpr std::size_t kReported = 2;
 	/// Time without an answer after which a request is sent once more, since datagrams get lost.
 	static constexpr Micros kResendDelay = 50 * kMillisecond;
@@ -136,7 +137,10 @@
 	void onEnded(BackendKey _key, bool _rejected, bool _abandoned, Micros _now);
 
 	/// Tells the other homes of a server that a request is sent there which they have not granted.
-	void tellPaced(BackendKey _key, double _limit);
+	void tellHomes(const GrantNotice& _notice, Micros _now);
+
+	/// Notes that another gateway runs, from which a message has arrived.
+	void onHeard(const std::string& _host);
 
 	/// Notes that a server names no limit any more.
 	void onLimitEnded(BackendKey _key);
@@ -170,6 +174,9 @@
 		State state = State::Asked;
 		std::string granted;            ///< Host that granted it; empty if this gateway decided alone.
 		std::vector<std::string> homes; ///< That can be asked, best first.
+		/// Homes that referred, and until when they do. They are asked last, and have to decide then.
+		std::vector<std::pair<Micros, std::string>> starting;
+		bool insists = false; ///< The homes that are left are those that referred.
 		std::size_t nextHome = 0;
 		bool resent = false;
 		Micros askedAt = 0; ///< When the last home was asked first.
@@ -182,6 +189,7 @@
 	struct Server
 	{
 		std::vector<std::string> homes; ///< Best first; empty if they have to be determined.
+		std::map<std::string, Micros> startingUntil; ///< Homes that referred, and until when they will.
 		std::string grantor;            ///< Home that answered last.
 		std::uint64_t lastGrant = 0;    ///< Of that home.
 		unsigned unplaced = 0;          ///< Grants whose requests have not been sent yet.
@@ -212,9 +220,14 @@
 	/// Notes a grant.
 	/// @returns false if it was noted before: an answer may arrive twice.
 	bool noteGrant(const std::string& _grantor, std::uint64_t _request);
+	bool isSilent(const std::string& _host, Micros _now) const;
 	/// @returns the homes that are told of what is in use, and one more.
-	static std::vector<std::string> toldHomes(const Server& _server, const std::string& _more);
+	std::vector<std::string> toldHomes(const Server& _server, const std::string& _more, Micros _now) const;
 	static Micros patienceOf(const SlotNeed& _need);
+	/// Determines the homes that can be asked.
+	void findHomes(Pending& _pending, Micros _now);
+	/// Processes the answer of a home that does not know what is in use.
+	void onReferred(const std::string& _host, const SlotAnswer& _answer, Pending& _pending, Micros _now);
 	void askNext(std::uint64_t _id, Pending& _pending, Micros _now);
 	void ask(std::uint64_t _id, const Pending& _pending, const std::string& _home, Micros _now);
 	void poll(std::uint64_t _id, Pending& _pending, Micros _now);
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -359,6 +359,7 @@
 	m_attempt.resumed = m_lastEventId.has_value() || !m_info.lastEventId.empty();
 	m_attempt.limit = m_context.limits.limitOf(_backend.key);
 	m_attempt.paced = m_slotTicket.paced;
+	m_attempt.grantor = m_slotTicket.grantor;
 	m_attempt.backoffProbe = m_context.backoffs.onPlaced(_backend.key, now);
 	m_context.balancer.onSent(_backend.key, m_placement);
 	m_context.suspects.onPlaced(m_subjects, _backend.key);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -78,6 +78,7 @@
 		Micros listAge = 0; ///< Age of the list of backend servers when the request was sent.
 		ListingState listingState = ListingState::Gone; ///< State of the backend server in that list.
 		bool paced = false;                             ///< It was granted under the server's limit.
+		std::string grantor;         ///< Gateway that granted it; empty if none had to, or this one decided alone.
 		std::optional<double> limit; ///< Requests a second that the server was known to allow when it was chosen.
 		bool backoffProbe = false;   ///< This is one of the few requests that a server gets after its backoff.
 		Micros backoffLeft = 0;      ///< Remaining backoff of the server when the request was sent.
--- a/src/gateway/exchangeanswers.cpp
+++ b/src/gateway/exchangeanswers.cpp
@@ -397,6 +397,7 @@
 			  {"brittle", rejections ? std::to_string(*rejections) : "-"},
 			  {"in_flight", std::to_string(m_context.balancer.ownInFlight(m_attempt.key))},
 			  {"all_in_flight", std::to_string(m_context.balancer.totalInFlight(m_attempt.key))},
+			  {"granted_by", m_attempt.grantor.empty() ? "-" : m_attempt.grantor},
 			  {"asked_backoff_ms", m_attempt.info.backoff ? millisText(*m_attempt.info.backoff) : "-"},
 			  {"says_leaving", m_attempt.info.leaving ? "yes" : "no"},
 			  {"ms", millisText(now - m_attempt.sent)},
--- a/src/gateway/slotexchange.cpp
+++ b/src/gateway/slotexchange.cpp
@@ -33,8 +33,8 @@
 	m_context.slots.setTakeTurn(
 		[this](BackendKey _key)
 		{ return m_context.limits.takeTurn(_key, m_context.clock.trueTime(monotonicNow())); });
-	m_context.slotGrantor.setPaced([this](BackendKey _key, double _limit)
-								   { m_context.slots.tellPaced(_key, _limit); });
+	m_context.slotGrantor.setNotify([this](const GrantNotice& _notice, Micros _now)
+									{ m_context.slots.tellHomes(_notice, _now); });
 	m_context.slotGrantor.setSend(
 		[this](const std::string& _host, const SlotAnswer& _answer)
 		{
@@ -129,6 +129,7 @@
 	}
 	m_context.traffic.onReceived(DatagramPurpose::SlotGrant, _bytes.size());
 	const Micros now = monotonicNow();
+	m_context.slots.onHeard(_sender);
 	if (const auto* request = std::get_if<SlotRequest>(&*message))
 	{
 		const unsigned reported = m_context.balancer.totalInFlight(request->use.backend);
@@ -143,9 +144,9 @@
 	{
 		m_context.slotGrantor.onReport(*report, _sender, now);
 	}
-	else if (const auto* notice = std::get_if<PacedNotice>(&*message))
+	else if (const auto* notice = std::get_if<GrantNotice>(&*message))
 	{
-		m_context.slotGrantor.onPaced(*notice, now);
+		m_context.slotGrantor.onNotice(*notice, now);
 	}
 	return true;
 }
--- a/src/protocol/slotcodec.cpp
+++ b/src/protocol/slotcodec.cpp
@@ -23,7 +23,7 @@
 	Request,
 	Answer,
 	Report,
-	PacedNotice,
+	GrantNotice,
 };
 
 constexpr double kNone = -1.0; ///< Encodes that a server is not brittle, or names no limit.
@@ -53,6 +53,7 @@
 		fields.push_back(_request.priority);
 		fields.push_back(_request.patience);
 		fields.push_back(_request.limit.value_or(kNone));
+		fields.push_back(_request.insists);
 		return fields;
 	}
 
@@ -76,11 +77,13 @@
 		return fields;
 	}
 
-	Json operator()(const PacedNotice& _notice) const
+	Json operator()(const GrantNotice& _notice) const
 	{
-		Json fields = startFields(Content::PacedNotice);
+		Json fields = startFields(Content::GrantNotice);
 		fields.push_back(_notice.backend.value);
-		fields.push_back(_notice.limit);
+		fields.push_back(_notice.holder);
+		fields.push_back(_notice.inUse);
+		fields.push_back(_notice.limit.value_or(kNone));
 		return fields;
 	}
 };
@@ -130,6 +133,8 @@
 	request.patience = _fields.at(10).get<Micros>();
 	// An earlier build does not send it.
 	request.limit = _fields.size() > 11 ? decodeOptional(_fields.at(11)) : std::nullopt;
+	// An earlier build does not know that it may be referred, so it gets a decision.
+	request.insists = _fields.size() > 12 ? _fields.at(12).get<bool>() : true;
 	return request;
 }
 
@@ -140,7 +145,7 @@
 	answer.backend.value = _fields.at(3).get<std::uint32_t>();
 	answer.id = _fields.at(4).get<std::uint64_t>();
 	const auto outcome = _fields.at(5).get<unsigned>();
-	if (outcome > static_cast<unsigned>(SlotOutcome::Denied))
+	if (outcome > static_cast<unsigned>(SlotOutcome::Referred))
 	{
 		throw Json::other_error::create(0, "not an outcome", nullptr);
 	}
@@ -159,16 +164,13 @@
 }
 
 /// @throws Json::exception where a field is missing or has the wrong type.
-PacedNotice decodePacedNotice(const Json& _fields)
+GrantNotice decodeGrantNotice(const Json& _fields)
 {
-	PacedNotice notice;
+	GrantNotice notice;
 	notice.backend.value = _fields.at(3).get<std::uint32_t>();
-	const std::optional<double> limit = decodeOptional(_fields.at(4));
-	if (!limit)
-	{
-		throw Json::other_error::create(0, "not a limit", nullptr);
-	}
-	notice.limit = *limit;
+	notice.holder = _fields.at(4).get<std::string>();
+	notice.inUse = _fields.at(5).get<unsigned>();
+	notice.limit = decodeOptional(_fields.at(6));
 	return notice;
 }
 
@@ -184,8 +186,8 @@
 		return decodeAnswer(_fields);
 	case static_cast<unsigned>(Content::Report):
 		return decodeReport(_fields);
-	case static_cast<unsigned>(Content::PacedNotice):
-		return decodePacedNotice(_fields);
+	case static_cast<unsigned>(Content::GrantNotice):
+		return decodeGrantNotice(_fields);
 	default:
 		return std::nullopt;
 	}
--- a/tests/brittlefleet.h
+++ b/tests/brittlefleet.h
@@ -291,11 +291,14 @@
 		};
 		_gateway.grantor.setSend(post);
 		_gateway.permits.setSend(post);
+		_gateway.grantor.setNotify([&_gateway](const GrantNotice& _notice, Micros _now)
+									{ _gateway.permits.tellHomes(_notice, _now); });
 	}
 
 	void deliver(const Message& _message)
 	{
 		GatewayState& gateway = *m_byHost.at(_message.to);
+		gateway.permits.onHeard(_message.from);
 		if (const auto* answer = std::get_if<SlotAnswer>(&_message.content))
 		{
 			gateway.permits.onAnswer(_message.from, *answer, m_now);
@@ -304,6 +307,10 @@
 		{
 			gateway.grantor.onReport(*report, _message.from, m_now);
 		}
+		else if (const auto* notice = std::get_if<GrantNotice>(&_message.content))
+		{
+			gateway.grantor.onNotice(*notice, m_now);
+		}
 		else
 		{
 			const auto& request = std::get<SlotRequest>(_message.content);
--- a/tests/limitfleet.h
+++ b/tests/limitfleet.h
@@ -67,7 +67,7 @@
 		m_server.record.slots = kSlots;
 		m_grantor.setSend(_send);
 		m_permits.setSend(_send);
-		m_grantor.setPaced([this](BackendKey _key, double _limit) { m_permits.tellPaced(_key, _limit); });
+		m_grantor.setNotify([this](const GrantNotice& _notice, Micros _at) { m_permits.tellHomes(_notice, _at); });
 		m_permits.setTakeTurn([this, &_now](BackendKey _key) { return m_limits.takeTurn(_key, m_agreed + _now); });
 	}
 
@@ -101,6 +101,7 @@
 	/// @returns the answer, if it is a question.
 	std::optional<SlotAnswer> receive(const std::string& _from, const SlotMessage& _message, Micros _now)
 	{
+		m_permits.onHeard(_from);
 		if (const auto* request = std::get_if<SlotRequest>(&_message))
 		{
 			return m_grantor.decide(*request, _from, 0, _now);
@@ -115,7 +116,7 @@
 		}
 		else
 		{
-			m_grantor.onPaced(std::get<PacedNotice>(_message), _now);
+			m_grantor.onNotice(std::get<GrantNotice>(_message), _now);
 		}
 		return std::nullopt;
 	}
--- a/tests/slotcodectest.cpp
+++ b/tests/slotcodectest.cpp
@@ -46,6 +46,7 @@
 	EXPECT_EQ(request.priority, 3u);
 	EXPECT_EQ(request.patience, 150 * kMillisecond);
 	EXPECT_FALSE(request.limit);
+	EXPECT_FALSE(request.insists);
 }
 
 TEST(SlotCodec, requestUnderALimitKeepsItsFields)
@@ -57,10 +58,12 @@
 
 TEST(SlotCodec, noticeKeepsItsFields)
 {
-	const auto notice = decoded<PacedNotice>(PacedNotice{BackendKey("server"), 2.5});
+	const auto notice = decoded<GrantNotice>(GrantNotice{BackendKey("server"), "a", 3, 2.5});
 	EXPECT_EQ(notice.backend, BackendKey("server"));
+	EXPECT_EQ(notice.holder, "a");
+	EXPECT_EQ(notice.inUse, 3u);
 	EXPECT_EQ(notice.limit, 2.5);
-	EXPECT_FALSE(decodeSlot(encodeSlot(PacedNotice{BackendKey("server"), -1.0})));
+	EXPECT_FALSE(decoded<GrantNotice>(GrantNotice{BackendKey("server"), "a", 3}).limit);
 }
 
 TEST(SlotCodec, messagesOfAnEarlierBuildAreRead)
@@ -75,6 +78,7 @@
 	const auto request = read(Json::array({kDatagramFormat, kind, 0, 5, 1, 9, 42, 16, 2.5, 3, 1}));
 	ASSERT_TRUE(request);
 	EXPECT_FALSE(std::get<SlotRequest>(*request).limit);
+	EXPECT_TRUE(std::get<SlotRequest>(*request).insists);
 	const auto answer = read(Json::array({kDatagramFormat, kind, 1, 5, 42, 0, 9}));
 	ASSERT_TRUE(answer);
 	EXPECT_EQ(std::get<SlotAnswer>(*answer).wait, 0);
--- a/tests/slotgrantortest.cpp
+++ b/tests/slotgrantortest.cpp
@@ -19,7 +19,7 @@
 
 SlotRequest request(std::uint64_t _id, unsigned _inFlight = 0, std::uint64_t _lastGrant = 0, unsigned _priority = 0)
 {
-	return {_id, {kServer, _inFlight, _lastGrant}, kSlots, kRejections, _priority, kPatience};
+	return {_id, {kServer, _inFlight, _lastGrant}, kSlots, kRejections, _priority, kPatience, std::nullopt, true};
 }
 } // namespace
 
@@ -57,6 +57,30 @@
 	EXPECT_EQ(grantor.decide(request(9), "b", 0, now).outcome, SlotOutcome::Queued);
 }
 
+TEST_F(SlotGrantorTest, homeThatHasJustStartedRefersUnlessNoOtherKnowsMore)
+{
+	SlotRequest asked = request(1);
+	asked.insists = false;
+	const SlotAnswer referral = grantor.decide(asked, "a", 0, now);
+	EXPECT_EQ(referral.outcome, SlotOutcome::Referred);
+	EXPECT_EQ(referral.wait, SlotGrantor::kStartSpan);
+	EXPECT_EQ(grantor.decide(request(1), "a", 0, now).outcome, SlotOutcome::Granted);
+	now += SlotGrantor::kStartSpan;
+	asked.id = 2;
+	EXPECT_EQ(grantor.decide(asked, "a", 0, now).outcome, SlotOutcome::Granted);
+}
+
+TEST_F(SlotGrantorTest, slotsThatAnotherHomeGrantedAreInUse)
+{
+	for (unsigned number = 1; number <= kSlots; ++number)
+	{
+		grantor.onNotice({kServer, "a", number}, now);
+	}
+	EXPECT_EQ(grantor.decide(request(9), "b", 0, now).outcome, SlotOutcome::Queued);
+	grantor.onReport({{kServer, 0, 0}}, "a", now);
+	EXPECT_EQ(sent.size(), 1u);
+}
+
 TEST_F(SlotGrantorTest, freedSlotGoesToTheMostUrgentRequest)
 {
 	const SlotAnswer last = grantAll("a");
@@ -147,10 +171,10 @@
 
 	PacedGrantorTest()
 	{
-		grantor.setPaced([this](BackendKey, double _limit) { paced.push_back(_limit); });
+		grantor.setNotify([this](const GrantNotice& _notice, Micros) { notices.push_back(_notice); });
 		ask("a", 0); // The grantor begins to pace the server.
 		now += 10 * kSecond;
-		paced.clear();
+		notices.clear();
 	}
 
 	SlotAnswer ask(const std::string& _host, Micros _patience)
@@ -170,7 +194,7 @@
 		return granted;
 	}
 
-	std::vector<double> paced;
+	std::vector<GrantNotice> notices;
 
 private:
 	std::uint64_t m_lastId = 0;
@@ -185,7 +209,9 @@
 		granted += countGranted();
 	}
 	EXPECT_NEAR(granted, 40, 1);
-	EXPECT_EQ(paced, std::vector<double>(granted + 5, kLimit));
+	EXPECT_EQ(notices.size(), granted + 5);
+	EXPECT_TRUE(std::all_of(notices.begin(), notices.end(),
+							[](const GrantNotice& _notice) { return _notice.limit == kLimit; }));
 }
 
 TEST_F(PacedGrantorTest, grantorThatHasJustBegunGrantsNoBurst)
@@ -219,7 +245,7 @@
 {
 	for (unsigned number = 0; number < 5; ++number)
 	{
-		grantor.onPaced({kServer, kLimit}, now);
+		grantor.onNotice({kServer, "b", 1, kLimit}, now);
 	}
 	EXPECT_EQ(ask("a", 0).outcome, SlotOutcome::Denied);
 }
@@ -235,7 +261,8 @@
 {
 	grantor.onLimitEnded(kServer);
 	EXPECT_EQ(grantor.decide(request(99), "a", 0, now).outcome, SlotOutcome::Granted);
-	EXPECT_TRUE(paced.empty());
+	ASSERT_EQ(notices.size(), 1u);
+	EXPECT_FALSE(notices.front().limit);
 }
 
 TEST_F(PacedGrantorTest, questionsOfDeniedGatewaysAreSpread)
--- a/tests/slotpermitstest.cpp
+++ b/tests/slotpermitstest.cpp
@@ -66,6 +66,13 @@
 		permits.onAnswer(host, {request.id, kServer, _outcome, _grant}, now);
 	}
 
+	void answerReferred(Micros _wait)
+	{
+		const auto request = std::get<SlotRequest>(sent.back().second);
+		const std::string host = sent.back().first;
+		permits.onAnswer(host, {request.id, kServer, SlotOutcome::Referred, 0, _wait}, now);
+	}
+
 	Balancer balancer{"z"};
 	SlotGrantor grantor;
 	SlotPermits permits{balancer, grantor, "a", 0};
@@ -76,6 +83,45 @@
 	unsigned decisions = 0;
 };
 
+TEST_F(SlotPermitsTest, referredRequestGoesToTheOtherHomesAndThenToTheOneThatKnowsMost)
+{
+	take();
+	const std::string first = sent.back().first;
+	answerReferred(900 * kMillisecond);
+	const std::string second = sent.back().first;
+	EXPECT_NE(second, first);
+	answerReferred(300 * kMillisecond);
+	answerReferred(600 * kMillisecond);
+	EXPECT_EQ(sent.back().first, second);
+	EXPECT_TRUE(messages<SlotRequest>().back().insists);
+	EXPECT_FALSE(messages<SlotRequest>().front().insists);
+	answer(SlotOutcome::Granted, 1);
+	EXPECT_EQ(take(), SlotVerdict::Granted);
+	EXPECT_EQ(ticket.grantor, second);
+	// Until a home knows what is in use it is not asked for nothing.
+	now += 400 * kMillisecond;
+	take();
+	EXPECT_EQ(sent.back().first, second);
+	EXPECT_FALSE(messages<SlotRequest>().back().insists);
+}
+
+TEST_F(SlotPermitsTest, homeThatDidNotAnswerIsAskedAgainOnceItIsHeard)
+{
+	take();
+	const std::string first = sent.back().first;
+	now += SlotPermits::kAnswerTimeout + 3 * kPoll;
+	while (sent.back().first == first)
+	{
+		now += kPoll;
+		take();
+	}
+	answer(SlotOutcome::Denied);
+	take();
+	permits.onHeard(first);
+	take();
+	EXPECT_EQ(sent.back().first, first);
+}
+
 TEST_F(SlotPermitsTest, grantedRequestMayBeSent)
 {
 	EXPECT_EQ(take(), SlotVerdict::Pending);
@@ -239,11 +285,11 @@
 TEST_F(PacedPermitsTest, withoutAnyAnswerThisGatewayTakesItsTurnsAndTellsTheHomes)
 {
 	EXPECT_EQ(takePacedInTime(), SlotVerdict::Granted);
-	EXPECT_EQ(messages<PacedNotice>().size(), SlotPermits::kReported);
+	EXPECT_EQ(messages<GrantNotice>().size(), SlotPermits::kHomes) << "no home has answered, so all are told";
 	untilTurn = 3 * kSecond;
 	EXPECT_EQ(takePacedInTime(), SlotVerdict::Denied);
 	EXPECT_EQ(narrowed().earliestEnd, now + untilTurn);
-	EXPECT_EQ(messages<PacedNotice>().size(), SlotPermits::kReported);
+	EXPECT_EQ(messages<GrantNotice>().size(), SlotPermits::kHomes);
 }
 
 TEST_F(PacedPermitsTest, grantThatCameLateIsReturnedOnce)
