Charge no crash to what ran on a brittle server that rejected more than it bears

Cause: a gateway that loses a connection cannot tell such a fall from a crash; the rejections that make a server fall come from all gateways.

Change: the homes of a server hear every rejection already. Reports of a rejection now say how many the server bears; above that a home notes an overload of the incarnation in the ledger of crashes, as a record like that of a request, which reaches all gateways on the ways that the ledger has. Crashes of that incarnation weigh nothing. No new message; one record for each fall, within the bounds of the ledger.

--- a/src/coordination/crashledger.cpp
+++ b/src/coordination/crashledger.cpp
@@ -8,6 +8,18 @@
 
 namespace beacongate
 {
+namespace
+{
+/// @returns the key of a crash of an incarnation.
+/// @param[in] _ordinal Number of its earlier crashes that are known.
+BackendKey crashKeyOf(BackendKey _backend, unsigned _ordinal)
+{
+	BackendKey key = _backend;
+	key.value = _ordinal == 0 ? _backend.value : XXH32(&_backend.value, sizeof _backend.value, _ordinal);
+	return key;
+}
+} // namespace
+
 std::string_view toString(CrashChange _change)
 {
 	switch (_change)
@@ -171,8 +183,28 @@
 	return order;
 }
 
-unsigned CrashLedger::weigh(const Entry& _entry, bool _isPart,
-							const std::unordered_set<BackendKey, BackendKeyHash>& _explained)
+CrashLedger::BackendKeys CrashLedger::overloaded() const
+{
+	BackendKeys keys;
+	for (const auto& [subject, entry] : m_entries)
+	{
+		if (!isOverload(subject))
+		{
+			continue;
+		}
+		for (const Crash& crash : entry.crashes)
+		{
+			for (unsigned ordinal = 0; ordinal < kMaxCrashes; ++ordinal)
+			{
+				keys.insert(crashKeyOf(crash.backend, ordinal));
+			}
+		}
+	}
+	return keys;
+}
+
+unsigned CrashLedger::weigh(const Entry& _entry, bool _isPart, const BackendKeys& _explained,
+							const BackendKeys& _overloaded)
 {
 	// Most parts run beside the one to blame, in its own prompts, so that its crashes say nothing of them.
 	const unsigned explainedWeight = _isPart ? 0 : kExplainedWeight;
@@ -180,7 +212,7 @@
 	for (const Crash& crash : _entry.crashes)
 	{
 		const unsigned crashWeight = _explained.count(crash.backend) ? explainedWeight : kCrashWeight;
-		weight += crash.cleared ? 0 : crashWeight;
+		weight += crash.cleared || _overloaded.count(crash.backend) ? 0 : crashWeight;
 	}
 	return weight;
 }
@@ -230,7 +262,8 @@
 		item->second.group = 0;
 		item->second.groupSize = 1;
 	}
-	std::unordered_set<BackendKey, BackendKeyHash> explained;
+	const BackendKeys overloadedKeys = overloaded();
+	BackendKeys explained;
 	for (auto* item : order)
 	{
 		Entry& entry = item->second;
@@ -238,7 +271,7 @@
 		{
 			continue; // It belongs to the group of an earlier part.
 		}
-		entry.weight = weigh(entry, isPart(item->first), explained);
+		entry.weight = weigh(entry, isPart(item->first), explained, overloadedKeys);
 		entry.suspicion = suspicionFor(entry);
 		if (entry.suspicion != Suspicion::Blocked)
 		{
@@ -303,11 +336,24 @@
 		 std::any_of(crashes.begin(), crashes.end(), [key](const Crash& _crash) { return _crash.backend == key; });
 		 ++ordinal)
 	{
-		key.value = XXH32(&_backend.value, sizeof _backend.value, ordinal);
+		key = crashKeyOf(_backend, ordinal);
 	}
 	return key;
 }
 
+void CrashLedger::onOverloaded(BackendKey _backend, Micros _now)
+{
+	Entry& entry = m_entries[overloadFingerprintOf(_backend)];
+	entry.changed = _now;
+	if (add(entry, {_backend, false}))
+	{
+		markChanged(entry, true);
+		evict();
+		advance(_now);
+		assess(CrashChange::Unblocked);
+	}
+}
+
 void CrashLedger::onCrash(const RequestFingerprint& _request, BackendKey _backend, Micros _now)
 {
 	Entry& entry = m_entries[_request];
--- a/src/coordination/crashledger.h
+++ b/src/coordination/crashledger.h
@@ -52,7 +52,7 @@
 	Suspected, ///< A further crash was reported.
 	Blocked,   ///< The last crash needed was reported.
 	Completed, ///< It ended well.
-	Unblocked, ///< Another request is blamed for its crashes.
+	Unblocked, ///< Another request, or an overload, is blamed for its crashes.
 	Released,  ///< An operator released it.
 	Expired,   ///< Its retention ended.
 };
@@ -86,6 +86,9 @@
 /// all the time, which clears them, and a part that was answered lately is not suspected. Parts with the same
 /// crashes that all stand in the guilty prompts form a group: only requests with all of them are blocked, until an
 /// answer to a request with some of them, or another crash, tells them apart.
+///
+/// A brittle server that rejects more requests than it bears ends as if it crashed. Such an overload is a record
+/// like that of a request, and takes the weight from all crashes of its incarnation.
 class CrashLedger
 {
 public:
@@ -131,6 +134,10 @@
 	/// @returns the result of nextCrashKey() for the request and then for each part.
 	std::vector<BackendKey> nextCrashKeys(const CrashSubjects& _subjects, BackendKey _backend) const;
 
+	/// Notes that an incarnation of a backend server has rejected more requests than it bears, so that its end is
+	/// no sign against what ran there.
+	void onOverloaded(BackendKey _backend, Micros _now);
+
 	/// Notes that a request ended well: it does not crash its servers by itself.
 	void onCompleted(const RequestFingerprint& _request);
 
@@ -227,8 +234,11 @@
 	using OrderedEntries = std::vector<std::pair<const RequestFingerprint, Entry>*>;
 	/// @returns the entries in the order in which they are assessed: those to blame first.
 	OrderedEntries assessmentOrder();
-	static unsigned weigh(const Entry& _entry, bool _isPart,
-						  const std::unordered_set<BackendKey, BackendKeyHash>& _explained);
+	using BackendKeys = std::unordered_set<BackendKey, BackendKeyHash>;
+	/// @returns the keys of crashes that overloads explain.
+	BackendKeys overloaded() const;
+	static unsigned weigh(const Entry& _entry, bool _isPart, const BackendKeys& _explained,
+						  const BackendKeys& _overloaded);
 	static Suspicion suspicionFor(const Entry& _entry);
 	/// Blocks a part, and as a group with it those that have the same crashes.
 	static void formGroup(const OrderedEntries& _order, std::pair<const RequestFingerprint, Entry>& _item);
--- a/src/coordination/requestfingerprint.cpp
+++ b/src/coordination/requestfingerprint.cpp
@@ -37,6 +37,8 @@
 }
 /// Value of `high` in the fingerprint of a part. A request has it with a probability of 2^-64.
 constexpr std::uint64_t kPartMarker = 0x70726F6D70742D70;
+/// The same in the fingerprint of an overload.
+constexpr std::uint64_t kOverloadMarker = 0x6F7665726C6F6164;
 } // namespace
 
 RequestFingerprint partFingerprintOf(std::uint32_t _teamHash, std::uint64_t _part)
@@ -49,6 +51,16 @@
 	return _fingerprint.high == kPartMarker;
 }
 
+RequestFingerprint overloadFingerprintOf(BackendKey _backend)
+{
+	return {0, kOverloadMarker, _backend.value};
+}
+
+bool isOverload(const RequestFingerprint& _fingerprint)
+{
+	return _fingerprint.high == kOverloadMarker;
+}
+
 RequestFingerprint fingerprintOf(const RequestContent& _content)
 {
 	const std::unique_ptr<XXH3_state_t, StateDeleter> state(XXH3_createState());
--- a/src/coordination/requestfingerprint.h
+++ b/src/coordination/requestfingerprint.h
@@ -7,6 +7,8 @@
 #ifndef BEACONGATE_COORDINATION_REQUESTFINGERPRINT_H
 #define BEACONGATE_COORDINATION_REQUESTFINGERPRINT_H
 
+#include "coordination/backendkey.h"
+
 #include <compare>
 #include <cstddef>
 #include <cstdint>
@@ -56,6 +58,13 @@
 /// @returns true if partFingerprintOf() returned a fingerprint; its field `low` is then the part's id.
 bool isPart(const RequestFingerprint& _fingerprint);
 
+/// @returns a stand-in for the overload of an incarnation of a backend server, for which a ledger of crashes keeps
+/// a record. No request has it.
+RequestFingerprint overloadFingerprintOf(BackendKey _backend);
+
+/// @returns true if overloadFingerprintOf() returned a fingerprint.
+bool isOverload(const RequestFingerprint& _fingerprint);
+
 /// @returns the fingerprint of a request.
 RequestFingerprint fingerprintOf(const RequestContent& _content);
 
--- a/src/coordination/slotgrant.h
+++ b/src/coordination/slotgrant.h
@@ -56,8 +56,8 @@
 	BackendKey backend;
 	SlotOutcome outcome = SlotOutcome::Denied;
 	std::uint64_t grant = 0; ///< Number of the grant; a later grant of the same grantor has a larger one.
-	/// Time after which a denied request may be granted, as far as the server's limit is concerned, or after which a
-	/// home that referred knows what is in use.
+	/// Time after which a denied request may be granted, as far as the server's limit is concerned, or after which
+	/// a home that referred knows what is in use.
 	Micros wait = 0;
 };
 
@@ -67,6 +67,7 @@
 	SlotUse use;
 	bool rejected = false; ///< The backend server rejected the request that ended, for want of room.
 	bool unused = false;   ///< A grant of the receiver is not used.
+	std::optional<double> rejections = {}; ///< Rejections that it bears in a second, if it rejected the request.
 };
 
 /// Tells that a request is sent without a grant of the receiver, which may have to grant the next ones.
--- a/src/coordination/slotgrantor.cpp
+++ b/src/coordination/slotgrantor.cpp
@@ -239,6 +239,11 @@
 	if (_report.rejected)
 	{
 		onRejected(server, _now);
+		const double rejected = static_cast<double>(server.rejectedAt.size());
+		if (m_overloaded && _report.rejections && rejected > *_report.rejections)
+		{
+			m_overloaded(_report.use.backend, _now);
+		}
 	}
 	if (_report.unused && server.pace)
 	{
--- a/src/coordination/slotgrantor.h
+++ b/src/coordination/slotgrantor.h
@@ -37,6 +37,7 @@
 {
 public:
 	using Send = std::function<void(const std::string& _host, const SlotAnswer& _answer)>;
+	using Overloaded = std::function<void(BackendKey _backend, Micros _now)>;
 	using Notify = std::function<void(const GrantNotice& _notice, Micros _now)>;
 
 	/// Share of its slots for which a server is taken to have room before any are tried.
@@ -81,6 +82,12 @@
 		m_notify = std::move(_notify);
 	}
 
+	/// Sets the function that is told of a server that has rejected more requests than it bears.
+	void setOverloaded(Overloaded _overloaded)
+	{
+		m_overloaded = std::move(_overloaded);
+	}
+
 	/// Decides on a request.
 	/// @param[in] _host Gateway that sent it.
 	/// @param[in] _reported Requests in flight at the server by the load reports of all gateways.
@@ -173,6 +180,7 @@
 	std::uint64_t m_lastGrant;
 	Send m_send;
 	Notify m_notify;
+	Overloaded m_overloaded;
 	std::unordered_map<BackendKey, Server, BackendKeyHash> m_servers;
 };
 
--- a/src/coordination/slotpermits.cpp
+++ b/src/coordination/slotpermits.cpp
@@ -328,7 +328,7 @@
 {
 	Server& server = serverOf(_answer.backend);
 	server.lastGrant = server.grantor == _host ? std::max(server.lastGrant, _answer.grant) : server.lastGrant;
-	sendReport(_answer.backend, false, _now);
+	sendReport(_answer.backend, std::nullopt, _now);
 	noteGrant(_host, _answer.id) ? returnGrant(_answer.backend, _host, _now) : void();
 }
 
@@ -405,12 +405,12 @@
 	if (granted)
 	{
 		onPlaced(serverOf(_ticket.backend));
-		sendReport(_ticket.backend, false, _now);
+		sendReport(_ticket.backend, std::nullopt, _now);
 		paced ? returnGrant(_ticket.backend, grantor, _now) : void();
 	}
 }
 
-void SlotPermits::onEnded(BackendKey _key, bool _rejected, bool _abandoned, Micros _now)
+void SlotPermits::onEnded(BackendKey _key, std::optional<double> _rejected, bool _abandoned, Micros _now)
 {
 	if (_abandoned)
 	{
@@ -419,14 +419,14 @@
 	sendReport(_key, _rejected, _now);
 }
 
-void SlotPermits::sendReport(BackendKey _key, bool _rejected, Micros _now)
+void SlotPermits::sendReport(BackendKey _key, std::optional<double> _rejected, Micros _now)
 {
 	Server& server = serverOf(_key);
 	server.reportedAt = _now;
 	server.repeats = true;
 	for (const std::string& home : toldHomes(server, server.grantor, _now))
 	{
-		sendTo(home, {useOf(_key, server, home, _now), _rejected}, _now);
+		sendTo(home, {useOf(_key, server, home, _now), _rejected.has_value(), false, _rejected}, _now);
 	}
 }
 
@@ -444,7 +444,7 @@
 		const Micros age = _now - server.reportedAt;
 		if (inUse ? age >= kReportInterval : server.repeats && age >= kRepeatDelay)
 		{
-			sendReport(key, false, _now);
+			sendReport(key, std::nullopt, _now);
 			server.repeats = inUse;
 		}
 	}
--- a/src/coordination/slotpermits.h
+++ b/src/coordination/slotpermits.h
@@ -132,9 +132,9 @@
 	void abandon(SlotTicket& _ticket, Micros _now);
 
 	/// Notes that a request at a brittle server has ended.
-	/// @param[in] _rejected The server rejected it for want of room.
+	/// @param[in] _rejected Rejections that the server bears in a second, if it rejected this one for want of room.
 	/// @param[in] _abandoned It was sent, and ended without an answer.
-	void onEnded(BackendKey _key, bool _rejected, bool _abandoned, Micros _now);
+	void onEnded(BackendKey _key, std::optional<double> _rejected, bool _abandoned, Micros _now);
 
 	/// Tells the other homes of a server that a request is sent there which they have not granted.
 	void tellHomes(const GrantNotice& _notice, Micros _now);
@@ -188,11 +188,11 @@
 
 	struct Server
 	{
-		std::vector<std::string> homes; ///< Best first; empty if they have to be determined.
+		std::vector<std::string> homes;              ///< Best first; empty if they have to be determined.
 		std::map<std::string, Micros> startingUntil; ///< Homes that referred, and until when they will.
-		std::string grantor;            ///< Home that answered last.
-		std::uint64_t lastGrant = 0;    ///< Of that home.
-		unsigned unplaced = 0;          ///< Grants whose requests have not been sent yet.
+		std::string grantor;                         ///< Home that answered last.
+		std::uint64_t lastGrant = 0;                 ///< Of that home.
+		unsigned unplaced = 0;                       ///< Grants whose requests have not been sent yet.
 		Micros passedOverUntil = 0;
 		bool atLimit = false;              ///< It is passed over because of its limit.
 		std::deque<Micros> abandonedUntil; ///< Ends of the times for which abandoned requests count.
@@ -210,7 +210,7 @@
 	SlotUse useOf(BackendKey _key, Server& _server, const std::string& _home, Micros _now) const;
 	/// Notes that a granted request has been sent, or will not be.
 	static void onPlaced(Server& _server);
-	void sendReport(BackendKey _key, bool _rejected, Micros _now);
+	void sendReport(BackendKey _key, std::optional<double> _rejected, Micros _now);
 	/// Sends a report to one home, or processes it if that is this gateway.
 	void sendTo(const std::string& _home, const SlotReport& _report, Micros _now);
 	/// Processes a grant that no request waits for.
--- a/src/gateway/exchangeanswers.cpp
+++ b/src/gateway/exchangeanswers.cpp
@@ -313,12 +313,12 @@
 	endBackoffProbe(false);
 	m_context.balancer.onEnded(m_attempt.key, m_placement, m_attempt.firstEventSeen);
 	const Micros now = monotonicNow();
-	if (bearableRejections(now))
+	if (const std::optional<double> rejections = bearableRejections(now))
 	{
 		const unsigned status = m_attempt.head.status;
 		const bool noRoom =
 			m_attempt.info.notExecuted && (status == kServiceUnavailable || status == kTooManyRequests);
-		m_context.slots.onEnded(m_attempt.key, noRoom, _abandoned, now);
+		m_context.slots.onEnded(m_attempt.key, noRoom ? rejections : std::nullopt, _abandoned, now);
 	}
 	m_context.suspects.onEnded(m_subjects, m_attempt.key);
 	if (m_attempt.slots > 0 && m_placement.promptTokens == 0)
--- a/src/gateway/slotexchange.cpp
+++ b/src/gateway/slotexchange.cpp
@@ -35,6 +35,14 @@
 		{ return m_context.limits.takeTurn(_key, m_context.clock.trueTime(monotonicNow())); });
 	m_context.slotGrantor.setNotify([this](const GrantNotice& _notice, Micros _now)
 									{ m_context.slots.tellHomes(_notice, _now); });
+	m_context.slotGrantor.setOverloaded(
+		[this](BackendKey _key, Micros _now)
+		{
+			logEvent(LogLevel::Warning, "backend-overloaded",
+					 {{"backend_key", std::to_string(_key.value)},
+					  {"next", "what ran there when it ends is not charged with a crash"}});
+			m_context.crashes.onOverloaded(_key, _now);
+		});
 	m_context.slotGrantor.setSend(
 		[this](const std::string& _host, const SlotAnswer& _answer)
 		{
--- a/src/protocol/slotcodec.cpp
+++ b/src/protocol/slotcodec.cpp
@@ -74,6 +74,7 @@
 		addUse(fields, _report.use);
 		fields.push_back(_report.rejected);
 		fields.push_back(_report.unused);
+		fields.push_back(_report.rejections.value_or(kNone));
 		return fields;
 	}
 
@@ -160,6 +161,7 @@
 {
 	SlotReport report{decodeUse(_fields), _fields.at(6).get<bool>()};
 	report.unused = _fields.size() > 7 && _fields.at(7).get<bool>();
+	report.rejections = _fields.size() > 8 ? decodeOptional(_fields.at(8)) : std::nullopt;
 	return report;
 }
 
--- a/tests/brittlefleet.h
+++ b/tests/brittlefleet.h
@@ -292,7 +292,7 @@
 		_gateway.grantor.setSend(post);
 		_gateway.permits.setSend(post);
 		_gateway.grantor.setNotify([&_gateway](const GrantNotice& _notice, Micros _now)
-									{ _gateway.permits.tellHomes(_notice, _now); });
+								   { _gateway.permits.tellHomes(_notice, _now); });
 	}
 
 	void deliver(const Message& _message)
@@ -365,7 +365,8 @@
 		_gateway.balancer.onEnded(_key, {}, false);
 		if (isBrittle(_gateway))
 		{
-			_gateway.permits.onEnded(_key, _rejected, false, _now);
+			_gateway.permits.onEnded(_key, _rejected ? std::optional(m_fleet.rejections) : std::nullopt, false,
+									 _now);
 		}
 	}
 
@@ -578,7 +579,8 @@
 	return std::to_string(_fleet.gateways) + " gateways, " + std::to_string(_fleet.servers) + " servers of " +
 		   std::to_string(_fleet.slots) + " slots, demand " + std::to_string(_fleet.demand) + ", " +
 		   std::to_string(_fleet.rejections) + " rejections borne, members " + toString(_fleet.churn) +
-		   ", standstills " + std::to_string(_fleet.standstill / kMillisecond) + " ms, seed " + std::to_string(_fleet.seed);
+		   ", standstills " + std::to_string(_fleet.standstill / kMillisecond) + " ms, seed " +
+		   std::to_string(_fleet.seed);
 }
 } // namespace beacongate::test
 
--- a/tests/crashledgertest.cpp
+++ b/tests/crashledgertest.cpp
@@ -65,6 +65,34 @@
 }
 } // namespace
 
+TEST(CrashLedger, crashesOfOverloadedServersAreNotCharged)
+{
+	CrashLedger ledger;
+	crash(ledger, kRequest, {1, 2, 3});
+	ASSERT_EQ(ledger.suspicionOf(kRequest), Suspicion::Blocked);
+	ledger.onOverloaded(server(1), 0);
+	EXPECT_EQ(ledger.suspicionOf(kRequest), Suspicion::Suspected);
+	ledger.onOverloaded(server(2), 0);
+	ledger.onOverloaded(server(3), 0);
+	EXPECT_EQ(ledger.suspicionOf(kRequest), Suspicion::None);
+	// The server is back, and its record is not renewed yet.
+	ledger.onCrash(kRequest, ledger.nextCrashKey(kRequest, server(1)), 0);
+	EXPECT_EQ(ledger.suspicionOf(kRequest), Suspicion::None);
+	crash(ledger, kRequest, {4, 5, 6});
+	EXPECT_EQ(ledger.suspicionOf(kRequest), Suspicion::Blocked);
+	EXPECT_EQ(ledger.countOf(Suspicion::Suspected), 0u) << "an overload is under no suspicion itself";
+}
+
+TEST(CrashLedger, overloadIsToldToOtherGateways)
+{
+	CrashLedger home;
+	CrashLedger other;
+	crash(other, kRequest, {1, 2, 3});
+	home.onOverloaded(server(1), 0);
+	other.merge(home.takeChanges(false, 8, 0), 0);
+	EXPECT_EQ(other.suspicionOf(kRequest), Suspicion::Suspected);
+}
+
 TEST(CrashLedger, blocksARequestAfterThreeCrashes)
 {
 	CrashLedger ledger;
--- a/tests/slotcodectest.cpp
+++ b/tests/slotcodectest.cpp
@@ -99,7 +99,8 @@
 
 TEST(SlotCodec, reportKeepsItsFields)
 {
-	const auto report = decoded<SlotReport>(SlotReport{use(), true, true});
+	const auto report = decoded<SlotReport>(SlotReport{use(), true, true, 2.5});
+	EXPECT_EQ(report.rejections, 2.5);
 	expectUse(report.use);
 	EXPECT_TRUE(report.rejected);
 	EXPECT_TRUE(report.unused);
--- a/tests/slotgrantortest.cpp
+++ b/tests/slotgrantortest.cpp
@@ -81,6 +81,21 @@
 	EXPECT_EQ(sent.size(), 1u);
 }
 
+TEST_F(SlotGrantorTest, serverThatRejectsMoreThanItBearsIsOverloaded)
+{
+	std::vector<BackendKey> overloaded;
+	grantor.setOverloaded([&](BackendKey _key, Micros) { overloaded.push_back(_key); });
+	const SlotReport rejection{{kServer, 0, 0}, true, false, 2.0};
+	grantor.onReport(rejection, "a", now);
+	grantor.onReport(rejection, "b", now);
+	now += kSecond;
+	grantor.onReport(rejection, "a", now);
+	grantor.onReport(rejection, "b", now);
+	EXPECT_TRUE(overloaded.empty()) << "it bears two a second";
+	grantor.onReport(rejection, "c", now);
+	EXPECT_EQ(overloaded, std::vector<BackendKey>{kServer});
+}
+
 TEST_F(SlotGrantorTest, freedSlotGoesToTheMostUrgentRequest)
 {
 	const SlotAnswer last = grantAll("a");
--- a/tests/slotpermitstest.cpp
+++ b/tests/slotpermitstest.cpp
@@ -187,7 +187,7 @@
 
 TEST_F(SlotPermitsTest, reportOfTheLastRequestsEndIsRepeatedOnce)
 {
-	permits.onEnded(kServer, false, false, now);
+	permits.onEnded(kServer, std::nullopt, false, now);
 	const std::size_t homes = sent.size();
 	for (unsigned round = 0; round < 5; ++round)
 	{
@@ -199,10 +199,10 @@
 
 TEST_F(SlotPermitsTest, abandonedRequestCountsForAWhile)
 {
-	permits.onEnded(kServer, false, true, now);
+	permits.onEnded(kServer, std::nullopt, true, now);
 	EXPECT_EQ(messages<SlotReport>().back().use.inFlight, 1u);
 	now += SlotPermits::kAbandonedSpan;
-	permits.onEnded(kServer, false, false, now);
+	permits.onEnded(kServer, std::nullopt, false, now);
 	EXPECT_EQ(messages<SlotReport>().back().use.inFlight, 0u);
 }
 
