Review: show that a killed relay makes streams look complete

Cause: bytes in a tunnel have no framing, so the end of the relay's process reads as the end of the answer.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -6,6 +6,7 @@
 import sys
 import time
 
+sys.dont_write_bytecode = True
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standins"))
 import fleet as standins  # noqa: E402
@@ -62,7 +63,9 @@
 
 
 async def main(record, trouble):
-    fleet = standins.Fleet(record, standins.ZONES[:3])
+    zones = standins.ZONES
+    # The first machine is alone in its zone, so that it reads the store itself.
+    fleet = standins.Fleet(record, (zones[0], zones[1], zones[1], zones[2], zones[2], zones[3]))
     try:
         first, others = fleet.gateways[0], fleet.gateways[1:]
         for number in range(4):
@@ -93,7 +96,7 @@
                 link.cut()
         await send_for(CUT_S)
         if trouble:
-            tunnels = {gateway: await gateway.metric("beacongate_tunnels_open") for gateway in others}
+            tunnels = {gateway: int(await gateway.metric("beacongate_tunnels_open")) for gateway in others}
             relay = max(tunnels, key=tunnels.get)
             record.note("open tunnels: %s" % {gateway.name: count for gateway, count in tunnels.items()})
             if tunnels[relay] == 0:
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -19,7 +19,7 @@
 import time
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
-DEPLOY_RUN = [os.environ.get("GATEWAY", os.path.join(ROOT, "target", "beacongate-gateway")), "--metrics-port"]
+DEPLOY_RUN = [os.path.join(ROOT, "target", "beacongate-gateway"), "--metrics-port"]
 
 BROKEN, HELD, COULD_NOT_RUN = 1, 0, 2
 
