--- a/review/3/case.py
+++ b/review/3/case.py
@@ -7,6 +7,7 @@
 import sys
 import time
 
+sys.dont_write_bytecode = True
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standins"))
 import fleet as standins  # noqa: E402
