Review: show a window reported twice with other counts after a drill

Cause: a process that starts after a drill of the store counts no restore, and fixes counts that were lost anew.

--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -109,6 +109,8 @@
         self.changed = asyncio.Event()
         self.server = None
         self.links = []
+        self.era = 0        # 0: no drill so far, and no Store-Era in the answers
+        self.away = False
 
     async def start(self, host, port):
         self.server = await asyncio.start_server(self.serve, host, port)
@@ -120,6 +122,34 @@
             await self.serve(reader, writer, addresses)
         self.links.append(await asyncio.start_server(serve, host, port))
 
+    def copy(self):
+        """Returns a copy of the store, for a drill."""
+        return {key: dict(item) for key, item in self.items.items()}, self.revision, dict(self.leases)
+
+    async def come_back_from(self, copy, away_s):
+        """A drill: the store is away for a moment and comes back from a copy.
+
+        What the system wrote since is gone, leases too; what the operator and the workers wrote is written again.
+        """
+        self.away = True
+        await asyncio.sleep(away_s)
+        kept = {key: base64.b64decode(item["value"]) for key, item in self.items.items()
+                if key.startswith(("op/", "servers/"))}
+        items, self.revision, leases = copy
+        self.items = {key: dict(item) for key, item in items.items()}
+        now = time.monotonic()
+        # A lease of the copy goes on; time does not run for it while the store is away.
+        self.leases = {lease: (now + span / 1000, span) for lease, (_, span) in leases.items()}
+        self.history = [item for item in self.history if item["revision"] <= self.revision]
+        self.era += 1
+        for key, value in kept.items():
+            if key not in self.items or base64.b64decode(self.items[key]["value"]) != value:
+                self.put(key, value)
+        for key in [key for key in self.items if key.startswith(("op/", "servers/")) and key not in kept]:
+            self.remove(key)
+        self.wake()
+        self.away = False
+
     def put(self, key, value, lease=0):
         self.revision += 1
         made = self.items[key]["made"] if key in self.items else self.revision
@@ -157,13 +187,17 @@
                 body = await read_request_body(head, reader)
                 await asyncio.sleep(self.DELAY)
                 method, target, _ = head.first.split(" ")
+                if self.away:
+                    return
                 status, answer = await self.answer(method, target, body)
+                if self.away:
+                    return
                 for name in ("items", "events") if addresses else ():
                     if name in answer:
                         answer[name] = [with_address(item, addresses) for item in answer[name]]
                 text = json.dumps(answer).encode()
-                writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s"
-                             % (status, len(text), text))
+                writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nStore-Era: %d\r\n"
+                             b"Content-Length: %d\r\n\r\n%s" % (status, self.era, len(text), text))
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError):
             pass
@@ -254,12 +288,13 @@
     return out.decode()
 
 
-async def serve_duties(reader, writer):
+async def serve_duties(fleet, reader, writer):
     """The platform's API: takes every call."""
     try:
         while True:
             head = await read_head(reader)
-            await read_request_body(head, reader)
+            body = await read_request_body(head, reader)
+            fleet.on_duty_call(head, body)
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
             await writer.drain()
     except (OSError, asyncio.IncompleteReadError):
@@ -275,8 +310,9 @@
 class Worker:
     """A worker. handle(worker, head, body, reader, writer) answers one request; the connection then closes."""
 
-    def __init__(self, fleet, number, service, slots, handle):
+    def __init__(self, fleet, number, service, slots, handle, version="v1"):
         self.fleet = fleet
+        self.version = version
         self.id = "i-%08x" % random.getrandbits(32)
         self.host = fleet.host(100 + number)
         self.port = fleet.ports["worker"]
@@ -295,7 +331,7 @@
         self.socket.bind((self.host, self.port))
         self.socket.setblocking(False)
         self.server = await asyncio.start_server(self.serve, sock=self.socket, backlog=256, limit=1 << 16)
-        entry = {"service": self.service, "address": "%s:%d" % (self.host, self.port), "zone": ZONES[number_zone(self.host)], "version": "v1",
+        entry = {"service": self.service, "address": "%s:%d" % (self.host, self.port), "zone": ZONES[number_zone(self.host)], "version": self.version,
                  "slots": self.slots, "state": "ready", "coldRemainingMs": 0, "sequence": 1,
                  "born": int(time.time() * 1000)}
         self.fleet.store.put("servers/" + self.id, json.dumps(entry).encode())
@@ -411,10 +447,13 @@
                          "duties": ["usage_reporting"], "dutyPerS": 50.0},
         }
 
-    def start(self):
+    def start(self, first=True):
+        """Starts the process; first is the very first start of the whole system."""
+        if self.process:
+            self.process.wait()
         path = os.path.join(self.folder, "boot.json")
         with open(path, "w", encoding="utf-8") as file:
-            json.dump(self.settings(), file)
+            json.dump(dict(self.settings(), bootstrap=first), file)
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         environment["BEACONGATE_BOOT"] = path
         log = open(os.path.join(self.folder, "log"), "ab")
@@ -474,6 +513,9 @@
         self.gateways = [Gateway(self, number + 1, zone) for number, zone in enumerate(zones)]
         self.workers = []
 
+    def on_duty_call(self, head, body):
+        """Called for each call that the platform's API takes; a case may replace it."""
+
     def host(self, number):
         return self.prefix + str(number)
 
@@ -496,7 +538,8 @@
 
     async def start(self, routes, services):
         await self.store.start(self.store_host, self.ports["store"])
-        self.cloud = await asyncio.start_server(serve_duties, self.store_host, self.ports["cloud"])
+        self.cloud = await asyncio.start_server(lambda reader, writer: serve_duties(self, reader, writer),
+                                                self.store_host, self.ports["cloud"])
         self.store.put("op/config", json.dumps({
             "version": 7, "routes": routes, "services": services,
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000,
