--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 # only that Python is there and can read them.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 - standins/fleet.py */case.py <<'PYTHON'
+python3 - standins/fleet.py */case.py trials/*.py <<'PYTHON'
 import ast
 import sys
 
