Frame the bytes of tunnels, so that a lost relay does not end an answer

Cause: an answer without a length or chunks ends with its connection, and the kernel closes the connections of a killed process in order. The asking gateway took that end for the backend server's.

Change: the relay sends the server's bytes in frames, the last of which says how the server's connection ended. Without it the tunnel counts as lost: the attempt has failed, a stream goes on where its route allows it, and no crash is charged. Frames are named in the request and announced in the answer, so that builds without them work side by side.

--- a/src/gateway/backendconnector.cpp
+++ b/src/gateway/backendconnector.cpp
@@ -5,7 +5,6 @@
 
 #include "daemon/clock.h"
 #include "daemon/logging.h"
-#include "transport/messageparser.h"
 
 #include <boost/asio/post.hpp>
 
@@ -25,7 +24,7 @@
 
 BackendConnection withoutConnection(ConnectResult _result)
 {
-	return {nullptr, _result, {}};
+	return {{nullptr, _result}, {}};
 }
 } // namespace
 
@@ -86,7 +85,7 @@
 							_connection ? m_reachability.onConnected()
 										: m_reachability.onFailed(key, monotonicNow());
 							noteIsolation(before);
-							done({_connection, _result, {}});
+							done({{_connection, _result}, {}});
 						});
 }
 
@@ -156,7 +155,7 @@
 	{
 		_attempt->input.append(_bytes);
 		std::string body;
-		_attempt->parser->consume(_attempt->input, body);
+		_attempt->input.erase(0, _attempt->parser->consume(_attempt->input, body));
 		if (_attempt->parser->headDone())
 		{
 			onPeerAnswer(_attempt, tunnelVerdictOf(_attempt->parser->head().status));
@@ -171,7 +170,7 @@
 		onPeerAnswer(_attempt, TunnelVerdict::Unable);
 	};
 	_connection->start(std::move(handlers));
-	_connection->send(formatTunnelRequest({_attempt->target.backend, _attempt->target.connectSpan}));
+	_connection->send(formatTunnelRequest(_attempt->target.backend, _attempt->target.connectSpan));
 	_attempt->timer.expires_after(std::chrono::microseconds(_attempt->target.connectSpan + kPeerTimeout));
 	_attempt->timer.async_wait(
 		[this, _attempt, turn = _attempt->turn](const BoostError& _error)
@@ -196,8 +195,7 @@
 	switch (_verdict)
 	{
 	case TunnelVerdict::Connected:
-		// The backend server sends nothing before the request, so no byte follows the head.
-		_attempt->done(_verdict, {connection, ConnectResult::Connected, _attempt->host});
+		_attempt->done(_verdict, openedTunnel(*_attempt, connection));
 		return;
 	case TunnelVerdict::Refused:
 		m_reachability.onServerEnded(BackendKey(_attempt->target.backend));
@@ -215,6 +213,19 @@
 	askNext(_attempt);
 }
 
+BackendConnection BackendConnector::openedTunnel(const TunnelAttempt& _attempt,
+												 const TcpConnection::Ptr& _connection)
+{
+	BackendConnection opened;
+	opened.connection = _connection;
+	opened.result = ConnectResult::Connected;
+	opened.via = _attempt.host;
+	const bool frames = announcesFrames(findHeader(_attempt.parser->head().headers, "Upgrade"));
+	opened.endSignal = frames ? EndSignal::Frame : EndSignal::None;
+	opened.received = _attempt.input;
+	return opened;
+}
+
 void BackendConnector::noteIsolation(bool _before)
 {
 	const bool isolated = m_reachability.isIsolated();
--- a/src/gateway/backendconnector.h
+++ b/src/gateway/backendconnector.h
@@ -12,7 +12,7 @@
 #include "coordination/tunnelpeers.h"
 #include "gateway/gatewaysettings.h"
 #include "protocol/tunnelcodec.h"
-#include "transport/tcpconnection.h"
+#include "transport/outgoingcall.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -34,11 +34,9 @@
 };
 
 /// A connection to a backend server, or the reason why there is none.
-struct BackendConnection
+struct BackendConnection : CallConnection
 {
-	TcpConnection::Ptr connection; ///< nullptr if there is none.
-	ConnectResult result = ConnectResult::Unreachable;
-	std::string via; ///< Host of the gateway that provides the tunnel; empty for a direct connection.
+	std::string via = {}; ///< Host of the gateway that provides the tunnel; empty for a direct connection.
 };
 
 /// Opens connections to backend servers.
@@ -101,6 +99,7 @@
 	void askNext(const TunnelAttemptPtr& _attempt);
 	void onPeerConnected(const TunnelAttemptPtr& _attempt, const TcpConnection::Ptr& _connection);
 	void onPeerAnswer(const TunnelAttemptPtr& _attempt, TunnelVerdict _verdict);
+	static BackendConnection openedTunnel(const TunnelAttempt& _attempt, const TcpConnection::Ptr& _connection);
 	void noteIsolation(bool _before);
 	void scheduleProbe();
 	void probe();
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -368,7 +368,7 @@
 	const Micros connectSpan = std::clamp(m_route->targetLatency / 4, kMinConnectTimeout, kMaxConnectTimeout);
 	const BackendTarget target{m_attempt.backend, m_attempt.address, connectSpan};
 	const auto self = shared_from_this();
-	options.connect = [self, target](TcpConnection::ConnectHandler _done)
+	options.connect = [self, target](std::function<void(const CallConnection&)> _done)
 	{
 		self->connect(target, std::move(_done));
 	};
@@ -412,13 +412,13 @@
 	m_attempt.call = OutgoingCall::start(m_context.loop, options, formatForward(_backend), std::move(handlers));
 }
 
-void Exchange::connect(const BackendTarget& _target, TcpConnection::ConnectHandler _done)
+void Exchange::connect(const BackendTarget& _target, std::function<void(const CallConnection&)> _done)
 {
 	m_context.connector.open(_target,
 							 [self = shared_from_this(), done = std::move(_done)](const BackendConnection& _opened)
 							 {
 								 self->m_attempt.via = _opened.via;
-								 done(_opened.connection, _opened.result);
+								 done(_opened);
 							 });
 }
 
--- a/src/gateway/exchangeanswers.cpp
+++ b/src/gateway/exchangeanswers.cpp
@@ -282,7 +282,7 @@
 		// The process of the server has ended, and its record may stand for some seconds more.
 		m_context.backoffs.onBackoffRequested(m_attempt.key, BackoffTable::kRefusedBackoff, monotonicNow());
 	}
-	const bool sent = _fault == CallFault::Broken || _fault == CallFault::Malformed;
+	const bool sent = _fault != CallFault::Refused && _fault != CallFault::NotSent;
 	failAttempt(sent ? AttemptResult::Broken : AttemptResult::NotSent);
 }
 
--- a/src/gateway/tunnelserver.cpp
+++ b/src/gateway/tunnelserver.cpp
@@ -5,6 +5,7 @@
 
 #include "daemon/clock.h"
 #include "protocol/tunnelcodec.h"
+#include "protocol/tunnelframes.h"
 
 namespace beacongate
 {
@@ -53,14 +54,14 @@
 	}
 	++m_connecting;
 	m_context.connector.openDirect({request->backend, known->second.record.address, request->connectSpan},
-								   [this, _session](const BackendConnection& _backend)
+								   [this, _session, frames = request->frames](const BackendConnection& _backend)
 								   {
 									   --m_connecting;
-									   onConnected(_session, _backend);
+									   onConnected(_session, _backend, frames);
 								   });
 }
 
-void TunnelServer::onConnected(const ServerSessionPtr& _session, const BackendConnection& _backend)
+void TunnelServer::onConnected(const ServerSessionPtr& _session, const BackendConnection& _backend, bool _frames)
 {
 	if (!_backend.connection)
 	{
@@ -75,21 +76,21 @@
 		_backend.connection->close();
 		return;
 	}
-	const auto tunnel = std::make_shared<Tunnel>(Tunnel{gateway, _backend.connection});
+	const auto tunnel = std::make_shared<Tunnel>(Tunnel{gateway, _backend.connection, _frames});
 	m_tunnels.insert(tunnel);
 	++m_opened;
-	forward(gateway, tunnel->backend, [this, tunnel](ConnectionEnd) { onGatewayEnd(tunnel); });
-	forward(tunnel->backend, gateway, [this, tunnel](ConnectionEnd _end) { onBackendEnd(tunnel, _end); });
-	gateway->send("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: beacongate-tunnel\r\n\r\n");
+	forward(gateway, tunnel->backend, false, [this, tunnel](ConnectionEnd) { onGatewayEnd(tunnel); });
+	forward(tunnel->backend, gateway, _frames, [this, tunnel](ConnectionEnd _end) { onBackendEnd(tunnel, _end); });
+	gateway->send(formatTunnelOpened(_frames));
 }
 
-void TunnelServer::forward(const TcpConnection::Ptr& _from, const TcpConnection::Ptr& _to,
+void TunnelServer::forward(const TcpConnection::Ptr& _from, const TcpConnection::Ptr& _to, bool _frames,
 						   std::function<void(ConnectionEnd)> _onEnd)
 {
 	ConnectionHandlers handlers;
-	handlers.onBytes = [_from, _to](std::string_view _bytes)
+	handlers.onBytes = [_from, _to, _frames](std::string_view _bytes)
 	{
-		_to->send(_bytes);
+		_to->send(_frames ? formatTunnelFrame(_bytes) : std::string(_bytes));
 		if (_to->unsent() > kMaxUnsent)
 		{
 			_from->pauseReading();
@@ -111,7 +112,13 @@
 
 void TunnelServer::onBackendEnd(const TunnelPtr& _tunnel, ConnectionEnd _end)
 {
-	if (_end == ConnectionEnd::Broken)
+	const bool broken = _end == ConnectionEnd::Broken;
+	if (_tunnel->frames)
+	{
+		_tunnel->gateway->send(formatTunnelEnd(broken ? TunnelEnd::Broken : TunnelEnd::Closed));
+		_tunnel->gateway->closeAfterSending();
+	}
+	else if (broken)
 	{
 		_tunnel->gateway->reset();
 	}
--- a/src/gateway/tunnelserver.h
+++ b/src/gateway/tunnelserver.h
@@ -16,11 +16,12 @@
 
 namespace beacongate
 {
-/// Answers requests for tunnels, and passes the bytes of open tunnels on unchanged in both directions.
+/// Answers requests for tunnels, and passes the bytes of open tunnels on in both directions.
 ///
 /// A tunnel leads only to a backend server that this gateway's list names. If the gateway ends it, the connection
-/// to the backend server is closed at once, so that a cancelled request does not run on. If the backend server ends
-/// it, the other connection ends in the same way, so that an answer which was cut off does not look complete.
+/// to the backend server is closed at once, so that a cancelled request does not run on. The backend server's bytes
+/// are sent in frames, the last of which says how its connection ended: if this process is lost, there is no such
+/// frame, and an answer which was cut off does not look complete.
 class TunnelServer
 {
 public:
@@ -54,13 +55,14 @@
 	{
 		TcpConnection::Ptr gateway;
 		TcpConnection::Ptr backend;
+		bool frames = true; ///< False for a gateway of a build that knows no frames.
 	};
 	using TunnelPtr = std::shared_ptr<Tunnel>;
 
 	bool mayOpen() const;
-	void onConnected(const ServerSessionPtr& _session, const BackendConnection& _backend);
+	void onConnected(const ServerSessionPtr& _session, const BackendConnection& _backend, bool _frames);
 	/// Passes bytes on from one connection to the other, and stops reading while the other one cannot keep up.
-	static void forward(const TcpConnection::Ptr& _from, const TcpConnection::Ptr& _to,
+	static void forward(const TcpConnection::Ptr& _from, const TcpConnection::Ptr& _to, bool _frames,
 						std::function<void(ConnectionEnd)> _onEnd);
 	void onGatewayEnd(const TunnelPtr& _tunnel);
 	void onBackendEnd(const TunnelPtr& _tunnel, ConnectionEnd _end);
--- a/src/protocol/tunnelcodec.cpp
+++ b/src/protocol/tunnelcodec.cpp
@@ -14,6 +14,8 @@
 {
 /// Longest connection timeout that is accepted from another gateway.
 constexpr Micros kMaxConnectSpan = 2 * kSecond;
+constexpr std::string_view kPlainTunnel = "beacongate-tunnel";
+constexpr std::string_view kFramedTunnel = "beacongate-framed-tunnel";
 
 struct VerdictStatus
 {
@@ -54,15 +56,27 @@
 	return entry == kStatuses.end() ? TunnelVerdict::Unable : entry->verdict;
 }
 
-std::string formatTunnelRequest(const TunnelRequest& _request)
+std::string formatTunnelRequest(const BackendIdentity& _backend, Micros _connectSpan)
 {
-	const Json fields = {{"backend", _request.backend.id},
-						 {"born", _request.backend.born},
-						 {"connect_ms", _request.connectSpan / kMillisecond}};
+	const Json fields = {{"backend", _backend.id},
+						 {"born", _backend.born},
+						 {"connect_ms", _connectSpan / kMillisecond},
+						 {"frames", true}};
 	const std::string body = fields.dump(-1, ' ', false, Json::error_handler_t::replace);
 	return "POST " + std::string(kTunnelPath) +
-		   " HTTP/1.1\r\nHost: gateway\r\nConnection: Upgrade\r\nUpgrade: beacongate-tunnel\r\nContent-Length: " +
-		   std::to_string(body.size()) + "\r\n\r\n" + body;
+		   " HTTP/1.1\r\nHost: gateway\r\nConnection: Upgrade\r\nUpgrade: " + std::string(kPlainTunnel) +
+		   "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string formatTunnelOpened(bool _frames)
+{
+	return "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " +
+		   std::string(_frames ? kFramedTunnel : kPlainTunnel) + "\r\n\r\n";
+}
+
+bool announcesFrames(std::string_view _upgrade)
+{
+	return _upgrade == kFramedTunnel;
 }
 
 std::optional<TunnelRequest> parseTunnelRequest(std::string_view _body)
@@ -75,6 +89,7 @@
 		request.backend.born = readMember<std::uint64_t>(fields, "born", "tunnel", Failure::MalformedRequest);
 		const auto millis = readMember<std::int64_t>(fields, "connect_ms", "tunnel", Failure::MalformedRequest);
 		request.connectSpan = std::clamp<std::int64_t>(millis, 1, kMaxConnectSpan / kMillisecond) * kMillisecond;
+		request.frames = fields.contains("frames") && fields["frames"] == true;
 		return request;
 	}
 	catch (const Error&)
--- a/src/protocol/tunnelcodec.h
+++ b/src/protocol/tunnelcodec.h
@@ -3,7 +3,8 @@
 
 /// @file
 /// Messages by which a gateway asks another one for a tunnel to a backend server: a POST to kTunnelPath, answered
-/// with 101 and then with the bytes of the server's connection, or with the status of a failure.
+/// with 101 and then with the bytes of the server's connection in frames, or with the status of a failure. Where one
+/// of the two gateways is of a build that knows no frames, the bytes come without.
 
 #ifndef BEACONGATE_PROTOCOL_TUNNELCODEC_H
 #define BEACONGATE_PROTOCOL_TUNNELCODEC_H
@@ -25,6 +26,7 @@
 {
 	BackendIdentity backend;
 	Micros connectSpan = 0; ///< Timeout for establishing the connection to the backend server.
+	bool frames = false;    ///< The asking gateway reads the backend server's bytes in frames.
 };
 
 /// Answer to a request for a tunnel.
@@ -40,8 +42,15 @@
 /// @returns the name used in logs and metrics.
 std::string_view toString(TunnelVerdict _verdict);
 
-/// @returns the complete HTTP request.
-std::string formatTunnelRequest(const TunnelRequest& _request);
+/// @returns the complete HTTP request, which asks for frames.
+std::string formatTunnelRequest(const BackendIdentity& _backend, Micros _connectSpan);
+
+/// @returns the head of the answer that precedes the bytes of a tunnel.
+/// @param[in] _frames The backend server's bytes come in frames.
+std::string formatTunnelOpened(bool _frames);
+
+/// @returns true if the value of the answer's Upgrade header announces frames.
+bool announcesFrames(std::string_view _upgrade);
 
 /// @returns the request in a body; nullopt where the body is not valid.
 std::optional<TunnelRequest> parseTunnelRequest(std::string_view _body);
--- a/src/transport/outgoingcall.cpp
+++ b/src/transport/outgoingcall.cpp
@@ -38,10 +38,9 @@
 									  std::string _bytes, CallHandlers _handlers)
 {
 	auto call = std::make_shared<OutgoingCall>(std::move(_handlers));
-	auto onConnected = [call, bytes = std::move(_bytes),
-						noBody = _options.noBody](const TcpConnection::Ptr& _connection, ConnectResult _result)
+	auto onConnected = [call, bytes = std::move(_bytes), noBody = _options.noBody](const CallConnection& _opened)
 	{
-		call->onConnected(_connection, _result, bytes, noBody);
+		call->onConnected(_opened, bytes, noBody);
 	};
 	if (_options.connect)
 	{
@@ -49,33 +48,34 @@
 		return call;
 	}
 	TcpConnection::open(_context, _options.address, _options.connectSpan, _options.userTimeout,
-						std::move(onConnected));
+						[onConnected](const TcpConnection::Ptr& _connection, ConnectResult _result)
+						{ onConnected({_connection, _result}); });
 	return call;
 }
 
-void OutgoingCall::onConnected(const TcpConnection::Ptr& _connection, ConnectResult _result,
-							   const std::string& _bytes, bool _noBody)
+void OutgoingCall::onConnected(const CallConnection& _opened, const std::string& _bytes, bool _noBody)
 {
 	if (m_ended)
 	{
-		if (_connection)
+		if (_opened.connection)
 		{
-			_connection->close();
+			_opened.connection->close();
 		}
 		return;
 	}
-	if (!_connection)
+	if (!_opened.connection)
 	{
-		fail(_result == ConnectResult::Refused ? CallFault::Refused : CallFault::NotSent);
+		fail(_opened.result == ConnectResult::Refused ? CallFault::Refused : CallFault::NotSent);
 		return;
 	}
 	if (m_handlers.maySend && !m_handlers.maySend())
 	{
-		_connection->close();
+		_opened.connection->close();
 		fail(CallFault::NotSent);
 		return;
 	}
-	m_connection = _connection;
+	m_connection = _opened.connection;
+	m_endSignal = _opened.endSignal;
 	m_noBody = _noBody;
 	m_parser = makeParser(_noBody);
 	ConnectionHandlers handlers;
@@ -86,7 +86,7 @@
 	};
 	handlers.onEnd = [self](ConnectionEnd _end)
 	{
-		self->onEnd(_end);
+		self->onConnectionEnd(_end);
 	};
 	m_connection->start(std::move(handlers));
 	m_connection->send(_bytes);
@@ -94,6 +94,10 @@
 	{
 		m_handlers.onSent();
 	}
+	if (!_opened.received.empty())
+	{
+		onBytes(_opened.received);
+	}
 }
 
 void OutgoingCall::onBytes(std::string_view _bytes)
@@ -102,8 +106,18 @@
 	{
 		return;
 	}
-	m_input.append(_bytes);
+	if (m_endSignal != EndSignal::Frame)
+	{
+		m_input.append(_bytes);
+		parse();
+		return;
+	}
+	m_input.append(m_frames.consume(_bytes));
 	parse();
+	if (!m_ended && m_frames.end() != TunnelEnd::Open)
+	{
+		onTunnelEnd();
+	}
 }
 
 void OutgoingCall::parse()
@@ -144,12 +158,39 @@
 	}
 }
 
-void OutgoingCall::onEnd(ConnectionEnd _end)
+void OutgoingCall::onTunnelEnd()
+{
+	if (m_frames.end() == TunnelEnd::Invalid)
+	{
+		fail(CallFault::PathLost);
+		return;
+	}
+	onServerEnd(m_frames.end() == TunnelEnd::Closed ? ConnectionEnd::Closed : ConnectionEnd::Broken);
+}
+
+void OutgoingCall::onConnectionEnd(ConnectionEnd _end)
 {
 	if (m_ended)
 	{
 		return;
 	}
+	switch (m_endSignal)
+	{
+	case EndSignal::Connection:
+		onServerEnd(_end);
+		return;
+	case EndSignal::Frame:
+		fail(CallFault::PathLost);
+		return;
+	case EndSignal::None:
+		// A probe of the server tells whether it was the server that ended.
+		fail(CallFault::Broken);
+		return;
+	}
+}
+
+void OutgoingCall::onServerEnd(ConnectionEnd _end)
+{
 	if (_end == ConnectionEnd::Closed)
 	{
 		m_parser->finishAtEnd();
--- a/src/transport/outgoingcall.h
+++ b/src/transport/outgoingcall.h
@@ -7,6 +7,7 @@
 #ifndef BEACONGATE_TRANSPORT_OUTGOINGCALL_H
 #define BEACONGATE_TRANSPORT_OUTGOINGCALL_H
 
+#include "protocol/tunnelframes.h"
 #include "transport/messageparser.h"
 #include "transport/tcpconnection.h"
 
@@ -23,6 +24,7 @@
 	Refused,   ///< No byte was sent: no process listens at the address.
 	NotSent,   ///< No byte was sent: the connection failed, or maySend() returned false.
 	Broken,    ///< The connection ended before the answer was complete.
+	PathLost,  ///< The tunnel ended before the answer was complete; the server's own connection may be intact.
 	Malformed, ///< The received bytes are not a valid HTTP answer.
 };
 
@@ -39,13 +41,30 @@
 	std::function<void(CallFault)> onFault;
 };
 
+/// What shows that the server has closed its connection, which ends an answer that has no length.
+enum class EndSignal
+{
+	Connection, ///< The connection leads to the server, so that its orderly end is the server's.
+	Frame,      ///< The connection is a tunnel with frames, of which the last one names the end.
+	None,       ///< The connection is a tunnel without frames, which may also end because its provider was lost.
+};
+
+/// A connection for a call, or the reason why there is none.
+struct CallConnection
+{
+	TcpConnection::Ptr connection; ///< nullptr if there is none.
+	ConnectResult result = ConnectResult::Unreachable;
+	EndSignal endSignal = EndSignal::Connection;
+	std::string received = {}; ///< Bytes of the server that have arrived already.
+};
+
 /// Connection options of a call.
 struct CallOptions
 {
 	Address address;
 	/// Opens the connection, and never calls its argument from inside itself. If it is empty, the connection is
 	/// opened to the address.
-	std::function<void(TcpConnection::ConnectHandler)> connect;
+	std::function<void(std::function<void(const CallConnection&)>)> connect;
 	Micros connectSpan = kSecond;     ///< Timeout for establishing the connection.
 	Micros userTimeout = 3 * kSecond; ///< TCP_USER_TIMEOUT: maximum time that sent bytes may stay unacknowledged.
 	bool noBody = false;              ///< The answer has no body, regardless of its headers.
@@ -74,16 +93,21 @@
 	void resume();
 
 private:
-	void onConnected(const TcpConnection::Ptr& _connection, ConnectResult _result, const std::string& _bytes,
-					 bool _noBody);
+	void onConnected(const CallConnection& _opened, const std::string& _bytes, bool _noBody);
 	void onBytes(std::string_view _bytes);
-	void onEnd(ConnectionEnd _end);
+	void onConnectionEnd(ConnectionEnd _end);
+	/// Processes what the frames of a tunnel say of the server's connection.
+	void onTunnelEnd();
+	/// Processes the end of the server's own connection.
+	void onServerEnd(ConnectionEnd _end);
 	void parse();
 	void fail(CallFault _fault);
 	void finish();
 
 	CallHandlers m_handlers;
 	TcpConnection::Ptr m_connection;
+	EndSignal m_endSignal = EndSignal::Connection;
+	TunnelFrameReader m_frames;
 	std::unique_ptr<MessageParser> m_parser;
 	std::string m_input;
 	bool m_noBody = false;
--- a/tests/gatewayfixture.h
+++ b/tests/gatewayfixture.h
@@ -284,6 +284,26 @@
 		return _answer.size() < 12 ? 0 : static_cast<unsigned>(std::atoi(_answer.c_str() + 9));
 	}
 
+	/// @returns the events in a chunked answer, without the framing.
+	static std::string eventsOf(const std::string& _answer)
+	{
+		std::string events;
+		std::size_t at = _answer.find("\r\n\r\n");
+		at = at == std::string::npos ? _answer.size() : at + 4;
+		while (at < _answer.size())
+		{
+			const std::size_t size = std::strtoul(_answer.c_str() + at, nullptr, 16);
+			const std::size_t start = _answer.find("\r\n", at);
+			if (size == 0 || start == std::string::npos)
+			{
+				break;
+			}
+			events += _answer.substr(start + 2, size);
+			at = start + 2 + size + 2;
+		}
+		return events;
+	}
+
 	static bool has(const std::string& _answer, const std::string& _text)
 	{
 		return _answer.find(_text) != std::string::npos;
--- a/tests/tunneltest.cpp
+++ b/tests/tunneltest.cpp
@@ -127,11 +127,22 @@
 
 TEST(TunnelCodec, requestIsReadAsWritten)
 {
-	const std::string bytes = formatTunnelRequest({{"i-1\"x", 1'700'000'000'123}, 150 * kMillisecond});
+	const std::string bytes = formatTunnelRequest({"i-1\"x", 1'700'000'000'123}, 150 * kMillisecond);
 	const auto parsed = parseTunnelRequest(bytes.substr(bytes.find("\r\n\r\n") + 4));
 	ASSERT_TRUE(parsed);
 	EXPECT_EQ(parsed->backend, (BackendIdentity{"i-1\"x", 1'700'000'000'123}));
 	EXPECT_EQ(parsed->connectSpan, 150 * kMillisecond);
+	EXPECT_TRUE(parsed->frames);
+}
+
+TEST(TunnelCodec, requestOfAnEarlierBuildAsksForNoFrames)
+{
+	const auto earlier = parseTunnelRequest("{\"backend\":\"a\",\"born\":1,\"connect_ms\":1}");
+	ASSERT_TRUE(earlier);
+	EXPECT_FALSE(earlier->frames);
+	const auto invalid = parseTunnelRequest("{\"backend\":\"a\",\"born\":1,\"connect_ms\":1,\"frames\":\"x\"}");
+	ASSERT_TRUE(invalid);
+	EXPECT_FALSE(invalid->frames);
 }
 
 TEST(TunnelCodec, invalidRequestsAreRefused)
