Keep the software versions in the store, so that a new process knows which have left

Cause: the versions that a service had lately were kept in memory alone. A new process took those that it saw for all there were, and asked others that had started as recently.

Change: the duty holder keeps a log of versions in the store; other gateways write what stays missing. A new process takes the log over, and lets an unknown stream go on only where its history is complete: by a log of the store's present era, by 600 s of its own, or at the first start. Versions are remembered for as long as streams may be taken up.

streamoriginstest and gatewayreturnedversiontest built a process without a past as one that knows the past. They say now which one they mean; the check of a fleet that has just started is new.

--- a/src/coordination/streamorigins.cpp
+++ b/src/coordination/streamorigins.cpp
@@ -75,19 +75,20 @@
 		}
 		return {};
 	}
-	const OriginVerdict verdict = conclude(search, _listAge);
+	const OriginVerdict verdict = conclude(search, _listAge, _now);
 	abandon(_ticket);
 	return verdict;
 }
 
-OriginVerdict StreamOrigins::conclude(const Search& _search, Micros _listAge) const
+OriginVerdict StreamOrigins::conclude(const Search& _search, Micros _listAge, Micros _now) const
 {
 	std::set<VersionKey> possible = _search.recentVersions;
 	for (const VersionKey& version : m_history.versionsOf(_search.service))
 	{
 		possible.insert(version);
 	}
-	const bool informed = _search.answers > 0 || _listAge < kFreshListAge;
+	// Other gateways may have started as recently as this one, so their answers do not make up for its own history.
+	const bool informed = m_history.isComplete(_now) && (_search.answers > 0 || _listAge < kFreshListAge);
 	if (informed && possible.size() == 1)
 	{
 		return {OriginState::Known, *possible.begin()};
--- a/src/coordination/streamorigins.h
+++ b/src/coordination/streamorigins.h
@@ -50,7 +50,8 @@
 /// rendezvous hashing. The costs do not grow with the fleet: kHolders datagrams for each stream that begins and
 /// kAsked for each one that is taken up.
 ///
-/// Where no home knows a stream, it goes on only if its service had a single version for as long as streams live.
+/// Where no home knows a stream, it goes on only if its service had a single version for as long as streams live, and
+/// if this gateway can know that, see VersionHistory::isComplete().
 class StreamOrigins
 {
 public:
@@ -69,7 +70,7 @@
 	static constexpr Micros kFreshListAge = 1500 * kMillisecond;
 	/// Bounds of the time for which a stream is remembered.
 	static constexpr Micros kMinLifetime = 30 * kSecond;
-	static constexpr Micros kMaxLifetime = 600 * kSecond;
+	static constexpr Micros kMaxLifetime = VersionHistory::kRetention;
 	/// Streams that are remembered, which bounds the memory to some 3 MB; the oldest give way.
 	static constexpr std::size_t kMaxStreams = 32768;
 
@@ -141,7 +142,7 @@
 	std::optional<VersionKey> find(StreamKey _stream, Micros _now) const;
 	void sendQueries(std::uint64_t _id, const Search& _search);
 	/// @returns the result of a search that no home's knowledge has ended.
-	OriginVerdict conclude(const Search& _search, Micros _listAge) const;
+	OriginVerdict conclude(const Search& _search, Micros _listAge, Micros _now) const;
 	void onQuery(const std::string& _host, const StreamOriginQuery& _query, Micros _now);
 	void onAnswer(const std::string& _host, const StreamOriginAnswer& _answer);
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -45,6 +45,7 @@
 	m_context.onDirectoryChanged = [this]
 	{
 		m_context.versions.update(m_context.directory, monotonicNow());
+		m_versionLog->onContent();
 		m_dispatcher.wake();
 	};
 }
@@ -98,6 +99,8 @@
 	}
 	m_gossiper = std::make_unique<Gossiper>(m_context);
 	m_gossiper->init();
+	m_versionLog = std::make_shared<VersionLogWriter>(m_context);
+	m_versionLog->init();
 	m_store = std::make_shared<StoreSync>(m_context);
 	m_store->init();
 	m_backendList = std::make_shared<BackendListSync>(m_context);
@@ -402,6 +405,7 @@
 	m_backendList->shutdown();
 	m_registration->shutdown();
 	m_relaySlot->shutdown();
+	m_versionLog->shutdown();
 	if (m_duties)
 	{
 		m_duties->shutdown();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -16,6 +16,7 @@
 #include "gateway/relayslotwriter.h"
 #include "gateway/storesync.h"
 #include "gateway/tunnelserver.h"
+#include "gateway/versionlogwriter.h"
 #include "transport/serversession.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -77,6 +78,7 @@
 	std::shared_ptr<BackendListSync> m_backendList;
 	std::shared_ptr<Registration> m_registration;
 	std::shared_ptr<RelaySlotWriter> m_relaySlot;
+	std::shared_ptr<VersionLogWriter> m_versionLog;
 	std::shared_ptr<DutyHolder> m_duties;
 	std::unique_ptr<Gossiper> m_gossiper;
 	boost::asio::signal_set m_signals;
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -145,7 +145,7 @@
 	StoreReachability storeReachability;
 	Balancer balancer;
 	BackoffTable backoffs;
-	VersionHistory versions;
+	VersionHistory versions{settings.firstStart ? kLongAgo : started};
 	StreamOrigins origins{versions, settings.callers.host, run.incarnation};
 	/// The members among which the homes and turns of backend servers are shared out; relays are chosen among
 	/// listed members.
--- a/src/gateway/memberkeys.h
+++ b/src/gateway/memberkeys.h
@@ -26,6 +26,7 @@
 
 inline constexpr const char* kLevelsKey = "beacongate/levels"; ///< Levels of the teams' quotas.
 inline constexpr const char* kCountsKey = "beacongate/counts"; ///< Usage counts of all gateways.
+inline constexpr const char* kVersionsKey = "beacongate/versions"; ///< Software versions, see VersionLog.
 
 /// The data centre, a slash and the number of a slot follow; the value is the host of a relay, see RelaySlots.
 inline constexpr std::string_view kRelaySlotPrefix = "beacongate/relays/";
--- a/src/gateway/trafficcounters.h
+++ b/src/gateway/trafficcounters.h
@@ -45,6 +45,7 @@
 	UsageCounts,
 	UsageWindow,
 	RelaySlot,
+	VersionLog,
 	Count_ ///< Number of purposes.
 };
 
--- a/tests/gatewayreturnedversiontest.cpp
+++ b/tests/gatewayreturnedversiontest.cpp
@@ -38,6 +38,7 @@
 			GatewaySettings gatewaySettings = settings(number);
 			// Keys stay valid while the store is down.
 			gatewaySettings.revocationSpan = 30 * kSecond;
+			gatewaySettings.firstStart = true;
 			startGateway(gatewaySettings);
 		}
 		// Gateways list each other within a few rounds.
--- a/tests/streamoriginstest.cpp
+++ b/tests/streamoriginstest.cpp
@@ -50,7 +50,7 @@
 	}
 
 	Directory directory;
-	VersionHistory history;
+	VersionHistory history{kLongAgo};
 	StreamOrigins origins;
 	std::uint64_t revision = 0;
 	bool reachable = true;
@@ -232,7 +232,7 @@
 	const std::string& host = fleet.hosts[0];
 	fleet.members[host] = nullptr;
 	fleet.restart(host);
-	fleet.members[host]->history = VersionHistory();
+	fleet.members[host]->history = VersionHistory(kLongAgo);
 	fleet.members[host]->directory = Directory();
 	fleet.members[host]->setVersions({"v1"}, fleet.now);
 	EXPECT_EQ(fleet.search(host, streamKey(1)).state, OriginState::Unknown);
@@ -243,7 +243,7 @@
 	Fleet fleet(2, 2);
 	const std::string& host = fleet.hosts[0];
 	fleet.now += VersionHistory::kRetention + 20 * kSecond;
-	fleet.members[host]->history = VersionHistory();
+	fleet.members[host]->history = VersionHistory(kLongAgo);
 	fleet.members[host]->directory = Directory();
 	fleet.members[host]->setVersions({"v1"}, fleet.now);
 	fleet.members[host]->reachable = false;
@@ -254,6 +254,20 @@
 	EXPECT_LE(fleet.longestSearch, StreamOrigins::kSearchTimeout + 20 * kMillisecond);
 }
 
+TEST(StreamOrigins, gatewaysThatHaveAllJustStartedDoNotTakeTheirOnlyVersionForTheOnlyOneThereWas)
+{
+	Fleet fleet(2, 2);
+	for (const std::string& host : fleet.hosts)
+	{
+		fleet.members[host]->history = VersionHistory(fleet.now);
+		fleet.members[host]->directory = Directory();
+		fleet.members[host]->setVersions({"v1"}, fleet.now);
+	}
+	EXPECT_EQ(fleet.search(fleet.hosts[0], streamKey(1)).state, OriginState::Unknown);
+	fleet.now += VersionHistory::kRetention;
+	EXPECT_EQ(fleet.search(fleet.hosts[0], streamKey(2)).state, OriginState::Known);
+}
+
 TEST(StreamOrigins, costsDoNotGrowWithTheFleet)
 {
 	for (const unsigned perDataCentre : {2u, 100u})
