Bound the time of the store's last restore in a gateway that has just started

Cause: only a process that had heard an earlier era counted a restore. A new one counted none, took the duties at once, and took a window without a record for one that was never reported.

--- a/src/gateway/dutyholder.cpp
+++ b/src/gateway/dutyholder.cpp
@@ -34,19 +34,10 @@
 constexpr Micros kRestoredSpan = 10 * kSecond;
 /// Delay after a restore of the store for all but the last holder, which alone knows all that it has reported.
 constexpr Micros kRestoredAcquireDelay = 1 * kSecond;
-/// Fencing tokens of an era begin here, times the era: a restored store does not know the last ones of the era
-/// before.
-constexpr std::uint64_t kFencesPerEra = 1u << 20;
 constexpr double kMaxSilentShare = 0.5; ///< Largest share of silent gateways at which the load counts as known.
 constexpr std::uint64_t kWindowsBack = 3;
 constexpr std::uint64_t kWindowsKept = 8;
 constexpr std::size_t kMaxAnswerBytes = 1u << 20;
-
-std::uint64_t readFence(const std::string& _text)
-{
-	return _text.empty() ? 0 : std::strtoull(_text.c_str(), nullptr, 10);
-}
-
 } // namespace
 
 DutyHolder::DutyHolder(GatewayContext& _context)
@@ -112,7 +103,13 @@
 	const auto& items = m_context.content.items;
 	if (const auto fence = items.find(kFenceKey); fence != items.end())
 	{
-		m_highestFence = std::max(m_highestFence, readFence(fence->second.value));
+		const Micros now = monotonicNow();
+		const DutyRecord record = decodeDutyRecord(fence->second.value);
+		m_highestFence = std::max(m_highestFence, record.fence);
+		if (record.era() == m_context.storeEra.value_or(0))
+		{
+			m_context.lastRestore.onRecord(record, now, m_context.clock.trueTime(now));
+		}
 	}
 	const std::uint64_t current = m_context.currentWindow(monotonicNow());
 	const std::string prefix(kUsagePrefix);
@@ -156,8 +153,9 @@
 bool DutyHolder::mayBeReported(std::uint64_t _window) const
 {
 	const Micros windowEnd = static_cast<Micros>(_window + 1) * m_context.settings.usageWindow;
-	const bool endedBefore = windowEnd < m_context.clock.trueTime(m_context.storeRestoredAt);
-	return m_context.storeRestores > 0 && endedBefore && !m_wasLastHolder && !m_fixedCounts.count(_window);
+	const Micros restored = m_context.lastRestore.at();
+	const bool endedBefore = restored != kLongAgo && windowEnd < m_context.clock.trueTime(restored);
+	return endedBefore && !m_wasLastHolder && !m_fixedCounts.count(_window);
 }
 
 void DutyHolder::tick()
@@ -208,8 +206,7 @@
 	const bool contentFresh = m_context.content.confirmed + kMaxContentAge > sent &&
 							  StoreRevision::eraOf(m_context.content.revision) == m_context.storeEra.value_or(0);
 	// A holder that has not heard of a restore acts until its lease would have ended.
-	const bool leaseMayRun =
-		m_context.storeRestores > 0 && sent - m_context.storeRestoredAt < m_context.settings.leaseSpan;
+	const bool leaseMayRun = m_context.lastRestore.isWithin(m_context.settings.leaseSpan, sent);
 	if (held)
 	{
 		m_vacantSince = kNever;
@@ -222,7 +219,7 @@
 	const std::optional<std::size_t> position = m_context.relays.position();
 	const Micros delay =
 		position ? kAcquireDelayPerRank * static_cast<Micros>(*position) : kUnregisteredAcquireDelay;
-	const bool restored = m_context.storeRestores > 0 && sent - m_context.storeRestoredAt < kRestoredSpan;
+	const bool restored = m_context.lastRestore.isWithin(kRestoredSpan, sent);
 	const Micros restoredDelay = m_wasLastHolder ? 0 : delay + kRestoredAcquireDelay;
 	if (sent - m_vacantSince < (restored ? restoredDelay : delay))
 	{
@@ -253,13 +250,15 @@
 {
 	const auto fenceItem = m_context.content.items.find(kFenceKey);
 	const std::uint64_t before =
-		fenceItem == m_context.content.items.end() ? 0 : readFence(fenceItem->second.value);
+		fenceItem == m_context.content.items.end() ? 0 : decodeDutyRecord(fenceItem->second.value).fence;
 	const std::uint64_t fence =
-		std::max(std::max(before, m_highestFence) + 1, m_context.storeEra.value_or(0) * kFencesPerEra);
+		std::max(std::max(before, m_highestFence) + 1, m_context.storeEra.value_or(0) * DutyRecord::kFencesPerEra);
+	const Micros now = monotonicNow();
+	const Micros restoredAt = m_context.lastRestore.trueTime(now, m_context.clock.trueTime(now));
 	KvTransaction change;
 	change.conditions = {{kHolderKey, 0}, {kFenceKey, revisionOf(kFenceKey)}};
 	change.puts = {{kHolderKey, m_context.settings.name + ' ' + std::to_string(m_context.run.incarnation), _lease},
-				   {kFenceKey, std::to_string(fence), 0}};
+				   {kFenceKey, encodeDutyRecord({fence, restoredAt}), 0}};
 	m_context.traffic.onStoreCall(StorePurpose::DutyLease);
 	m_leaseChannel->call(platform::transactionCall(change), kStoreTimeout,
 						 [self = shared_from_this(), _lease, _span, _sent, fence,
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -19,6 +19,7 @@
 #include "coordination/enginemodel.h"
 #include "coordination/gossipplan.h"
 #include "coordination/kvtypes.h"
+#include "coordination/lastrestore.h"
 #include "coordination/peertable.h"
 #include "coordination/quotaadmission.h"
 #include "coordination/quotagrantor.h"
@@ -101,10 +102,10 @@
 		}
 		const bool restored = storeEra.has_value();
 		storeEra = _era;
+		restored ? lastRestore.onLaterEra(monotonicNow()) : lastRestore.onFirstEra(monotonicNow());
 		if (restored)
 		{
 			++storeRestores;
-			storeRestoredAt = monotonicNow();
 			logEvent(LogLevel::Warning, "store-restored", {{"era", std::to_string(_era)}});
 			onStoreRestored ? onStoreRestored() : void();
 		}
@@ -176,7 +177,7 @@
 	std::size_t openExchanges = 0;
 	std::optional<std::uint64_t>
 		storeEra;                      ///< Newest era of the store that was named; nothing before its first answer.
-	Micros storeRestoredAt = kLongAgo; ///< When a later era was first named.
+	LastRestore lastRestore{settings.firstStart};
 	/// Number of later eras that were named. A call to the store whose answer finds another number than its sending
 	/// has met a restore: its result does not hold.
 	std::uint64_t storeRestores = 0;
