End a caller's connection in order only after its whole answer

Cause: closeAfterSending() closed after 1 s whatever was unsent, a stopping gateway did not wait for such connections or for the last bytes of tunnels, and the kernel ends the connections of a killed process in order.

Change: the second of waiting begins once all bytes are sent; a reader that accepts none for 5 s is reset. A stop waits for them within its grace. A connection whose end would complete an answer is reset if the process ends.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -380,7 +380,8 @@
 			session->closeIfIdle();
 		}
 	}
-	if (mustAbort || (closesIdle && m_callerContext->sessions.empty() && m_tunnels.openTunnels() == 0))
+	const bool answersSent = m_callerContext->sessions.empty() && m_callerContext->closing == 0;
+	if (mustAbort || (closesIdle && answersSent && m_tunnels.openTunnels() == 0))
 	{
 		shutdown();
 		return;
--- a/src/gateway/tunnelserver.cpp
+++ b/src/gateway/tunnelserver.cpp
@@ -113,20 +113,18 @@
 void TunnelServer::onBackendEnd(const TunnelPtr& _tunnel, ConnectionEnd _end)
 {
 	const bool broken = _end == ConnectionEnd::Broken;
-	if (_tunnel->frames)
-	{
-		_tunnel->gateway->send(formatTunnelEnd(broken ? TunnelEnd::Broken : TunnelEnd::Closed));
-		_tunnel->gateway->closeAfterSending();
-	}
-	else if (broken)
+	if (broken && !_tunnel->frames)
 	{
 		_tunnel->gateway->reset();
+		m_tunnels.erase(_tunnel);
+		return;
 	}
-	else
+	if (_tunnel->frames)
 	{
-		_tunnel->gateway->closeAfterSending();
+		_tunnel->gateway->send(formatTunnelEnd(broken ? TunnelEnd::Broken : TunnelEnd::Closed));
 	}
-	m_tunnels.erase(_tunnel);
+	// The tunnel counts as open until its last bytes are sent, so that a gateway that stops waits for them.
+	_tunnel->gateway->closeAfterSending([this, _tunnel] { m_tunnels.erase(_tunnel); });
 }
 
 } // namespace beacongate
--- a/src/transport/serversession.cpp
+++ b/src/transport/serversession.cpp
@@ -122,8 +122,7 @@
 	}
 	if (!m_parser->started())
 	{
-		m_connection->closeAfterSending();
-		end();
+		endAfterSending();
 		return;
 	}
 	rejectRequest(m_context->onTimeout());
@@ -277,6 +276,7 @@
 	}
 	m_phase = Phase::Answering;
 	m_chunked = m_version == 11;
+	m_connection->setResetOnLoss(!m_chunked);
 	m_connection->send(bytes);
 }
 
@@ -312,8 +312,7 @@
 	}
 	if (!m_keepAlive)
 	{
-		m_connection->closeAfterSending();
-		end();
+		endAfterSending();
 		return;
 	}
 	nextRequest();
@@ -369,11 +368,17 @@
 {
 	if (!busy() && m_phase == Phase::Reading)
 	{
-		m_connection->closeAfterSending();
-		end();
+		endAfterSending();
 	}
 }
 
+void ServerSession::endAfterSending()
+{
+	++m_context->closing;
+	m_connection->closeAfterSending([context = m_context] { --context->closing; });
+	end();
+}
+
 void ServerSession::end()
 {
 	if (m_phase == Phase::Ended)
--- a/src/transport/serversession.h
+++ b/src/transport/serversession.h
@@ -43,6 +43,7 @@
 	/// @returns the monotonic time.
 	std::function<Micros()> now;
 	std::size_t bufferedBytes = 0; ///< Bytes of request bodies that all sessions hold.
+	std::size_t closing = 0;       ///< Connections of ended sessions whose last answer is still being sent.
 	bool stopping = false;         ///< Each connection is closed after its next answer.
 	std::unordered_set<ServerSessionPtr> sessions;
 };
@@ -108,6 +109,8 @@
 	void onTimer();
 	void armTimer(Micros _timeout);
 	void nextRequest();
+	/// Ends the session; its connection is closed once the last answer was sent.
+	void endAfterSending();
 	void end();
 	std::string formatHead(unsigned _status, const HttpHeaders& _headers, bool _keepAlive) const;
 	bool mayKeepAlive(bool _closeAfter) const;
--- a/src/transport/tcpconnection.cpp
+++ b/src/transport/tcpconnection.cpp
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <netinet/tcp.h>
+#include <utility>
 
 namespace beacongate
 {
@@ -19,6 +20,8 @@
 namespace
 {
 constexpr Micros kLingerTimeout = 1 * kSecond;
+/// Time without an accepted byte after which a connection that is being closed counts as stalled.
+constexpr Micros kStallTimeout = 5 * kSecond;
 
 /// @returns the read buffer of this thread. All its connections share it, since each read passes its bytes on
 /// before the next read.
@@ -189,11 +192,16 @@
 	{
 		// The read operation reports the end, so that no handler is called from inside send().
 		m_unsent.clear();
+		reportSent();
 		return;
 	}
 	m_unsent.erase(0, count);
 	if (!m_unsent.empty())
 	{
+		if (m_lingering && count > 0)
+		{
+			armLingerTimer(kStallTimeout);
+		}
 		waitUntilWritable();
 		return;
 	}
@@ -234,6 +242,7 @@
 	m_lingerTimer.cancel();
 	BoostError ignored;
 	m_socket.close(ignored);
+	reportSent();
 	// The handlers own the object that owns this connection. Destroying them here could destroy a running handler,
 	// so the cycle is broken after the current call.
 	asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->m_handlers = {}; });
@@ -250,37 +259,67 @@
 	close();
 }
 
-void TcpConnection::closeAfterSending()
+void TcpConnection::setResetOnLoss(bool _reset)
+{
+	if (m_resetOnLoss == _reset || m_closed)
+	{
+		return;
+	}
+	m_resetOnLoss = _reset;
+	const linger option{_reset ? 1 : 0, 0};
+	setsockopt(m_socket.native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof option);
+}
+
+void TcpConnection::closeAfterSending(std::function<void()> _onSent)
 {
 	if (m_closed || m_lingering)
 	{
+		_onSent ? _onSent() : void();
 		return;
 	}
 	m_lingering = true;
+	m_onSent = std::move(_onSent);
 	m_handlers.onBytes = nullptr;
 	m_handlers.onEnd = nullptr;
 	m_handlers.onDrained = nullptr;
 	m_paused = false;
 	waitUntilReadable();
-	m_lingerTimer.expires_after(std::chrono::microseconds(kLingerTimeout));
+	if (m_unsent.empty())
+	{
+		shutdownSending();
+		return;
+	}
+	armLingerTimer(kStallTimeout);
+}
+
+void TcpConnection::armLingerTimer(Micros _span)
+{
+	m_lingerTimer.expires_after(std::chrono::microseconds(_span));
 	m_lingerTimer.async_wait(
 		[self = shared_from_this()](const BoostError& _error)
 		{
 			if (!_error)
 			{
-				self->close();
+				self->m_unsent.empty() ? self->close() : self->reset();
 			}
 		});
-	if (m_unsent.empty())
+}
+
+void TcpConnection::reportSent()
+{
+	if (const auto handler = std::exchange(m_onSent, nullptr))
 	{
-		shutdownSending();
+		handler();
 	}
 }
 
 void TcpConnection::shutdownSending()
 {
+	setResetOnLoss(false);
 	BoostError ignored;
 	m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+	armLingerTimer(kLingerTimeout);
+	reportSent();
 }
 
 void TcpConnection::end(ConnectionEnd _end)
--- a/src/transport/tcpconnection.h
+++ b/src/transport/tcpconnection.h
@@ -104,7 +104,13 @@
 
 	/// Sends the remaining bytes, shuts down the sending direction, and waits up to 1 s for the other side to
 	/// close. Without the wait, bytes that still arrive would cause a reset, and the last bytes sent could be lost.
-	void closeAfterSending();
+	/// If the other side accepts no byte for 5 s, the connection is reset, so that what it has does not look whole.
+	/// @param[in] _onSent Called once, when all bytes were sent or the connection has ended. May be empty.
+	void closeAfterSending(std::function<void()> _onSent = {});
+
+	/// Sets whether the system resets the connection if this process ends. It is needed while the end of the
+	/// connection would complete an answer. closeAfterSending() ends it once all bytes were sent.
+	void setResetOnLoss(bool _reset);
 
 	/// @returns the executor of the loop that the connection runs on.
 	Socket::executor_type executor()
@@ -124,17 +130,21 @@
 	void waitUntilWritable();
 	void writeBytes();
 	void shutdownSending();
+	void armLingerTimer(Micros _span);
+	void reportSent();
 	void end(ConnectionEnd _end);
 
 	Socket m_socket;
 	boost::asio::steady_timer m_lingerTimer;
 	ConnectionHandlers m_handlers;
+	std::function<void()> m_onSent; ///< See closeAfterSending().
 	std::string m_unsent;
 	bool m_paused = false;
 	bool m_reading = false;
 	bool m_writing = false;
 	bool m_closed = false;
 	bool m_lingering = false;
+	bool m_resetOnLoss = false;
 };
 
 } // namespace beacongate
--- a/tests/gatewaylostrelaytest.cpp
+++ b/tests/gatewaylostrelaytest.cpp
@@ -166,6 +166,22 @@
 	EXPECT_EQ(metric("beacongate_requests_suspected", kPartitioned), "0");
 }
 
+TEST_F(GatewayLostRelayTest, answerThatEndsWithItsConnectionIsResetIfItsGatewayIsLost)
+{
+	Caller caller({host(kFirstProcess), kCallerPort});
+	std::string bytes = request("GET", "/stream/once/", "f", std::string(platform::kApiKey) + ": key\r\n");
+	bytes.replace(bytes.find("HTTP/1.1"), 8, "HTTP/1.0");
+	caller.sendBytes(bytes);
+	caller.receiveUntil("id: 2\n");
+	processes[0]->kill();
+	caller.receiveUntil("");
+	EXPECT_TRUE(caller.wasReset);
+	Caller whole({host(kFirstProcess + 1), kCallerPort});
+	whole.sendBytes(bytes);
+	EXPECT_TRUE(whole.receiveUntil("").ends_with(standin::PlatformWorker::wholeStream("f")));
+	EXPECT_TRUE(whole.ended && !whole.wasReset);
+}
+
 TEST_F(GatewayLostRelayTest, gatewayOfAnEarlierBuildGetsATunnelWithoutFrames)
 {
 	const auto knownServer = [this](const std::string& _fields)
