Bound framing and interim answers without end

Cause: bytes that wait unparsed for the end of a chunk's extension or of the trailers had no bound, for requests, answers and the store's pages alike; a series of interim answers had none either.

Change: unparsed bytes are bounded by the limit of the head; a call takes 16 interim answers.

Evidence: gatewayendlessanswertest, nine kinds of bytes. Before: 814 MB, 696 MB and 209 MB read in three of them, and no answer before the deadline of 2 s. After: 12 of 12 callers served by another server in each kind.

--- a/src/transport/messageparser.cpp
+++ b/src/transport/messageparser.cpp
@@ -124,6 +124,7 @@
 	}
 
 	MessageParserImpl(MessageKind _kind, std::size_t _headerLimit, std::size_t _bodyLimit)
+		: headerLimit(_headerLimit)
 	{
 		if (_kind == MessageKind::Request)
 		{
@@ -145,6 +146,7 @@
 	MessageHead head;
 	std::variant<std::monostate, Collector<true>, Collector<false>> parser;
 	ParseFault fault = ParseFault::None;
+	std::size_t headerLimit;
 	bool started = false;
 	bool headDone = false;
 	bool done = false;
@@ -187,6 +189,12 @@
 				}
 			}
 			impl.done = _collector.is_done();
+			// Chunk extensions and trailers without end stay unconsumed, and the library has no limit for them.
+			const bool waits = !impl.done && impl.fault == ParseFault::None;
+			if (waits && _bytes.size() - consumed > impl.headerLimit)
+			{
+				impl.fault = ParseFault::HeaderTooLarge;
+			}
 			if (!impl.headDone && _collector.is_header_done())
 			{
 				impl.headDone = true;
--- a/src/transport/outgoingcall.cpp
+++ b/src/transport/outgoingcall.cpp
@@ -12,6 +12,8 @@
 namespace
 {
 constexpr std::size_t kAnswerHeaderBytes = 32u << 10;
+/// Answers with a status of 1xx before the final one; a server that sends more does not come to an end.
+constexpr unsigned kMaxInterimAnswers = 16;
 
 std::unique_ptr<MessageParser> makeParser(bool _noBody)
 {
@@ -130,6 +132,11 @@
 		m_input.erase(0, consumed);
 		if (m_parser->headDone() && isInterim(m_parser->head()) && m_parser->done())
 		{
+			if (++m_interimAnswers > kMaxInterimAnswers)
+			{
+				fail(CallFault::Malformed);
+				return;
+			}
 			m_parser = makeParser(m_noBody);
 			continue;
 		}
--- a/src/transport/outgoingcall.h
+++ b/src/transport/outgoingcall.h
@@ -111,6 +111,7 @@
 	std::unique_ptr<MessageParser> m_parser;
 	std::string m_input;
 	bool m_noBody = false;
+	unsigned m_interimAnswers = 0; ///< Answers with a status of 1xx that have arrived.
 	bool m_headReported = false;
 	bool m_ended = false;
 };
