End a stream whose continuation is answered with another status

Callers saw: a stream that broke off and went on at a server answering 404 had no end, past its deadline (review/trials/resumed.py).

Cause: Exchange::onDone() passed the second answer to a session that had begun its answer, which does nothing, and ended the exchange with its timer.

Change: an answer that is no stream counts as a failed attempt to continue one; another server is tried, or the stream is aborted.

Evidence: gatewayendlessanswertest streamThatGoesOnAtAServerWithAnotherAnswerEnds: 4 streams without an end before, none after.

--- a/src/gateway/exchangeanswers.cpp
+++ b/src/gateway/exchangeanswers.cpp
@@ -240,8 +240,9 @@
 	{
 		failAttempt(AttemptResult::Rejected);
 	}
-	else if (m_attempt.head.status >= kServerError)
+	else if (m_attempt.head.status >= kServerError || (m_streaming && !m_attempt.success))
 	{
+		// An answer that is no stream cannot continue one.
 		failAttempt(AttemptResult::ServerError);
 	}
 	else if (m_attempt.success && m_route->kind == RouteKind::Stream)
