Tell requests apart by the prompts that their headers name

Cause, in part: where headers describe the prompt, all requests of a team on one path had one fingerprint, so that the crashes of several requests were charged to one.

Change: the fingerprint includes the prompt's tokens and parts, as the headers name them.

Evidence: crashledgertest differsByEachFieldAndByItsBounds (new checks; they need the new field, so they were not run before).

--- a/src/coordination/requestfingerprint.cpp
+++ b/src/coordination/requestfingerprint.cpp
@@ -69,6 +69,10 @@
 	{
 		addField(state.get(), field);
 	}
+	if (!_content.prompt.empty())
+	{
+		addField(state.get(), _content.prompt);
+	}
 	const XXH128_hash_t hash = XXH3_128bits_digest(state.get());
 	return {XXH32(_content.team.data(), _content.team.size(), 0), hash.high64, hash.low64};
 }
--- a/src/coordination/requestfingerprint.h
+++ b/src/coordination/requestfingerprint.h
@@ -27,6 +27,7 @@
 	std::string_view method;
 	std::string_view target; ///< Path and query.
 	std::string_view body;
+	std::string_view prompt = {}; ///< Description of the prompt, where headers tell prompts apart.
 };
 
 /// Hash of a request's content. The hash of the team is a field of its own: no content of one team's request,
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -25,6 +25,18 @@
 constexpr Micros kStoreUnavailableRetryAfter = 500 * kMillisecond;
 constexpr Micros kDefaultDeadline = 30 * kSecond;
 constexpr double kMillisPerSecond = 1000.0;
+
+/// @returns what the headers of a request tell of its prompt, which is the same for each attempt of a caller; empty if
+/// they tell nothing.
+std::string describePrompt(const RequestInfo& _info)
+{
+	std::string text = _info.promptTokens ? std::to_string(*_info.promptTokens) : "";
+	for (const PromptPart& part : _info.parts)
+	{
+		text += ',' + std::to_string(part.id) + ':' + std::to_string(part.tokens);
+	}
+	return text;
+}
 } // namespace
 
 Exchange::Exchange(GatewayContext& _context, Dispatcher& _dispatcher, ServerSessionPtr _session,
@@ -119,6 +131,8 @@
 	content.method = m_request.head.method;
 	content.target = m_request.head.target;
 	content.body = m_request.body;
+	const std::string prompt = describePrompt(m_info);
+	content.prompt = prompt;
 	CrashSubjects subjects{fingerprintOf(content), {}};
 	// The last part belongs to this request, or to its session, alone.
 	for (std::size_t index = 0; index + 1 < m_info.parts.size() && index < CrashSubjects::kMaxParts; ++index)
--- a/tests/crashledgertest.cpp
+++ b/tests/crashledgertest.cpp
@@ -374,6 +374,11 @@
 TEST(RequestFingerprint, differsByEachFieldAndByItsBounds)
 {
 	const RequestFingerprint base = fingerprint("a", "/p", "body");
+	// Requests with equal bodies whose headers name different prompts are different requests.
+	const RequestFingerprint prompt = fingerprintOf({"a", "h.example", "POST", "/p", "body", "1050,7:800"});
+	EXPECT_NE(prompt, base);
+	EXPECT_NE(prompt, fingerprintOf({"a", "h.example", "POST", "/p", "body", "1050,8:800"}));
+	EXPECT_EQ(prompt, fingerprintOf({"a", "h.example", "POST", "/p", "body", "1050,7:800"}));
 	EXPECT_EQ(base, fingerprint("a", "/p", "body"));
 	EXPECT_NE(base, fingerprint("a", "/p", "bodx"));
 	EXPECT_NE(base, fingerprint("a", "/q", "body"));
