Bound the memory of answers that wait for slow readers

Cause: answers that are no streams are held whole until their callers have taken them, without a bound for their sum.

Change: AnswerMemory counts them. Bodies are handed to their connections without a copy.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -74,6 +74,7 @@
 		MessageHead head;
 		AnswerInfo info;
 		std::string body;
+		std::shared_ptr<AnswerMemory::Share> memory; ///< Memory of the body; nullptr if it is empty.
 		EventSplitter events;
 		Micros listAge = 0; ///< Age of the list of backend servers when the request was sent.
 		ListingState listingState = ListingState::Gone; ///< State of the backend server in that list.
@@ -167,6 +168,8 @@
 	/// @param[in] _before Limit of the attempt's backend server before its answer.
 	void logLimitChange(std::optional<double> _before) const;
 	void onBody(std::string_view _bytes);
+	/// Counts bytes of the body, and stops reading while answers take too much memory.
+	void holdBody(std::size_t _bytes);
 	void onEvents(std::string_view _bytes);
 	/// Binds the stream to the software version of its first event, before that event is passed on.
 	void noteStreamBegun();
--- a/src/gateway/exchangeanswers.cpp
+++ b/src/gateway/exchangeanswers.cpp
@@ -10,6 +10,8 @@
 #include "platform/headers.h"
 #include "transport/forwarding.h"
 
+#include <algorithm>
+#include <cstdlib>
 #include <sstream>
 
 namespace beacongate
@@ -24,6 +26,14 @@
 constexpr unsigned kServiceUnavailable = 503;
 constexpr std::size_t kMaxLoggedParts = 8;
 
+/// @returns the length of a body as its head names it, up to the largest that is taken; 0 if it names none.
+std::size_t bodyLengthOf(const MessageHead& _head)
+{
+	const std::string text(findHeader(_head.headers, "Content-Length"));
+	const std::size_t length = std::strtoull(text.c_str(), nullptr, 10);
+	return std::min(length, limits::kGatewayAnswerBytes);
+}
+
 /// @returns for the log the ids of a prompt's parts, without the last one, which belongs to one request alone.
 std::string partsText(const std::vector<PromptPart>& _parts)
 {
@@ -150,6 +160,29 @@
 	if (m_attempt.body.size() > limits::kGatewayAnswerBytes)
 	{
 		failAttempt(AttemptResult::Broken);
+		return;
+	}
+	holdBody(_bytes.size());
+}
+
+void Exchange::holdBody(std::size_t _bytes)
+{
+	if (!m_attempt.memory)
+	{
+		// A buffer that grows step by step would leave its earlier copies behind in the heap.
+		m_attempt.body.reserve(bodyLengthOf(m_attempt.head));
+		m_attempt.memory = std::make_shared<AnswerMemory::Share>(m_context.answerMemory);
+	}
+	const auto resume = [weak = std::weak_ptr<OutgoingCall>(m_attempt.call)]
+	{
+		if (const auto call = weak.lock())
+		{
+			call->resume();
+		}
+	};
+	if (!m_attempt.memory->add(_bytes, resume))
+	{
+		m_attempt.call->pause();
 	}
 }
 
@@ -456,8 +489,9 @@
 	answer.status = m_attempt.head.status;
 	answer.headers = endToEndHeaders(m_attempt.head.headers);
 	answer.body = std::move(m_attempt.body);
-	m_session->answer(answer);
-	finish("passed", answer.status);
+	m_session->answer(std::move(answer));
+	m_session->holdUntilSent(std::move(m_attempt.memory));
+	finish("passed", m_attempt.head.status);
 }
 
 } // namespace beacongate
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -8,6 +8,7 @@
 #define BEACONGATE_GATEWAY_GATEWAYCONTEXT_H
 
 #include "coordination/agreedclock.h"
+#include "coordination/answermemory.h"
 #include "coordination/backendlimits.h"
 #include "coordination/backofftable.h"
 #include "coordination/balancer.h"
@@ -131,6 +132,7 @@
 		return static_cast<std::uint64_t>(clock.trueTime(_now) / settings.usageWindow);
 	}
 
+	AnswerMemory answerMemory; ///< Outlives the loop, whose connections hold shares of it.
 	boost::asio::io_context loop{1};
 	GatewaySettings settings;
 	GatewayRun run;
--- a/src/transport/serversession.cpp
+++ b/src/transport/serversession.cpp
@@ -25,6 +25,8 @@
 constexpr Micros kClientUserTimeout = 5 * kSecond;
 constexpr Micros kAcceptRetryDelay = 50 * kMillisecond;
 constexpr std::size_t kMaxPipelinedBytes = 64u << 10;
+/// A body up to this size is sent together with the head; a larger one is not copied.
+constexpr std::size_t kJoinedBodyBytes = 64u << 10;
 
 void appendChunk(std::string& _out, std::string_view _bytes)
 {
@@ -66,6 +68,7 @@
 	};
 	handlers.onDrained = [self]
 	{
+		self->m_held->clear();
 		if (self->m_onDrained)
 		{
 			self->m_onDrained();
@@ -232,7 +235,7 @@
 	return head;
 }
 
-void ServerSession::answer(const HttpAnswer& _answer, bool _closeAfter)
+void ServerSession::answer(HttpAnswer _answer, bool _closeAfter)
 {
 	if (m_phase != Phase::Working)
 	{
@@ -245,11 +248,16 @@
 		bytes += "Content-Length: " + std::to_string(_answer.body.size()) + "\r\n";
 	}
 	bytes += "\r\n";
-	if (!m_noBody && !hasNoBody(_answer.status))
+	const bool hasBody = !m_noBody && !hasNoBody(_answer.status) && !_answer.body.empty();
+	if (hasBody && _answer.body.size() <= kJoinedBodyBytes)
 	{
 		bytes += _answer.body;
 	}
 	m_connection->send(bytes);
+	if (hasBody && _answer.body.size() > kJoinedBodyBytes)
+	{
+		m_connection->sendOwned(std::move(_answer.body));
+	}
 	m_keepAlive = keepAlive;
 	m_phase = Phase::Answering;
 	finishAnswer();
@@ -375,10 +383,23 @@
 void ServerSession::endAfterSending()
 {
 	++m_context->closing;
-	m_connection->closeAfterSending([context = m_context] { --context->closing; });
+	m_connection->closeAfterSending(
+		[context = m_context, held = m_held]
+		{
+			--context->closing;
+			held->clear();
+		});
 	end();
 }
 
+void ServerSession::holdUntilSent(std::shared_ptr<void> _object)
+{
+	if (_object && m_connection->unsent() > 0)
+	{
+		m_held->push_back(std::move(_object));
+	}
+}
+
 void ServerSession::end()
 {
 	if (m_phase == Phase::Ended)
--- a/src/transport/serversession.h
+++ b/src/transport/serversession.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <string>
 #include <unordered_set>
+#include <vector>
 
 namespace beacongate
 {
@@ -66,7 +67,7 @@
 
 	/// Sends a complete answer to the current request.
 	/// @param[in] closeAfter Closes the connection after this answer.
-	void answer(const HttpAnswer& _answer, bool _closeAfter = false);
+	void answer(HttpAnswer _answer, bool _closeAfter = false);
 
 	/// Starts an answer of unknown length.
 	void startAnswer(unsigned _status, const HttpHeaders& _headers, std::string_view _firstBytes);
@@ -77,6 +78,10 @@
 	/// Ends a started answer.
 	void finishAnswer();
 
+	/// Keeps an object until the system has accepted all bytes that are queued for sending, or the connection ends.
+	/// @param[in] _object May be nullptr.
+	void holdUntilSent(std::shared_ptr<void> _object);
+
 	/// Resets the connection, so that the client cannot take the answer as complete.
 	void abort();
 
@@ -123,6 +128,9 @@
 	std::size_t m_bufferedBytes = 0;
 	std::function<void()> m_onDisconnected;
 	std::function<void()> m_onDrained;
+	/// Objects that are kept until the queued bytes are sent. A connection that is being closed shares them.
+	std::shared_ptr<std::vector<std::shared_ptr<void>>> m_held =
+		std::make_shared<std::vector<std::shared_ptr<void>>>();
 	boost::asio::steady_timer m_timer;
 	Phase m_phase = Phase::Reading;
 	unsigned m_version = 11;
--- a/src/transport/tcpconnection.cpp
+++ b/src/transport/tcpconnection.cpp
@@ -184,6 +184,20 @@
 	}
 }
 
+void TcpConnection::sendOwned(std::string&& _bytes)
+{
+	if (m_closed || m_lingering || !m_unsent.empty())
+	{
+		send(_bytes);
+		return;
+	}
+	m_unsent = std::move(_bytes);
+	if (!m_writing)
+	{
+		writeBytes();
+	}
+}
+
 void TcpConnection::writeBytes()
 {
 	BoostError error;
--- a/src/transport/tcpconnection.h
+++ b/src/transport/tcpconnection.h
@@ -90,6 +90,9 @@
 	/// Sends bytes in order, without blocking; what the system does not accept at once is buffered.
 	void send(std::string_view _bytes);
 
+	/// Sends bytes in the same way, without copying them if nothing else waits to be sent.
+	void sendOwned(std::string&& _bytes);
+
 	/// @returns the number of bytes that the system has not accepted yet.
 	std::size_t unsent() const
 	{
