Format, and one copy of the lists of versions in tests

The formatter had not been run on the changes since. The handler of a call's connection has a name of its own, and two tests share the lists that differ in versions alone. No change of behaviour.

--- a/src/coordination/answermemory.h
+++ b/src/coordination/answermemory.h
@@ -15,15 +15,15 @@
 
 namespace beacongate
 {
-/// Counts the bytes of all answers that are held. Beyond kMaxBytes only the answer that has waited longest is read on,
-/// so that one after the other becomes whole; the others stay in the buffers of their backend servers' connections.
-/// Small answers never wait. An answer that is whole counts until its caller has taken it, so that callers that read
-/// slowly delay other large answers.
+/// Counts the bytes of all answers that are held. Beyond kMaxBytes only the answer that has waited longest is read
+/// on, so that one after the other becomes whole; the others stay in the buffers of their backend servers'
+/// connections. Small answers never wait. An answer that is whole counts until its caller has taken it, so that
+/// callers that read slowly delay other large answers.
 class AnswerMemory
 {
 public:
-	/// Bytes of all answers up to which all are read. A gateway has 260 MB on the smallest VMs, and an answer takes up
-	/// to twice its bytes for a moment while it is handed over.
+	/// Bytes of all answers up to which all are read. A gateway has 260 MB on the smallest VMs; streams, request
+	/// bodies and the content of the store take their parts of it.
 	static constexpr std::size_t kMaxBytes = 64u << 20;
 	/// Bytes up to which an answer is read in any case, so that large answers do not delay small ones.
 	static constexpr std::size_t kSmallBytes = 64u << 10;
--- a/src/coordination/lastrestore.h
+++ b/src/coordination/lastrestore.h
@@ -41,9 +41,9 @@
 
 /// Bounds the time of the store's last restore from above.
 ///
-/// A process sees a restore where the store names a later era than before. A process that has just started has seen no
-/// earlier era, so that the store may have been restored until then. The record of the present era's duty holders tells
-/// it more: they have seen the restore, or have it from a holder who has.
+/// A process sees a restore where the store names a later era than before. A process that has just started has seen
+/// no earlier era, so that the store may have been restored until then. The record of the present era's duty
+/// holders tells it more: they have seen the restore, or have it from a holder who has.
 class LastRestore
 {
 public:
--- a/src/coordination/streamorigins.h
+++ b/src/coordination/streamorigins.h
@@ -50,8 +50,8 @@
 /// rendezvous hashing. The costs do not grow with the fleet: kHolders datagrams for each stream that begins and
 /// kAsked for each one that is taken up.
 ///
-/// Where no home knows a stream, it goes on only if its service had a single version for as long as streams live, and
-/// if this gateway can know that, see VersionHistory::isComplete().
+/// Where no home knows a stream, it goes on only if its service had a single version for as long as streams live,
+/// and if this gateway can know that, see VersionHistory::isComplete().
 class StreamOrigins
 {
 public:
--- a/src/coordination/versionhistory.cpp
+++ b/src/coordination/versionhistory.cpp
@@ -36,7 +36,8 @@
 	}
 	for (auto& [service, versions] : m_sightings)
 	{
-		std::erase_if(versions, [_now](const auto& _entry) { return _now - _entry.second.lastListed > kRetention; });
+		std::erase_if(versions,
+					  [_now](const auto& _entry) { return _now - _entry.second.lastListed > kRetention; });
 	}
 	std::erase_if(m_sightings, [](const auto& _entry) { return _entry.second.empty(); });
 }
@@ -52,8 +53,7 @@
 	}
 	if (_log.era == _era)
 	{
-		const Micros since =
-			_log.completeSince == 0 ? kLongAgo : toMonotonic(_log.completeSince, _now, _trueNow);
+		const Micros since = _log.completeSince == 0 ? kLongAgo : toMonotonic(_log.completeSince, _now, _trueNow);
 		m_completeSince = std::min(m_completeSince, since);
 	}
 }
--- a/src/coordination/versionhistory.h
+++ b/src/coordination/versionhistory.h
@@ -65,8 +65,8 @@
 
 	/// @returns true if the store's log must be written again.
 	/// @param[in] _stored The store's log; nothing if it holds none.
-	/// @param[in] _mayDrop Versions that have left count too. One gateway alone notes them, since lists differ for a
-	/// moment.
+	/// @param[in] _mayDrop Versions that have left count too. One gateway alone notes them, since lists differ for
+	/// a moment.
 	bool needsWriting(const std::optional<VersionLog>& _stored, std::uint64_t _era, bool _mayDrop, Micros _now,
 					  Micros _trueNow) const;
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -26,8 +26,8 @@
 constexpr Micros kDefaultDeadline = 30 * kSecond;
 constexpr double kMillisPerSecond = 1000.0;
 
-/// @returns what the headers of a request tell of its prompt, which is the same for each attempt of a caller; empty if
-/// they tell nothing.
+/// @returns what the headers of a request tell of its prompt, which is the same for each attempt of a caller; empty
+/// if they tell nothing.
 std::string describePrompt(const RequestInfo& _info)
 {
 	std::string text = _info.promptTokens ? std::to_string(*_info.promptTokens) : "";
@@ -382,7 +382,7 @@
 	const Micros connectSpan = std::clamp(m_route->targetLatency / 4, kMinConnectTimeout, kMaxConnectTimeout);
 	const BackendTarget target{m_attempt.backend, m_attempt.address, connectSpan};
 	const auto self = shared_from_this();
-	options.connect = [self, target](std::function<void(const CallConnection&)> _done)
+	options.connect = [self, target](CallConnectionHandler _done)
 	{
 		self->connect(target, std::move(_done));
 	};
@@ -426,7 +426,7 @@
 	m_attempt.call = OutgoingCall::start(m_context.loop, options, formatForward(_backend), std::move(handlers));
 }
 
-void Exchange::connect(const BackendTarget& _target, std::function<void(const CallConnection&)> _done)
+void Exchange::connect(const BackendTarget& _target, CallConnectionHandler _done)
 {
 	m_context.connector.open(_target,
 							 [self = shared_from_this(), done = std::move(_done)](const BackendConnection& _opened)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -161,7 +161,7 @@
 	void recordListState();
 	std::string formatForward(const KnownBackend& _backend) const;
 	/// Opens the connection of an attempt.
-	void connect(const BackendTarget& _target, std::function<void(const CallConnection&)> _done);
+	void connect(const BackendTarget& _target, CallConnectionHandler _done);
 	void onHead(const MessageHead& _head);
 	/// Applies what the answer's headers say about the backend server: leaving, backoff, limit.
 	void applyBackendState();
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -178,7 +178,7 @@
 	Micros stopRequested = kNever;
 	std::size_t openExchanges = 0;
 	std::optional<std::uint64_t>
-		storeEra;                      ///< Newest era of the store that was named; nothing before its first answer.
+		storeEra; ///< Newest era of the store that was named; nothing before its first answer.
 	LastRestore lastRestore{settings.firstStart};
 	/// Number of later eras that were named. A call to the store whose answer finds another number than its sending
 	/// has met a restore: its result does not hold.
--- a/src/gateway/memberkeys.h
+++ b/src/gateway/memberkeys.h
@@ -24,8 +24,8 @@
 inline constexpr const char* kHolderKey = "beacongate/holder";        ///< Held under the lease of the duty holder.
 inline constexpr const char* kFenceKey = "beacongate/fence";          ///< The holder's fencing token.
 
-inline constexpr const char* kLevelsKey = "beacongate/levels"; ///< Levels of the teams' quotas.
-inline constexpr const char* kCountsKey = "beacongate/counts"; ///< Usage counts of all gateways.
+inline constexpr const char* kLevelsKey = "beacongate/levels";     ///< Levels of the teams' quotas.
+inline constexpr const char* kCountsKey = "beacongate/counts";     ///< Usage counts of all gateways.
 inline constexpr const char* kVersionsKey = "beacongate/versions"; ///< Software versions, see VersionLog.
 
 /// The data centre, a slash and the number of a slot follow; the value is the host of a relay, see RelaySlots.
--- a/src/gateway/versionlogwriter.cpp
+++ b/src/gateway/versionlogwriter.cpp
@@ -90,9 +90,8 @@
 	const std::uint64_t era = m_context.storeEra.value_or(0);
 	const bool contentKnown =
 		m_context.directory.config() && StoreRevision::eraOf(m_context.content.revision) == era;
-	const bool needed =
-		contentKnown && m_context.versions.needsWriting(m_stored, era, m_context.holdsDuties, now,
-														m_context.clock.trueTime(now));
+	const bool needed = contentKnown && m_context.versions.needsWriting(m_stored, era, m_context.holdsDuties, now,
+																		m_context.clock.trueTime(now));
 	m_neededSince = needed ? std::min(m_neededSince, now) : kNever;
 	const bool awaitsContent = now - m_writtenAt < kContentDelay;
 	if (!needed || awaitsContent || m_writing || m_closed || m_context.stopping)
@@ -117,16 +116,17 @@
 	change.conditions = {{kVersionsKey, m_revision}};
 	change.puts = {{kVersionsKey, encodeVersionLog(log), 0}};
 	m_context.traffic.onStoreCall(StorePurpose::VersionLog);
-	m_channel->call(platform::transactionCall(change), kCallTimeout,
-					[self = shared_from_this(), versions = log.entries.size()](const std::optional<HttpAnswer>& _answer)
-					{
-						self->m_writing = false;
-						self->m_writtenAt = monotonicNow();
-						noteStoreEra(self->m_context, _answer);
-						const bool written = platform::readTransaction(_answer).outcome == KvOutcome::Done;
-						logEvent(LogLevel::Info, "version-log",
-								 {{"versions", std::to_string(versions)}, {"written", written ? "yes" : "no"}});
-					});
+	m_channel->call(
+		platform::transactionCall(change), kCallTimeout,
+		[self = shared_from_this(), versions = log.entries.size()](const std::optional<HttpAnswer>& _answer)
+		{
+			self->m_writing = false;
+			self->m_writtenAt = monotonicNow();
+			noteStoreEra(self->m_context, _answer);
+			const bool written = platform::readTransaction(_answer).outcome == KvOutcome::Done;
+			logEvent(LogLevel::Info, "version-log",
+					 {{"versions", std::to_string(versions)}, {"written", written ? "yes" : "no"}});
+		});
 }
 
 } // namespace beacongate
--- a/src/gateway/versionlogwriter.h
+++ b/src/gateway/versionlogwriter.h
@@ -17,9 +17,9 @@
 
 namespace beacongate
 {
-/// The log outlives all gateways, so that those that start anew know which versions have left. The duty holder writes
-/// it as versions appear and leave. Where a version stays missing, for want of a duty holder or since the store was
-/// restored from a copy, the other gateways write it, one after the other.
+/// The log outlives all gateways, so that those that start anew know which versions have left. The duty holder
+/// writes it as versions appear and leave. Where a version stays missing, for want of a duty holder or since the
+/// store was restored from a copy, the other gateways write it, one after the other.
 class VersionLogWriter : public std::enable_shared_from_this<VersionLogWriter>
 {
 public:
--- a/src/protocol/tunnelcodec.h
+++ b/src/protocol/tunnelcodec.h
@@ -3,8 +3,8 @@
 
 /// @file
 /// Messages by which a gateway asks another one for a tunnel to a backend server: a POST to kTunnelPath, answered
-/// with 101 and then with the bytes of the server's connection in frames, or with the status of a failure. Where one
-/// of the two gateways is of a build that knows no frames, the bytes come without.
+/// with 101 and then with the bytes of the server's connection in frames, or with the status of a failure. Where
+/// one of the two gateways is of a build that knows no frames, the bytes come without.
 
 #ifndef BEACONGATE_PROTOCOL_TUNNELCODEC_H
 #define BEACONGATE_PROTOCOL_TUNNELCODEC_H
--- a/src/protocol/tunnelframes.h
+++ b/src/protocol/tunnelframes.h
@@ -3,7 +3,8 @@
 
 /// @file
 /// Framing of the bytes that come from a backend server through a tunnel. The last frame says how the server's
-/// connection ended, so that the loss of the gateway that provides the tunnel is not taken for the server's own end.
+/// connection ended, so that the loss of the gateway that provides the tunnel is not taken for the server's own
+/// end.
 ///
 /// A frame is a length of four bytes, the highest first, and as many bytes. Two lengths stand for an end.
 
--- a/src/protocol/versioncodec.cpp
+++ b/src/protocol/versioncodec.cpp
@@ -14,7 +14,8 @@
 	{
 		entries.push_back(Json::array({entry.service.value, entry.version.value, entry.listed, entry.lastListed}));
 	}
-	const Json document{{"era", _log.era}, {"complete_since", _log.completeSince}, {"versions", std::move(entries)}};
+	const Json document{
+		{"era", _log.era}, {"complete_since", _log.completeSince}, {"versions", std::move(entries)}};
 	return document.dump();
 }
 
--- a/src/transport/messageparser.h
+++ b/src/transport/messageparser.h
@@ -53,8 +53,8 @@
 class MessageParser
 {
 public:
-	/// @param[in] headerLimit Maximum bytes of the start line and headers, of a chunk's size with its extensions, and
-	/// of the trailers.
+	/// @param[in] headerLimit Maximum bytes of the start line and headers, of a chunk's size with its extensions,
+	/// and of the trailers.
 	/// @param[in] bodyLimit Maximum bytes of the body.
 	MessageParser(MessageKind _kind, std::size_t _headerLimit, std::size_t _bodyLimit);
 	~MessageParser();
--- a/src/transport/outgoingcall.cpp
+++ b/src/transport/outgoingcall.cpp
@@ -50,8 +50,9 @@
 		return call;
 	}
 	TcpConnection::open(_context, _options.address, _options.connectSpan, _options.userTimeout,
-						[onConnected](const TcpConnection::Ptr& _connection, ConnectResult _result)
-						{ onConnected({_connection, _result}); });
+						[onConnected](const TcpConnection::Ptr& _connection, ConnectResult _result) {
+							onConnected({_connection, _result});
+						});
 	return call;
 }
 
--- a/src/transport/outgoingcall.h
+++ b/src/transport/outgoingcall.h
@@ -58,13 +58,15 @@
 	std::string received = {}; ///< Bytes of the server that have arrived already.
 };
 
+using CallConnectionHandler = std::function<void(const CallConnection&)>;
+
 /// Connection options of a call.
 struct CallOptions
 {
 	Address address;
 	/// Opens the connection, and never calls its argument from inside itself. If it is empty, the connection is
 	/// opened to the address.
-	std::function<void(std::function<void(const CallConnection&)>)> connect;
+	std::function<void(CallConnectionHandler)> connect;
 	Micros connectSpan = kSecond;     ///< Timeout for establishing the connection.
 	Micros userTimeout = 3 * kSecond; ///< TCP_USER_TIMEOUT: maximum time that sent bytes may stay unacknowledged.
 	bool noBody = false;              ///< The answer has no body, regardless of its headers.
--- a/tests/answermemorytest.cpp
+++ b/tests/answermemorytest.cpp
@@ -62,7 +62,8 @@
 				answer = nullptr; // Its caller has taken it.
 			}
 		}
-		ASSERT_LE(memory.bytes(), AnswerMemory::kMaxBytes + kWhole + kAnswers * (AnswerMemory::kSmallBytes + kStep));
+		ASSERT_LE(memory.bytes(),
+				  AnswerMemory::kMaxBytes + kWhole + kAnswers * (AnswerMemory::kSmallBytes + kStep));
 	}
 	EXPECT_EQ(whole, kAnswers);
 	EXPECT_EQ(memory.bytes(), 0u);
--- a/tests/gatewayanswermemorytest.cpp
+++ b/tests/gatewayanswermemorytest.cpp
@@ -44,7 +44,8 @@
 						   const bool large = _request.find("large") != std::string::npos;
 						   return large ? RawBackend::Script{RawBackend::head(_request, "200 OK", length), part}
 										: RawBackend::Script{
-											  RawBackend::head(_request, "200 OK", "Content-Length: 2\r\n") + "ok", ""};
+											  RawBackend::head(_request, "200 OK", "Content-Length: 2\r\n") + "ok",
+											  ""};
 					   });
 	store->remove("servers/" + workerId(1));
 	store->remove("servers/" + workerId(2));
--- a/tests/gatewayendlessanswertest.cpp
+++ b/tests/gatewayendlessanswertest.cpp
@@ -2,8 +2,8 @@
 // Licence: BSD-2-Clause, see LICENSE.
 
 /// @file
-/// Guards against bytes without end from a backend server, in a head or a body, that are no answer: against the memory
-/// and the time that they take, and against callers without an answer.
+/// Guards against bytes without end from a backend server, in a head or a body, that are no answer: against the
+/// memory and the time that they take, and against callers without an answer.
 
 #include "gatewayfixture.h"
 #include "rawbackend.h"
@@ -81,7 +81,8 @@
 		for (unsigned number = 0; number < kRequests; ++number)
 		{
 			threads.emplace_back(
-				[&, number] { served += statusOf(call("GET", _path, "a" + std::to_string(number))) == 200 ? 1 : 0; });
+				[&, number]
+				{ served += statusOf(call("GET", _path, "a" + std::to_string(number))) == 200 ? 1 : 0; });
 		}
 		for (std::thread& thread : threads)
 		{
@@ -117,8 +118,10 @@
 
 TEST_F(GatewayEndlessAnswerTest, bodyWithoutLength)
 {
-	startWith([](const std::string& _request)
-			  { return RawBackend::Script{RawBackend::head(_request, "200 OK", ""), filler("no answer ")}; });
+	startWith(
+		[](const std::string& _request) {
+			return RawBackend::Script{RawBackend::head(_request, "200 OK", ""), filler("no answer ")};
+		});
 	expectAnswers("/safe/");
 }
 
@@ -149,7 +152,8 @@
 	startWith(
 		[](const std::string& _request)
 		{
-			return RawBackend::Script{RawBackend::head(_request, "200 OK", "Transfer-Encoding: chunked\r\n") + "0\r\n",
+			return RawBackend::Script{RawBackend::head(_request, "200 OK", "Transfer-Encoding: chunked\r\n") +
+										  "0\r\n",
 									  filler("A: b\r\n")};
 		});
 	expectAnswers("/safe/");
--- a/tests/gatewaylostrelaytest.cpp
+++ b/tests/gatewaylostrelaytest.cpp
@@ -187,13 +187,14 @@
 	const auto knownServer = [this](const std::string& _fields)
 	{
 		Caller caller({host(kOther), kControlPort});
-		const std::string body =
-			"{\"backend\":\"" + workerId(1) + "\",\"born\":" + std::to_string(standin::kFirstStartTimeMs) +
-			",\"connect_ms\":500" + _fields + "}";
+		const std::string body = "{\"backend\":\"" + workerId(1) +
+								 "\",\"born\":" + std::to_string(standin::kFirstStartTimeMs) +
+								 ",\"connect_ms\":500" + _fields + "}";
 		caller.sendBytes("POST /tunnel HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\nContent-Length: " +
 						 std::to_string(body.size()) + "\r\n\r\n" + body);
 		std::string answer = caller.receiveUntil("\r\n\r\n");
-		caller.sendBytes(request("GET", "/safe/", "e", std::string(platform::kTarget) + ": " + workerId(1) + "\r\n"));
+		caller.sendBytes(
+			request("GET", "/safe/", "e", std::string(platform::kTarget) + ": " + workerId(1) + "\r\n"));
 		return answer + caller.receiveUntil("ok e");
 	};
 	const std::string former = knownServer("");
--- a/tests/gatewayrestartedholdertest.cpp
+++ b/tests/gatewayrestartedholdertest.cpp
@@ -2,8 +2,8 @@
 // Licence: BSD-2-Clause, see LICENSE.
 
 /// @file
-/// Guards against a gateway that starts after a restore of the store reporting usage windows again with other counts,
-/// because it has not seen that the store was restored.
+/// Guards against a gateway that starts after a restore of the store reporting usage windows again with other
+/// counts, because it has not seen that the store was restored.
 
 #include "gatewayfixture.h"
 #include "protocol/json.h"
--- a/tests/gatewayslowreaderstoptest.cpp
+++ b/tests/gatewayslowreaderstoptest.cpp
@@ -86,8 +86,8 @@
 	for (unsigned number = 0; number < kCallers; ++number)
 	{
 		callers.push_back(std::make_unique<SlowCaller>(
-			Address{host(1), kCallerPort}, request("GET", "/safe/", "a" + std::to_string(number),
-												   std::string(platform::kApiKey) + ": key\r\n")));
+			Address{host(1), kCallerPort},
+			request("GET", "/safe/", "a" + std::to_string(number), std::string(platform::kApiKey) + ": key\r\n")));
 	}
 	ASSERT_TRUE(await([&] { return backend.requests == kCallers; }));
 	gateways[0]->requestStop();
--- a/tests/lastrestoretest.cpp
+++ b/tests/lastrestoretest.cpp
@@ -43,7 +43,8 @@
 	const DutyRecord record{1, seen.trueTime(written, kEpoch + written)};
 	LastRestore restore(false);
 	restore.onFirstEra(kStart + 60 * kSecond);
-	restore.onRecord(decodeDutyRecord(encodeDutyRecord(record)), kStart + 60 * kSecond, kEpoch + kStart + 60 * kSecond);
+	restore.onRecord(decodeDutyRecord(encodeDutyRecord(record)), kStart + 60 * kSecond,
+					 kEpoch + kStart + 60 * kSecond);
 	EXPECT_EQ(restore.at(), kStart + 10 * kSecond);
 	LastRestore never(false);
 	never.onFirstEra(kStart);
--- a/tests/rawbackend.h
+++ b/tests/rawbackend.h
@@ -70,7 +70,8 @@
 		const std::string name = std::string(platform::kRequestId) + ": ";
 		const std::size_t at = _request.find(name) + name.size();
 		const std::string id = _request.substr(at, _request.find("\r\n", at) - at);
-		return "HTTP/1.1 " + _status + "\r\n" + name + id + "\r\n" + platform::kStamp + ": raw\r\n" + _more + "\r\n";
+		return "HTTP/1.1 " + _status + "\r\n" + name + id + "\r\n" + platform::kStamp + ": raw\r\n" + _more +
+			   "\r\n";
 	}
 
 	std::atomic<unsigned> requests = 0;       ///< Requests that were received.
@@ -86,7 +87,8 @@
 			pollfd ready{m_listener, POLLIN, 0};
 			if (poll(&ready, 1, 20) == 1)
 			{
-				m_threads.emplace_back([this, accepted = accept(m_listener, nullptr, nullptr)] { serve(accepted); });
+				m_threads.emplace_back([this, accepted = accept(m_listener, nullptr, nullptr)]
+									   { serve(accepted); });
 			}
 		}
 	}
--- a/tests/streamoriginstest.cpp
+++ b/tests/streamoriginstest.cpp
@@ -6,6 +6,8 @@
 
 #include "coordination/streamorigins.h"
 
+#include "versionlist.h"
+
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -34,18 +36,7 @@
 
 	void setVersions(const std::vector<std::string>& _versions, Micros _now)
 	{
-		BackendList list;
-		list.revision = ++revision;
-		list.confirmed = _now;
-		for (const std::string& version : _versions)
-		{
-			BackendRecord record;
-			record.id = "server-" + version;
-			record.service = kService;
-			record.version = version;
-			list.records.push_back(record);
-		}
-		directory.applyList(list, _now);
+		directory.applyList(listOfVersions(kService, _versions, ++revision, _now), _now);
 		history.update(directory, _now);
 	}
 
--- a/tests/versionhistorytest.cpp
+++ b/tests/versionhistorytest.cpp
@@ -8,6 +8,8 @@
 #include "coordination/versionhistory.h"
 #include "protocol/versioncodec.h"
 
+#include "versionlist.h"
+
 #include <gtest/gtest.h>
 
 namespace beacongate::test
@@ -35,18 +37,7 @@
 
 	void list(const std::vector<std::string>& _versions, Micros _now)
 	{
-		BackendList list;
-		list.revision = ++m_revision;
-		list.confirmed = _now;
-		for (const std::string& version : _versions)
-		{
-			BackendRecord record;
-			record.id = "server-" + version;
-			record.service = kService;
-			record.version = version;
-			list.records.push_back(record);
-		}
-		m_directory.applyList(list, _now);
+		m_directory.applyList(listOfVersions(kService, _versions, ++m_revision, _now), _now);
 		history.update(m_directory, _now);
 	}
 
