--- a/tests/gatewayanswermemorytest.cpp
+++ b/tests/gatewayanswermemorytest.cpp
@@ -70,6 +70,7 @@
 	EXPECT_LT(largest, kMaxGrowth);
 	EXPECT_EQ(served, 50u) << "small answers are not delayed";
 	std::vector<std::thread> readers;
+	readers.reserve(callers.size());
 	std::atomic<unsigned> whole = 0;
 	for (auto& caller : callers)
 	{
--- a/tests/gatewayslowreaderstoptest.cpp
+++ b/tests/gatewayslowreaderstoptest.cpp
@@ -34,7 +34,7 @@
 		target.sin_family = AF_INET;
 		target.sin_port = htons(_address.port);
 		inet_pton(AF_INET, _address.host.c_str(), &target.sin_addr);
-		connect(m_socket, reinterpret_cast<const sockaddr*>(&target), sizeof target);
+		connected = connect(m_socket, reinterpret_cast<const sockaddr*>(&target), sizeof target) == 0;
 		send(m_socket, _request.data(), _request.size(), MSG_NOSIGNAL);
 	}
 
@@ -60,6 +60,8 @@
 		return received;
 	}
 
+	bool connected = false;
+
 private:
 	int m_socket;
 };
@@ -89,9 +91,14 @@
 			Address{host(1), kCallerPort},
 			request("GET", "/safe/", "a" + std::to_string(number), std::string(platform::kApiKey) + ": key\r\n")));
 	}
+	for (const auto& caller : callers)
+	{
+		ASSERT_TRUE(caller->connected);
+	}
 	ASSERT_TRUE(await([&] { return backend.requests == kCallers; }));
 	gateways[0]->requestStop();
 	std::vector<std::thread> threads;
+	threads.reserve(callers.size());
 	std::atomic<unsigned> whole = 0;
 	for (auto& caller : callers)
 	{
