Grant prompts of engines one by one, and place by the speed that servers state

Cause: engines of services with short deadlines are sent more prompts than they read in time, and all of them are late; gateways hear of each other's prompts 0.15 s to 0.75 s late. Change: the homes that grant brittle servers' slots also grant the prompts that an engine reads at once; speeds that servers state are used for placement, capacity and the learnt speed of engines; requests without a slot within an eighth of their target are refused.

--- a/src/coordination/balancer.cpp
+++ b/src/coordination/balancer.cpp
@@ -29,6 +29,8 @@
 /// Shortest ejection; each further one lasts twice as long, up to kEjectMax.
 constexpr Micros kEjectMin = 1500 * kMillisecond;
 constexpr Micros kEjectMax = 6 * kSecond;
+/// Slowdown up to which a backend server that was drawn is always taken; slower ones are taken in inverse proportion.
+constexpr double kFastestDrawn = 0.5;
 
 /// Finalizer of SplitMix64 over both values; the weights are evenly distributed even for ids that differ in one
 /// bit.
@@ -59,8 +61,8 @@
 	return tokens;
 }
 
-Placement Balancer::choose(const std::vector<const KnownBackend*>& _candidates, const PlacementRequest& _request,
-						   const std::vector<std::string>& _excluded, Micros _now)
+std::vector<const KnownBackend*> Balancer::poolOf(const std::vector<const KnownBackend*>& _candidates,
+												  const std::vector<std::string>& _excluded, Micros _now) const
 {
 	std::vector<const KnownBackend*> allowed;
 	allowed.reserve(_candidates.size());
@@ -75,13 +77,18 @@
 	std::copy_if(allowed.begin(), allowed.end(), std::back_inserter(healthy),
 				 [&](const KnownBackend* _backend) { return !ejected(_backend->key, _now); });
 	// If more than half are ejected, the fault is more likely elsewhere: all are used.
-	std::vector<const KnownBackend*>& pool = healthy.size() * 2 >= allowed.size() ? healthy : allowed;
+	return healthy.size() * 2 >= allowed.size() ? healthy : allowed;
+}
+
+const KnownBackend* Balancer::preferredOf(const std::vector<const KnownBackend*>& _pool,
+										  const PlacementRequest& _request)
+{
 	const KnownBackend* preferred = nullptr;
 	if (_request.parts.size() > 1)
 	{
 		const std::uint64_t part = affinityPart(_request);
 		std::uint64_t best = 0;
-		for (const KnownBackend* backend : pool)
+		for (const KnownBackend* backend : _pool)
 		{
 			const std::uint64_t weight = rendezvousWeight(part, backend->key);
 			if (!preferred || weight > best)
@@ -91,15 +98,24 @@
 			}
 		}
 	}
-	sampleCandidates(pool, preferred);
+	return preferred;
+}
+
+Placement Balancer::choose(const std::vector<const KnownBackend*>& _candidates, const PlacementRequest& _request,
+						   const std::vector<std::string>& _excluded, Micros _now)
+{
+	std::vector<const KnownBackend*> pool = poolOf(_candidates, _excluded, _now);
+	const KnownBackend* preferred = preferredOf(pool, _request);
+	sampleCandidates(pool, preferred, _request.byEstimate);
 	Placement placement;
 	for (const KnownBackend* backend : pool)
 	{
-		const double cost = costOf(*backend, _request, backend == preferred, _now);
-		if (!placement.backend || cost < placement.cost)
+		Placement other = _request.byEstimate ? estimate(*backend, _request, backend == preferred, _now) : Placement();
+		other.backend = backend;
+		other.cost = _request.byEstimate ? other.cost : costOf(*backend, _request, backend == preferred, _now);
+		if (!placement.backend || other.cost < placement.cost)
 		{
-			placement.backend = backend;
-			placement.cost = cost;
+			placement = other;
 		}
 	}
 	if (placement.backend)
@@ -110,7 +126,29 @@
 	return placement;
 }
 
-void Balancer::sampleCandidates(std::vector<const KnownBackend*>& _pool, const KnownBackend* _preferred)
+double Balancer::slowdownOf(BackendKey _key, Micros _now) const
+{
+	return m_speeds ? m_speeds->present(_key, _now) : 1.0;
+}
+
+std::size_t Balancer::drawBySpeed(const std::vector<const KnownBackend*>& _pool, std::size_t _first)
+{
+	constexpr std::size_t kMaxDraws = 16; ///< Bounds the time; the last draw is taken as it is.
+	std::size_t drawn = _first;
+	for (std::size_t draw = 0; draw < kMaxDraws; ++draw)
+	{
+		drawn = _first + m_random() % (_pool.size() - _first);
+		const double slowdown = m_speeds ? m_speeds->lasting(_pool[drawn]->key) : 1.0;
+		const double fraction = static_cast<double>(m_random()) / static_cast<double>(std::minstd_rand::max());
+		if (fraction * slowdown <= kFastestDrawn)
+		{
+			break;
+		}
+	}
+	return drawn;
+}
+
+void Balancer::sampleCandidates(std::vector<const KnownBackend*>& _pool, const KnownBackend* _preferred, bool _bySpeed)
 {
 	const std::size_t fullScanLimit = m_manyGateways ? kSampleSize : kFullScanLimit;
 	if (_pool.size() <= fullScanLimit)
@@ -119,7 +157,8 @@
 	}
 	for (std::size_t index = 0; index < kSampleSize; ++index)
 	{
-		const std::size_t other = index + m_random() % (_pool.size() - index);
+		const std::size_t other =
+			_bySpeed ? drawBySpeed(_pool, index) : index + m_random() % (_pool.size() - index);
 		std::swap(_pool[index], _pool[other]);
 	}
 	_pool.resize(kSampleSize);
@@ -129,6 +168,29 @@
 	}
 }
 
+Placement Balancer::estimate(const KnownBackend& _backend, const PlacementRequest& _request, bool _preferred,
+							 Micros _now) const
+{
+	const BackendLoad load = totalLoad(_backend.key);
+	const double slowdown = slowdownOf(_backend.key, _now);
+	Placement placement;
+	double cost = _backend.record.dataCentre == m_dataCentre ? 0.0 : kOtherDataCentreMillis;
+	cost += load.inFlight >= _backend.record.slots ? kFullMillis : 0.0;
+	cost += _backend.coldUntil > _now ? kColdMillis : 0.0;
+	if (_request.promptTokens == 0)
+	{
+		placement.cost = cost + slowdown * kPlainCallMillis * (load.inFlight + 1);
+		return placement;
+	}
+	const std::uint64_t missing = _preferred ? 0 : _request.sharedTokens();
+	const double millisPerToken = slowdown / _request.tokensPerMilli;
+	placement.expectedTokens = _preferred ? _request.ownTokens() : _request.promptTokens;
+	placement.cost = cost + millisPerToken * static_cast<double>(load.pendingTokens + _request.ownTokens()) +
+					 kCacheMissWeight * millisPerToken * static_cast<double>(missing) +
+					 slowdown * kInFlightMillis * load.inFlight;
+	return placement;
+}
+
 double Balancer::costOf(const KnownBackend& _backend, const PlacementRequest& _request, bool _preferred,
 						Micros _now) const
 {
@@ -168,6 +230,12 @@
 	return own == m_own.end() ? 0 : own->second.inFlight;
 }
 
+unsigned Balancer::ownOccupying(BackendKey _key) const
+{
+	const auto generating = m_generating.find(_key);
+	return ownInFlight(_key) - (generating == m_generating.end() ? 0 : generating->second);
+}
+
 unsigned Balancer::totalInFlight(BackendKey _key) const
 {
 	return totalLoad(_key).inFlight;
@@ -178,20 +246,33 @@
 	BackendLoad& load = m_own[_key];
 	load.key = _key;
 	++load.inFlight;
-	load.pendingTokens += _request.promptTokens;
+	load.pendingTokens += _request.pendingTokens();
 }
 
 void Balancer::onFirstEvent(BackendKey _key, const PlacementRequest& _request)
+{
+	removePending(_key, _request);
+	if (_request.byEstimate && _request.promptTokens > 0)
+	{
+		++m_generating[_key];
+	}
+}
+
+void Balancer::removePending(BackendKey _key, const PlacementRequest& _request)
 {
 	BackendLoad& load = m_own[_key];
-	load.pendingTokens -= std::min(load.pendingTokens, _request.promptTokens);
+	load.pendingTokens -= std::min(load.pendingTokens, _request.pendingTokens());
 }
 
 void Balancer::onEnded(BackendKey _key, const PlacementRequest& _request, bool _hadFirstEvent)
 {
 	if (!_hadFirstEvent)
 	{
-		onFirstEvent(_key, _request);
+		removePending(_key, _request);
+	}
+	else if (const auto generating = m_generating.find(_key); generating != m_generating.end() && _request.byEstimate)
+	{
+		--generating->second == 0 ? void(m_generating.erase(generating)) : void();
 	}
 	BackendLoad& load = m_own[_key];
 	load.inFlight -= std::min(load.inFlight, 1u);
--- a/src/coordination/balancer.h
+++ b/src/coordination/balancer.h
@@ -8,9 +8,11 @@
 #define BEACONGATE_COORDINATION_BALANCER_H
 
 #include "coordination/directory.h"
+#include "coordination/load/serverspeeds.h"
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <random>
 #include <string>
@@ -33,6 +35,18 @@
 	std::vector<PromptPart> parts;  ///< In order; the last one belongs to this request alone.
 	/// Prefill speed of an engine of the service, in tokens per millisecond; see EngineModel.
 	double tokensPerMilli = 60.0;
+	/// Backend servers are compared by the estimated time to the first event, and differ in speed.
+	bool byEstimate = false;
+	/// Prompt tokens that the chosen backend server is expected to read; used if byEstimate is set.
+	std::uint64_t expectedTokens = 0;
+	double aheadMillis = 0.0;
+	double ownMillis = 0.0;
+
+	/// @returns the tokens that count as pending at the backend server until the first event.
+	std::uint64_t pendingTokens() const
+	{
+		return byEstimate ? expectedTokens : promptTokens;
+	}
 
 	/// @returns the prompt tokens that another request may have left in a cache.
 	std::uint64_t sharedTokens() const;
@@ -58,6 +72,7 @@
 	const KnownBackend* backend = nullptr;
 	double cost = 0.0; ///< Estimated milliseconds until the first event.
 	bool full = false; ///< All its slots are taken, as far as is known.
+	std::uint64_t expectedTokens = 0; ///< Prompt tokens that it is expected to read, if placed by estimate.
 };
 
 /// Tracks the load and health of backend servers and chooses one for each request.
@@ -78,8 +93,9 @@
 
 	/// @param[in] _dataCentre Data centre of this gateway; its backend servers win ties.
 	/// @param[in] _seed Seed of the random draws; gateways should have different ones.
-	explicit Balancer(std::string _dataCentre, std::uint32_t _seed = 1)
-		: m_dataCentre(std::move(_dataCentre)), m_random(_seed)
+	/// @param[in] _speeds Speeds of the backend servers; nullptr if all count as alike.
+	explicit Balancer(std::string _dataCentre, std::uint32_t _seed = 1, const ServerSpeeds* _speeds = nullptr)
+		: m_dataCentre(std::move(_dataCentre)), m_random(_seed), m_speeds(_speeds)
 	{
 	}
 
@@ -126,6 +142,10 @@
 	/// @returns the requests that this gateway has in flight at a backend server.
 	unsigned ownInFlight(BackendKey _key) const;
 
+	/// @returns the requests of this gateway that occupy a slot which is granted: prompts that are placed by estimate only
+	/// until their first event, all others until their end.
+	unsigned ownOccupying(BackendKey _key) const;
+
 	/// @returns the requests that all gateways have in flight at a backend server.
 	unsigned totalInFlight(BackendKey _key) const;
 
@@ -152,17 +172,34 @@
 
 	bool ejected(BackendKey _key, Micros _now) const;
 	BackendLoad totalLoad(BackendKey _key) const;
+	double slowdownOf(BackendKey _key, Micros _now) const;
+	/// @returns the candidates that the request was not sent to, without those that are ejected; with them if these are
+	/// more than half.
+	std::vector<const KnownBackend*> poolOf(const std::vector<const KnownBackend*>& _candidates,
+											const std::vector<std::string>& _excluded, Micros _now) const;
+	/// @returns the backend server that is most likely to hold the shared parts of a prompt, or nullptr.
+	static const KnownBackend* preferredOf(const std::vector<const KnownBackend*>& _pool,
+										   const PlacementRequest& _request);
+	/// @returns the estimate for one backend server.
+	Placement estimate(const KnownBackend& _backend, const PlacementRequest& _request, bool _preferred,
+					   Micros _now) const;
+	/// Draws the index of a backend server, from _first on, with a weight that is the inverse of its slowdown.
+	std::size_t drawBySpeed(const std::vector<const KnownBackend*>& _pool, std::size_t _first);
 	/// Reduces a large pool to a few backend servers drawn at random and the preferred one.
-	void sampleCandidates(std::vector<const KnownBackend*>& _pool, const KnownBackend* _preferred);
+	void sampleCandidates(std::vector<const KnownBackend*>& _pool, const KnownBackend* _preferred, bool _bySpeed);
 	double costOf(const KnownBackend& _backend, const PlacementRequest& _request, bool _preferred,
 				  Micros _now) const;
+	void removePending(BackendKey _key, const PlacementRequest& _request);
 	void removeFromTotals(const std::vector<BackendLoad>& _loads);
 
 	std::string m_dataCentre;
 	std::minstd_rand m_random;
+	const ServerSpeeds* m_speeds;
 	Micros m_peerLoadLifetime = kSecond;
 	bool m_manyGateways = false;
 	Loads m_own;
+	/// Own prompts in flight that were placed by estimate and whose first event has arrived.
+	std::unordered_map<BackendKey, unsigned, BackendKeyHash> m_generating;
 	std::unordered_map<BackendKey, Health, BackendKeyHash> m_health;
 	std::map<std::string, PeerLoads> m_peers;
 	Loads m_peerTotals; ///< Sums of m_peers by backend server.
--- a/src/coordination/enginemodel.cpp
+++ b/src/coordination/enginemodel.cpp
@@ -11,6 +11,9 @@
 {
 /// Samples between two estimates, since each one sorts all samples that are kept.
 constexpr std::size_t kSamplesPerEstimate = 16;
+constexpr std::size_t kIdleSamplesPerEstimate = 8;
+/// Weight of a new prompt in the mean length: a mean over some seconds of the requests of one gateway.
+constexpr double kPromptWeight = 0.02;
 /// Quantile of the waits of short prompts that is taken as the delay without prefill.
 constexpr double kBaseDelayQuantile = 0.1;
 /// Quantile of the bounds from long prompts; a fifth of them may be too high.
@@ -32,13 +35,23 @@
 	return tokens * (1.0 + tokens / kQuadraticCostTokens);
 }
 
-void EngineModel::onFirstEvent(const std::string& _service, std::uint64_t _tokens, Micros _waited)
+void EngineModel::onFirstEvent(const std::string& _service, std::uint64_t _tokens, Micros _waited, bool _idle)
 {
 	if (_tokens == 0 || _waited <= 0)
 	{
 		return;
 	}
 	Service& service = m_services[_service];
+	if (_idle && !service.idleOnly)
+	{
+		service.idleOnly = true;
+		service.samples.clear();
+		service.next = 0;
+	}
+	if (service.idleOnly && !_idle)
+	{
+		return;
+	}
 	const Sample sample{weightedTokens(_tokens), secondsOf(_waited)};
 	if (service.samples.size() < kSamplesKept)
 	{
@@ -50,7 +63,9 @@
 		service.next = (service.next + 1) % kSamplesKept;
 	}
 	++service.sinceEstimate;
-	if (service.samples.size() >= kSamplesNeeded && service.sinceEstimate >= kSamplesPerEstimate)
+	const std::size_t needed = service.idleOnly ? kIdleSamplesNeeded : kSamplesNeeded;
+	const std::size_t interval = service.idleOnly ? kIdleSamplesPerEstimate : kSamplesPerEstimate;
+	if (service.samples.size() >= needed && service.sinceEstimate >= interval)
 	{
 		service.sinceEstimate = 0;
 		service.tokensPerSecond = estimate(service.samples, service.tokensPerSecond);
@@ -90,6 +105,18 @@
 					  kPriorTokensPerSecond * kMaxPriorRatio);
 }
 
+void EngineModel::onPlaced(const std::string& _service, std::uint64_t _tokens)
+{
+	double& mean = m_services[_service].meanPromptTokens;
+	mean += kPromptWeight * (static_cast<double>(_tokens) - mean);
+}
+
+double EngineModel::meanPromptTokens(const std::string& _service) const
+{
+	const auto it = m_services.find(_service);
+	return it == m_services.end() ? kPriorPromptTokens : it->second.meanPromptTokens;
+}
+
 double EngineModel::tokensPerSecond(const std::string& _service) const
 {
 	const auto it = m_services.find(_service);
--- a/src/coordination/enginemodel.h
+++ b/src/coordination/enginemodel.h
@@ -31,15 +31,28 @@
 	/// Length in tokens of a prompt whose prefill takes twice as long as its tokens alone, since each token
 	/// attends to all tokens before it. Known engines lie between 48,000 and 58,000.
 	static constexpr double kQuadraticCostTokens = 55'000.0;
+	/// Assumed length of a prompt until requests were observed.
+	static constexpr double kPriorPromptTokens = 4000.0;
 	/// Number of samples that an estimate needs: a few seconds of the traffic of one gateway.
 	static constexpr std::size_t kSamplesNeeded = 32;
 	/// Number of latest samples that an estimate is made from.
 	static constexpr std::size_t kSamplesKept = 256;
 
+	/// Number of samples that an estimate needs if all of them are of requests that hardly waited for others.
+	static constexpr std::size_t kIdleSamplesNeeded = 16;
+
 	/// Notes that the first event of a request arrived.
 	/// @param[in] _tokens Tokens of its prompt, without those that other requests may have left in a cache.
 	/// @param[in] _waited Time since the request was sent.
-	void onFirstEvent(const std::string& _service, std::uint64_t _tokens, Micros _waited);
+	/// @param[in] _idle The backend server stated that it was nearly idle. Once there is such a sample of a service, its
+	/// other samples are ignored: in a crowd all requests wait, and the speed would be taken for several times too low.
+	void onFirstEvent(const std::string& _service, std::uint64_t _tokens, Micros _waited, bool _idle = false);
+
+	/// Notes the prompt tokens that a request is expected to have read.
+	void onPlaced(const std::string& _service, std::uint64_t _tokens);
+
+	/// @returns the mean number of tokens of a prompt that an engine of a service reads.
+	double meanPromptTokens(const std::string& _service) const;
 
 	/// @returns the tokens that an engine of a service prefills in a second.
 	double tokensPerSecond(const std::string& _service) const;
@@ -63,6 +76,8 @@
 		std::size_t next = 0;
 		std::size_t sinceEstimate = 0;
 		double tokensPerSecond = kPriorTokensPerSecond;
+		double meanPromptTokens = kPriorPromptTokens;
+		bool idleOnly = false; ///< All samples are of backend servers that were nearly idle.
 	};
 
 	static double weightedTokens(std::uint64_t _tokens);
--- a/src/coordination/slotpermits.cpp
+++ b/src/coordination/slotpermits.cpp
@@ -40,7 +40,7 @@
 {
 	std::erase_if(_server.abandonedUntil, [_now](Micros _until) { return _until <= _now; });
 	const auto abandoned = static_cast<unsigned>(_server.abandonedUntil.size());
-	return {_key, m_loads.ownInFlight(_key) + abandoned + _server.unplaced,
+	return {_key, m_loads.ownOccupying(_key) + abandoned + _server.unplaced,
 			_home == _server.grantor ? _server.lastGrant : 0};
 }
 
@@ -158,7 +158,7 @@
 							  need.limit,    _pending.insists};
 	if (_home == m_host)
 	{
-		const unsigned reported = m_loads.totalInFlight(need.backend);
+		const unsigned reported = need.prompts ? 0 : m_loads.totalInFlight(need.backend);
 		const SlotAnswer answer = m_grantor.decide(request, m_host, reported, _now);
 		Pending& pending = m_pending.at(_id);
 		answer.outcome == SlotOutcome::Referred ? onReferred(m_host, answer, pending, _now)
@@ -261,7 +261,8 @@
 bool SlotPermits::hasShareLeft(const SlotNeed& _need) const
 {
 	const auto share = std::max<std::size_t>(1, _need.slots / m_memberCount);
-	return m_loads.ownInFlight(_need.backend) < share && m_loads.totalInFlight(_need.backend) < _need.slots;
+	const bool fullByReports = !_need.prompts && m_loads.totalInFlight(_need.backend) >= _need.slots;
+	return m_loads.ownOccupying(_need.backend) < share && !fullByReports;
 }
 
 void SlotPermits::apply(Pending& _pending, const std::string& _host, const SlotAnswer& _answer)
--- a/src/coordination/slotpermits.h
+++ b/src/coordination/slotpermits.h
@@ -40,6 +40,8 @@
 	unsigned priority = 0;            ///< A smaller value goes first.
 	Micros patience = 0;              ///< For how long the request can wait.
 	std::optional<double> limit = {}; ///< Requests a second that it allows; nothing if it names no limit.
+	/// The slots are those of prompts, see SlotRules. Load reports count requests in flight, and do not tell them.
+	bool prompts = false;
 };
 
 enum class SlotVerdict : std::uint8_t
--- a/src/gateway/dutyholder.cpp
+++ b/src/gateway/dutyholder.cpp
@@ -533,8 +533,15 @@
 CapacityPlanner::Need DutyHolder::needOf(const PooledService& _service, unsigned _servers, unsigned _onDemand,
 										 Micros _now)
 {
+	std::vector<BackendKey> keys;
+	for (const KnownBackend* backend : m_context.directory.usableOf(_service.name, _now))
+	{
+		keys.push_back(backend->key);
+	}
+	// The work is in backend servers of the usual speed.
 	const double work = CapacityPlanner::combinedWork(m_context.demand.work(_service.name),
-													  m_context.demand.occupied(_service.name));
+													  m_context.demand.occupied(_service.name)) /
+						m_context.speeds.meanSpeed(keys);
 	CapacityPlanner::Observation observation;
 	observation.work = work;
 	// A gateway that does not hear most of the fleet does not know the load, and keeps the current capacity.
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -343,7 +343,12 @@
 	}
 	m_placement.tokensPerMilli = m_context.engines.tokensPerSecond(m_service) / kMillisPerSecond;
 	const Availability candidates = available(now);
+	preparePlacement(candidates);
 	const KnownBackend* backend = chooseBackend(candidates, now);
+	if (!backend && refuseInShortage(now))
+	{
+		return true;
+	}
 	if (!backend)
 	{
 		// Servers at their limits may just have been found.
@@ -376,6 +381,11 @@
 	m_attempt.grantor = m_slotTicket.grantor;
 	m_attempt.backoffProbe = m_context.backoffs.onPlaced(_backend.key, now);
 	m_context.balancer.onSent(_backend.key, m_placement);
+	if (m_admissionTarget)
+	{
+		m_context.shortages.onDecided(m_service, false, now);
+		m_context.engines.onPlaced(m_service, m_placement.expectedTokens);
+	}
 	m_context.suspects.onPlaced(m_subjects, _backend.key);
 	CallOptions options;
 	options.noBody = m_request.head.method == "HEAD";
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -124,6 +124,14 @@
 	/// Chooses a backend server. Requests that may crash their servers are kept apart.
 	Placement place(const Availability& _available, Micros _now);
 	bool isBlocked() const;
+	/// Determines how backend servers are compared for the request.
+	void preparePlacement(const Availability& _available);
+	/// @returns true if an engine's home grants the request when the engine may read its prompt.
+	bool usesPromptSlots() const;
+	HeldRequest heldRequest(Micros _now) const;
+	/// Refuses the request if no engine can read its prompt, and it has been held for as long as it may be.
+	/// @returns true if it was refused.
+	bool refuseInShortage(Micros _now);
 	/// Chooses a backend server, and asks its grantor if it is brittle or names a limit.
 	/// @returns nullptr if the request has to wait.
 	const KnownBackend* chooseBackend(Availability _available, Micros _now);
@@ -171,6 +179,8 @@
 	/// Counts bytes of the body, and stops reading while answers take too much memory.
 	void holdBody(std::size_t _bytes);
 	void onEvents(std::string_view _bytes);
+	/// Gives the engine model the time to the stream's first event, if that tells the speed of engines.
+	void learnSpeed();
 	/// Binds the stream to the software version of its first event, before that event is passed on.
 	void noteStreamBegun();
 	void onDone();
@@ -207,6 +217,8 @@
 	std::string m_service;
 	PlacementRequest m_placement;
 	unsigned m_priority = 5;
+	/// Smallest target latency of the service; nothing if the request is not under admission.
+	std::optional<Micros> m_admissionTarget;
 	Micros m_deadline = kNever;
 	Attempt m_attempt;
 	std::vector<std::string> m_triedBackends;
--- a/src/gateway/exchangeanswers.cpp
+++ b/src/gateway/exchangeanswers.cpp
@@ -103,6 +103,15 @@
 		before && !m_context.limits.limitOf(m_attempt.key) ? m_context.onLimitEnded(m_attempt.key) : void();
 		logLimitChange(before);
 	}
+	if (info.load && !info.misdirected && m_context.settings.features.serverSpeeds)
+	{
+		m_context.speeds.onLoad(m_attempt.key, *info.load, monotonicNow());
+	}
+	if (info.loadUnreadable)
+	{
+		m_context.metrics.onLoadUnreadable();
+		logEvent(LogLevel::Warning, "load-unreadable", {{"backend", m_attempt.backend.id}});
+	}
 	if (info.brittlenessUnreadable)
 	{
 		logEvent(LogLevel::Warning, "brittleness-unreadable", {{"backend", m_attempt.backend.id}});
@@ -214,10 +223,11 @@
 		m_attempt.firstEventSeen = true;
 		m_attempt.firstEventAt = monotonicNow();
 		m_context.balancer.onFirstEvent(m_attempt.key, m_placement);
-		if (!m_attempt.resumed)
+		if (usesPromptSlots())
 		{
-			m_context.engines.onFirstEvent(m_service, m_placement.ownTokens(), monotonicNow() - m_attempt.sent);
+			m_context.slots.onEnded(m_attempt.key, std::nullopt, false, monotonicNow());
 		}
+		m_attempt.resumed ? void() : learnSpeed();
 		m_context.metrics.onFirstByte(m_service, monotonicNow() - m_request.received);
 		countUsage();
 	}
@@ -251,6 +261,22 @@
 	}
 }
 
+void Exchange::learnSpeed()
+{
+	const Micros waited = monotonicNow() - m_attempt.sent;
+	const std::optional<ServerLoad>& load = m_attempt.info.load;
+	if (!m_placement.byEstimate || !load)
+	{
+		m_context.engines.onFirstEvent(m_service, m_placement.ownTokens(), waited);
+		return;
+	}
+	if (load->isNearlyIdle())
+	{
+		const double usual = static_cast<double>(waited) / load->slowdown.value_or(1.0);
+		m_context.engines.onFirstEvent(m_service, m_placement.ownTokens(), static_cast<Micros>(usual), true);
+	}
+}
+
 void Exchange::noteStreamBegun()
 {
 	const bool known = m_streamVersion.has_value();
@@ -347,12 +373,15 @@
 	endBackoffProbe(false);
 	m_context.balancer.onEnded(m_attempt.key, m_placement, m_attempt.firstEventSeen);
 	const Micros now = monotonicNow();
-	if (const std::optional<double> rejections = bearableRejections(now))
+	// The slot of a prompt was reported as free at its first event.
+	const bool slotFreed = usesPromptSlots() && m_attempt.firstEventSeen;
+	if (const std::optional<double> rejections = bearableRejections(now); rejections && !slotFreed)
 	{
 		const unsigned status = m_attempt.head.status;
 		const bool noRoom =
 			m_attempt.info.notExecuted && (status == kServiceUnavailable || status == kTooManyRequests);
-		m_context.slots.onEnded(m_attempt.key, noRoom ? rejections : std::nullopt, _abandoned, now);
+		const bool runsOn = _abandoned && !usesPromptSlots(); // Engines stop reading when a connection is closed.
+		m_context.slots.onEnded(m_attempt.key, noRoom ? rejections : std::nullopt, runsOn, now);
 	}
 	m_context.suspects.onEnded(m_subjects, m_attempt.key);
 	if (m_attempt.slots > 0 && m_placement.promptTokens == 0)
--- a/src/gateway/exchangeplacement.cpp
+++ b/src/gateway/exchangeplacement.cpp
@@ -93,9 +93,7 @@
 
 std::optional<double> Exchange::bearableRejections(Micros _now) const
 {
-	return m_context.brittle.size() == 0
-			   ? std::nullopt
-			   : m_context.brittle.rejectionsOf(ServiceKey(m_service), m_context.clock.trueTime(_now));
+	return m_context.bearableRejections(m_service, _now);
 }
 
 const KnownBackend* Exchange::chooseBackend(Availability _available, Micros _now)
@@ -112,7 +110,8 @@
 		if (!backend)
 		{
 			const Placement placement = place(_available, _now);
-			// The grantor of a brittle server knows better than load reports whether it is full.
+			m_placement.expectedTokens = placement.expectedTokens;
+			// The grantor of a server knows better than load reports whether it is full.
 			backend = placement.full && !rejections ? nullptr : placement.backend;
 		}
 		if (!backend)
@@ -135,6 +134,57 @@
 	}
 }
 
+void Exchange::preparePlacement(const Availability& _available)
+{
+	m_admissionTarget = m_placement.promptTokens > 0 ? m_context.admissionRules.targetOf(m_service) : std::nullopt;
+	const auto hasSpeed = [this](const KnownBackend* _backend)
+	{
+		return m_context.speeds.isKnown(_backend->key);
+	};
+	m_placement.byEstimate =
+		m_admissionTarget || std::any_of(_available.open.begin(), _available.open.end(), hasSpeed);
+	// A request that waits for a slot keeps the estimate for its server.
+	const bool waits = m_slotTicket.id != 0;
+	m_placement.expectedTokens = waits ? m_placement.expectedTokens : m_placement.promptTokens;
+}
+
+bool Exchange::usesPromptSlots() const
+{
+	return m_admissionTarget && m_context.slotRules.grantsPrompts(m_service);
+}
+
+HeldRequest Exchange::heldRequest(Micros _now) const
+{
+	const bool begun = m_sendCount > 0 || m_mayHaveRun || !m_info.lastEventId.empty();
+	return {_now, m_request.received, m_route->targetLatency, begun};
+}
+
+bool Exchange::refuseInShortage(Micros _now)
+{
+	if (!usesPromptSlots() || holdLeft(heldRequest(_now)) > 0)
+	{
+		return false;
+	}
+	m_context.shortages.onDecided(m_service, true, _now);
+	const double share = m_context.shortages.refusedShare(m_service);
+	const double spread = std::uniform_real_distribution<double>()(m_context.random);
+	const Micros delay = retryAfterShortage(share, timeLeft(_now), spread);
+	const bool returning = isReturning(m_info.deadline, m_route->timeout);
+	m_context.metrics.onAdmissionRefused(m_service, m_priority, returning);
+	logEvent(LogLevel::Info, "admission-refused",
+			 {{"request", m_info.id},
+			  {"service", m_service},
+			  {"priority", std::to_string(m_priority)},
+			  {"returning", returning ? "yes" : "no"},
+			  {"prompt_tokens", std::to_string(m_placement.promptTokens)},
+			  {"tokens_per_ms", std::to_string(m_placement.tokensPerMilli)},
+			  {"held_ms", millisText(_now - m_request.received)},
+			  {"refused_share", std::to_string(share)},
+			  {"retry_after_ms", millisText(delay)}});
+	refuse(Failure::NoBackend, "no backend server can read the prompt in time", delay);
+	return true;
+}
+
 const KnownBackend* Exchange::replaceQueued(Availability _available, std::optional<double> _rejections, Micros _now)
 {
 	if (_rejections || !m_context.slots.isQueued(m_slotTicket))
@@ -156,7 +206,16 @@
 							   std::optional<double> _limit, Micros _now)
 {
 	SlotNeed need{_backend.key, _backend.record.slots, _rejections, m_priority, timeLeft(_now), _limit};
-	if (!m_mayHaveRun)
+	if (usesPromptSlots())
+	{
+		const double promptMillis = m_context.speeds.lasting(_backend.key) *
+									m_context.engines.meanPromptTokens(m_service) / m_placement.tokensPerMilli;
+		need.prompts = true;
+		need.slots = SlotRules::promptSlots(*m_admissionTarget, promptMillis, _backend.record.slots);
+		need.priority = queueRank(m_priority, isReturning(m_info.deadline, m_route->timeout));
+		need.patience = std::min(need.patience, holdLeft(heldRequest(_now)));
+	}
+	else if (!m_mayHaveRun)
 	{
 		need.patience = std::min(need.patience, m_request.received + m_route->targetLatency - _now);
 	}
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -7,6 +7,9 @@
 #ifndef BEACONGATE_GATEWAY_GATEWAYCONTEXT_H
 #define BEACONGATE_GATEWAY_GATEWAYCONTEXT_H
 
+#include "coordination/admission/admissionrules.h"
+#include "coordination/admission/shortageretry.h"
+#include "coordination/admission/slotrules.h"
 #include "coordination/agreedclock.h"
 #include "coordination/answermemory.h"
 #include "coordination/backendlimits.h"
@@ -63,7 +66,7 @@
 		: settings(std::move(_configured)), run{settings.name, newIncarnation()},
 		  random(static_cast<std::mt19937::result_type>(run.incarnation)),
 		  storeReachability(DrainBudget(settings.drainSpan).storeTimeout),
-		  balancer(settings.dataCentre, static_cast<std::uint32_t>(run.incarnation)), grantor(quotas),
+		  balancer(settings.dataCentre, static_cast<std::uint32_t>(run.incarnation), &speeds), grantor(quotas),
 		  admission(quotas, grantor, settings.callers.host, run.incarnation), peers(settings.callers.host),
 		  relays({settings.callers.host, settings.dataCentre, settings.cpuPercent}), usage(run)
 	{
@@ -126,6 +129,26 @@
 		limits.setMembers(members.count(), members.index());
 	}
 
+	/// Determines anew which services are under admission, and whose slots are granted.
+	void updateSlotRules()
+	{
+		if (const RoutingConfigPtr& config = directory.config())
+		{
+			settings.features.admission ? admissionRules.configure(config) : void();
+			const std::size_t gateways = settings.features.exactSlots ? members.count() : 0;
+			slotRules.update(*config, admissionRules, speeds, directory.backends(), gateways);
+		}
+	}
+
+	/// @returns the rejections for want of room that each server of a service bears in a second; nothing if its slots are
+	/// not granted one by one.
+	std::optional<double> bearableRejections(const std::string& _service, Micros _now) const
+	{
+		const auto brittleness =
+			brittle.size() == 0 ? std::nullopt : brittle.rejectionsOf(ServiceKey(_service), clock.trueTime(_now));
+		return brittleness ? brittleness : slotRules.rejectionsOf(_service);
+	}
+
 	/// @returns the number of the usage window that is open now.
 	std::uint64_t currentWindow(Micros _now) const
 	{
@@ -146,7 +169,11 @@
 	ContentHistory history;
 	BackendRecords backendRecords;
 	StoreReachability storeReachability;
+	ServerSpeeds speeds;
 	Balancer balancer;
+	AdmissionRules admissionRules;
+	SlotRules slotRules;
+	ShortageMeter shortages;
 	BackoffTable backoffs;
 	VersionHistory versions{settings.firstStart ? kLongAgo : started};
 	StreamOrigins origins{versions, settings.callers.host, run.incarnation};
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -166,10 +166,18 @@
 	{
 		out << "beacongate_crash_suspicions_total{change=" << quoteLabel(change) << "} " << count << '\n';
 	}
+	out << "# TYPE beacongate_admission_refused_total counter\n";
+	for (const auto& [labels, count] : m_admissionRefusals)
+	{
+		const auto& [service, priority, returning] = labels;
+		out << "beacongate_admission_refused_total{service=" << quoteLabel(service) << ",priority=\"" << priority
+			<< "\",returning=\"" << (returning ? "yes" : "no") << "\"} " << count << '\n';
+	}
 	formatCounter(out, "beacongate_backend_list_reads_total", m_listReads);
 	formatCounter(out, "beacongate_held_for_list_total", m_heldForList);
 	formatCounter(out, "beacongate_backoffs_asked_total", m_backoffsAsked);
 	formatCounter(out, "beacongate_limits_unreadable_total", m_limitsUnreadable);
+	formatCounter(out, "beacongate_loads_unreadable_total", m_loadsUnreadable);
 	formatCounter(out, "beacongate_backoffs_unreadable_total", m_backoffsUnreadable);
 	formatCounter(out, "beacongate_sends_in_backoff_total", m_sentInBackoff);
 	formatCounter(out, "beacongate_datagrams_unreadable_total", m_datagramsUnreadable);
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace beacongate
 {
@@ -88,6 +89,19 @@
 		++m_limitsUnreadable;
 	}
 
+	/// Records that a request was refused because no engine could read its prompt in time.
+	/// @param[in] _returning Its caller had been refused before, or was in a hurry.
+	void onAdmissionRefused(const std::string& _service, unsigned _priority, bool _returning)
+	{
+		++m_admissionRefusals[{_service, _priority, _returning}];
+	}
+
+	/// Records that a backend server stated its load in an unknown format.
+	void onLoadUnreadable()
+	{
+		++m_loadsUnreadable;
+	}
+
 	/// Records that a request was sent.
 	/// @param[in] _inBackoff True if the backend server's backoff had not ended.
 	void onSentInBackoff(bool _inBackoff)
@@ -128,12 +142,14 @@
 	std::map<RequestLabels, std::uint64_t> m_requests;
 	std::map<std::pair<std::string, std::string>, std::uint64_t> m_failedAttempts;
 	std::map<std::string, std::uint64_t> m_crashNotices;
+	std::map<std::tuple<std::string, unsigned, bool>, std::uint64_t> m_admissionRefusals;
 	std::map<std::string, double> m_gauges;
 	std::uint64_t m_listReads = 0;
 	std::uint64_t m_heldForList = 0;
 	std::uint64_t m_backoffsAsked = 0;
 	std::uint64_t m_backoffsUnreadable = 0;
 	std::uint64_t m_limitsUnreadable = 0;
+	std::uint64_t m_loadsUnreadable = 0;
 	std::uint64_t m_sentInBackoff = 0;
 	std::uint64_t m_datagramsUnreadable = 0;
 	Latencies m_durations;
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -16,6 +16,14 @@
 
 namespace beacongate
 {
+/// Decisions under load that can be switched off, to compare a deployment without them.
+struct FeatureSettings
+{
+	bool serverSpeeds = true; ///< The speeds that servers state are used and passed on.
+	bool admission = true;    ///< Model requests are refused if no engine can read them in time, see AdmissionRules.
+	bool exactSlots = true;   ///< The slots of small plain services are granted one by one, see SlotRules.
+};
+
 /// Where a gateway runs, which addresses it uses, and the bounds that it must keep.
 struct GatewaySettings
 {
@@ -43,6 +51,7 @@
 	Micros usageWindow = kSecond;   ///< Length of a usage report's window.
 	Micros usageDue = 10 * kSecond; ///< Time from a window's end until its report is late.
 	unsigned cpuPercent = 0;        ///< CPU share of the VM in percent of a core; 0 if the settings do not give it.
+	FeatureSettings features;
 	RetryBudgetSettings retryBudget; ///< Budget of all gateways together.
 };
 
--- a/src/gateway/gossiper.cpp
+++ b/src/gateway/gossiper.cpp
@@ -14,6 +14,7 @@
 #include "protocol/limitcodec.h"
 #include "protocol/origincodec.h"
 #include "protocol/quotacodec.h"
+#include "protocol/speedcodec.h"
 
 #include <algorithm>
 #include <chrono>
@@ -207,6 +208,8 @@
 	}
 	m_crashExchange.tick(isCollector(), now);
 	sendLimits(now);
+	sendSpeeds(now);
+	m_context.updateSlotRules();
 	m_slotExchange.tick(isCollector(), now);
 	++m_round;
 	const Micros pause = m_context.jittered(GossipPlan::roundInterval(members));
@@ -298,6 +301,22 @@
 	}
 }
 
+void Gossiper::sendSpeeds(Micros _now)
+{
+	const bool collector = isCollector();
+	const std::vector<SpeedReport> reports =
+		m_context.speeds.takeReports(relaysChanges(m_context, collector), kMaxSpeedReports);
+	if (reports.empty())
+	{
+		return;
+	}
+	const std::string bytes = encodeSpeeds(reports);
+	for (const std::string& host : changeTargets(m_context, collector, _now))
+	{
+		sendBytes(DatagramPurpose::ServerSpeed, bytes, host);
+	}
+}
+
 void Gossiper::logGrantorNotices()
 {
 	for (const GrantorNotice& notice : m_context.admission.takeNotices())
--- a/src/gateway/gossiper.h
+++ b/src/gateway/gossiper.h
@@ -68,10 +68,13 @@
 	void onQuotaDatagram(std::string_view _bytes, const std::string& _sender);
 	void onOriginDatagram(std::string_view _bytes, const std::string& _sender);
 	void onLimitDatagram(std::string_view _bytes, const std::string& _sender);
+	void onSpeedDatagram(std::string_view _bytes, const std::string& _sender);
 	void onQuotaMessage(const QuotaMessage& _message, const std::string& _sender);
 	void logGrantorNotices();
 	/// Sends the changes of backend servers' limits.
 	void sendLimits(Micros _now);
+	/// Sends what is new of the speeds of backend servers.
+	void sendSpeeds(Micros _now);
 	void receive();
 	void readDatagrams();
 	void onDatagram(std::string_view _bytes, const std::string& _sender);
--- a/src/gateway/gossiperreceive.cpp
+++ b/src/gateway/gossiperreceive.cpp
@@ -11,6 +11,7 @@
 #include "protocol/limitcodec.h"
 #include "protocol/origincodec.h"
 #include "protocol/quotacodec.h"
+#include "protocol/speedcodec.h"
 #include "protocol/slotcodec.h"
 
 #include <algorithm>
@@ -118,6 +119,21 @@
 	m_startupQuery.onAnswered();
 }
 
+void Gossiper::onSpeedDatagram(std::string_view _bytes, const std::string& _sender)
+{
+	const std::optional<std::vector<SpeedReport>> reports = decodeSpeeds(_bytes);
+	if (!reports)
+	{
+		onUnreadable(_sender);
+		return;
+	}
+	m_context.traffic.onReceived(DatagramPurpose::ServerSpeed, _bytes.size());
+	for (const SpeedReport& report : *reports)
+	{
+		m_context.settings.features.serverSpeeds ? m_context.speeds.onReport(report, monotonicNow()) : void();
+	}
+}
+
 void Gossiper::onQuotaMessage(const QuotaMessage& _message, const std::string& _sender)
 {
 	const Micros now = monotonicNow();
@@ -159,6 +175,11 @@
 		onLimitDatagram(_bytes, _sender);
 		return;
 	}
+	if (isSpeedDatagram(_bytes))
+	{
+		onSpeedDatagram(_bytes, _sender);
+		return;
+	}
 	if (isOriginDatagram(_bytes))
 	{
 		onOriginDatagram(_bytes, _sender);
--- a/src/gateway/slotexchange.cpp
+++ b/src/gateway/slotexchange.cpp
@@ -92,15 +92,14 @@
 
 void SlotExchange::reportUse(Micros _now)
 {
-	if (m_context.brittle.size() == 0)
+	if (m_context.brittle.size() == 0 && m_context.slotRules.empty())
 	{
 		return;
 	}
 	std::vector<BackendKey> keys;
 	for (const auto& [id, known] : m_context.directory.backends())
 	{
-		const ServiceKey service(known.record.service);
-		if (m_context.brittle.rejectionsOf(service, m_context.clock.trueTime(_now)))
+		if (m_context.bearableRejections(known.record.service, _now))
 		{
 			keys.push_back(known.key);
 		}
@@ -140,7 +139,10 @@
 	m_context.slots.onHeard(_sender);
 	if (const auto* request = std::get_if<SlotRequest>(&*message))
 	{
-		const unsigned reported = m_context.balancer.totalInFlight(request->use.backend);
+		// Load reports count requests in flight, and do not tell how many prompts are read.
+		const BackendKey backend = request->use.backend;
+		const unsigned reported =
+			m_context.slotRules.grantsPrompts(backend) ? 0 : m_context.balancer.totalInFlight(backend);
 		sendSlot(m_context.slotGrantor.decide(*request, _sender, reported, now), _sender);
 		watchQueue();
 	}
--- a/src/gateway/storesyncapply.cpp
+++ b/src/gateway/storesyncapply.cpp
@@ -165,6 +165,7 @@
 {
 	const auto& known = m_context.directory.backends();
 	m_context.balancer.retain(known);
+	m_context.speeds.retain(known);
 	m_context.backoffs.retain(known);
 	m_context.limits.retain(known);
 	m_context.slots.retain(known);
--- a/src/gateway/trafficcounters.h
+++ b/src/gateway/trafficcounters.h
@@ -29,6 +29,7 @@
 	StreamOrigin,
 	SlotGrant,
 	Brittle,
+	ServerSpeed,
 	Count_ ///< Number of purposes.
 };
 
--- a/src/protocol/datagramkind.h
+++ b/src/protocol/datagramkind.h
@@ -24,6 +24,7 @@
 	StreamOrigin = 9,
 	SlotGrant = 10,
 	BrittleReport = 11,
+	ServerSpeed = 12,
 };
 
 /// @returns true if a datagram is a MessagePack list of up to 15 fields, the second of which is the kind.
--- a/tools/gateway.cpp
+++ b/tools/gateway.cpp
@@ -26,14 +26,32 @@
 	app.add_option("--metrics-port", metricsPort,
 				   "Port on the callers' host that serves metrics; 0 serves none [0]")
 		->envname("BEACONGATE_METRICS_PORT");
+	FeatureSettings features;
+	const auto addFeature = [&app](const char* _name, bool& _enabled, const char* _variable, const char* _what)
+	{
+		app.add_option_function<std::string>(
+			   _name, [&_enabled](const std::string& _value) { _enabled = _value == "auto"; },
+			   std::string(_what) + ": auto where the deployment calls for it, or off [auto]")
+			->check(CLI::IsMember({"auto", "off"}))
+			->envname(_variable);
+	};
+	addFeature("--server-speeds", features.serverSpeeds, "BEACONGATE_SERVER_SPEEDS",
+			   "Use the speeds that backend servers state");
+	addFeature("--admission", features.admission, "BEACONGATE_ADMISSION",
+			   "Refuse model requests that cannot be answered in time");
+	addFeature("--exact-slots", features.exactSlots, "BEACONGATE_EXACT_SLOTS",
+			   "Grant the slots of small plain services one by one");
 	CLI11_PARSE(app, _argc, _argv);
 	std::signal(SIGPIPE, SIG_IGN);
 	try
 	{
 		const std::string settingsFile = path.empty() ? platform::settingsPath() : path;
-		const auto load = [settingsFile]
+		const auto load = [settingsFile, metricsPort, features]
 		{
-			return platform::loadSettings(settingsFile);
+			GatewaySettings loaded = platform::loadSettings(settingsFile);
+			loaded.metricsPort = metricsPort;
+			loaded.features = features;
+			return loaded;
 		};
 		const GatewaySettings settings = load();
 		if (checkOnly)
