--- a/src/coordination/enginemodel.cpp
+++ b/src/coordination/enginemodel.cpp
@@ -105,10 +105,17 @@
 					  kPriorTokensPerSecond * kMaxPriorRatio);
 }
 
-void EngineModel::onPlaced(const std::string& _service, std::uint64_t _tokens)
+void EngineModel::onPlaced(const std::string& _service, std::uint64_t _promptTokens, std::uint64_t _expectedTokens)
 {
-	double& mean = m_services[_service].meanPromptTokens;
-	mean += kPromptWeight * (static_cast<double>(_tokens) - mean);
+	Service& service = m_services[_service];
+	service.meanPromptTokens += kPromptWeight * (static_cast<double>(_expectedTokens) - service.meanPromptTokens);
+	service.meanWholeTokens += kPromptWeight * (static_cast<double>(_promptTokens) - service.meanWholeTokens);
+}
+
+double EngineModel::readShare(const std::string& _service) const
+{
+	const auto it = m_services.find(_service);
+	return it == m_services.end() ? 1.0 : it->second.meanPromptTokens / std::max(1.0, it->second.meanWholeTokens);
 }
 
 double EngineModel::meanPromptTokens(const std::string& _service) const
--- a/src/coordination/enginemodel.h
+++ b/src/coordination/enginemodel.h
@@ -48,8 +48,11 @@
 	/// other samples are ignored: in a crowd all requests wait, and the speed would be taken for several times too low.
 	void onFirstEvent(const std::string& _service, std::uint64_t _tokens, Micros _waited, bool _idle = false);
 
-	/// Notes the prompt tokens that a request is expected to have read.
-	void onPlaced(const std::string& _service, std::uint64_t _tokens);
+	/// Notes the prompt tokens of a request, and those that an engine is expected to read, without cached parts.
+	void onPlaced(const std::string& _service, std::uint64_t _promptTokens, std::uint64_t _expectedTokens);
+
+	/// @returns the share of prompt tokens that engines of a service have to read; 1 until requests were observed.
+	double readShare(const std::string& _service) const;
 
 	/// @returns the mean number of tokens of a prompt that an engine of a service reads.
 	double meanPromptTokens(const std::string& _service) const;
@@ -76,7 +79,8 @@
 		std::size_t next = 0;
 		std::size_t sinceEstimate = 0;
 		double tokensPerSecond = kPriorTokensPerSecond;
-		double meanPromptTokens = kPriorPromptTokens;
+		double meanPromptTokens = kPriorPromptTokens; ///< Tokens that have to be read.
+		double meanWholeTokens = kPriorPromptTokens;
 		bool idleOnly = false; ///< All samples are of backend servers that were nearly idle.
 	};
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -284,7 +284,9 @@
 	{
 		return;
 	}
-	m_context.demand.onArrival(m_service, m_context.engines.prefillSeconds(m_service, m_placement.promptTokens),
+	m_context.demand.onArrival(m_service,
+							   m_context.engines.readShare(m_service) *
+								   m_context.engines.prefillSeconds(m_service, m_placement.promptTokens),
 							   m_context.streamLengths.holdSeconds(m_service, m_route->name),
 							   service->engine->slots);
 }
@@ -384,7 +386,7 @@
 	if (m_admissionTarget)
 	{
 		m_context.shortages.onDecided(m_service, false, now);
-		m_context.engines.onPlaced(m_service, m_placement.expectedTokens);
+		m_context.engines.onPlaced(m_service, m_placement.promptTokens, m_placement.expectedTokens);
 	}
 	m_context.suspects.onPlaced(m_subjects, _backend.key);
 	CallOptions options;
