Do not repeat other gateways' speeds, bound what is remembered, and test both

Cause: in a fleet without collectors, gateways sent the smallest slowdown that they had heard, so that a former speed came back with each report and was never forgotten; a slowdown of 0 or below counted as four times the usual speed; the number of remembered servers had no bound; NaN in a report made receivers refuse the whole datagram. Change: a gateway that does not relay sends only what it has seen itself; such slowdowns are ignored; 10,000 servers at most are remembered; the encoder leaves NaN out; datagrams over 4 KiB are refused before they are decoded, since 60 KiB of nested lists overflowed the stack of a build without optimisation. A full datagram has 774 bytes.

--- a/src/coordination/load/serverload.h
+++ b/src/coordination/load/serverload.h
@@ -21,9 +21,10 @@
 	/// Time that work takes there now, relative to the usual time; nothing if it does not say.
 	std::optional<double> slowdown;
 
-	/// @returns true if a request hardly waited for others there, so that its time to the first event tells the speed of
-	/// the server: nothing is queued, and a quarter of the slots at the most, and not more than four, is taken. The speed
-	/// that is learnt hardly depends on these bounds, and with them a gateway has enough samples within seconds.
+	/// @returns true if a request hardly waited for others there, so that its time to the first event tells the
+	/// speed of the server: nothing is queued, and a quarter of the slots at the most, and not more than four, is
+	/// taken. The speed that is learnt hardly depends on these bounds, and with them a gateway has enough samples
+	/// within seconds.
 	bool isNearlyIdle() const
 	{
 		constexpr unsigned kIdlePart = 4;
--- a/src/coordination/load/serverspeeds.cpp
+++ b/src/coordination/load/serverspeeds.cpp
@@ -11,58 +11,69 @@
 
 namespace beacongate
 {
-void ServerSpeeds::add(Server& _server, double _slowdown, Micros _now)
+namespace
 {
-	if (_now - _server.windowStart > kWindow)
+/// @returns true if a slowdown can be used; NaN cannot.
+bool isUsable(double _slowdown)
+{
+	return std::isfinite(_slowdown) && _slowdown > 0.0;
+}
+} // namespace
+
+void ServerSpeeds::Windows::add(double _slowdown, Micros _now)
+{
+	if (_now - start > kWindow)
 	{
-		const bool adjacent = _now - _server.windowStart <= 2 * kWindow;
-		_server.previous = adjacent ? _server.current : _slowdown;
-		_server.current = _slowdown;
-		_server.windowStart = _now;
+		const bool adjacent = _now - start <= 2 * kWindow;
+		previous = adjacent ? current : _slowdown;
+		current = _slowdown;
+		start = _now;
+	}
+	current = std::min(current, _slowdown);
+	if (std::abs(smallest() - reported) > kReportedChange * smallest())
+	{
+		reported = smallest();
+		reportRounds = kReportRounds;
 	}
-	_server.current = std::min(_server.current, _slowdown);
 }
 
-void ServerSpeeds::markChange(Server& _server)
+ServerSpeeds::Server* ServerSpeeds::entryOf(BackendKey _key)
 {
-	const double lasting = _server.lasting();
-	if (std::abs(lasting - _server.reported) > kReportedChange * lasting)
+	const auto it = m_servers.find(_key);
+	if (it != m_servers.end())
 	{
-		_server.reported = lasting;
-		_server.reportRounds = kReportRounds;
+		return &it->second;
 	}
+	return m_servers.size() < kMaxServers ? &m_servers[_key] : nullptr;
 }
 
 void ServerSpeeds::onLoad(BackendKey _key, const ServerLoad& _load, Micros _now)
 {
-	if (!_load.slowdown || !std::isfinite(*_load.slowdown))
+	Server* server = _load.slowdown && isUsable(*_load.slowdown) ? entryOf(_key) : nullptr;
+	if (nullptr == server)
 	{
 		return;
 	}
 	const double slowdown = std::clamp(*_load.slowdown, kMinSlowdown, kMaxSlowdown);
-	Server& server = m_servers[_key];
-	server.own = true;
-	server.seen = slowdown;
-	server.seenAt = _now;
-	add(server, slowdown, _now);
-	markChange(server);
+	server->seen = slowdown;
+	server->seenAt = _now;
+	server->own.add(slowdown, _now);
+	server->all.add(slowdown, _now);
 }
 
 void ServerSpeeds::onReport(const SpeedReport& _report, Micros _now)
 {
-	if (!std::isfinite(_report.slowdown))
+	Server* server = isUsable(_report.slowdown) ? entryOf(_report.key) : nullptr;
+	if (nullptr != server)
 	{
-		return;
+		server->all.add(std::clamp(_report.slowdown, kMinSlowdown, kMaxSlowdown), _now);
 	}
-	Server& server = m_servers[_report.key];
-	add(server, std::clamp(_report.slowdown, kMinSlowdown, kMaxSlowdown), _now);
-	markChange(server);
 }
 
 double ServerSpeeds::lasting(BackendKey _key) const
 {
 	const auto it = m_servers.find(_key);
-	return it == m_servers.end() ? 1.0 : it->second.lasting();
+	return it == m_servers.end() ? 1.0 : it->second.all.smallest();
 }
 
 double ServerSpeeds::present(BackendKey _key, Micros _now) const
@@ -73,14 +84,15 @@
 		return 1.0;
 	}
 	const Server& server = it->second;
-	const double lasting = server.lasting();
+	const double lasting = server.all.smallest();
 	const Micros age = std::max<Micros>(0, _now - server.seenAt);
 	constexpr Micros kForgotten = 8 * kPresentDecay;
 	if (age > kForgotten)
 	{
 		return lasting;
 	}
-	return lasting + (server.seen - lasting) * std::exp(-static_cast<double>(age) / static_cast<double>(kPresentDecay));
+	return lasting +
+		   (server.seen - lasting) * std::exp(-static_cast<double>(age) / static_cast<double>(kPresentDecay));
 }
 
 double ServerSpeeds::meanSpeed(const std::vector<BackendKey>& _keys) const
@@ -100,15 +112,15 @@
 	const std::pair<const BackendKey, Server>* first = nullptr;
 	for (auto& entry : m_servers)
 	{
-		Server& server = entry.second;
-		if (!server.own && !_relay)
+		if (!entry.second.isSeen() && !_relay)
 		{
 			continue;
 		}
-		if (server.reportRounds > 0 && reports.size() < _most)
+		Windows& windows = _relay ? entry.second.all : entry.second.own;
+		if (windows.reportRounds > 0 && reports.size() < _most)
 		{
-			--server.reportRounds;
-			reports.push_back({entry.first, server.lasting()});
+			--windows.reportRounds;
+			reports.push_back({entry.first, windows.smallest()});
 			continue;
 		}
 		first = !first || entry.first < first->first ? &entry : first;
@@ -119,7 +131,8 @@
 	if (inTurn && reports.size() < _most)
 	{
 		m_lastInTurn = inTurn->first;
-		reports.push_back({inTurn->first, inTurn->second.lasting()});
+		const Windows& windows = _relay ? inTurn->second.all : inTurn->second.own;
+		reports.push_back({inTurn->first, windows.smallest()});
 	}
 	return reports;
 }
--- a/src/coordination/load/serverspeeds.h
+++ b/src/coordination/load/serverspeeds.h
@@ -11,6 +11,7 @@
 #include "coordination/backendkey.h"
 #include "coordination/load/serverload.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <map>
 #include <string>
@@ -31,16 +32,17 @@
 /// The slowdowns that backend servers state, by incarnation: a server at a reused address is a new one.
 ///
 /// A slowdown has two parts. One lasts: the machine of the server is slower or faster than usual. The other changes
-/// several times a second, with the other programs on that machine. One gateway of a large fleet meets a server only
-/// every few seconds, so that gateways tell each other the lasting part, and use the changing one for a moment only.
+/// several times a second, with the other programs on that machine. One gateway of a large fleet meets a server
+/// only every few seconds, so that gateways tell each other the lasting part, and use the changing one for a moment
+/// only.
 class ServerSpeeds
 {
 public:
 	/// Slowdowns beyond these count as these, so that a server is neither flooded nor starved by what it states.
 	static constexpr double kMinSlowdown = 0.25;
 	static constexpr double kMaxSlowdown = 4.0;
-	/// The lasting slowdown is the smallest one of this span and the one before it, since neighbours only ever slow a
-	/// server down.
+	/// The lasting slowdown is the smallest one of this span and the one before it, since neighbours only ever slow
+	/// a server down.
 	static constexpr Micros kWindow = 5 * kSecond;
 	/// Time constant with which a slowness that was seen is forgotten. Neighbours change about every 0.6 s.
 	static constexpr Micros kPresentDecay = 300 * kMillisecond;
@@ -48,21 +50,26 @@
 	static constexpr unsigned kReportRounds = 4;
 	/// Relative change from which a lasting slowdown is reported again.
 	static constexpr double kReportedChange = 0.05;
+	/// Largest number of backend servers that are remembered. Further ones count as unknown until retain() makes
+	/// room.
+	static constexpr std::size_t kMaxServers = 10'000;
 
-	/// Notes the load that a backend server stated in an answer to this gateway.
+	/// Notes the load that a backend server stated in an answer to this gateway. A slowdown that is not a positive
+	/// number is ignored.
 	void onLoad(BackendKey _key, const ServerLoad& _load, Micros _now);
 
-	/// Notes what another gateway told. What this gateway has seen itself counts first.
+	/// Notes what another gateway told. A slowdown that is not a positive number is ignored.
 	void onReport(const SpeedReport& _report, Micros _now);
 
-	/// @returns the time that work takes at a backend server that nothing else disturbs, relative to the usual time; 1
-	/// if it is unknown.
+	/// @returns the time that work takes at a backend server that nothing else disturbs, relative to the usual
+	/// time; 1 if it is unknown.
 	double lasting(BackendKey _key) const;
 
 	/// @returns the time that work takes there now, relative to the usual time, as far as this gateway knows.
 	double present(BackendKey _key, Micros _now) const;
 
-	/// @returns the mean of the work that backend servers do in a time, relative to one of the usual speed; 1 for none.
+	/// @returns the mean of the work that backend servers do in a time, relative to one of the usual speed; 1 for
+	/// none.
 	double meanSpeed(const std::vector<BackendKey>& _keys) const;
 
 	/// @returns true if the slowdown of a backend server is known.
@@ -77,9 +84,10 @@
 		return m_servers.size();
 	}
 
-	/// @returns what is to be sent to other gateways in this round: new and changed values first, then one of the others
-	/// in turn, for gateways that have started since.
-	/// @param[in] _relay Changes that other gateways reported are passed on.
+	/// @returns what is to be sent to other gateways in this round: new and changed values first, then one of the
+	/// others in turn, for gateways that have started since.
+	/// @param[in] _relay Values that other gateways reported are passed on. Otherwise only those that this gateway
+	/// has seen itself are sent: gateways that repeated each other's reports would never forget a former speed.
 	/// @param[in] _most Largest number of reports.
 	std::vector<SpeedReport> takeReports(bool _relay, std::size_t _most);
 
@@ -87,25 +95,38 @@
 	void retain(const std::map<std::string, KnownBackend>& _known);
 
 private:
-	struct Server
+	/// Slowdowns of the last two windows, and what is to be sent of them.
+	struct Windows
 	{
-		double current = kMaxSlowdown;  ///< Smallest slowdown since windowStart.
+		double current = kMaxSlowdown;  ///< Smallest slowdown since start.
 		double previous = kMaxSlowdown; ///< Smallest slowdown of the window before.
-		Micros windowStart = 0;
-		double seen = 1.0; ///< Slowdown that this gateway saw last.
-		Micros seenAt = kLongAgo;
-		double reported = 0.0; ///< Lasting slowdown when it was last marked for sending.
+		Micros start = 0;
+		double reported = 0.0; ///< Smallest slowdown when it was last marked for sending.
 		unsigned reportRounds = 0;
-		bool own = false; ///< This gateway has seen the slowdown itself.
 
-		double lasting() const
+		double smallest() const
 		{
 			return std::min(current, previous);
 		}
+
+		void add(double _slowdown, Micros _now);
+	};
+
+	struct Server
+	{
+		Windows all;       ///< What this gateway and others have seen.
+		Windows own;       ///< What this gateway has seen itself.
+		double seen = 1.0; ///< Slowdown that this gateway saw last.
+		Micros seenAt = kLongAgo;
+
+		bool isSeen() const
+		{
+			return seenAt != kLongAgo;
+		}
 	};
 
-	static void add(Server& _server, double _slowdown, Micros _now);
-	static void markChange(Server& _server);
+	/// @returns the entry of a backend server, which is made if there is room; nullptr if there is none.
+	Server* entryOf(BackendKey _key);
 
 	std::unordered_map<BackendKey, Server, BackendKeyHash> m_servers;
 	BackendKey m_lastInTurn; ///< Backend server that was last sent in turn.
--- a/src/protocol/speedcodec.cpp
+++ b/src/protocol/speedcodec.cpp
@@ -14,10 +14,14 @@
 namespace
 {
 constexpr unsigned kKind = static_cast<unsigned>(DatagramKind::ServerSpeed);
-/// Bytes of a report: 4 for the backend server's key, 2 for its slowdown in hundredths, both with the lowest byte first.
+/// Bytes of a report: 4 for the backend server's key, 2 for its slowdown in hundredths, both with the lowest byte
+/// first.
 constexpr std::size_t kKeyBytes = 4;
 constexpr std::size_t kReportBytes = 6;
 constexpr double kHundredth = 0.01;
+/// Largest datagram that is read, with room for fields of later builds. 60 KiB of nested lists exhaust the stack of
+/// a build without optimisation.
+constexpr std::size_t kMaxBytes = 4096;
 
 void appendNumber(Json::binary_t& _bytes, std::uint32_t _value, std::size_t _count)
 {
@@ -41,12 +45,17 @@
 std::string encodeSpeeds(const std::vector<SpeedReport>& _reports)
 {
 	Json::binary_t packed;
-	for (std::size_t index = 0; index < _reports.size() && index < kMaxSpeedReports; ++index)
+	for (const SpeedReport& report : _reports)
 	{
-		const double slowdown =
-			std::clamp(_reports[index].slowdown, ServerSpeeds::kMinSlowdown, ServerSpeeds::kMaxSlowdown);
-		appendNumber(packed, _reports[index].key.value, kKeyBytes);
-		appendNumber(packed, static_cast<std::uint32_t>(std::lround(slowdown / kHundredth)), kReportBytes - kKeyBytes);
+		// A receiver refuses the whole datagram for a slowdown of 0, which NaN may become as a whole number.
+		if (std::isnan(report.slowdown) || packed.size() == kMaxSpeedReports * kReportBytes)
+		{
+			continue;
+		}
+		const double slowdown = std::clamp(report.slowdown, ServerSpeeds::kMinSlowdown, ServerSpeeds::kMaxSlowdown);
+		appendNumber(packed, report.key.value, kKeyBytes);
+		appendNumber(packed, static_cast<std::uint32_t>(std::lround(slowdown / kHundredth)),
+					 kReportBytes - kKeyBytes);
 	}
 	std::string bytes;
 	Json::to_msgpack(Json::array({kDatagramFormat, kKind, Json::binary(std::move(packed))}), bytes);
@@ -60,6 +69,10 @@
 
 std::optional<std::vector<SpeedReport>> decodeSpeeds(std::string_view _bytes)
 {
+	if (_bytes.size() > kMaxBytes)
+	{
+		return std::nullopt;
+	}
 	const Json fields = Json::from_msgpack(_bytes.begin(), _bytes.end(), true, false);
 	constexpr std::size_t kFields = 3; // A later format may have more at its end, which are ignored.
 	if (!fields.is_array() || fields.size() < kFields || !fields[0].is_number_unsigned() ||
--- a/src/protocol/speedcodec.h
+++ b/src/protocol/speedcodec.h
@@ -16,10 +16,10 @@
 
 namespace beacongate
 {
-/// Largest number of reports in a datagram. It is then 776 bytes long.
+/// Largest number of reports in a datagram. It is then 774 bytes long.
 inline constexpr std::size_t kMaxSpeedReports = 128;
 
-/// @returns the reports as a datagram; those beyond kMaxSpeedReports are left out.
+/// @returns the reports as a datagram; those beyond kMaxSpeedReports and those that are no number are left out.
 std::string encodeSpeeds(const std::vector<SpeedReport>& _reports);
 
 /// @returns true if the kind of a datagram is that of a report about speeds.
