--- a/tests/speedcodectest.cpp
+++ b/tests/speedcodectest.cpp
@@ -95,8 +95,9 @@
 // A datagram of a faulty gateway must not make others store more than they would send.
 TEST(SpeedCodec, datagramWithTooManyReportsIsRefused)
 {
-	EXPECT_TRUE(decodeSpeeds(withEntries(Json::binary_t(std::vector<std::uint8_t>(128 * 6, 1)))));
-	EXPECT_FALSE(decodeSpeeds(withEntries(Json::binary_t(std::vector<std::uint8_t>(129 * 6, 1)))));
+	EXPECT_TRUE(decodeSpeeds(withEntries(Json::binary_t(std::vector<std::uint8_t>(kMaxSpeedReports * 6, 1)))));
+	EXPECT_FALSE(
+		decodeSpeeds(withEntries(Json::binary_t(std::vector<std::uint8_t>((kMaxSpeedReports + 1) * 6, 1)))));
 }
 
 TEST(SpeedCodec, datagramCutAtAnyLengthIsRefused)
