Show how many backend servers have a known speed, and measure what their loads cost

Cause: an operator could not see what a gateway knows of the servers' speeds, and the bound of 0.3 us for a load was not measured. Gauge and dump are compiled, but no test reads them yet.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -273,6 +273,7 @@
 	metrics.setGauge("beacongate_streams_remembered", static_cast<double>(m_context.origins.size()));
 	metrics.setGauge("beacongate_backends_limited", static_cast<double>(m_context.limits.size()));
 	metrics.setGauge("beacongate_backends_brittle", static_cast<double>(brittle));
+	metrics.setGauge("beacongate_backends_speed_known", static_cast<double>(m_context.speeds.size()));
 	metrics.setGauge("beacongate_slot_requests_queued", static_cast<double>(m_context.slotGrantor.queued()));
 	metrics.setGauge("beacongate_requests_suspected",
 					 static_cast<double>(m_context.crashes.countOf(Suspicion::Suspected)));
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -15,6 +15,8 @@
 	Json list = Json::array();
 	for (const auto& [id, known] : _context.directory.backends())
 	{
+		const ServerSpeeds& speeds = _context.speeds;
+		const bool speedKnown = speeds.isKnown(known.key);
 		list.push_back({{"id", id},
 						{"born", known.record.born},
 						{"service", known.record.service},
@@ -24,7 +26,9 @@
 						{"draining", known.record.draining},
 						{"backoffLeftMs", _context.backoffs.left(known.key, _now) / kMillisecond},
 						{"spot", known.record.spot},
-						{"inFlight", _context.balancer.totalInFlight(known.key)}});
+						{"inFlight", _context.balancer.totalInFlight(known.key)},
+						{"lastingSlowdown", speedKnown ? Json(speeds.lasting(known.key)) : Json()},
+						{"presentSlowdown", speedKnown ? Json(speeds.present(known.key, _now)) : Json()}});
 	}
 	return list;
 }
--- a/tools/bench.cpp
+++ b/tools/bench.cpp
@@ -5,7 +5,10 @@
 // sizes and fits a line to each series. docs/CAPACITY.md is calculated from its output.
 
 #include "coordination/entrycore.h"
+#include "coordination/load/serverspeeds.h"
 #include "daemon/clock.h"
+#include "platform/headers.h"
+#include "platform/names.h"
 #include "protocol/documents.h"
 #include "protocol/peercodec.h"
 #include "protocol/statedump.h"
@@ -385,6 +388,68 @@
 	printSeries("reading and checking it", "backend server", "us", time);
 	printSeries("keeping it (text and values)", "backend server", "B", memory);
 }
+
+/// @returns the mean time of reading the headers of an answer, in microseconds.
+double microsPerAnswerHead(const MessageHead& _head)
+{
+	constexpr std::size_t kAnswers = 200'000;
+	std::size_t read = 0;
+	const double total = microsOf(
+		[&]
+		{
+			for (std::size_t ii = 0; ii < kAnswers; ++ii)
+			{
+				read += platform::readAnswer(_head).load ? 1 : 0;
+			}
+		});
+	return total / kAnswers;
+}
+
+/// Measures what the load that a server states in an answer costs. Decoding and evaluation together must take less
+/// than 0.3 us.
+void benchLoads()
+{
+	std::vector<Measurement> decoding;
+	for (const std::size_t headers : {2u, 8u, 20u})
+	{
+		MessageHead head;
+		head.status = 200;
+		for (std::size_t ii = 0; ii < headers; ++ii)
+		{
+			head.headers.emplace_back("X-Header-" + std::to_string(ii), "value");
+		}
+		const double without = microsPerAnswerHead(head);
+		head.headers.emplace_back(platform::kLoad, "13,2,64,150");
+		decoding.push_back({static_cast<double>(headers), microsPerAnswerHead(head) - without});
+	}
+	printSeries("load: decoding its header by other headers", "header", "us", decoding);
+	constexpr std::size_t kLoads = 200'000;
+	std::vector<Measurement> evaluation;
+	for (const std::size_t servers : {10u, 140u, 10'000u})
+	{
+		std::vector<BackendKey> keys;
+		for (std::size_t ii = 0; ii < servers; ++ii)
+		{
+			keys.emplace_back("server-" + std::to_string(ii));
+		}
+		ServerSpeeds speeds;
+		Micros now = kSecond;
+		volatile double present = 0.0; // The compiler must not leave the work out.
+		const double total = microsOf(
+			[&]
+			{
+				for (std::size_t ii = 0; ii < kLoads; ++ii)
+				{
+					const BackendKey key = keys[ii % servers];
+					speeds.onLoad(key, ServerLoad{13, 2, 64, 0.6 + 0.1 * static_cast<double>(ii % 7)}, now);
+					now += 10;
+					present = speeds.present(key, now);
+				}
+			});
+		evaluation.push_back({static_cast<double>(servers), total / kLoads});
+	}
+	printSeries("load: onLoad() and present() by servers", "server", "us", evaluation);
+}
 } // namespace
 
 int main()
@@ -397,5 +462,6 @@
 	benchRoster();
 	benchExchange();
 	benchConfig();
+	benchLoads();
 	return 0;
 }
