Learn the share of prompts that engines read, and relay speeds only once

Cause: the share of prompts that has to be read was taken from placements and came out too small; two collectors that relayed each other's values would never forget a former speed. Change: the share is measured at servers that are nearly idle; in turn a collector sends only what it was told directly.

--- a/src/coordination/enginemodel.cpp
+++ b/src/coordination/enginemodel.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t kIdleSamplesPerEstimate = 8;
 /// Weight of a new prompt in the mean length: a mean over some seconds of the requests of one gateway.
 constexpr double kPromptWeight = 0.02;
+/// Length from which a prompt tells how much of it was in a cache.
+constexpr std::uint64_t kMinShareTokens = 2000;
 /// Quantile of the waits of short prompts that is taken as the delay without prefill.
 constexpr double kBaseDelayQuantile = 0.1;
 /// Quantile of the bounds from long prompts; a fifth of them may be too high.
@@ -105,17 +107,28 @@
 					  kPriorTokensPerSecond * kMaxPriorRatio);
 }
 
-void EngineModel::onPlaced(const std::string& _service, std::uint64_t _promptTokens, std::uint64_t _expectedTokens)
+void EngineModel::onPlaced(const std::string& _service, std::uint64_t _tokens)
+{
+	double& mean = m_services[_service].meanPromptTokens;
+	mean += kPromptWeight * (static_cast<double>(_tokens) - mean);
+}
+
+void EngineModel::onIdleRead(const std::string& _service, std::uint64_t _promptTokens, Micros _usual)
 {
 	Service& service = m_services[_service];
-	service.meanPromptTokens += kPromptWeight * (static_cast<double>(_expectedTokens) - service.meanPromptTokens);
-	service.meanWholeTokens += kPromptWeight * (static_cast<double>(_promptTokens) - service.meanWholeTokens);
+	// The time of a short prompt is mostly that of the network and of the first token.
+	if (_promptTokens < kMinShareTokens || service.samples.size() < kIdleSamplesNeeded)
+	{
+		return;
+	}
+	const double share = secondsOf(_usual) * service.tokensPerSecond / weightedTokens(_promptTokens);
+	service.readShare += kPromptWeight * (std::clamp(share, 0.0, 1.0) - service.readShare);
 }
 
 double EngineModel::readShare(const std::string& _service) const
 {
 	const auto it = m_services.find(_service);
-	return it == m_services.end() ? 1.0 : it->second.meanPromptTokens / std::max(1.0, it->second.meanWholeTokens);
+	return it == m_services.end() ? 1.0 : it->second.readShare;
 }
 
 double EngineModel::meanPromptTokens(const std::string& _service) const
--- a/src/coordination/enginemodel.h
+++ b/src/coordination/enginemodel.h
@@ -48,10 +48,15 @@
 	/// other samples are ignored: in a crowd all requests wait, and the speed would be taken for several times too low.
 	void onFirstEvent(const std::string& _service, std::uint64_t _tokens, Micros _waited, bool _idle = false);
 
-	/// Notes the prompt tokens of a request, and those that an engine is expected to read, without cached parts.
-	void onPlaced(const std::string& _service, std::uint64_t _promptTokens, std::uint64_t _expectedTokens);
+	/// Notes the prompt tokens that a request is expected to have read.
+	void onPlaced(const std::string& _service, std::uint64_t _tokens);
 
-	/// @returns the share of prompt tokens that engines of a service have to read; 1 until requests were observed.
+	/// Notes how long a backend server that was nearly idle took to read a whole prompt, which tells how much of it was
+	/// in its cache.
+	/// @param[in] _usual Time from sending to the first event, as a server of the usual speed would have taken.
+	void onIdleRead(const std::string& _service, std::uint64_t _promptTokens, Micros _usual);
+
+	/// @returns the share of prompt tokens that engines of a service have to read; 1 until it was measured.
 	double readShare(const std::string& _service) const;
 
 	/// @returns the mean number of tokens of a prompt that an engine of a service reads.
@@ -79,8 +84,8 @@
 		std::size_t next = 0;
 		std::size_t sinceEstimate = 0;
 		double tokensPerSecond = kPriorTokensPerSecond;
-		double meanPromptTokens = kPriorPromptTokens; ///< Tokens that have to be read.
-		double meanWholeTokens = kPriorPromptTokens;
+		double meanPromptTokens = kPriorPromptTokens;
+		double readShare = 1.0;
 		bool idleOnly = false; ///< All samples are of backend servers that were nearly idle.
 	};
 
--- a/src/coordination/load/serverspeeds.cpp
+++ b/src/coordination/load/serverspeeds.cpp
@@ -22,6 +22,7 @@
 
 void ServerSpeeds::Windows::add(double _slowdown, Micros _now)
 {
+	empty = false;
 	if (_now - start > kWindow)
 	{
 		const bool adjacent = _now - start <= 2 * kWindow;
@@ -58,15 +59,18 @@
 	server->seen = slowdown;
 	server->seenAt = _now;
 	server->own.add(slowdown, _now);
+	server->direct.add(slowdown, _now);
 	server->all.add(slowdown, _now);
 }
 
-void ServerSpeeds::onReport(const SpeedReport& _report, Micros _now)
+void ServerSpeeds::onReport(const SpeedReport& _report, Micros _now, bool _relayed)
 {
 	Server* server = isUsable(_report.slowdown) ? entryOf(_report.key) : nullptr;
 	if (nullptr != server)
 	{
-		server->all.add(std::clamp(_report.slowdown, kMinSlowdown, kMaxSlowdown), _now);
+		const double slowdown = std::clamp(_report.slowdown, kMinSlowdown, kMaxSlowdown);
+		server->all.add(slowdown, _now);
+		_relayed ? void() : server->direct.add(slowdown, _now);
 	}
 }
 
@@ -112,10 +116,6 @@
 	const std::pair<const BackendKey, Server>* first = nullptr;
 	for (auto& entry : m_servers)
 	{
-		if (!entry.second.isSeen() && !_relay)
-		{
-			continue;
-		}
 		Windows& windows = _relay ? entry.second.all : entry.second.own;
 		if (windows.reportRounds > 0 && reports.size() < _most)
 		{
@@ -123,6 +123,10 @@
 			reports.push_back({entry.first, windows.smallest()});
 			continue;
 		}
+		if (entry.second.sentInTurn(_relay).empty)
+		{
+			continue;
+		}
 		first = !first || entry.first < first->first ? &entry : first;
 		const bool next = m_lastInTurn < entry.first;
 		inTurn = next && (!inTurn || entry.first < inTurn->first) ? &entry : inTurn;
@@ -131,8 +135,7 @@
 	if (inTurn && reports.size() < _most)
 	{
 		m_lastInTurn = inTurn->first;
-		const Windows& windows = _relay ? inTurn->second.all : inTurn->second.own;
-		reports.push_back({inTurn->first, windows.smallest()});
+		reports.push_back({inTurn->first, inTurn->second.sentInTurn(_relay).smallest()});
 	}
 	return reports;
 }
--- a/src/coordination/load/serverspeeds.h
+++ b/src/coordination/load/serverspeeds.h
@@ -59,7 +59,8 @@
 	void onLoad(BackendKey _key, const ServerLoad& _load, Micros _now);
 
 	/// Notes what another gateway told. A slowdown that is not a positive number is ignored.
-	void onReport(const SpeedReport& _report, Micros _now);
+	/// @param[in] _relayed The sender may pass on what others told it.
+	void onReport(const SpeedReport& _report, Micros _now, bool _relayed = false);
 
 	/// @returns the time that work takes at a backend server that nothing else disturbs, relative to the usual
 	/// time; 1 if it is unknown.
@@ -103,6 +104,7 @@
 		Micros start = 0;
 		double reported = 0.0; ///< Smallest slowdown when it was last marked for sending.
 		unsigned reportRounds = 0;
+		bool empty = true;
 
 		double smallest() const
 		{
@@ -115,13 +117,16 @@
 	struct Server
 	{
 		Windows all;       ///< What this gateway and others have seen.
+		Windows direct;    ///< What this gateway has seen, and gateways that told it directly.
 		Windows own;       ///< What this gateway has seen itself.
 		double seen = 1.0; ///< Slowdown that this gateway saw last.
 		Micros seenAt = kLongAgo;
 
-		bool isSeen() const
+		/// @returns what may be sent in turn. What was relayed to this gateway is only sent on when it changes: gateways
+		/// that relayed each other's values in turn would never forget a former speed.
+		const Windows& sentInTurn(bool _relay) const
 		{
-			return seenAt != kLongAgo;
+			return _relay ? direct : own;
 		}
 	};
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -386,7 +386,7 @@
 	if (m_admissionTarget)
 	{
 		m_context.shortages.onDecided(m_service, false, now);
-		m_context.engines.onPlaced(m_service, m_placement.promptTokens, m_placement.expectedTokens);
+		m_context.engines.onPlaced(m_service, m_placement.expectedTokens);
 	}
 	m_context.suspects.onPlaced(m_subjects, _backend.key);
 	CallOptions options;
--- a/src/gateway/exchangeanswers.cpp
+++ b/src/gateway/exchangeanswers.cpp
@@ -274,6 +274,7 @@
 	{
 		const double usual = static_cast<double>(waited) / load->slowdown.value_or(1.0);
 		m_context.engines.onFirstEvent(m_service, m_placement.ownTokens(), static_cast<Micros>(usual), true);
+		m_context.engines.onIdleRead(m_service, m_placement.promptTokens, static_cast<Micros>(usual));
 	}
 }
 
--- a/src/gateway/gossiperreceive.cpp
+++ b/src/gateway/gossiperreceive.cpp
@@ -128,9 +128,16 @@
 		return;
 	}
 	m_context.traffic.onReceived(DatagramPurpose::ServerSpeed, _bytes.size());
+	if (!m_context.settings.features.serverSpeeds)
+	{
+		return;
+	}
+	const std::vector<std::string> collectors = m_context.relays.allTopMembers();
+	const bool relayed = m_context.usesCollectors() &&
+						 std::find(collectors.begin(), collectors.end(), _sender) != collectors.end();
 	for (const SpeedReport& report : *reports)
 	{
-		m_context.settings.features.serverSpeeds ? m_context.speeds.onReport(report, monotonicNow()) : void();
+		m_context.speeds.onReport(report, monotonicNow(), relayed);
 	}
 }
 
--- a/tests/serverspeedstest.cpp
+++ b/tests/serverspeedstest.cpp
@@ -334,32 +334,51 @@
 	EXPECT_TRUE(speeds.isKnown(later));
 }
 
-// Gateways that repeat each other's reports would never forget a speed that the server has no more.
+// Gateways that repeat each other's reports, or collectors that relay them, would never forget a speed that the server
+// has no more.
 TEST(ServerSpeeds, formerSpeedIsForgottenByTheFleet)
 {
-	ServerSpeeds left;
-	ServerSpeeds right;
-	const auto run = [&](Micros _from, Micros _until, double _slowdown)
+	for (const bool relay : {false, true})
 	{
-		for (Micros now = _from; now < _until; now += 200 * kMillisecond)
+		ServerSpeeds left;
+		ServerSpeeds right;
+		const auto run = [&](Micros _from, Micros _until, double _slowdown)
 		{
-			left.onLoad(kServer, load(_slowdown), now);
-			right.onLoad(kServer, load(_slowdown), now);
-			for (const SpeedReport& report : left.takeReports(false, kMany))
+			for (Micros now = _from; now < _until; now += 200 * kMillisecond)
 			{
-				right.onReport(report, now);
+				left.onLoad(kServer, load(_slowdown), now);
+				right.onLoad(kServer, load(_slowdown), now);
+				for (const SpeedReport& report : left.takeReports(relay, kMany))
+				{
+					right.onReport(report, now, relay);
+				}
+				for (const SpeedReport& report : right.takeReports(relay, kMany))
+				{
+					left.onReport(report, now, relay);
+				}
 			}
-			for (const SpeedReport& report : right.takeReports(false, kMany))
-			{
-				left.onReport(report, now);
-			}
-		}
-	};
-	run(kStart, kStart + 20 * kSecond, 0.6);
-	EXPECT_EQ(left.lasting(kServer), 0.6);
-	run(kStart + 20 * kSecond, kStart + 50 * kSecond, 1.6);
-	EXPECT_EQ(left.lasting(kServer), 1.6);
-	EXPECT_EQ(right.lasting(kServer), 1.6);
+		};
+		run(kStart, kStart + 20 * kSecond, 0.6);
+		EXPECT_EQ(left.lasting(kServer), 0.6);
+		run(kStart + 20 * kSecond, kStart + 50 * kSecond, 1.6);
+		EXPECT_EQ(left.lasting(kServer), 1.6) << relay;
+		EXPECT_EQ(right.lasting(kServer), 1.6) << relay;
+	}
+}
+
+// A gateway that starts later is told of servers whose speed has not changed since.
+TEST(ServerSpeeds, relayTellsInTurnWhatOthersHaveSeen)
+{
+	ServerSpeeds collector;
+	collector.onReport({kServer, 0.6}, kStart);
+	collector.onReport({numbered(2), 1.6}, kStart, true);
+	for (unsigned round = 0; round < ServerSpeeds::kReportRounds; ++round)
+	{
+		EXPECT_EQ(collector.takeReports(true, kMany).size(), 2u);
+	}
+	const auto reports = collector.takeReports(true, kMany);
+	ASSERT_EQ(reports.size(), 1u);
+	EXPECT_EQ(reports.front().key, kServer);
 }
 
 RC_GTEST_PROP(ServerSpeedsProperty, resultsAreBoundedWhateverComesIn, ())
