--- a/src/coordination/admission/slotrules.cpp
+++ b/src/coordination/admission/slotrules.cpp
@@ -15,6 +15,7 @@
 	m_plainServices.clear();
 	m_promptServers.clear();
 	std::map<std::string, std::size_t> plainSlots;
+	std::set<std::string> withSpeeds;
 	for (const PooledService& service : _config.services)
 	{
 		if (_admission.targetOf(service.name))
@@ -29,14 +30,17 @@
 		{
 			m_promptServers.insert(known.key);
 		}
-		else if (service && !service->engine && known.usable() && _speeds.isKnown(known.key))
+		else if (service && !service->engine && known.usable())
 		{
+			// Servers that have not answered yet count as well: otherwise a large service would count as small
+			// while a gateway has had answers of only a few of its servers.
 			plainSlots[service->name] += known.record.slots;
+			_speeds.isKnown(known.key) ? void(withSpeeds.insert(service->name)) : void();
 		}
 	}
 	for (const auto& [service, slots] : plainSlots)
 	{
-		if (slots < _gateways)
+		if (slots < _gateways && withSpeeds.count(service) > 0)
 		{
 			m_plainServices.insert(service);
 		}
