--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -3,6 +3,8 @@
 
 #include "gateway/dispatcher.h"
 
+#include "coordination/admission/admissionrules.h"
+
 #include <algorithm>
 #include <chrono>
 
@@ -12,6 +14,7 @@
 {
 /// Calls of wake() within this time share one pass over the queue.
 constexpr Micros kWakeDelay = 10 * kMillisecond;
+static_assert(kWakeDelay <= kHeldInterval, "held requests would be refused too late");
 } // namespace
 
 Dispatcher::Dispatcher(GatewayContext& _context) : m_context(_context), m_timer(_context.loop)
