Ask the next home for a prompt slot before the request is refused

A prompt waits for 90 ms at a target of 800 ms, but the next home was asked after 120 ms. Engines whose home had stopped got no prompts as long as it was listed, and no gateway noted that it was silent. The next home of a prompt is asked after half of its patience now, at least 40 ms, and the first question is repeated after half of that.

--- a/src/coordination/slotpermits.cpp
+++ b/src/coordination/slotpermits.cpp
@@ -118,6 +118,11 @@
 	return std::min(_need.patience, _need.limit ? kMaxPacedPatience : kMaxPatience);
 }
 
+Micros SlotPermits::answerTimeout(const SlotNeed& _need)
+{
+	return _need.prompts ? std::clamp(_need.patience / 2, kMinAnswerTimeout, kAnswerTimeout) : kAnswerTimeout;
+}
+
 void SlotPermits::onPlaced(Server& _server)
 {
 	// The entry is new, without grants, if the server was removed from the list meanwhile.
@@ -185,12 +190,13 @@
 		home == m_host ? m_grantor.advance(_now) : void();
 		return;
 	}
-	if (_pending.waited > kAnswerTimeout)
+	const Micros timeout = answerTimeout(_pending.need);
+	if (_pending.waited > timeout)
 	{
 		noteSilence(home, _now);
 		askNext(_id, _pending, _now);
 	}
-	else if (!_pending.resent && _pending.waited > kResendDelay)
+	else if (!_pending.resent && _pending.waited > std::min(kResendDelay, timeout / 2))
 	{
 		_pending.resent = true;
 		ask(_id, _pending, home, _now);
--- a/src/coordination/slotpermits.h
+++ b/src/coordination/slotpermits.h
@@ -75,6 +75,10 @@
 	static constexpr Micros kResendDelay = 50 * kMillisecond;
 	/// Time without an answer after which the next home is asked.
 	static constexpr Micros kAnswerTimeout = 120 * kMillisecond;
+	/// Shortest such time for prompts, which wait for less than kAnswerTimeout in all: the next home is asked after
+	/// half of their patience. Otherwise they would be refused first, and no gateway would note that the home is
+	/// silent.
+	static constexpr Micros kMinAnswerTimeout = 40 * kMillisecond;
 	/// Time for which a home that did not answer is not asked. It doubles with each further failure, since gateways
 	/// of an earlier build never answer.
 	static constexpr Micros kSilentSpan = 1 * kSecond;
@@ -226,6 +230,8 @@
 	/// @returns the homes that are told of what is in use, and one more.
 	std::vector<std::string> toldHomes(const Server& _server, const std::string& _more, Micros _now) const;
 	static Micros patienceOf(const SlotNeed& _need);
+	/// @returns the time without an answer after which the next home is asked.
+	static Micros answerTimeout(const SlotNeed& _need);
 	/// Determines the homes that can be asked.
 	void findHomes(Pending& _pending, Micros _now);
 	/// Processes the answer of a home that does not know what is in use.
--- a/tests/slotpermitstest.cpp
+++ b/tests/slotpermitstest.cpp
@@ -122,6 +122,29 @@
 	EXPECT_EQ(sent.back().first, first);
 }
 
+// Prompts wait for less than kAnswerTimeout in all. If they were refused before the next home is asked, the engines
+// of a home that has stopped would get none, and the home would not be passed over either.
+TEST_F(SlotPermitsTest, promptIsSentToTheNextHomeWithinItsPatience)
+{
+	SlotNeed need = kNeed;
+	need.prompts = true;
+	need.patience = 90 * kMillisecond;
+	permits.take(ticket, need, now, [] {});
+	const std::string first = sent.front().first;
+	const Micros until = now + need.patience;
+	while (now < until && sent.back().first == first)
+	{
+		now += kPoll;
+		permits.take(ticket, need, now, [] {});
+	}
+	EXPECT_NE(sent.back().first, first);
+	EXPECT_LE(now, until - need.patience / 3);
+	EXPECT_EQ(messages<SlotRequest>().size(), 3u) << "the first home is asked twice, since datagrams get lost";
+	permits.abandon(ticket, now);
+	permits.take(ticket, need, now, [] {});
+	EXPECT_NE(sent.back().first, first) << "a home that did not answer is passed over";
+}
+
 TEST_F(SlotPermitsTest, grantedRequestMayBeSent)
 {
 	EXPECT_EQ(take(), SlotVerdict::Pending);
