Free a slot at the first event only where the home grants prompt slots

Cause: Balancer counted each prompt that was placed by estimate as free of its slot from the first event on, also at brittle engines of services that are not under admission; their homes then granted more requests than the engine bears. A request without prompt tokens that ended after its first event also removed the mark of another prompt. Brittle services under admission lost their slots of whole requests, and a rejection by an engine with prompt slots was reported to its home with 0 bearable rejections, so that the home granted nothing there for a second and told the crash ledger of an overload. The choice of replaceQueued() kept the expected tokens of another server.

Change: the request states whether it frees its slot at the first event, which is set before it is sent and does not change until its end. Not for brittle services. Rejections at prompt slots are not reported.

--- a/src/coordination/balancer.cpp
+++ b/src/coordination/balancer.cpp
@@ -29,7 +29,8 @@
 /// Shortest ejection; each further one lasts twice as long, up to kEjectMax.
 constexpr Micros kEjectMin = 1500 * kMillisecond;
 constexpr Micros kEjectMax = 6 * kSecond;
-/// Slowdown up to which a backend server that was drawn is always taken; slower ones are taken in inverse proportion.
+/// Slowdown up to which a backend server that was drawn is always taken; slower ones are taken in inverse
+/// proportion.
 constexpr double kFastestDrawn = 0.5;
 
 /// Finalizer of SplitMix64 over both values; the weights are evenly distributed even for ids that differ in one
@@ -110,7 +111,8 @@
 	Placement placement;
 	for (const KnownBackend* backend : pool)
 	{
-		Placement other = _request.byEstimate ? estimate(*backend, _request, backend == preferred, _now) : Placement();
+		Placement other =
+			_request.byEstimate ? estimate(*backend, _request, backend == preferred, _now) : Placement();
 		other.backend = backend;
 		other.cost = _request.byEstimate ? other.cost : costOf(*backend, _request, backend == preferred, _now);
 		if (!placement.backend || other.cost < placement.cost)
@@ -148,7 +150,8 @@
 	return drawn;
 }
 
-void Balancer::sampleCandidates(std::vector<const KnownBackend*>& _pool, const KnownBackend* _preferred, bool _bySpeed)
+void Balancer::sampleCandidates(std::vector<const KnownBackend*>& _pool, const KnownBackend* _preferred,
+								bool _bySpeed)
 {
 	const std::size_t fullScanLimit = m_manyGateways ? kSampleSize : kFullScanLimit;
 	if (_pool.size() <= fullScanLimit)
@@ -252,7 +255,7 @@
 void Balancer::onFirstEvent(BackendKey _key, const PlacementRequest& _request)
 {
 	removePending(_key, _request);
-	if (_request.byEstimate && _request.promptTokens > 0)
+	if (_request.freesSlotAtFirstEvent)
 	{
 		++m_generating[_key];
 	}
@@ -270,7 +273,8 @@
 	{
 		removePending(_key, _request);
 	}
-	else if (const auto generating = m_generating.find(_key); generating != m_generating.end() && _request.byEstimate)
+	else if (const auto generating = m_generating.find(_key);
+			 generating != m_generating.end() && _request.freesSlotAtFirstEvent)
 	{
 		--generating->second == 0 ? void(m_generating.erase(generating)) : void();
 	}
--- a/src/coordination/balancer.h
+++ b/src/coordination/balancer.h
@@ -39,6 +39,9 @@
 	bool byEstimate = false;
 	/// Prompt tokens that the chosen backend server is expected to read; used if byEstimate is set.
 	std::uint64_t expectedTokens = 0;
+	/// The request occupies a slot of its backend server until its first event only, see SlotRules. Must not change
+	/// while the request is in flight.
+	bool freesSlotAtFirstEvent = false;
 	double aheadMillis = 0.0;
 	double ownMillis = 0.0;
 
@@ -70,8 +73,8 @@
 struct Placement
 {
 	const KnownBackend* backend = nullptr;
-	double cost = 0.0; ///< Estimated milliseconds until the first event.
-	bool full = false; ///< All its slots are taken, as far as is known.
+	double cost = 0.0;                ///< Estimated milliseconds until the first event.
+	bool full = false;                ///< All its slots are taken, as far as is known.
 	std::uint64_t expectedTokens = 0; ///< Prompt tokens that it is expected to read, if placed by estimate.
 };
 
@@ -142,7 +145,7 @@
 	/// @returns the requests that this gateway has in flight at a backend server.
 	unsigned ownInFlight(BackendKey _key) const;
 
-	/// @returns the requests of this gateway that occupy a slot which is granted: prompts that are placed by estimate only
+	/// @returns the requests of this gateway that occupy a slot which is granted: prompts with prompt slots only
 	/// until their first event, all others until their end.
 	unsigned ownOccupying(BackendKey _key) const;
 
@@ -173,8 +176,8 @@
 	bool ejected(BackendKey _key, Micros _now) const;
 	BackendLoad totalLoad(BackendKey _key) const;
 	double slowdownOf(BackendKey _key, Micros _now) const;
-	/// @returns the candidates that the request was not sent to, without those that are ejected; with them if these are
-	/// more than half.
+	/// @returns the candidates that the request was not sent to, without those that are ejected; with them if these
+	/// are more than half.
 	std::vector<const KnownBackend*> poolOf(const std::vector<const KnownBackend*>& _candidates,
 											const std::vector<std::string>& _excluded, Micros _now) const;
 	/// @returns the backend server that is most likely to hold the shared parts of a prompt, or nullptr.
@@ -198,7 +201,7 @@
 	Micros m_peerLoadLifetime = kSecond;
 	bool m_manyGateways = false;
 	Loads m_own;
-	/// Own prompts in flight that were placed by estimate and whose first event has arrived.
+	/// Own requests in flight that have freed their slot at their first event.
 	std::unordered_map<BackendKey, unsigned, BackendKeyHash> m_generating;
 	std::unordered_map<BackendKey, Health, BackendKeyHash> m_health;
 	std::map<std::string, PeerLoads> m_peers;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -343,7 +343,7 @@
 	}
 	m_placement.tokensPerMilli = m_context.engines.tokensPerSecond(m_service) / kMillisPerSecond;
 	const Availability candidates = available(now);
-	preparePlacement(candidates);
+	preparePlacement(candidates, now);
 	const KnownBackend* backend = chooseBackend(candidates, now);
 	if (!backend && refuseInShortage(now))
 	{
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -125,7 +125,7 @@
 	Placement place(const Availability& _available, Micros _now);
 	bool isBlocked() const;
 	/// Determines how backend servers are compared for the request.
-	void preparePlacement(const Availability& _available);
+	void preparePlacement(const Availability& _available, Micros _now);
 	/// @returns true if an engine's home grants the request when the engine may read its prompt.
 	bool usesPromptSlots() const;
 	HeldRequest heldRequest(Micros _now) const;
--- a/src/gateway/exchangeanswers.cpp
+++ b/src/gateway/exchangeanswers.cpp
@@ -378,8 +378,9 @@
 	if (const std::optional<double> rejections = bearableRejections(now); rejections && !slotFreed)
 	{
 		const unsigned status = m_attempt.head.status;
-		const bool noRoom =
-			m_attempt.info.notExecuted && (status == kServiceUnavailable || status == kTooManyRequests);
+		// The home pauses a brittle server that rejects. An engine may read another prompt when a slot is free.
+		const bool noRoom = !usesPromptSlots() && m_attempt.info.notExecuted &&
+							(status == kServiceUnavailable || status == kTooManyRequests);
 		const bool runsOn = _abandoned && !usesPromptSlots(); // Engines stop reading when a connection is closed.
 		m_context.slots.onEnded(m_attempt.key, noRoom ? rejections : std::nullopt, runsOn, now);
 	}
--- a/src/gateway/exchangeplacement.cpp
+++ b/src/gateway/exchangeplacement.cpp
@@ -134,7 +134,7 @@
 	}
 }
 
-void Exchange::preparePlacement(const Availability& _available)
+void Exchange::preparePlacement(const Availability& _available, Micros _now)
 {
 	m_admissionTarget = m_placement.promptTokens > 0 ? m_context.admissionRules.targetOf(m_service) : std::nullopt;
 	const auto hasSpeed = [this](const KnownBackend* _backend)
@@ -143,6 +143,9 @@
 	};
 	m_placement.byEstimate =
 		m_admissionTarget || std::any_of(_available.open.begin(), _available.open.end(), hasSpeed);
+	// A brittle server fails if it runs too many requests, so that its slots are taken until their end.
+	m_placement.freesSlotAtFirstEvent =
+		m_admissionTarget && m_context.slotRules.grantsPrompts(m_service) && !m_context.isBrittle(m_service, _now);
 	// A request that waits for a slot keeps the estimate for its server.
 	const bool waits = m_slotTicket.id != 0;
 	m_placement.expectedTokens = waits ? m_placement.expectedTokens : m_placement.promptTokens;
@@ -150,7 +153,7 @@
 
 bool Exchange::usesPromptSlots() const
 {
-	return m_admissionTarget && m_context.slotRules.grantsPrompts(m_service);
+	return m_placement.freesSlotAtFirstEvent;
 }
 
 HeldRequest Exchange::heldRequest(Micros _now) const
@@ -199,6 +202,7 @@
 		return nullptr;
 	}
 	m_context.slots.abandon(m_slotTicket, _now);
+	m_placement.expectedTokens = placement.expectedTokens;
 	return placement.backend;
 }
 
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -140,15 +140,26 @@
 		}
 	}
 
-	/// @returns the rejections for want of room that each server of a service bears in a second; nothing if its slots are
-	/// not granted one by one.
+	/// @returns the rejections for want of room that each server of a service bears in a second; nothing if its
+	/// slots are not granted one by one.
 	std::optional<double> bearableRejections(const std::string& _service, Micros _now) const
 	{
-		const auto brittleness =
-			brittle.size() == 0 ? std::nullopt : brittle.rejectionsOf(ServiceKey(_service), clock.trueTime(_now));
+		const auto brittleness = brittlenessOf(_service, _now);
 		return brittleness ? brittleness : slotRules.rejectionsOf(_service);
 	}
 
+	/// @returns true if the servers of a service have stated that they are brittle.
+	bool isBrittle(const std::string& _service, Micros _now) const
+	{
+		return brittlenessOf(_service, _now).has_value();
+	}
+
+	std::optional<double> brittlenessOf(const std::string& _service, Micros _now) const
+	{
+		return brittle.size() == 0 ? std::nullopt
+								   : brittle.rejectionsOf(ServiceKey(_service), clock.trueTime(_now));
+	}
+
 	/// @returns the number of the usage window that is open now.
 	std::uint64_t currentWindow(Micros _now) const
 	{
--- a/tests/balancertest.cpp
+++ b/tests/balancertest.cpp
@@ -91,6 +91,161 @@
 	EXPECT_EQ(later.backend->record.id, "b0") << "the load of a silent peer still counts";
 }
 
+namespace
+{
+/// A request that is in flight at one of a few servers.
+struct InFlight
+{
+	BackendKey key;
+	PlacementRequest request;
+	bool hadFirstEvent = false;
+};
+
+std::uint64_t pendingTokensOf(const Balancer& _balancer, BackendKey _key)
+{
+	std::uint64_t tokens = 0;
+	for (const BackendLoad& load : _balancer.ownLoads())
+	{
+		tokens += load.key == _key ? load.pendingTokens : 0;
+	}
+	return tokens;
+}
+
+PlacementRequest requestOfKind(unsigned _kind)
+{
+	PlacementRequest request;
+	request.byEstimate = _kind % 2 == 1;
+	request.promptTokens = _kind / 2 % 2 == 0 ? 0 : 1'000 + _kind;
+	request.expectedTokens = request.promptTokens / 2;
+	request.freesSlotAtFirstEvent = _kind / 4 % 2 == 1;
+	return request;
+}
+} // namespace
+
+/// Guards against counters that leak or underflow, with which a server would seem to be occupied, or free, for
+/// ever.
+RC_GTEST_PROP(Balancer, countsReturnToZeroAfterAnyOrderOfEvents, (const std::vector<std::uint16_t>& steps))
+{
+	constexpr unsigned kBackends = 3;
+	constexpr unsigned kKinds = 8;
+	Balancer balancer("a");
+	std::vector<InFlight> requests;
+	const auto check = [&]
+	{
+		for (unsigned backend = 0; backend < kBackends; ++backend)
+		{
+			const BackendKey key("b" + std::to_string(backend));
+			unsigned occupying = 0;
+			std::uint64_t pending = 0;
+			for (const InFlight& other : requests)
+			{
+				const bool freed = other.hadFirstEvent && other.request.freesSlotAtFirstEvent;
+				occupying += other.key == key && !freed ? 1 : 0;
+				pending += other.key == key && !other.hadFirstEvent ? other.request.pendingTokens() : 0;
+			}
+			RC_ASSERT(balancer.ownOccupying(key) == occupying);
+			RC_ASSERT(pendingTokensOf(balancer, key) == pending);
+		}
+	};
+	const auto end = [&](std::size_t _index)
+	{
+		balancer.onEnded(requests[_index].key, requests[_index].request, requests[_index].hadFirstEvent);
+		requests.erase(requests.begin() + static_cast<std::ptrdiff_t>(_index));
+	};
+	for (const std::uint16_t step : steps)
+	{
+		const std::size_t index = requests.empty() ? 0 : step / 3 % requests.size();
+		if (step % 3 == 0 || requests.empty())
+		{
+			const BackendKey key("b" + std::to_string(step / 3 % kBackends));
+			requests.push_back({key, requestOfKind(step / 9 % kKinds), false});
+			balancer.onSent(key, requests.back().request);
+		}
+		else if (step % 3 == 1 && !requests[index].hadFirstEvent)
+		{
+			requests[index].hadFirstEvent = true;
+			balancer.onFirstEvent(requests[index].key, requests[index].request);
+		}
+		else
+		{
+			end(index);
+		}
+		check();
+	}
+	while (!requests.empty())
+	{
+		end(requests.size() / 2);
+		check();
+	}
+	// Tokens that leaked would be reported with the next request.
+	for (unsigned backend = 0; backend < kBackends; ++backend)
+	{
+		const BackendKey key("b" + std::to_string(backend));
+		balancer.onSent(key, {});
+		RC_ASSERT(pendingTokensOf(balancer, key) == 0U);
+		RC_ASSERT(balancer.ownOccupying(key) == 1U);
+	}
+}
+
+/// An engine of a service that is not under admission may be brittle: its slots are taken until the end of a
+/// stream. Guards against a home that grants such slots again at the first event once servers report their speed.
+TEST(Balancer, promptPlacedByEstimateOccupiesItsSlotUntilItsEndWithoutPromptSlots)
+{
+	Balancer balancer("a");
+	PlacementRequest request{1'000, {}};
+	request.byEstimate = true;
+	request.expectedTokens = 1'000;
+	const BackendKey key("b0");
+	balancer.onSent(key, request);
+	balancer.onFirstEvent(key, request);
+	EXPECT_EQ(balancer.ownOccupying(key), 1U);
+	balancer.onEnded(key, request, true);
+	EXPECT_EQ(balancer.ownOccupying(key), 0U);
+}
+
+/// Guards against speeds that change the placement of requests which are not placed by estimate.
+TEST(Balancer, speedsDoNotChangePlacementsThatAreNotByEstimate)
+{
+	constexpr unsigned kBackends = 40;
+	ServerSpeeds speeds;
+	std::vector<KnownBackend> servers;
+	std::vector<const KnownBackend*> candidates;
+	for (unsigned number = 0; number < kBackends; ++number)
+	{
+		servers.push_back(backendOf("b" + std::to_string(number), 4));
+		speeds.onLoad(servers.back().key, {1, 0, 4, number % 2 == 0 ? 0.6 : 1.6}, kSecond);
+	}
+	for (const KnownBackend& server : servers)
+	{
+		candidates.push_back(&server);
+	}
+	Balancer before("a", 5);
+	Balancer withSpeeds("a", 5, &speeds);
+	std::minstd_rand random(11);
+	for (unsigned number = 0; number < 500; ++number)
+	{
+		PlacementRequest request;
+		request.promptTokens = number % 2 == 0 ? 0 : 500 + random() % 4'000;
+		request.parts = number % 4 == 1 ? std::vector<PromptPart>{{number % 7 + 1, 300}, {number, 100}}
+										: std::vector<PromptPart>();
+		const Placement expected = before.choose(candidates, request, {}, kSecond);
+		const Placement chosen = withSpeeds.choose(candidates, request, {}, kSecond);
+		ASSERT_EQ(chosen.backend, expected.backend);
+		ASSERT_EQ(chosen.cost, expected.cost);
+		ASSERT_EQ(chosen.full, expected.full);
+		before.onSent(expected.backend->key, request);
+		withSpeeds.onSent(chosen.backend->key, request);
+		ASSERT_EQ(pendingTokensOf(withSpeeds, chosen.backend->key), pendingTokensOf(before, expected.backend->key));
+		if (number % 3 == 0)
+		{
+			before.onFirstEvent(expected.backend->key, request);
+			before.onEnded(expected.backend->key, request, true);
+			withSpeeds.onFirstEvent(chosen.backend->key, request);
+			withSpeeds.onEnded(chosen.backend->key, request, true);
+		}
+	}
+}
+
 /// Simulates many gateways in front of engines of 12 slots with an open-loop load at half of the slots'
 /// capacity. Gateways place requests by loads that are reported every half second; each engine rejects requests
 /// while all its slots are taken.
