Await the answer of a home before a request is refused for want of prompt slots

Cause: a request is held for an eighth of its target, 62 ms at 500 ms, and the next home is asked after 120 ms. With a silent home, or on a gateway that is cut off, requests were refused before any home was found silent, so that neither the next home nor the gateway's own share was ever used. A request that had waited that long for its quota, for the list or during a standstill was refused while the home's answer was under way.

Change: a request is not refused while a home's answer is outstanding; after the hold no other engine is asked.

The changes in src/gateway have been compiled; no gateway test was run for this commit.

--- a/src/coordination/admission/admissionrules.h
+++ b/src/coordination/admission/admissionrules.h
@@ -4,15 +4,17 @@
 /// @file
 /// Decides which services are under admission, and what happens to a request that no backend server may take yet.
 ///
-/// An engine reads prompts one after the other, and its slots are rarely all taken. If a burst of prompts is sent to
-/// engines that cannot read them in time, all of them are late. So a service under admission gives each engine only as
-/// many prompts at once as it reads within the target, and refuses other requests while their callers have time to retry.
+/// An engine reads prompts one after the other, and its slots are rarely all taken. If a burst of prompts is sent
+/// to engines that cannot read them in time, all of them are late. So a service under admission gives each engine
+/// only as many prompts at once as it reads within the target, and refuses other requests while their callers have
+/// time to retry.
 
 #ifndef BEACONGATE_COORDINATION_ADMISSION_ADMISSIONRULES_H
 #define BEACONGATE_COORDINATION_ADMISSION_ADMISSIONRULES_H
 
 #include "beacongate/routing.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -23,14 +25,15 @@
 class AdmissionRules
 {
 public:
-	/// A service is under admission if its most urgent streaming route gives callers less than this many times its target:
-	/// such callers cannot wait for the end of a burst, so that a request that is sent too late is lost.
+	/// A service is under admission if its most urgent streaming route gives callers less than this many times its
+	/// target: such callers cannot wait for the end of a burst, so that a request that is sent too late is lost.
 	static constexpr Micros kMaxDeadlineFactor = 10;
 
 	/// Reads the routes of a configuration; nothing happens if it was read before.
 	void configure(const RoutingConfigPtr& _config);
 
-	/// @returns the smallest target latency of the streaming routes of a service; nothing if it is not under admission.
+	/// @returns the smallest target latency of the streaming routes of a service; nothing if it is not under
+	/// admission.
 	std::optional<Micros> targetOf(const std::string& _service) const;
 
 private:
@@ -48,8 +51,8 @@
 	bool begun = false;
 };
 
-/// A held request is refused after this part of its target. A caller loses little by so short a wait, and has most of its
-/// time left for a retry.
+/// A held request is refused after this part of its target. A caller loses little by so short a wait, and has most
+/// of its time left for a retry.
 inline constexpr Micros kHeldPart = 8;
 
 /// @returns the time for which a request may still be held.
@@ -59,8 +62,16 @@
 						  : std::max<Micros>(0, _request.received + _request.target / kHeldPart - _request.now);
 }
 
-/// @returns true if the caller of a request came back after a refusal, or is in a hurry: it has clearly less time left
-/// than the route gives.
+/// @returns true if a request for which no backend server may be used yet is refused now.
+/// @param[in] _asked A home was asked for a slot and has not answered. The answer takes a round trip, or up to
+/// SlotPermits::kAnswerTimeout for each home that does not answer; capacity may be free, so it is awaited.
+inline bool mustRefuse(const HeldRequest& _request, bool _asked)
+{
+	return !_asked && holdLeft(_request) <= 0;
+}
+
+/// @returns true if the caller of a request came back after a refusal, or is in a hurry: it has clearly less time
+/// left than the route gives.
 /// @param[in] _deadline Time that the caller has left when the request arrives; nothing if it does not say.
 /// @param[in] _timeout Time that the route gives to a request.
 inline bool isReturning(std::optional<Micros> _deadline, Micros _timeout)
@@ -69,9 +80,9 @@
 	return _deadline && *_deadline * 100 < _timeout * kReturningPercent;
 }
 
-/// @returns the rank of a request among those that wait for the same backend server; the smallest goes first. Requests
-/// of the same priority go in order of their arrival, but those of returning callers go first, since a second refusal
-/// costs a caller more than the first one.
+/// @returns the rank of a request among those that wait for the same backend server; the smallest goes first.
+/// Requests of the same priority go in order of their arrival, but those of returning callers go first, since a
+/// second refusal costs a caller more than the first one.
 inline unsigned queueRank(unsigned _priority, bool _returning)
 {
 	return 2 * _priority + (_returning ? 0 : 1);
--- a/src/coordination/slotpermits.cpp
+++ b/src/coordination/slotpermits.cpp
@@ -113,6 +113,12 @@
 	return pending != m_pending.end() && pending->second.state == State::Queued;
 }
 
+bool SlotPermits::isAsked(const SlotTicket& _ticket) const
+{
+	const auto pending = m_pending.find(_ticket.id);
+	return pending != m_pending.end() && pending->second.state == State::Asked;
+}
+
 Micros SlotPermits::patienceOf(const SlotNeed& _need)
 {
 	return std::min(_need.patience, _need.limit ? kMaxPacedPatience : kMaxPatience);
--- a/src/coordination/slotpermits.h
+++ b/src/coordination/slotpermits.h
@@ -130,6 +130,9 @@
 	/// @returns true if a request waits in the queue of a grantor.
 	bool isQueued(const SlotTicket& _ticket) const;
 
+	/// @returns true if a home was asked for a request's slot and has not answered.
+	bool isAsked(const SlotTicket& _ticket) const;
+
 	/// Ends a request for a slot that is not needed any more.
 	void abandon(SlotTicket& _ticket, Micros _now);
 
--- a/src/gateway/exchangeplacement.cpp
+++ b/src/gateway/exchangeplacement.cpp
@@ -131,6 +131,10 @@
 												   : replaceQueued(std::move(_available), rejections, _now);
 		}
 		std::erase(_available.open, backend);
+		if (usesPromptSlots() && mustRefuse(heldRequest(_now), false))
+		{
+			return nullptr;
+		}
 	}
 }
 
@@ -164,7 +168,7 @@
 
 bool Exchange::refuseInShortage(Micros _now)
 {
-	if (!usesPromptSlots() || holdLeft(heldRequest(_now)) > 0)
+	if (!usesPromptSlots() || !mustRefuse(heldRequest(_now), m_context.slots.isAsked(m_slotTicket)))
 	{
 		return false;
 	}
--- a/tests/slotpermitstest.cpp
+++ b/tests/slotpermitstest.cpp
@@ -5,6 +5,7 @@
 /// Tests how a gateway asks for slots of brittle backend servers.
 
 #include "coordination/slotpermits.h"
+#include "coordination/admission/admissionrules.h"
 
 #include <gtest/gtest.h>
 
@@ -148,6 +149,38 @@
 	EXPECT_NE(sent.back().first, first);
 }
 
+/// A request that is held for 62 ms waits longer for a home that does not answer. Guards against a refusal before
+/// the next home is asked, with which no request would ever find out that the first home is silent.
+TEST_F(SlotPermitsTest, requestThatIsHeldForAShortTimeIsNotRefusedWhileAHomeIsAsked)
+{
+	const HeldRequest held{now, now, 500 * kMillisecond, false};
+	const auto mustRefuseNow = [&]
+	{
+		HeldRequest request = held;
+		request.now = now;
+		return mustRefuse(request, permits.isAsked(ticket));
+	};
+	EXPECT_FALSE(permits.isAsked(ticket));
+	take();
+	const std::string first = sent.front().first;
+	for (unsigned polls = 0; polls < 20 && sent.back().first == first; ++polls)
+	{
+		ASSERT_FALSE(mustRefuseNow());
+		now += kPoll;
+		take();
+	}
+	ASSERT_NE(sent.back().first, first);
+	EXPECT_FALSE(mustRefuseNow());
+	answer(SlotOutcome::Queued);
+	EXPECT_FALSE(permits.isAsked(ticket));
+	EXPECT_TRUE(mustRefuseNow());
+	answer(SlotOutcome::Granted, 1);
+	EXPECT_EQ(take(), SlotVerdict::Granted);
+	EXPECT_FALSE(permits.isAsked(ticket));
+	EXPECT_FALSE(mustRefuse({now, held.received, held.target, true}, false))
+		<< "a request that was sent is not refused";
+}
+
 TEST_F(SlotPermitsTest, withoutAnyAnswerThisGatewayUsesItsEqualShare)
 {
 	EXPECT_EQ(takeInTime(), SlotVerdict::Granted);
