Test the idle samples of engine speeds

Cause: no test held that waiting prompts leave the learnt speed alone, or that services without reported loads are treated as before.

--- a/tests/enginemodeltest.cpp
+++ b/tests/enginemodeltest.cpp
@@ -62,6 +62,18 @@
 	double m_load;
 	double m_now = 0.0;
 };
+
+/// Notes the first event of a prompt of random length.
+/// @param[in] _speed Tokens a second of the engine.
+/// @param[in] _queueSeconds Time for which the prompt waited for others.
+void addSample(EngineModel& _model, double _speed, double _queueSeconds, bool _idle, std::minstd_rand& _random)
+{
+	const std::uint64_t tokens = 200 + _random() % 8'000;
+	const auto weighted =
+		static_cast<double>(tokens) * (1.0 + static_cast<double>(tokens) / EngineModel::kQuadraticCostTokens);
+	const double waited = kBaseDelaySeconds + _queueSeconds + weighted / _speed;
+	_model.onFirstEvent("service", tokens, static_cast<Micros>(waited * static_cast<double>(kSecond)), _idle);
+}
 } // namespace
 
 RC_GTEST_PROP(EngineModel, findsASpeedOfFourTimesOrAQuarterOfThePrior, (std::uint32_t seed))
@@ -130,6 +142,93 @@
 	EXPECT_TRUE(model.prefillSpeeds().empty());
 }
 
+/// Guards against a speed that falls under overload, from which several times the needed capacity would be ordered.
+TEST(EngineModel, promptsThatWaitForOthersDoNotLowerTheSpeedOnceThereAreIdleSamples)
+{
+	constexpr double kSpeed = 33'000.0;
+	std::minstd_rand random(5);
+	EngineModel model;
+	for (std::size_t sample = 0; sample < EngineModel::kIdleSamplesNeeded; ++sample)
+	{
+		addSample(model, kSpeed, 0.0, true, random);
+	}
+	const double learnt = model.tokensPerSecond("service");
+	EXPECT_NEAR(learnt, kSpeed, 0.1 * kSpeed);
+	for (unsigned sample = 0; sample < 1'000; ++sample)
+	{
+		addSample(model, kSpeed, 0.3 + 0.001 * (random() % 1'000), false, random);
+	}
+	EXPECT_EQ(model.tokensPerSecond("service"), learnt);
+	for (unsigned sample = 0; sample < 200; ++sample)
+	{
+		addSample(model, kSpeed, 0.0, true, random);
+		addSample(model, kSpeed, 0.8, false, random);
+	}
+	EXPECT_NEAR(model.tokensPerSecond("service"), kSpeed, 0.1 * kSpeed);
+}
+
+/// Guards against earlier samples, taken in a crowd, that count beside the first idle ones.
+TEST(EngineModel, theFirstIdleSampleDropsTheEarlierOnes)
+{
+	constexpr double kSpeed = 33'000.0;
+	std::minstd_rand random(6);
+	EngineModel model;
+	for (std::size_t sample = 0; sample < EngineModel::kSamplesKept; ++sample)
+	{
+		addSample(model, kSpeed / 5.0, 0.0, false, random);
+	}
+	const double before = model.tokensPerSecond("service");
+	ASSERT_LT(before, 0.25 * kSpeed);
+	for (std::size_t sample = 0; sample + 1 < EngineModel::kIdleSamplesNeeded; ++sample)
+	{
+		addSample(model, kSpeed, 0.0, true, random);
+		// A mean over all samples would have changed by now, and too few idle ones give no estimate.
+		EXPECT_EQ(model.tokensPerSecond("service"), before);
+	}
+	addSample(model, kSpeed, 0.0, true, random);
+	EXPECT_NEAR(model.tokensPerSecond("service"), kSpeed, 0.1 * kSpeed);
+}
+
+/// The figures were calculated with the code before idle samples were introduced (commit 04ad674). Guards against
+/// any change for deployments whose servers do not report their load.
+TEST(EngineModel, samplesWithoutALoadGiveTheSameSpeedAsBefore)
+{
+	std::minstd_rand random(9);
+	EngineModel model;
+	EngineFleet fleet(90'000.0, 6, 0.6);
+	std::vector<double> speeds;
+	for (unsigned round = 0; round < 6; ++round)
+	{
+		fleet.run(model, 60, 0.1, random);
+		speeds.push_back(model.tokensPerSecond("service"));
+	}
+	const std::vector<double> expected = {88664.384358914947, 86714.8570804591,   87155.684044061592,
+										  86801.433798730548, 87202.126860886754, 87999.992233319994};
+	ASSERT_EQ(speeds.size(), expected.size());
+	for (std::size_t round = 0; round < expected.size(); ++round)
+	{
+		EXPECT_DOUBLE_EQ(speeds[round], expected[round]) << "round " << round;
+	}
+}
+
+/// Guards against a mean length that does not follow the requests, or is shared by services. The number of prompts
+/// that an engine reads at once depends on it.
+TEST(EngineModel, theMeanLengthOfPromptsFollowsTheRequestsOfEachService)
+{
+	EngineModel model;
+	EXPECT_DOUBLE_EQ(model.meanPromptTokens("service"), EngineModel::kPriorPromptTokens);
+	model.onPlaced("service", 4'500);
+	EXPECT_GT(model.meanPromptTokens("service"), EngineModel::kPriorPromptTokens);
+	EXPECT_LT(model.meanPromptTokens("service"), 4'500.0);
+	for (unsigned request = 0; request < 600; ++request)
+	{
+		model.onPlaced("service", request % 2 == 0 ? 500 : 1'500);
+	}
+	EXPECT_NEAR(model.meanPromptTokens("service"), 1'000.0, 50.0);
+	EXPECT_DOUBLE_EQ(model.meanPromptTokens("other"), EngineModel::kPriorPromptTokens);
+	EXPECT_DOUBLE_EQ(model.tokensPerSecond("service"), EngineModel::kPriorTokensPerSecond);
+}
+
 TEST(EngineModel, thePrefillTimeOfALongPromptIncludesTheQuadraticCost)
 {
 	const EngineModel model;
