--- a/src/coordination/admission/admissionrules.h
+++ b/src/coordination/admission/admissionrules.h
@@ -67,6 +67,14 @@
 	return _request.begun ? kNever : std::max<Micros>(0, until - _request.now);
 }
 
+/// @returns true if a request for which no backend server may be used yet is refused now.
+/// @param[in] _asked A home was asked for a slot and has not answered. The answer takes a round trip, or up to
+/// SlotPermits::kAnswerTimeout for each home that does not answer; capacity may be free, so it is awaited.
+inline bool mustRefuse(const HeldRequest& _request, bool _asked)
+{
+	return !_asked && holdLeft(_request) <= 0;
+}
+
 /// @returns true if the caller of a request came back after a refusal, or is in a hurry: it has clearly less time
 /// left than the route gives.
 /// @param[in] _deadline Time that the caller has left when the request arrives; nothing if it does not say.
