--- a/tools/standin/platform.h
+++ b/tools/standin/platform.h
@@ -8,6 +8,7 @@
 #ifndef BEACONGATE_TOOLS_STANDIN_PLATFORM_H
 #define BEACONGATE_TOOLS_STANDIN_PLATFORM_H
 
+#include "standin/workerpace.h"
 #include "transport/serversession.h"
 
 #include <atomic>
@@ -284,6 +285,10 @@
 	/// Sets the time that the worker takes to answer a call.
 	void setCallTime(Micros _time);
 
+	/// Sets the worker's speed and the load that it states. With a speed for prompts, the worker reads the prompts
+	/// of streams one after the other, and sends the head of a stream with its first event.
+	void setPace(const WorkerPace& _pace);
+
 	/// @returns the crashes of the worker.
 	std::vector<WorkerCrash> crashes();
 
@@ -307,6 +312,11 @@
 	void answerCall(const ConnectionPtr& _connection);
 	/// @param[in] _content See WorkerCrash.
 	void crash(const std::string& _content);
+	/// Sends the head of a stream and begins to send its events.
+	void beginStream(const ConnectionPtr& _connection);
+	/// Reads the next prompt whose caller still waits.
+	void readNextPrompt();
+	std::size_t running() const;
 	/// Calls a function after a span.
 	void schedule(Micros _span, std::function<void()> _function);
 	bool rejectsNext();
@@ -329,6 +339,9 @@
 	std::set<ConnectionPtr> m_connections;
 	WorkerCrashRule m_crashRule;
 	Micros m_callTime = 0;
+	WorkerPace m_pace;
+	std::deque<ConnectionPtr> m_prompts; ///< Prompts that wait to be read, in order of arrival.
+	bool m_reading = false;
 	WorkerFault m_fault = WorkerFault::None;
 	std::string m_retryAfter;
 	std::string m_limit;
--- a/tools/standin/platformsite.cpp
+++ b/tools/standin/platformsite.cpp
@@ -18,12 +18,13 @@
 			{"host", _config.host},
 			{"pathPrefix", _route.path},
 			{"kind", _route.kind},
-			{"timeoutMs", _config.timeout / kMillisecond},
-			{"targetLatencyMs", _config.targetLatency / kMillisecond},
-			{"service", kSiteService},
+			{"timeoutMs", (_route.timeout > 0 ? _route.timeout : _config.timeout) / kMillisecond},
+			{"targetLatencyMs",
+			 (_route.targetLatency > 0 ? _route.targetLatency : _config.targetLatency) / kMillisecond},
+			{"service", _route.service},
 			{"maxAttempts", _route.attempts},
 			{"streamResume", _route.resume},
-			{"priority", 1},
+			{"priority", _route.priority},
 			{"allowAnonymous", _route.anonymous}};
 }
 
@@ -36,6 +37,16 @@
 			{"unit", _team.countsTokens ? "generation" : "requests"}};
 }
 
+Json formatService(const SiteService& _service)
+{
+	Json service{{"name", _service.name}, {"maxConnections", kMaxConnections}};
+	if (_service.engineSlots > 0)
+	{
+		service["engine"] = {{"slots", _service.engineSlots}};
+	}
+	return service;
+}
+
 std::string formatAddress(const std::string& _host, std::uint16_t _port)
 {
 	return toString(Address{_host, _port});
@@ -55,9 +66,14 @@
 	{
 		teams.push_back(formatTeam(team));
 	}
+	Json services = Json::array({formatService({kSiteService, _config.engineSlots})});
+	for (const SiteService& service : _config.services)
+	{
+		services.push_back(formatService(service));
+	}
 	const Json document{{"version", _config.version},
 						{"routes", routes},
-						{"services", {{{"name", kSiteService}, {"maxConnections", kMaxConnections}}}},
+						{"services", services},
 						{"limits",
 						 {{"headerTimeoutMs", _config.headerTimeout / kMillisecond},
 						  {"idleTimeoutMs", _config.idleTimeout / kMillisecond},
@@ -67,17 +83,12 @@
 }
 
 std::string formatRecord(const Address& _address, unsigned _slots, const std::string& _state, std::uint64_t _born,
-						 const std::string& _version)
+						 const std::string& _version, const std::string& _service)
 {
-	const Json record{{"service", kSiteService},
-					  {"address", toString(_address)},
-					  {"zone", "z1"},
-					  {"slots", _slots},
-					  {"state", _state},
-					  {"coldRemainingMs", 0},
-					  {"version", _version},
-					  {"sequence", 1},
-					  {"born", _born}};
+	const Json record{
+		{"service", _service}, {"address", toString(_address)}, {"zone", "z1"},        {"slots", _slots},
+		{"state", _state},     {"coldRemainingMs", 0},          {"version", _version}, {"sequence", 1},
+		{"born", _born}};
 	return record.dump();
 }
 
--- a/tools/standin/platformsite.h
+++ b/tools/standin/platformsite.h
@@ -15,7 +15,7 @@
 
 namespace beacongate::standin
 {
-/// Name of the deployment's only service.
+/// Name of the deployment's service, or of its first one.
 inline constexpr const char* kSiteService = "s";
 
 /// A route to the service.
@@ -26,6 +26,17 @@
 	unsigned attempts = 1;
 	bool resume = false;
 	bool anonymous = false;
+	std::string service = kSiteService;
+	Micros timeout = 0;       ///< 0 for that of the configuration.
+	Micros targetLatency = 0; ///< 0 for that of the configuration.
+	unsigned priority = 1;    ///< 0 is the most urgent.
+};
+
+/// A service besides kSiteService.
+struct SiteService
+{
+	std::string name;
+	unsigned engineSlots = 0; ///< 0 for a service without engines.
 };
 
 /// A team that can have a rate limit.
@@ -38,14 +49,16 @@
 	bool countsTokens = false; ///< The limit counts generated tokens instead of requests.
 };
 
-/// A configuration with one service, one team without a rate limit, and further teams.
+/// A configuration with kSiteService and further services, one team without a rate limit, and further teams.
 struct SiteConfig
 {
 	std::uint64_t version = 1;
 	std::string host;
 	std::vector<SiteRoute> routes;
-	std::vector<std::string> keys; ///< API keys of the team without a rate limit.
-	std::vector<SiteTeam> teams;   ///< Further teams.
+	std::vector<std::string> keys;          ///< API keys of the team without a rate limit.
+	std::vector<SiteTeam> teams;            ///< Further teams.
+	std::vector<SiteService> services = {}; ///< Further services.
+	unsigned engineSlots = 0;               ///< Slots of the engines of kSiteService; 0 if it has none.
 	Micros timeout = 2 * kSecond;
 	Micros targetLatency = 400 * kMillisecond;
 	Micros headerTimeout = 300 * kMillisecond;
@@ -63,8 +76,10 @@
 /// @param[in] _state State in the platform's terms: ready or draining.
 /// @param[in] _born Start time of the backend server, in Unix milliseconds.
 /// @param[in] _version Version of its software.
+/// @param[in] _service Name of its service.
 std::string formatRecord(const Address& _address, unsigned _slots, const std::string& _state,
-						 std::uint64_t _born = kFirstStartTimeMs, const std::string& _version = "v1");
+						 std::uint64_t _born = kFirstStartTimeMs, const std::string& _version = "v1",
+						 const std::string& _service = kSiteService);
 
 /// Values of a gateway's settings file.
 struct SiteGateway
--- a/tools/standin/platformworker.cpp
+++ b/tools/standin/platformworker.cpp
@@ -140,6 +140,11 @@
 	m_loop.run([&] { m_callTime = _time; });
 }
 
+void PlatformWorker::setPace(const WorkerPace& _pace)
+{
+	m_loop.run([&] { m_pace = _pace; });
+}
+
 void PlatformWorker::crashNow()
 {
 	m_loop.run([this] { crash(""); });
@@ -272,13 +277,22 @@
 std::string PlatformWorker::head(const ConnectionPtr& _connection, unsigned _status, const std::string& _more)
 {
 	const std::string id = m_fault == WorkerFault::WrongId ? "another" : _connection->requestId;
+	const std::string load = m_pace.load(running(), m_prompts.size(), monotonicNow());
 	return "HTTP/1.1 " + std::to_string(_status) + " X\r\n" + platform::kRequestId + ": " + id + "\r\n" +
 		   platform::kStamp + ": " + m_id + "\r\n" +
 		   (m_leaving ? platform::kLeaving + std::string(": 1\r\n") : "") +
+		   (load.empty() ? "" : platform::kLoad + (": " + load) + "\r\n") +
 		   (m_limit.empty() ? "" : platform::kLimit + (": " + m_limit) + "\r\n") +
 		   (m_brittle < 0 ? "" : platform::kBrittle + (": " + std::to_string(m_brittle)) + "\r\n") + _more + "\r\n";
 }
 
+std::size_t PlatformWorker::running() const
+{
+	return static_cast<std::size_t>(std::count_if(m_connections.begin(), m_connections.end(),
+												  [](const ConnectionPtr& _other)
+												  { return _other->requestReceived && !_other->ended; }));
+}
+
 bool PlatformWorker::rejectsNext()
 {
 	constexpr unsigned kRejectionPeriod = 3;
@@ -300,10 +314,7 @@
 	_connection->requestId = std::string(findHeader(request.headers, platform::kRequestId));
 	const bool misdirected =
 		m_fault == WorkerFault::Misdirected || findHeader(request.headers, platform::kTarget) != m_id;
-	const auto running = static_cast<std::size_t>(
-		std::count_if(m_connections.begin(), m_connections.end(),
-					  [](const ConnectionPtr& _other) { return _other->requestReceived && !_other->ended; }));
-	const bool noRoom = !misdirected && m_room > 0 && running >= m_room;
+	const bool noRoom = !misdirected && m_room > 0 && running() >= m_room;
 	const bool rejects = !misdirected && (noRoom || rejectsNext());
 	if (noRoom)
 	{
@@ -364,22 +375,52 @@
 	}
 	if (request.target.starts_with("/stream/") && m_fault != WorkerFault::Fails)
 	{
-		const std::string_view last = findHeader(request.headers, platform::kLastEvent);
-		_connection->tcp->send(
-			head(_connection, 200,
-				 std::string("Content-Type: text/event-stream\r\n") +
-					 (sendsUnframed() ? "Connection: close\r\n" : "Transfer-Encoding: chunked\r\n")));
-		stream(_connection, last.empty() ? 1 : std::atoi(std::string(last).c_str()) + 1);
+		if (m_pace.tokensPerMilli <= 0.0)
+		{
+			beginStream(_connection);
+			return;
+		}
+		m_prompts.push_back(_connection);
+		m_reading ? void() : readNextPrompt();
 		return;
 	}
 	if (m_callTime > 0)
 	{
-		schedule(m_callTime, [this, _connection] { answerCall(_connection); });
+		schedule(m_pace.scaled(m_callTime, monotonicNow()), [this, _connection] { answerCall(_connection); });
 		return;
 	}
 	answerCall(_connection);
 }
 
+void PlatformWorker::beginStream(const ConnectionPtr& _connection)
+{
+	const std::string_view last = findHeader(_connection->parser->head().headers, platform::kLastEvent);
+	_connection->tcp->send(
+		head(_connection, 200,
+			 std::string("Content-Type: text/event-stream\r\n") +
+				 (sendsUnframed() ? "Connection: close\r\n" : "Transfer-Encoding: chunked\r\n")));
+	stream(_connection, last.empty() ? 1 : std::atoi(std::string(last).c_str()) + 1);
+}
+
+void PlatformWorker::readNextPrompt()
+{
+	std::erase_if(m_prompts, [](const ConnectionPtr& _prompt) { return _prompt->ended; });
+	m_reading = !m_prompts.empty();
+	if (!m_reading)
+	{
+		return;
+	}
+	const ConnectionPtr next = m_prompts.front();
+	m_prompts.pop_front();
+	const std::string counts(findHeader(next->parser->head().headers, platform::kTokenCounts));
+	schedule(m_pace.readTime(std::strtod(counts.c_str(), nullptr), monotonicNow()),
+			 [this, next]
+			 {
+				 next->ended ? void() : beginStream(next);
+				 readNextPrompt();
+			 });
+}
+
 void PlatformWorker::answerCall(const ConnectionPtr& _connection)
 {
 	if (_connection->ended)
