Serve a share of the least urgent requests in a lasting shortage

Change: a quarter of the requests rank like the most urgent ones; all of the most urgent routes must have short deadlines; the refused share counts one sent request besides; engines that are full by the load reports get no prompts.

--- a/src/coordination/admission/admissionrules.cpp
+++ b/src/coordination/admission/admissionrules.cpp
@@ -12,7 +12,8 @@
 /// The streaming routes of one service.
 struct StreamingRoutes
 {
-	const Route* mostUrgent = nullptr;
+	unsigned priority = 0;      ///< Of the most urgent ones.
+	bool deadlinesShort = true; ///< All of the most urgent ones give their callers little time.
 	Micros smallestTarget = kNever;
 };
 } // namespace
@@ -34,17 +35,22 @@
 		}
 		for (const WeightedService& part : route.split)
 		{
-			StreamingRoutes& routes = services[part.service];
+			const auto [entry, added] = services.try_emplace(part.service);
+			StreamingRoutes& routes = entry->second;
 			routes.smallestTarget = std::min(routes.smallestTarget, route.targetLatency);
-			const bool moreUrgent = !routes.mostUrgent || route.priority < routes.mostUrgent->priority;
-			routes.mostUrgent = moreUrgent ? &route : routes.mostUrgent;
+			const bool isShort = route.timeout < kMaxDeadlineFactor * route.targetLatency;
+			if (added || route.priority < routes.priority)
+			{
+				routes.priority = route.priority;
+				routes.deadlinesShort = isShort;
+			}
+			routes.deadlinesShort = routes.deadlinesShort && (isShort || route.priority > routes.priority);
 		}
 	}
 	for (const auto& [name, routes] : services)
 	{
 		const PooledService* service = _config->findService(name);
-		const Route& urgent = *routes.mostUrgent;
-		if (service && service->engine && urgent.timeout < kMaxDeadlineFactor * urgent.targetLatency)
+		if (service && service->engine && routes.deadlinesShort)
 		{
 			m_targets.emplace(name, routes.smallestTarget);
 		}
--- a/src/coordination/admission/shortageretry.h
+++ b/src/coordination/admission/shortageretry.h
@@ -22,6 +22,9 @@
 public:
 	/// Time constant of the average: a burst lasts some seconds.
 	static constexpr double kAveragingSeconds = 1.0;
+	/// Requests that are assumed to have been sent besides, so that one refusal after a quiet time is not taken for a long
+	/// shortage.
+	static constexpr double kPriorSent = 1.0;
 
 	/// Notes the decision on a request.
 	void onDecided(const std::string& _service, bool _refused, Micros _now)
@@ -38,7 +41,7 @@
 	double refusedShare(const std::string& _service) const
 	{
 		const auto it = m_services.find(_service);
-		return it == m_services.end() ? 0.0 : it->second.refused / std::max(1.0, it->second.refused + it->second.sent);
+		return it == m_services.end() ? 0.0 : it->second.refused / (it->second.refused + it->second.sent + kPriorSent);
 	}
 
 private:
--- a/src/coordination/balancer.h
+++ b/src/coordination/balancer.h
@@ -42,8 +42,6 @@
 	/// The request occupies a slot of its backend server until its first event only, see SlotRules. Must not change
 	/// while the request is in flight.
 	bool freesSlotAtFirstEvent = false;
-	double aheadMillis = 0.0;
-	double ownMillis = 0.0;
 
 	/// @returns the tokens that count as pending at the backend server until the first event.
 	std::uint64_t pendingTokens() const
--- a/src/gateway/exchangeplacement.cpp
+++ b/src/gateway/exchangeplacement.cpp
@@ -111,8 +111,10 @@
 		{
 			const Placement placement = place(_available, _now);
 			m_placement.expectedTokens = placement.expectedTokens;
-			// The grantor of a server knows better than load reports whether it is full.
-			backend = placement.full && !rejections ? nullptr : placement.backend;
+			// The grantor of a server knows better than load reports whether it is full, but where it grants prompts,
+			// it does not count the requests that are generating.
+			const bool grantorCounts = rejections && !usesPromptSlots();
+			backend = placement.full && !grantorCounts ? nullptr : placement.backend;
 		}
 		if (!backend)
 		{
@@ -220,7 +222,7 @@
 									m_context.engines.meanPromptTokens(m_service) / m_placement.tokensPerMilli;
 		need.prompts = true;
 		need.slots = SlotRules::promptSlots(*m_admissionTarget, promptMillis, _backend.record.slots);
-		need.priority = queueRank(m_priority, isReturning(m_info.deadline, m_route->timeout));
+		need.priority = queueRank(m_priority, isReturning(m_info.deadline, m_route->timeout), m_queueDraw);
 		need.patience = std::min(need.patience, holdLeft(heldRequest(_now)));
 	}
 	else if (!m_mayHaveRun)
