Soak uneven servers and bursts of several teams

Cause: no soak had servers of different speeds, admission, or a small plain service that states its load.

--- a/tests/soakcheckertest.cpp
+++ b/tests/soakcheckertest.cpp
@@ -423,4 +423,41 @@
 	EXPECT_EQ(countOf(seen, Promise::BrittleStand), 0u);
 }
 
+TEST(SoakChecker, reportsRequestsThatAreNotServedAtALowLoad)
+{
+	Observations seen = healthy();
+	seen.capacities = {{false, 8.0}}; // healthy() has two requests a second.
+	for (std::size_t number = 0; number < 6; ++number)
+	{
+		seen.requests[number].status = 504;
+	}
+	EXPECT_EQ(countOf(seen, Promise::ServedAtLowLoad), 0u);
+	seen.requests[6].status = 504;
+	EXPECT_EQ(countOf(seen, Promise::ServedAtLowLoad), 1u);
+	for (const std::size_t number : {0, 1, 6})
+	{
+		seen.requests[number].status = 200;
+	}
+	for (int number = 0; number < 100; ++number)
+	{
+		seen.requests.push_back(served("m" + std::to_string(number), RequestKind::Unsafe, 60 * kSecond));
+		seen.requests.back().status = 503;
+	}
+	EXPECT_EQ(countOf(seen, Promise::ServedAtLowLoad), 0u) << "at that time the load was above the capacity";
+	seen.capacities = {{false, 1000.0}};
+	EXPECT_EQ(countOf(seen, Promise::ServedAtLowLoad), 1u);
+	seen.disruptions = {{"backend", 0, 100 * kSecond, std::nullopt, true}};
+	EXPECT_EQ(countOf(seen, Promise::ServedAtLowLoad), 1u) << "too few requests to judge";
+}
+
+TEST(SoakChecker, reportsARepeatableRequestThatRanAndWasRefusedUnderAdmission)
+{
+	Observations seen = healthy();
+	seen.requests[0].kind = RequestKind::StreamAgain;
+	seen.requests[0].status = 503;
+	EXPECT_EQ(countOf(seen, Promise::NotRun), 0u);
+	seen.capacities = {{false, 1000.0}};
+	EXPECT_EQ(countOf(seen, Promise::NotRun), 1u);
+}
+
 } // namespace beacongate::test
--- a/tools/soak.cpp
+++ b/tools/soak.cpp
@@ -91,12 +91,13 @@
 		{"limits-members", soak::SoakProfile::LimitsMembers},
 		{"brittle", soak::SoakProfile::Brittle},
 		{"brittle-members", soak::SoakProfile::BrittleMembers},
+		{"uneven", soak::SoakProfile::Uneven},
 		{"quotas", soak::SoakProfile::Quotas},
 		{"lowered-quotas", soak::SoakProfile::LoweredQuotas}};
-	app.add_option(
-		   "--profile", options.profile,
-		   "Faults to inject: mixed, departures, narrow-departures, answers, crashes, limits, brittle, quotas "
-		   "or lowered-quotas [mixed]")
+	app.add_option("--profile", options.profile,
+				   "Faults to inject: mixed, departures, narrow-departures, answers, crashes, limits, brittle, "
+				   "uneven, quotas "
+				   "or lowered-quotas [mixed]")
 		->transform(CLI::CheckedTransformer(profiles, CLI::ignore_case));
 	app.add_option("--gateways", options.gateways, "Number of gateways [3]")
 		->check(CLI::Range(1u, soak::Soak::kMaxGateways));
--- a/tools/soak/caller.cpp
+++ b/tools/soak/caller.cpp
@@ -30,11 +30,6 @@
 	return left > 0 && poll(&ready, 1, static_cast<int>(left / kMillisecond) + 1) == 1;
 }
 
-bool isStream(RequestKind _kind)
-{
-	return _kind == RequestKind::StreamOnce || _kind == RequestKind::StreamAgain;
-}
-
 std::string expectedBody(const ObservedRequest& _request)
 {
 	return isStream(_request.kind) ? standin::PlatformWorker::wholeStream(_request.id)
@@ -121,6 +116,11 @@
 						" HTTP/1.1\r\nHost: h.example\r\n" + platform::kRequestId + ": " + _request.id + "\r\n" +
 						platform::kDeadline + ": " + std::to_string(kDeadlineMillis) + "\r\n" + platform::kApiKey +
 						": " + _request.key + "\r\n";
+	if (_request.tokens > 0.0)
+	{
+		bytes += std::string(platform::kTokenCounts) + ": " +
+				 std::to_string(static_cast<std::uint64_t>(_request.tokens)) + ",0\r\n";
+	}
 	bytes +=
 		hasBody ? "Content-Length: " + std::to_string(_request.body.size()) + "\r\n\r\n" + _request.body : "\r\n";
 	const Micros until = monotonicNow() + kAnswerTimeout;
--- a/tools/soak/checker.cpp
+++ b/tools/soak/checker.cpp
@@ -145,7 +145,9 @@
 			_findings.push_back(
 				{Promise::AtMostOnce, "request " + request.id + " ran " + std::to_string(runs) + " times"});
 		}
-		if (!isRepeatable(request.kind) && promisesNotRun(request.status) && runs > 0)
+		// A service under admission refuses no request that was sent before, also if it may be repeated.
+		const bool refusedUnrun = !isRepeatable(request.kind) || !_seen.capacities.empty();
+		if (refusedUnrun && promisesNotRun(request.status) && runs > 0)
 		{
 			_findings.push_back(
 				{Promise::NotRun, "request " + request.id + " ran and got " + std::to_string(request.status)});
@@ -336,6 +338,48 @@
 			{Promise::ServesAgain, "served " + std::to_string(served) + " of " + std::to_string(asked)});
 	}
 }
+
+/// Counts requests sent while the load of the window before and of the one after was far below the capacity.
+void checkLowLoad(const Observations& _seen, const RunIndex& _index, const ServedCapacity& _capacity,
+				  Findings& _findings)
+{
+	const Micros window = _seen.bounds.loadWindow;
+	std::map<Micros, double> loads;
+	for (const ObservedRequest& request : _seen.requests)
+	{
+		if (isStream(request.kind) == _capacity.streams)
+		{
+			loads[request.sent / window] += _capacity.streams ? request.tokens : 1.0;
+		}
+	}
+	const double most = _seen.bounds.lowLoadShare * _capacity.perSecond * secondsOf(window);
+	const auto isLow = [&](Micros _window)
+	{
+		const auto load = loads.find(_window);
+		return load == loads.end() || load->second < most;
+	};
+	std::size_t asked = 0;
+	std::size_t served = 0;
+	for (const ObservedRequest& request : _seen.requests)
+	{
+		const Micros at = request.sent / window;
+		const bool counts =
+			isStream(request.kind) == _capacity.streams && isLow(at - 1) && isLow(at) && isLow(at + 1);
+		if (counts && !request.abandoned && request.status != kUnauthorized &&
+			_index.undisturbed(request.gateway, request.sent - _seen.bounds.contact, request.ended, true))
+		{
+			++asked;
+			served += request.status == kOk && request.complete ? 1 : 0;
+		}
+	}
+	const double least = _seen.bounds.lowLoadServedShare * static_cast<double>(asked);
+	if (asked < kEnoughRequests || static_cast<double>(served) < least)
+	{
+		_findings.push_back({Promise::ServedAtLowLoad, std::to_string(served) + " of " + std::to_string(asked) +
+														   (_capacity.streams ? " streams" : " calls") +
+														   " were served at a low load"});
+	}
+}
 } // namespace
 
 const char* toString(Promise _promise)
@@ -378,6 +422,8 @@
 		return "crashing-stopped";
 	case Promise::ServedBesideCrash:
 		return "served-beside-crash";
+	case Promise::ServedAtLowLoad:
+		return "served-at-low-load";
 	case Promise::BrittleStand:
 		return "brittle-stand";
 	case Promise::ServerLimitKept:
@@ -410,6 +456,10 @@
 	checkCrashes(_seen, findings);
 	checkServerLimits(_seen, findings);
 	checkBrittleServers(_seen, findings);
+	for (const ServedCapacity& capacity : _seen.capacities)
+	{
+		checkLowLoad(_seen, index, capacity, findings);
+	}
 	return findings;
 }
 
--- a/tools/soak/checker.h
+++ b/tools/soak/checker.h
@@ -36,6 +36,7 @@
 	CrashingStopped,   ///< A request that crashed several backend servers is not sent to others.
 	ServedBesideCrash, ///< Other requests are served beside one that crashes backend servers.
 	ServerLimitKept,   ///< A backend server gets no more requests than the limit that it names allows.
+	ServedAtLowLoad,   ///< Nearly all requests are served while the load is far below the capacity.
 	BrittleStand,      ///< Brittle backend servers do not fall over, and serve.
 };
 
--- a/tools/soak/observations.h
+++ b/tools/soak/observations.h
@@ -32,6 +32,12 @@
 	return _kind == RequestKind::Safe || _kind == RequestKind::StreamAgain;
 }
 
+/// @returns true if a request of this kind is answered with a stream.
+constexpr bool isStream(RequestKind _kind)
+{
+	return _kind == RequestKind::StreamOnce || _kind == RequestKind::StreamAgain;
+}
+
 /// One request of a caller and its outcome.
 struct ObservedRequest
 {
@@ -112,6 +118,13 @@
 	Micros until = kNever;
 };
 
+/// Work that the servers of one kind of requests do in a second.
+struct ServedCapacity
+{
+	bool streams = false;   ///< Capacity for streams, in prompt tokens; otherwise for calls, in requests.
+	double perSecond = 0.0; ///< With the servers' speeds and the mean effect of noise.
+};
+
 /// A fault or a change that was injected into a gateway, all gateways, the store or a backend server.
 struct Disruption
 {
@@ -175,6 +188,9 @@
 	double fallsAllowed = 2.0;        ///< Falls of brittle backend servers in one span.
 	double fallShareAllowed = 0.1;    ///< Falls in addition, as a share of the number of servers.
 	double brittleServedShare = 0.5;  ///< Share of the requests sent in a brittle span that have to be served.
+	Micros loadWindow = 2 * kSecond;  ///< Window over which the load is compared with the capacity.
+	double lowLoadShare = 0.5;        ///< Share of the capacity below which nearly all requests have to be served.
+	double lowLoadServedShare = 0.95; ///< Share of the requests that have to be served then.
 	double quotaTolerance = 0.1;      ///< Share of the window's limit that may run in addition.
 };
 
@@ -188,6 +204,8 @@
 	std::vector<ObservedCrash> crashes;
 	std::vector<ServerLimit> serverLimits;
 	std::vector<BrittleSpan> brittleSpans;
+	/// Capacities of services under admission; empty if the soak has none.
+	std::vector<ServedCapacity> capacities;
 	std::vector<Disruption> disruptions;
 	std::vector<PlannedStop> stops;
 	std::vector<Departure> departures;
--- a/tools/soak/openload.cpp
+++ b/tools/soak/openload.cpp
@@ -117,7 +117,12 @@
 	auto open = std::make_shared<OpenRequest>();
 	ObservedRequest& request = open->request;
 	request.id = _team.name + "-" + std::to_string(++m_number);
-	request.kind = m_random() % 2 == 0 ? RequestKind::Safe : RequestKind::Unsafe;
+	const bool repeatable = m_random() % 2 == 0;
+	request.kind = repeatable ? RequestKind::Safe : RequestKind::Unsafe;
+	if (_team.streams)
+	{
+		request.kind = repeatable ? RequestKind::StreamAgain : RequestKind::StreamOnce;
+	}
 	request.key = _team.key;
 	request.team = _team.name;
 	request.gateway = static_cast<unsigned>(m_random() % m_gateways.size());
@@ -157,7 +162,8 @@
 	{
 		ObservedRequest& done = open->request;
 		done.complete = true;
-		const bool own = open->body == standin::PlatformWorker::wholeCall(done.id);
+		const bool own = open->body == (isStream(done.kind) ? standin::PlatformWorker::wholeStream(done.id)
+															: standin::PlatformWorker::wholeCall(done.id));
 		done.correct = done.correct && (done.status != kOk || own);
 		end(*open);
 	};
--- a/tools/soak/openload.h
+++ b/tools/soak/openload.h
@@ -27,6 +27,7 @@
 	std::string key;
 	double requestsPerSecond = 0.0;
 	double meanTokens = 0.0; ///< Per request; 0 for requests that declare none.
+	bool streams = false;    ///< Requests are answered with streams.
 };
 
 /// Sends teams' requests, each on its own connection, to randomly chosen gateways.
--- a/tools/soak/soak.cpp
+++ b/tools/soak/soak.cpp
@@ -115,7 +115,10 @@
 	const Address worker{host(kBackendHost), static_cast<std::uint16_t>(kBackendPorts + number)};
 	backend->address = {host(kBackendProxyHost), worker.port};
 	backend->worker = std::make_unique<standin::PlatformWorker>(backend->id, worker);
+	constexpr unsigned kSlots = 32;
+	backend->slots = hasBrittleServers() ? kBrittleSlots : kSlots;
 	backend->link = std::make_unique<FaultProxy>(backend->address, worker);
+	isUneven() ? setPace(*backend) : void();
 	const bool falls = hasBrittleServers();
 	if (falls || m_options.profile == SoakProfile::Crashes)
 	{
@@ -131,10 +134,9 @@
 
 void Soak::putRecord(const Backend& _backend, const char* _state)
 {
-	constexpr unsigned kSlots = 32;
-	const unsigned slots = hasBrittleServers() ? kBrittleSlots : kSlots;
-	m_store->put(platform::kServersPrefix + _backend.id,
-				 standin::formatRecord(_backend.address, slots, _state, _backend.born));
+	m_store->put(
+		platform::kServersPrefix + _backend.id,
+		standin::formatRecord(_backend.address, _backend.slots, _state, _backend.born, "v1", _backend.service));
 }
 
 void Soak::putConfig()
@@ -146,6 +148,7 @@
 					 {pathOf(RequestKind::Unsafe), "unsafe", 1},
 					 {pathOf(RequestKind::StreamOnce), "streaming", 1},
 					 {pathOf(RequestKind::StreamAgain), "streaming", 2, true}};
+	isUneven() ? addUnevenRoutes(config) : void();
 	for (unsigned number = 0; number < m_extraRoutes; ++number)
 	{
 		config.routes.push_back({"/more" + std::to_string(number) + "/", "safe", 2});
@@ -196,6 +199,7 @@
 	const bool any = _random() % kOldKeyShare == 0;
 	const std::size_t back = any ? _random() % count : _random() % newest;
 	request.key = m_seen.keys[count - 1 - back].key;
+	request.tokens = isUneven() && isStream(request.kind) ? kMeanPromptTokens : 0.0;
 	if (m_options.profile == SoakProfile::Crashes)
 	{
 		makeCrashing(request, _random);
@@ -378,7 +382,7 @@
 	m_store = std::make_unique<standin::PlatformStore>(Address{host(kPlatformHost), kStorePort});
 	m_duties = std::make_unique<standin::PlatformDuties>(Address{host(kPlatformHost), kDutyPort});
 	const bool many = m_options.profile == SoakProfile::Crashes || hasServerLimits() || hasBrittleServers();
-	const unsigned backends = many ? kManyBackends : kBackends;
+	const unsigned backends = isUneven() ? kManyBackends + kSmallBackends : (many ? kManyBackends : kBackends);
 	for (unsigned number = 0; number < backends; ++number)
 	{
 		addBackend();
@@ -387,6 +391,7 @@
 	{
 		startTeams();
 	}
+	isUneven() ? startUnevenTeams() : void();
 	rotateKey();
 	recordLimits(monotonicNow());
 	for (unsigned number = 1; number <= m_options.gateways; ++number)
@@ -438,6 +443,12 @@
 			runUntil(monotonicNow() + drawSpan(300 * kMillisecond, 3 * kSecond));
 			continue;
 		}
+		if (isUneven())
+		{
+			injectUnevenFault();
+			runUntil(monotonicNow() + drawSpan(300 * kMillisecond, 1500 * kMillisecond));
+			continue;
+		}
 		if (m_options.profile == SoakProfile::Limits)
 		{
 			injectLimitFault();
@@ -479,6 +490,7 @@
 		runUntil(monotonicNow() + (drawIndex(12) == 0 ? drawSpan(5 * kSecond, 8 * kSecond)
 													  : drawSpan(50 * kMillisecond, 700 * kMillisecond)));
 	}
+	isUneven() ? changeLoad() : void();
 	settle();
 	m_callersRunning = false;
 	for (std::thread& caller : m_callers)
--- a/tools/soak/soak.h
+++ b/tools/soak/soak.h
@@ -52,6 +52,10 @@
 	/// Backend servers name themselves brittle for a while and let no requests wait, beside the same faults as
 	/// Limits.
 	Brittle,
+	/// Servers differ in speed and are slowed down at times, engines have callers with short deadlines, a plain
+	/// service has few slots, and several teams at once send several times their usual load, beside the faults of
+	/// Limits.
+	Uneven,
 	/// Limits, while many gateways stop in series or are killed at once, and leases run out.
 	LimitsMembers,
 	/// Brittle, beside the same changes of the members as in LimitsMembers.
@@ -122,6 +126,19 @@
 	void injectFault();
 	void injectDeparture();
 	void startTeams();
+	/// Starts the load of teams, which is zero until changeLoad().
+	void startLoad();
+	void startUnevenTeams();
+	/// Adds the routes and services of an uneven deployment to a configuration.
+	void addUnevenRoutes(standin::SiteConfig& _config) const;
+	/// Sets service, speed and slots of a backend server by its number.
+	void setPace(Backend& _backend) const;
+	void changeUnevenLoad(bool _burst);
+	void injectUnevenFault();
+	bool isUneven() const
+	{
+		return m_options.profile == SoakProfile::Uneven;
+	}
 	void changeLoad();
 	void changeLimit();
 	void recordLimits(Micros _now);
--- a/tools/soak/soak_p.h
+++ b/tools/soak/soak_p.h
@@ -23,6 +23,14 @@
 /// Slots of backend servers that may be brittle.
 inline constexpr unsigned kBrittleSlots = 4;
 
+/// Backend servers of the small plain service in soaks with uneven servers, and the slots of each.
+inline constexpr unsigned kSmallBackends = 2;
+inline constexpr unsigned kSmallSlots = 4;
+/// Slots of the engines in these soaks.
+inline constexpr unsigned kEngineSlots = 16;
+/// Mean tokens of a prompt in these soaks.
+inline constexpr double kMeanPromptTokens = 4800.0;
+
 /// A gateway with the link between it and the store.
 struct Soak::Gateway
 {
@@ -43,6 +51,9 @@
 	std::atomic<std::uint64_t> born = standin::kFirstStartTimeMs;
 	std::unique_ptr<standin::PlatformWorker> worker;
 	std::unique_ptr<FaultProxy> link;
+	std::string service = standin::kSiteService;
+	unsigned slots = 0;
+	double lasting = 1.0; ///< See WorkerPace.
 	bool leaving = false;
 	bool rejecting = false; ///< The backend server currently rejects requests.
 	bool limited = false;   ///< The backend server currently names a limit.
--- a/tools/soak/soakquotas.cpp
+++ b/tools/soak/soakquotas.cpp
@@ -64,7 +64,7 @@
 	return m_options.profile == SoakProfile::LoweredQuotas ? kLoweredSlack * shape.meanTokens : shape.slack;
 }
 
-void Soak::startTeams()
+void Soak::startLoad()
 {
 	std::vector<Address> gateways;
 	for (unsigned number = 1; number <= m_options.gateways; ++number)
@@ -76,6 +76,11 @@
 		return m_gateways[_gateway]->process->starts();
 	};
 	m_load = std::make_unique<OpenLoad>(std::move(gateways), startOf, m_options.seed);
+}
+
+void Soak::startTeams()
+{
+	startLoad();
 	for (const TeamShape& shape : kShapes)
 	{
 		standin::SiteTeam team;
@@ -92,6 +97,10 @@
 {
 	for (const standin::SiteTeam& team : m_teams)
 	{
+		if (team.ratePerSecond <= 0.0)
+		{
+			continue;
+		}
 		const auto open = [&](const TeamLimit& _limit)
 		{
 			return _limit.team == team.name && _limit.until == kNever;
@@ -112,6 +121,11 @@
 
 void Soak::changeLoad()
 {
+	if (isUneven())
+	{
+		changeUnevenLoad(false);
+		return;
+	}
 	for (const standin::SiteTeam& team : m_teams)
 	{
 		const double demand = kDemands[drawIndex(kDemands.size())];
