--- a/src/coordination/admission/admissionrules.h
+++ b/src/coordination/admission/admissionrules.h
@@ -25,8 +25,9 @@
 class AdmissionRules
 {
 public:
-	/// A service is under admission if all of its most urgent streaming routes give callers less than this many times its
-	/// target: such callers cannot wait for the end of a burst, so that a request that is sent too late is lost.
+	/// A service is under admission if all of its most urgent streaming routes give callers less than this many
+	/// times its target: such callers cannot wait for the end of a burst, so that a request that is sent too late
+	/// is lost.
 	static constexpr Micros kMaxDeadlineFactor = 10;
 
 	/// Reads the routes of a configuration; nothing happens if it was read before.
@@ -85,13 +86,13 @@
 	return _deadline && *_deadline * 100 < _timeout * kReturningPercent;
 }
 
-/// Share of the requests that are ranked like those of the most urgent priority, whatever their own is. In a lasting shortage, strict
-/// priorities would leave nothing to the least urgent requests.
+/// Share of the requests that are ranked like those of the most urgent priority, whatever their own is. In a
+/// lasting shortage, strict priorities would leave nothing to the least urgent requests.
 inline constexpr double kRaisedShare = 0.25;
 
-/// @returns the rank of a request among those that wait for the same backend server; the smallest goes first. Requests
-/// of the same priority go in order of their arrival, but those of returning callers go first, since a second refusal
-/// costs a caller more than the first one.
+/// @returns the rank of a request among those that wait for the same backend server; the smallest goes first.
+/// Requests of the same priority go in order of their arrival, but those of returning callers go first, since a
+/// second refusal costs a caller more than the first one.
 /// @param[in] _draw Random number from 0 to 1 that is drawn once for each request.
 inline unsigned queueRank(unsigned _priority, bool _returning, double _draw)
 {
--- a/src/coordination/admission/shortageretry.h
+++ b/src/coordination/admission/shortageretry.h
@@ -22,8 +22,8 @@
 public:
 	/// Time constant of the average: a burst lasts some seconds.
 	static constexpr double kAveragingSeconds = 1.0;
-	/// Requests that are assumed to have been sent besides, so that one refusal after a quiet time is not taken for a long
-	/// shortage.
+	/// Requests that are assumed to have been sent besides, so that one refusal after a quiet time is not taken for
+	/// a long shortage.
 	static constexpr double kPriorSent = 1.0;
 
 	/// Notes the decision on a request.
@@ -41,7 +41,8 @@
 	double refusedShare(const std::string& _service) const
 	{
 		const auto it = m_services.find(_service);
-		return it == m_services.end() ? 0.0 : it->second.refused / (it->second.refused + it->second.sent + kPriorSent);
+		return it == m_services.end() ? 0.0
+									  : it->second.refused / (it->second.refused + it->second.sent + kPriorSent);
 	}
 
 private:
@@ -61,15 +62,16 @@
 inline constexpr Micros kMaxShortageRetryShare = 3;
 
 /// @returns the delay after which the caller of a refused request may retry.
-/// @param[in] _refusedShare Share of recent requests that were refused. The larger it is, the longer the shortage will
-/// last, and the more of the time that the caller can wait is used.
+/// @param[in] _refusedShare Share of recent requests that were refused. The larger it is, the longer the shortage
+/// will last, and the more of the time that the caller can wait is used.
 /// @param[in] _timeLeft Time until the caller's deadline.
 /// @param[in] _spread Random number from 0 to 1, so that callers that were refused together do not return together.
 inline Micros retryAfterShortage(double _refusedShare, Micros _timeLeft, double _spread)
 {
 	constexpr double kMinSpread = 0.6;
 	const Micros most = std::max(kMinShortageRetry, _timeLeft / kMaxShortageRetryShare);
-	const double share = std::clamp(_refusedShare, 0.0, 1.0) * (kMinSpread + (1.0 - kMinSpread) * std::clamp(_spread, 0.0, 1.0));
+	const double share =
+		std::clamp(_refusedShare, 0.0, 1.0) * (kMinSpread + (1.0 - kMinSpread) * std::clamp(_spread, 0.0, 1.0));
 	return std::clamp(static_cast<Micros>(share * static_cast<double>(most)), kMinShortageRetry, most);
 }
 
--- a/src/coordination/admission/slotrules.h
+++ b/src/coordination/admission/slotrules.h
@@ -20,17 +20,17 @@
 {
 /// The services whose slots are granted one by one without their servers being brittle, see SlotPermits.
 ///
-/// Load reports of a large fleet are 0.15 s to 0.75 s old. In that time an engine gets several prompts of which a gateway
-/// does not know, and a server of few slots is filled several times. One gateway that grants each server's slots knows
-/// them exactly, and orders the requests of all gateways by urgency.
+/// Load reports of a large fleet are 0.15 s to 0.75 s old. In that time an engine gets several prompts of which a
+/// gateway does not know, and a server of few slots is filled several times. One gateway that grants each server's
+/// slots knows them exactly, and orders the requests of all gateways by urgency.
 class SlotRules
 {
 public:
-	/// Rejections for want of room that a server of a small plain service bears in a second. A rejection only costs the
-	/// call that is rejected.
+	/// Rejections for want of room that a server of a small plain service bears in a second. A rejection only costs
+	/// the call that is rejected.
 	static constexpr double kPlainRejections = 8.0;
-	/// Share of the target in which an engine may read the prompts that it has at once. The rest is for waiting at the
-	/// gateways, for the network, and for prompts that are longer than usual.
+	/// Share of the target in which an engine may read the prompts that it has at once. The rest is for waiting at
+	/// the gateways, for the network, and for prompts that are longer than usual.
 	static constexpr double kReadingShare = 0.5;
 
 	/// Determines the services anew. Must be called several times a second.
@@ -38,7 +38,8 @@
 	void update(const RoutingConfig& _config, const AdmissionRules& _admission, const ServerSpeeds& _speeds,
 				const std::map<std::string, KnownBackend>& _backends, std::size_t _gateways);
 
-	/// @returns the rejections that each server of a service bears in a second; nothing if its slots are not granted.
+	/// @returns the rejections that each server of a service bears in a second; nothing if its slots are not
+	/// granted.
 	std::optional<double> rejectionsOf(const std::string& _service) const;
 
 	/// @returns true if the slots of a service are those of prompts, which are free again at the first event.
--- a/src/coordination/enginemodel.h
+++ b/src/coordination/enginemodel.h
@@ -44,15 +44,16 @@
 	/// Notes that the first event of a request arrived.
 	/// @param[in] _tokens Tokens of its prompt, without those that other requests may have left in a cache.
 	/// @param[in] _waited Time since the request was sent.
-	/// @param[in] _idle The backend server stated that it was nearly idle. Once there is such a sample of a service, its
-	/// other samples are ignored: in a crowd all requests wait, and the speed would be taken for several times too low.
+	/// @param[in] _idle The backend server stated that it was nearly idle. Once there is such a sample of a
+	/// service, its other samples are ignored: in a crowd all requests wait, and the speed would be taken for
+	/// several times too low.
 	void onFirstEvent(const std::string& _service, std::uint64_t _tokens, Micros _waited, bool _idle = false);
 
 	/// Notes the prompt tokens that a request is expected to have read.
 	void onPlaced(const std::string& _service, std::uint64_t _tokens);
 
-	/// Notes how long a backend server that was nearly idle took to read a whole prompt, which tells how much of it was
-	/// in its cache.
+	/// Notes how long a backend server that was nearly idle took to read a whole prompt, which tells how much of it
+	/// was in its cache.
 	/// @param[in] _usual Time from sending to the first event, as a server of the usual speed would have taken.
 	void onIdleRead(const std::string& _service, std::uint64_t _promptTokens, Micros _usual);
 
--- a/src/coordination/load/serverspeeds.h
+++ b/src/coordination/load/serverspeeds.h
@@ -122,8 +122,8 @@
 		double seen = 1.0; ///< Slowdown that this gateway saw last.
 		Micros seenAt = kLongAgo;
 
-		/// @returns what may be sent in turn. What was relayed to this gateway is only sent on when it changes: gateways
-		/// that relayed each other's values in turn would never forget a former speed.
+		/// @returns what may be sent in turn. What was relayed to this gateway is only sent on when it changes:
+		/// gateways that relayed each other's values in turn would never forget a former speed.
 		const Windows& sentInTurn(bool _relay) const
 		{
 			return _relay ? direct : own;
--- a/src/gateway/exchangeplacement.cpp
+++ b/src/gateway/exchangeplacement.cpp
@@ -111,8 +111,8 @@
 		{
 			const Placement placement = place(_available, _now);
 			m_placement.expectedTokens = placement.expectedTokens;
-			// The grantor of a server knows better than load reports whether it is full, but where it grants prompts,
-			// it does not count the requests that are generating.
+			// The grantor of a server knows better than load reports whether it is full, but where it grants
+			// prompts, it does not count the requests that are generating.
 			const bool grantorCounts = rejections && !usesPromptSlots();
 			backend = placement.full && !grantorCounts ? nullptr : placement.backend;
 		}
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -20,8 +20,8 @@
 struct FeatureSettings
 {
 	bool serverSpeeds = true; ///< The speeds that servers state are used and passed on.
-	bool admission = true;    ///< Model requests are refused if no engine can read them in time, see AdmissionRules.
-	bool exactSlots = true;   ///< The slots of small plain services are granted one by one, see SlotRules.
+	bool admission = true;  ///< Model requests are refused if no engine can read them in time, see AdmissionRules.
+	bool exactSlots = true; ///< The slots of small plain services are granted one by one, see SlotRules.
 };
 
 /// Where a gateway runs, which addresses it uses, and the bounds that it must keep.
--- a/src/gateway/gossiperreceive.cpp
+++ b/src/gateway/gossiperreceive.cpp
@@ -11,8 +11,8 @@
 #include "protocol/limitcodec.h"
 #include "protocol/origincodec.h"
 #include "protocol/quotacodec.h"
-#include "protocol/speedcodec.h"
 #include "protocol/slotcodec.h"
+#include "protocol/speedcodec.h"
 
 #include <algorithm>
 #include <utility>
@@ -133,8 +133,8 @@
 		return;
 	}
 	const std::vector<std::string> collectors = m_context.relays.allTopMembers();
-	const bool relayed = m_context.usesCollectors() &&
-						 std::find(collectors.begin(), collectors.end(), _sender) != collectors.end();
+	const bool relayed =
+		m_context.usesCollectors() && std::find(collectors.begin(), collectors.end(), _sender) != collectors.end();
 	for (const SpeedReport& report : *reports)
 	{
 		m_context.speeds.onReport(report, monotonicNow(), relayed);
--- a/src/gateway/requestinfo.h
+++ b/src/gateway/requestinfo.h
@@ -58,8 +58,8 @@
 	/// not brittle.
 	std::optional<double> bearableRejections;
 	bool brittlenessUnreadable = false; ///< That number is no number, or negative.
-	std::optional<ServerLoad> load; ///< Load of the backend server; nothing if it does not state it.
-	bool loadUnreadable = false;    ///< The load has an unknown format.
+	std::optional<ServerLoad> load;     ///< Load of the backend server; nothing if it does not state it.
+	bool loadUnreadable = false;        ///< The load has an unknown format.
 	std::string id;                     ///< Id of the request to which the answer belongs.
 };
 
--- a/src/gateway/trafficcounters.cpp
+++ b/src/gateway/trafficcounters.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 constexpr std::array<std::string_view, static_cast<std::size_t>(DatagramPurpose::Count_)> kDatagramNames = {
-	"report", "data-centre-sums", "fleet-sums", "usage",  "echo", "quota-grant", "crash",
+	"report", "data-centre-sums", "fleet-sums", "usage",   "echo",        "quota-grant", "crash",
 	"limit",  "stream-origin",    "slot-grant", "brittle", "server-speed"};
 constexpr std::array<std::string_view, static_cast<std::size_t>(StorePurpose::Count_)> kStoreNames = {
 	"content",    "backend-list", "relays",       "probe",      "watch",      "registration",
--- a/tests/admissiontest.cpp
+++ b/tests/admissiontest.cpp
@@ -190,8 +190,7 @@
 	const auto priority = *rc::gen::inRange(0U, 1000U);
 	const auto other = *rc::gen::inRange(0U, 1000U);
 	constexpr double kNotRaised = 0.5;
-	const bool before =
-		queueRank(priority, _returning, kNotRaised) < queueRank(other, _otherReturning, kNotRaised);
+	const bool before = queueRank(priority, _returning, kNotRaised) < queueRank(other, _otherReturning, kNotRaised);
 	RC_ASSERT(before == (priority < other || (priority == other && _returning && !_otherReturning)));
 }
 
--- a/tests/promptslotfleet.h
+++ b/tests/promptslotfleet.h
@@ -158,7 +158,7 @@
 		unsigned priority = 0;
 		bool returning = false; ///< By what the gateway knows.
 		bool retry = false;     ///< Its caller was refused before.
-		double draw = 0.0; ///< See queueRank().
+		double draw = 0.0;      ///< See queueRank().
 		Micros reading = 0;
 		unsigned gateway = 0;
 		SlotTicket ticket;
--- a/tests/serverspeedstest.cpp
+++ b/tests/serverspeedstest.cpp
@@ -334,8 +334,8 @@
 	EXPECT_TRUE(speeds.isKnown(later));
 }
 
-// Gateways that repeat each other's reports, or collectors that relay them, would never forget a speed that the server
-// has no more.
+// Gateways that repeat each other's reports, or collectors that relay them, would never forget a speed that the
+// server has no more.
 TEST(ServerSpeeds, formerSpeedIsForgottenByTheFleet)
 {
 	for (const bool relay : {false, true})
