--- a/src/coordination/slotpermits.h
+++ b/src/coordination/slotpermits.h
@@ -40,6 +40,8 @@
 	unsigned priority = 0;            ///< A smaller value goes first.
 	Micros patience = 0;              ///< For how long the request can wait.
 	std::optional<double> limit = {}; ///< Requests a second that it allows; nothing if it names no limit.
+	/// The slots are those of prompts, see SlotRules. Load reports count requests in flight, and do not tell them.
+	bool prompts = false;
 };
 
 enum class SlotVerdict : std::uint8_t
@@ -73,6 +75,10 @@
 	static constexpr Micros kResendDelay = 50 * kMillisecond;
 	/// Time without an answer after which the next home is asked.
 	static constexpr Micros kAnswerTimeout = 120 * kMillisecond;
+	/// Shortest such time for prompts, which wait for less than kAnswerTimeout in all: the next home is asked after
+	/// half of their patience. Otherwise they would be refused first, and no gateway would note that the home is
+	/// silent.
+	static constexpr Micros kMinAnswerTimeout = 40 * kMillisecond;
 	/// Time for which a home that did not answer is not asked. It doubles with each further failure, since gateways
 	/// of an earlier build never answer.
 	static constexpr Micros kSilentSpan = 1 * kSecond;
@@ -128,6 +134,9 @@
 	/// @returns true if a request waits in the queue of a grantor.
 	bool isQueued(const SlotTicket& _ticket) const;
 
+	/// @returns true if a home was asked for a request's slot and has not answered.
+	bool isAsked(const SlotTicket& _ticket) const;
+
 	/// Ends a request for a slot that is not needed any more.
 	void abandon(SlotTicket& _ticket, Micros _now);
 
@@ -224,6 +233,8 @@
 	/// @returns the homes that are told of what is in use, and one more.
 	std::vector<std::string> toldHomes(const Server& _server, const std::string& _more, Micros _now) const;
 	static Micros patienceOf(const SlotNeed& _need);
+	/// @returns the time without an answer after which the next home is asked.
+	static Micros answerTimeout(const SlotNeed& _need);
 	/// Determines the homes that can be asked.
 	void findHomes(Pending& _pending, Micros _now);
 	/// Processes the answer of a home that does not know what is in use.
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -42,7 +42,8 @@
 Exchange::Exchange(GatewayContext& _context, Dispatcher& _dispatcher, ServerSessionPtr _session,
 				   IncomingRequest&& _request)
 	: m_context(_context), m_dispatcher(_dispatcher), m_session(std::move(_session)),
-	  m_request(std::move(_request)), m_timer(_context.loop)
+	  m_request(std::move(_request)), m_queueDraw(std::uniform_real_distribution<double>()(_context.random)),
+	  m_timer(_context.loop)
 {
 	++m_context.openExchanges;
 }
@@ -284,7 +285,9 @@
 	{
 		return;
 	}
-	m_context.demand.onArrival(m_service, m_context.engines.prefillSeconds(m_service, m_placement.promptTokens),
+	m_context.demand.onArrival(m_service,
+							   m_context.engines.readShare(m_service) *
+								   m_context.engines.prefillSeconds(m_service, m_placement.promptTokens),
 							   m_context.streamLengths.holdSeconds(m_service, m_route->name),
 							   service->engine->slots);
 }
@@ -343,7 +346,12 @@
 	}
 	m_placement.tokensPerMilli = m_context.engines.tokensPerSecond(m_service) / kMillisPerSecond;
 	const Availability candidates = available(now);
+	preparePlacement(candidates, now);
 	const KnownBackend* backend = chooseBackend(candidates, now);
+	if (!backend && refuseInShortage(now))
+	{
+		return true;
+	}
 	if (!backend)
 	{
 		// Servers at their limits may just have been found.
@@ -376,6 +384,11 @@
 	m_attempt.grantor = m_slotTicket.grantor;
 	m_attempt.backoffProbe = m_context.backoffs.onPlaced(_backend.key, now);
 	m_context.balancer.onSent(_backend.key, m_placement);
+	if (m_admissionTarget)
+	{
+		m_context.shortages.onDecided(m_service, false, now);
+		m_context.engines.onPlaced(m_service, m_placement.expectedTokens);
+	}
 	m_context.suspects.onPlaced(m_subjects, _backend.key);
 	CallOptions options;
 	options.noBody = m_request.head.method == "HEAD";
--- a/src/gateway/gossiperreceive.cpp
+++ b/src/gateway/gossiperreceive.cpp
@@ -12,6 +12,7 @@
 #include "protocol/origincodec.h"
 #include "protocol/quotacodec.h"
 #include "protocol/slotcodec.h"
+#include "protocol/speedcodec.h"
 
 #include <algorithm>
 #include <utility>
@@ -118,6 +119,28 @@
 	m_startupQuery.onAnswered();
 }
 
+void Gossiper::onSpeedDatagram(std::string_view _bytes, const std::string& _sender)
+{
+	const std::optional<std::vector<SpeedReport>> reports = decodeSpeeds(_bytes);
+	if (!reports)
+	{
+		onUnreadable(_sender);
+		return;
+	}
+	m_context.traffic.onReceived(DatagramPurpose::ServerSpeed, _bytes.size());
+	if (!m_context.settings.features.serverSpeeds)
+	{
+		return;
+	}
+	const std::vector<std::string> collectors = m_context.relays.allTopMembers();
+	const bool relayed =
+		m_context.usesCollectors() && std::find(collectors.begin(), collectors.end(), _sender) != collectors.end();
+	for (const SpeedReport& report : *reports)
+	{
+		m_context.speeds.onReport(report, monotonicNow(), relayed);
+	}
+}
+
 void Gossiper::onQuotaMessage(const QuotaMessage& _message, const std::string& _sender)
 {
 	const Micros now = monotonicNow();
@@ -159,6 +182,11 @@
 		onLimitDatagram(_bytes, _sender);
 		return;
 	}
+	if (isSpeedDatagram(_bytes))
+	{
+		onSpeedDatagram(_bytes, _sender);
+		return;
+	}
 	if (isOriginDatagram(_bytes))
 	{
 		onOriginDatagram(_bytes, _sender);
