Draw the queue rank of a request only where prompt slots are granted

Cause: each request drew a random number, which changed the sequence of draws in deployments without admission; placement looked up the speed of each candidate where none is known. Change: the number is drawn with the first question for a prompt slot, and look-ups need a known speed.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -42,8 +42,7 @@
 Exchange::Exchange(GatewayContext& _context, Dispatcher& _dispatcher, ServerSessionPtr _session,
 				   IncomingRequest&& _request)
 	: m_context(_context), m_dispatcher(_dispatcher), m_session(std::move(_session)),
-	  m_request(std::move(_request)), m_queueDraw(std::uniform_real_distribution<double>()(_context.random)),
-	  m_timer(_context.loop)
+	  m_request(std::move(_request)), m_timer(_context.loop)
 {
 	++m_context.openExchanges;
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -217,7 +217,7 @@
 	std::string m_service;
 	PlacementRequest m_placement;
 	unsigned m_priority = 5;
-	double m_queueDraw; ///< See queueRank().
+	std::optional<double> m_queueDraw; ///< See queueRank().
 	/// Smallest target latency of the service; nothing if the request is not under admission.
 	std::optional<Micros> m_admissionTarget;
 	Micros m_deadline = kNever;
--- a/src/gateway/exchangeplacement.cpp
+++ b/src/gateway/exchangeplacement.cpp
@@ -147,8 +147,9 @@
 	{
 		return m_context.speeds.isKnown(_backend->key);
 	};
-	m_placement.byEstimate =
-		m_admissionTarget || std::any_of(_available.open.begin(), _available.open.end(), hasSpeed);
+	const bool speedsKnown =
+		m_context.speeds.size() > 0 && std::any_of(_available.open.begin(), _available.open.end(), hasSpeed);
+	m_placement.byEstimate = m_admissionTarget || speedsKnown;
 	// A brittle server fails if it runs too many requests, so that its slots are taken until their end.
 	m_placement.freesSlotAtFirstEvent =
 		m_admissionTarget && m_context.slotRules.grantsPrompts(m_service) && !m_context.isBrittle(m_service, _now);
@@ -220,9 +221,10 @@
 	{
 		const double promptMillis = m_context.speeds.lasting(_backend.key) *
 									m_context.engines.meanPromptTokens(m_service) / m_placement.tokensPerMilli;
+		m_queueDraw = m_queueDraw ? *m_queueDraw : std::uniform_real_distribution<double>()(m_context.random);
 		need.prompts = true;
 		need.slots = SlotRules::promptSlots(*m_admissionTarget, promptMillis, _backend.record.slots);
-		need.priority = queueRank(m_priority, isReturning(m_info.deadline, m_route->timeout), m_queueDraw);
+		need.priority = queueRank(m_priority, isReturning(m_info.deadline, m_route->timeout), *m_queueDraw);
 		need.patience = std::min(need.patience, holdLeft(heldRequest(_now)));
 	}
 	else if (!m_mayHaveRun)
