--- a/tests/balancertest.cpp
+++ b/tests/balancertest.cpp
@@ -210,6 +210,7 @@
 	ServerSpeeds speeds;
 	std::vector<KnownBackend> servers;
 	std::vector<const KnownBackend*> candidates;
+	candidates.reserve(kBackends);
 	for (unsigned number = 0; number < kBackends; ++number)
 	{
 		servers.push_back(backendOf("b" + std::to_string(number), 4));
--- a/tests/enginemodeltest.cpp
+++ b/tests/enginemodeltest.cpp
@@ -156,7 +156,7 @@
 	EXPECT_NEAR(learnt, kSpeed, 0.1 * kSpeed);
 	for (unsigned sample = 0; sample < 1'000; ++sample)
 	{
-		addSample(model, kSpeed, 0.3 + 0.001 * (random() % 1'000), false, random);
+		addSample(model, kSpeed, 0.3 + 0.001 * static_cast<double>(random() % 1'000), false, random);
 	}
 	EXPECT_EQ(model.tokensPerSecond("service"), learnt);
 	for (unsigned sample = 0; sample < 200; ++sample)
