--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -277,20 +277,6 @@
 	}
 }
 
-void Exchange::countDemand()
-{
-	const PooledService* service = m_config->findService(m_service);
-	if (m_placement.promptTokens == 0 || !service || !service->engine)
-	{
-		return;
-	}
-	m_context.demand.onArrival(m_service,
-							   m_context.engines.readShare(m_service) *
-								   m_context.engines.prefillSeconds(m_service, m_placement.promptTokens),
-							   m_context.streamLengths.holdSeconds(m_service, m_route->name),
-							   service->engine->slots);
-}
-
 Micros Exchange::timeLeft(Micros _now) const
 {
 	return m_deadline - _now;
--- a/src/gateway/exchangeplacement.cpp
+++ b/src/gateway/exchangeplacement.cpp
@@ -80,6 +80,20 @@
 	return m_context.crashes.suspicionOf(m_subjects) == Suspicion::Blocked;
 }
 
+void Exchange::countDemand()
+{
+	const PooledService* service = m_config->findService(m_service);
+	if (m_placement.promptTokens == 0 || !service || !service->engine)
+	{
+		return;
+	}
+	m_context.demand.onArrival(m_service,
+							   m_context.engines.readShare(m_service) *
+								   m_context.engines.prefillSeconds(m_service, m_placement.promptTokens),
+							   m_context.streamLengths.holdSeconds(m_service, m_route->name),
+							   service->engine->slots);
+}
+
 Placement Exchange::place(const Availability& _available, Micros _now)
 {
 	const bool suspected = m_connectionLost || m_context.crashes.suspicionOf(m_subjects) == Suspicion::Suspected;
--- a/tests/promptslotfleet.h
+++ b/tests/promptslotfleet.h
@@ -34,6 +34,7 @@
 /// Homes refer for the first 1.5 s, and the shortage builds up; requests count that arrive afterwards.
 inline constexpr Micros kPromptCountedFrom = 3 * kSecond;
 inline constexpr Micros kPromptArrivalsEnd = 11 * kSecond;
+inline constexpr Micros kHomeStop = 5 * kSecond;
 
 struct PromptFleet
 {
@@ -46,9 +47,6 @@
 	double lostShare = 0.0;    ///< Share of the messages that are lost.
 	unsigned seed = 7;
 };
-
-inline constexpr Micros kHomeStop = 5 * kSecond;
-
 /// Requests of one kind.
 struct PromptCount
 {
