Log on what grounds a stream that is taken up goes on

Logs could not tell whether a stream was bound to a version by a gateway's record or because it was the only version known, nor how many versions a gateway knew and whether its history was complete.

--- a/src/coordination/streamorigins.cpp
+++ b/src/coordination/streamorigins.cpp
@@ -8,6 +8,20 @@
 
 namespace beacongate
 {
+std::string_view toString(OriginGrounds _grounds)
+{
+	switch (_grounds)
+	{
+	case OriginGrounds::Record:
+		return "record";
+	case OriginGrounds::OnlyVersion:
+		return "only-version";
+	case OriginGrounds::None:
+		break;
+	}
+	return "none";
+}
+
 void StreamOrigins::store(const StreamOriginRecord& _record, Micros _now)
 {
 	const Micros until = _now + std::clamp(_record.lifetime, kMinLifetime, kMaxLifetime);
@@ -62,7 +76,7 @@
 	if (const auto version = find(_stream, _now))
 	{
 		abandon(_ticket);
-		return {OriginState::Known, *version};
+		return {OriginState::Known, *version, OriginGrounds::Record};
 	}
 	Search& search = m_searches[_ticket.id];
 	const Micros elapsed = _now - search.started;
@@ -91,9 +105,9 @@
 	const bool informed = m_history.isComplete(_now) && (_search.answers > 0 || _listAge < kFreshListAge);
 	if (informed && possible.size() == 1)
 	{
-		return {OriginState::Known, *possible.begin()};
+		return {OriginState::Known, *possible.begin(), OriginGrounds::OnlyVersion};
 	}
-	return {OriginState::Unknown, {}, !_search.silent.empty()};
+	return {OriginState::Unknown, {}, OriginGrounds::None, !_search.silent.empty()};
 }
 
 void StreamOrigins::abandon(OriginTicket& _ticket)
--- a/src/coordination/streamorigins.h
+++ b/src/coordination/streamorigins.h
@@ -16,6 +16,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -29,11 +30,23 @@
 	Unknown, ///< It may have begun at one of several versions.
 };
 
+/// What the result of a search is founded on.
+enum class OriginGrounds
+{
+	None,
+	Record,      ///< A gateway knows the stream.
+	OnlyVersion, ///< No other version can have begun it.
+};
+
+/// @returns the name used in logs.
+std::string_view toString(OriginGrounds _grounds);
+
 /// Result of a search.
 struct OriginVerdict
 {
 	OriginState state = OriginState::Pending;
-	VersionKey version;     ///< If it is known.
+	VersionKey version; ///< If it is known.
+	OriginGrounds grounds = OriginGrounds::None;
 	bool mayBeKnown = true; ///< A gateway that was asked has not answered, so that a later search may find it.
 };
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -150,6 +150,8 @@
 	/// Finds the software version at which a stream began that the caller takes up.
 	/// @returns true if the request may go on; if false, it waits for other gateways or was refused.
 	bool resolveStreamVersion(Micros _now);
+	/// Logs what a search for a stream's version has found, and on what grounds.
+	void logStreamOrigin(const OriginVerdict& _verdict, Micros _now) const;
 	/// Binds the request to a software version and to the service that has it.
 	void bindToVersion(VersionKey _version);
 	/// Continues after a decision of other gateways.
--- a/src/gateway/exchangeplacement.cpp
+++ b/src/gateway/exchangeplacement.cpp
@@ -3,6 +3,7 @@
 
 // The part of Exchange that finds backend servers for a request, and decides whether it waits for one.
 
+#include "daemon/logging.h"
 #include "gateway/dispatcher.h"
 #include "gateway/exchange.h"
 #include "gateway/exchange_p.h"
@@ -39,6 +40,7 @@
 	};
 	const OriginVerdict verdict = m_context.origins.search(m_originTicket, streamKey(), ServiceKey(m_service),
 														   m_context.directory.listAge(_now), _now, found);
+	logStreamOrigin(verdict, _now);
 	if (verdict.state == OriginState::Unknown)
 	{
 		refuse(Failure::NoBackend, "the software version at which the stream began is not known",
@@ -52,6 +54,23 @@
 	return true;
 }
 
+void Exchange::logStreamOrigin(const OriginVerdict& _verdict, Micros _now) const
+{
+	if (_verdict.state == OriginState::Pending)
+	{
+		return;
+	}
+	const VersionHistory& history = m_context.versions;
+	logEvent(LogLevel::Info, "stream-origin",
+			 {{"request", m_info.id},
+			  {"resumes", m_info.resumedId.empty() ? "-" : m_info.resumedId},
+			  {"grounds", std::string(toString(_verdict.grounds))},
+			  {"version_key", std::to_string(_verdict.version.value)},
+			  {"versions", std::to_string(history.versionsOf(ServiceKey(m_service)).size())},
+			  {"history_complete", history.isComplete(_now) ? "yes" : "no"},
+			  {"content_age_ms", millisText(_now - m_context.content.confirmed)}});
+}
+
 void Exchange::bindToVersion(VersionKey _version)
 {
 	m_streamVersion = _version;
