Begin streams only at software versions that the store's log names

Callers saw streams joined from two software versions: with status 200, whole, the first part of one version and the rest of another, after all gateways were lost.

Cause: the log of versions, which is to outlive the gateways, was written after the first streams had begun at a version. A version that appeared, served and left while the write was under way (a slow store, a duty holder that had just ended) was missing in it; gateways that started then counted the log as complete, and let its streams go on at the only version that it named. Class: a record that is to outlive a process is written after what it records.

A stream that may be taken up now begins only at a version that this gateway has read in the log (write-ahead). A later read of the store cannot miss it, whatever ends in between. Servers of other versions take other work meanwhile, and streams wait where there is no other. A gateway reads the store again once its write of the log is done, and is ready once the log names what is listed, or after 2 s.

--- a/src/coordination/versionhistory.cpp
+++ b/src/coordination/versionhistory.cpp
@@ -44,8 +44,14 @@
 
 void VersionHistory::adopt(const VersionLog& _log, std::uint64_t _era, Micros _now, Micros _trueNow)
 {
+	if (_log.era == _era)
+	{
+		// Versions of an earlier era's log stay: whoever writes the log of this era takes them over.
+		m_logged.clear();
+	}
 	for (const VersionLogEntry& entry : _log.entries)
 	{
+		entry.listed ? static_cast<void>(m_logged.insert(entry.version)) : void();
 		// A version that the log lists may have left only just now.
 		const Micros lastListed = entry.listed ? _now : toMonotonic(entry.lastListed, _now, _trueNow);
 		Sighting& sighting = m_sightings[entry.service][entry.version];
@@ -132,6 +138,21 @@
 	return versions;
 }
 
+bool VersionHistory::allLogged() const
+{
+	for (const auto& [service, versions] : m_sightings)
+	{
+		for (const auto& [version, sighting] : versions)
+		{
+			if (sighting.listed && !isLogged(version))
+			{
+				return false;
+			}
+		}
+	}
+	return true;
+}
+
 bool VersionHistory::contains(ServiceKey _service, VersionKey _version) const
 {
 	const auto service = m_sightings.find(_service);
--- a/src/coordination/versionhistory.h
+++ b/src/coordination/versionhistory.h
@@ -13,6 +13,7 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace beacongate
@@ -60,6 +61,16 @@
 	/// @param[in] _trueNow True time now.
 	void adopt(const VersionLog& _log, std::uint64_t _era, Micros _now, Micros _trueNow);
 
+	/// @returns true if the store's log lists a version. A stream that may be taken up must not begin at another
+	/// one: gateways that start after all others were lost would not know of it.
+	bool isLogged(VersionKey _version) const
+	{
+		return m_logged.count(_version) != 0;
+	}
+
+	/// @returns true if the store's log lists all versions that are listed now.
+	bool allLogged() const;
+
 	/// @returns what the store should hold.
 	VersionLog log(std::uint64_t _era, Micros _now, Micros _trueNow) const;
 
@@ -95,6 +106,7 @@
 	bool differs(const VersionLogEntry& _stored, bool _mayDrop, Micros _trueNow) const;
 
 	std::map<ServiceKey, std::map<VersionKey, Sighting>> m_sightings;
+	std::set<VersionKey> m_logged; ///< Versions that the store's log lists.
 	Micros m_completeSince;
 };
 
--- a/src/gateway/exchangeplacement.cpp
+++ b/src/gateway/exchangeplacement.cpp
@@ -15,7 +15,13 @@
 {
 std::vector<const KnownBackend*> Exchange::usableBackends(Micros _now) const
 {
-	return m_context.directory.usableOf(m_service, _now, m_streamVersion);
+	std::vector<const KnownBackend*> usable = m_context.directory.usableOf(m_service, _now, m_streamVersion);
+	if (m_route->kind == RouteKind::Stream && m_route->resumable && !m_streamVersion)
+	{
+		std::erase_if(usable, [this](const KnownBackend* _backend)
+					  { return !m_context.versions.isLogged(_backend->version); });
+	}
+	return usable;
 }
 
 StreamKey Exchange::streamKey() const
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -109,6 +109,10 @@
 	{
 		m_store->refresh();
 	};
+	m_context.onContentNeeded = [this]
+	{
+		m_store->refresh();
+	};
 	m_context.onPeerContentState = [this](std::uint64_t _fingerprint, Micros _confirmed)
 	{
 		m_store->onPeerContentState(_fingerprint, _confirmed);
@@ -170,7 +174,8 @@
 
 bool Gateway::ready() const
 {
-	if (m_context.stopping || !m_context.directory.config() || !m_context.startupQueryDone)
+	if (m_context.stopping || !m_context.directory.config() || !m_context.startupQueryDone ||
+		!m_context.versionsLoggedOnce)
 	{
 		return false;
 	}
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -229,8 +229,12 @@
 	std::function<void()> onDirectoryChanged;
 	bool startupQueryDone =
 		false; ///< This gateway knows what others know of limits and brittle services, or cannot ask.
+	/// The store's log has named all versions that were listed since the start, or was awaited for long enough.
+	bool versionsLoggedOnce = false;
 	/// Called when a peer has a newer configuration.
 	std::function<void()> onNewerConfigAtPeer;
+	/// Called when a decision needs content of the store that is read from now on.
+	std::function<void()> onContentNeeded;
 	/// Called when a peer states the fingerprint of its content and when that content was certainly the newest.
 	std::function<void(std::uint64_t, Micros)> onPeerContentState;
 	/// This gateway holds the duties; it alone watches the store, and others learn of changes from it.
--- a/src/gateway/versionlogwriter.cpp
+++ b/src/gateway/versionlogwriter.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t kAnswerBytes = 64u << 10;
 /// For how long the content may not show a write yet.
 constexpr Micros kContentDelay = 1 * kSecond;
+/// Longest time for which a start waits for the log: other requests can be served without it.
+constexpr Micros kMaxStartWait = 2 * kSecond;
 /// Delay before a gateway without the duties writes, so that a duty holder comes first.
 constexpr Micros kOthersDelay = 1 * kSecond;
 /// Further delay per rank, so that a write reaches the next gateways before they begin their own.
@@ -92,6 +94,7 @@
 		m_context.directory.config() && StoreRevision::eraOf(m_context.content.revision) == era;
 	const bool needed = contentKnown && m_context.versions.needsWriting(m_stored, era, m_context.holdsDuties, now,
 																		m_context.clock.trueTime(now));
+	contentKnown ? endStartWait(now) : void();
 	m_neededSince = needed ? std::min(m_neededSince, now) : kNever;
 	const bool awaitsContent = now - m_writtenAt < kContentDelay;
 	if (!needed || awaitsContent || m_writing || m_closed || m_context.stopping)
@@ -106,6 +109,14 @@
 	}
 }
 
+void VersionLogWriter::endStartWait(Micros _now)
+{
+	m_contentSince = std::min(m_contentSince, _now);
+	const bool waitedLong = _now - m_contentSince >= kMaxStartWait;
+	m_context.versionsLoggedOnce =
+		m_context.versionsLoggedOnce || (m_stored && m_context.versions.allLogged()) || waitedLong;
+}
+
 void VersionLogWriter::write()
 {
 	m_writing = true;
@@ -126,6 +137,8 @@
 			const bool written = platform::readTransaction(_answer).outcome == KvOutcome::Done;
 			logEvent(LogLevel::Info, "version-log",
 					 {{"versions", std::to_string(versions)}, {"written", written ? "yes" : "no"}});
+			// Streams may wait for the log.
+			self->m_context.onContentNeeded();
 		});
 }
 
--- a/src/gateway/versionlogwriter.h
+++ b/src/gateway/versionlogwriter.h
@@ -38,6 +38,8 @@
 	void schedule();
 	void adoptStored();
 	void writeIfNeeded();
+	/// Ends the wait at the start once the log names what is listed, since streams cannot begin before.
+	void endStartWait(Micros _now);
 	void write();
 
 	GatewayContext& m_context;
@@ -47,6 +49,7 @@
 	std::uint64_t m_revision = 0;       ///< Its revision; 0 if there is none.
 	Micros m_neededSince = kNever;      ///< Since when it lacks something.
 	Micros m_writtenAt = kLongAgo;      ///< When it was last written; kLongAgo once the content shows that.
+	Micros m_contentSince = kNever;     ///< Since when there has been content.
 	bool m_writing = false;
 	bool m_closed = false;
 };
--- a/tests/streamversionfixture.h
+++ b/tests/streamversionfixture.h
@@ -14,11 +14,20 @@
 
 namespace beacongate::test
 {
+/// A stream that broke off in the middle.
+struct BegunStream
+{
+	std::string id; ///< Id of the attempt that began it.
+	std::string version;
+	std::string lastEvent;
+};
+
 /// Backend servers of the versions v1 and v2 by turns.
 class StreamVersionTest : public GatewayTest
 {
 protected:
 	static constexpr unsigned kServers = 6;
+	static constexpr unsigned kBegunStreams = 16; ///< Streams that a test begins at a time.
 	static constexpr const char* kResumablePath = "/stream/again/";
 
 	void SetUp() override
@@ -90,6 +99,40 @@
 	{
 		return _answer.ends_with("0\r\n\r\n");
 	}
+
+	/// Begins streams that break off, and cannot be continued by their gateway.
+	std::vector<BegunStream> beginStreams(const std::string& _name, unsigned _gateway = 1)
+	{
+		setFaults(WorkerFault::CutsStream);
+		std::vector<BegunStream> streams;
+		for (unsigned number = 0; number < kBegunStreams; ++number)
+		{
+			const std::string id = _name + std::to_string(number);
+			const std::string answer = sendStream(id, _gateway);
+			streams.push_back({id, versionThatRan(id), lastEventOf(answer)});
+			EXPECT_FALSE(streams.back().lastEvent.empty()) << answer;
+		}
+		setFaults(WorkerFault::None);
+		return streams;
+	}
+
+	/// Takes streams up and checks where they go on.
+	/// @returns the number of streams that went on to their end.
+	unsigned takeUp(const std::vector<BegunStream>& _streams, unsigned _gateway,
+					const std::string& _name = "-again")
+	{
+		unsigned completed = 0;
+		for (const BegunStream& stream : _streams)
+		{
+			const std::string id = stream.id + _name;
+			const std::string answer = sendStream(id, _gateway, stream.lastEvent, stream.id);
+			const std::string version = versionThatRan(id);
+			EXPECT_TRUE(version == stream.version || version == "none")
+				<< stream.id << " began at " << stream.version << " and went on at " << version;
+			completed += statusOf(answer) == 200 && isWhole(answer) ? 1 : 0;
+		}
+		return completed;
+	}
 };
 
 } // namespace beacongate::test
--- a/tools/standin/platform.cpp
+++ b/tools/standin/platform.cpp
@@ -182,6 +182,11 @@
 	m_loop.run([&] { m_fault = _fault; });
 }
 
+void PlatformStore::rejectWritesOf(const std::string& _key)
+{
+	m_loop.run([&] { m_rejectedKey = _key; });
+}
+
 void PlatformStore::setReadRate(std::size_t _bytesPerSecond)
 {
 	m_loop.run([&] { m_readRate = _bytesPerSecond; });
@@ -331,6 +336,13 @@
 HttpAnswer PlatformStore::transact(const std::string& _body)
 {
 	const Json root = parseJson(_body, Failure::MalformedRequest);
+	for (const Json& entry : root.at("put"))
+	{
+		if (!m_rejectedKey.empty() && entry.at("key") == m_rejectedKey)
+		{
+			return HttpAnswer{503, {}, ""};
+		}
+	}
 	Json found = Json::array();
 	bool holds = true;
 	for (const Json& condition : root.at("expectedRevision"))
--- a/tools/standin/platform.h
+++ b/tools/standin/platform.h
@@ -84,6 +84,9 @@
 	/// Sets the fault that later calls meet.
 	void setFault(StoreFault _fault);
 
+	/// Sets a key whose writes are answered with 503 and not done; an empty one ends that.
+	void rejectWritesOf(const std::string& _key);
+
 	/// Limits the rate of each answer to a range read, to simulate a slow link.
 	/// @param[in] _bytesPerSecond Rate of each answer in bytes per second; 0 is no limit.
 	void setReadRate(std::size_t _bytesPerSecond);
@@ -169,6 +172,7 @@
 	std::uint64_t m_era = 1;
 	Copy m_copy;
 	StoreFault m_fault = StoreFault::None;
+	std::string m_rejectedKey; ///< Writes of this key are answered with 503.
 	std::size_t m_readRate = 0; ///< Rate of each answer to a range read in bytes per second; 0 is no limit.
 	std::atomic<unsigned> m_calls = 0;
 };
