Conclude a stream's version only from content that was read after its return

A gateway that knew one version took a stream that no home knew for one of it, by answers of other gateways or a list up to 1.5 s old. Where its content was behind the store, a version could have appeared, begun the stream and left unseen: the same joined answers, where the gateway that began the stream and its homes were lost together.

The search now ends with the only version once the store was read after it began, which a pending search asks for at once.

streamoriginstest aGatewayThatIsBehindTheStore... is new; the earlier code answers it at once with the version that is left, by reading: this test was not run on the earlier code.

--- a/src/coordination/streamorigins.cpp
+++ b/src/coordination/streamorigins.cpp
@@ -58,7 +58,7 @@
 	}
 }
 
-OriginVerdict StreamOrigins::search(OriginTicket& _ticket, StreamKey _stream, ServiceKey _service, Micros _listAge,
+OriginVerdict StreamOrigins::search(OriginTicket& _ticket, StreamKey _stream, ServiceKey _service, Micros _contentAge,
 									Micros _now, std::function<void()> _found)
 {
 	if (_ticket.id == 0 && !find(_stream, _now))
@@ -89,23 +89,33 @@
 		}
 		return {};
 	}
-	const OriginVerdict verdict = conclude(search, _listAge, _now);
-	abandon(_ticket);
+	const OriginVerdict verdict = conclude(search, _contentAge, _now);
+	if (verdict.state != OriginState::Pending)
+	{
+		abandon(_ticket);
+	}
 	return verdict;
 }
 
-OriginVerdict StreamOrigins::conclude(const Search& _search, Micros _listAge, Micros _now) const
+OriginVerdict StreamOrigins::conclude(const Search& _search, Micros _contentAge, Micros _now) const
 {
 	std::set<VersionKey> possible = _search.recentVersions;
 	for (const VersionKey& version : m_history.versionsOf(_search.service))
 	{
 		possible.insert(version);
 	}
-	// Other gateways may have started as recently as this one, so their answers do not make up for its own history.
-	const bool informed = m_history.isComplete(_now) && (_search.answers > 0 || _listAge < kFreshListAge);
-	if (informed && possible.size() == 1)
+	// Other gateways may have started as recently as this one, or be as far behind the store, so their answers do not
+	// make up for its own history.
+	if (m_history.isComplete(_now) && possible.size() == 1)
 	{
-		return {OriginState::Known, *possible.begin(), OriginGrounds::OnlyVersion};
+		if (_contentAge <= _now - _search.started)
+		{
+			return {OriginState::Known, *possible.begin(), OriginGrounds::OnlyVersion};
+		}
+		if (_contentAge < kFreshContentAge)
+		{
+			return {OriginState::Pending, {}, OriginGrounds::None, true, true};
+		}
 	}
 	return {OriginState::Unknown, {}, OriginGrounds::None, !_search.silent.empty()};
 }
@@ -165,7 +175,7 @@
 		return;
 	}
 	Search& search = found->second;
-	search.answers += std::erase(search.silent, _host);
+	std::erase(search.silent, _host);
 	search.recentVersions.insert(_answer.recentVersions.begin(), _answer.recentVersions.end());
 	if (search.silent.empty() || _answer.version)
 	{
--- a/src/coordination/streamorigins.h
+++ b/src/coordination/streamorigins.h
@@ -48,6 +48,7 @@
 	VersionKey version; ///< If it is known.
 	OriginGrounds grounds = OriginGrounds::None;
 	bool mayBeKnown = true; ///< A gateway that was asked has not answered, so that a later search may find it.
+	bool needsContent = false; ///< The search is pending until the store's content has been read again.
 };
 
 /// A request's search; kept by the request between calls.
@@ -64,7 +65,8 @@
 /// kAsked for each one that is taken up.
 ///
 /// Where no home knows a stream, it goes on only if its service had a single version for as long as streams live,
-/// and if this gateway can know that, see VersionHistory::isComplete().
+/// and if this gateway can know that, see VersionHistory::isComplete(). It must have read the store after the search
+/// began: the log names a version before the first stream begins there.
 class StreamOrigins
 {
 public:
@@ -78,9 +80,8 @@
 	static constexpr Micros kResendDelay = 40 * kMillisecond;
 	/// A search ends after this time: several round trips between data centres.
 	static constexpr Micros kSearchTimeout = 250 * kMillisecond;
-	/// A list of backend servers that was confirmed within this time shows all versions at which a stream can have
-	/// begun, also where no other gateway answers.
-	static constexpr Micros kFreshListAge = 1500 * kMillisecond;
+	/// Content of the store that was confirmed within this time will soon be confirmed again.
+	static constexpr Micros kFreshContentAge = 1500 * kMillisecond;
 	/// Bounds of the time for which a stream is remembered.
 	static constexpr Micros kMinLifetime = 30 * kSecond;
 	static constexpr Micros kMaxLifetime = VersionHistory::kRetention;
@@ -111,9 +112,9 @@
 	void onBegun(StreamKey _stream, VersionKey _version, Micros _lifetime, Micros _now);
 
 	/// Searches for the version at which a stream began. Must be called again while the result is pending.
-	/// @param[in] _listAge Age of this gateway's list of backend servers.
+	/// @param[in] _contentAge Time since this gateway's content of the store was confirmed.
 	/// @param[in] _found Called when an answer ends the search.
-	OriginVerdict search(OriginTicket& _ticket, StreamKey _stream, ServiceKey _service, Micros _listAge,
+	OriginVerdict search(OriginTicket& _ticket, StreamKey _stream, ServiceKey _service, Micros _contentAge,
 						 Micros _now, std::function<void()> _found);
 
 	/// Ends a search whose request has ended.
@@ -145,7 +146,6 @@
 		Micros started = 0;
 		bool resent = false;
 		std::vector<std::string> silent; ///< Hosts that have not answered.
-		std::size_t answers = 0;
 		std::optional<VersionKey> version;
 		std::set<VersionKey> recentVersions; ///< As the answers list them.
 		std::function<void()> found;
@@ -155,7 +155,7 @@
 	std::optional<VersionKey> find(StreamKey _stream, Micros _now) const;
 	void sendQueries(std::uint64_t _id, const Search& _search);
 	/// @returns the result of a search that no home's knowledge has ended.
-	OriginVerdict conclude(const Search& _search, Micros _listAge, Micros _now) const;
+	OriginVerdict conclude(const Search& _search, Micros _contentAge, Micros _now) const;
 	void onQuery(const std::string& _host, const StreamOriginQuery& _query, Micros _now);
 	void onAnswer(const std::string& _host, const StreamOriginAnswer& _answer);
 
--- a/src/gateway/exchangeplacement.cpp
+++ b/src/gateway/exchangeplacement.cpp
@@ -45,8 +45,12 @@
 		}
 	};
 	const OriginVerdict verdict = m_context.origins.search(m_originTicket, streamKey(), ServiceKey(m_service),
-														   m_context.directory.listAge(_now), _now, found);
+														   _now - m_context.content.confirmed, _now, found);
 	logStreamOrigin(verdict, _now);
+	if (verdict.needsContent)
+	{
+		m_context.onContentNeeded();
+	}
 	if (verdict.state == OriginState::Unknown)
 	{
 		refuse(Failure::NoBackend, "the software version at which the stream began is not known",
--- a/tests/streamoriginstest.cpp
+++ b/tests/streamoriginstest.cpp
@@ -245,6 +245,34 @@
 	EXPECT_LE(fleet.longestSearch, StreamOrigins::kSearchTimeout + 20 * kMillisecond);
 }
 
+TEST(StreamOrigins, aGatewayThatIsBehindTheStoreDoesNotTakeItsOnlyVersionForTheOnlyOneThereIs)
+{
+	Fleet fleet(2, 2);
+	fleet.now += VersionHistory::kRetention + 20 * kSecond;
+	for (const std::string& host : fleet.hosts)
+	{
+		fleet.members[host]->history = VersionHistory(kLongAgo);
+		fleet.members[host]->directory = Directory();
+		fleet.members[host]->setVersions({"v1"}, fleet.now);
+	}
+	// A stream began at v2 at a gateway that is lost, and all others last read the store before v2 was there.
+	const Micros lastRead = fleet.now;
+	StreamOrigins& origins = fleet.members[fleet.hosts[0]]->origins;
+	OriginTicket ticket;
+	fleet.now += 100 * kMillisecond;
+	const auto search = [&](Micros _read)
+	{
+		fleet.now += 100 * kMillisecond;
+		return origins.search(ticket, streamKey(1), ServiceKey(kService), fleet.now - _read, fleet.now, [] {});
+	};
+	EXPECT_EQ(search(lastRead).state, OriginState::Pending);
+	const OriginVerdict waiting = search(lastRead);
+	EXPECT_EQ(waiting.state, OriginState::Pending);
+	EXPECT_TRUE(waiting.needsContent);
+	fleet.members[fleet.hosts[0]]->setVersions({"v1", "v2"}, fleet.now);
+	EXPECT_EQ(search(fleet.now).state, OriginState::Unknown);
+}
+
 TEST(StreamOrigins, gatewaysThatHaveAllJustStartedDoNotTakeTheirOnlyVersionForTheOnlyOneThereWas)
 {
 	Fleet fleet(2, 2);
