Record streams in the store while a service has several versions, so that they outlive the gateways

Cause: the version of a single stream was kept in the memory of gateways that end together.

While a service has several versions, each gateway keeps a list of the streams that began there and were not delivered whole, under the lease of its registration, and takes all lists over with the first content. Streams of the last interval (0.3 s, 25 ms for each gateway if that is more) are refused as before.

--- a/src/coordination/streamorigins.cpp
+++ b/src/coordination/streamorigins.cpp
@@ -22,10 +22,10 @@
 	return "none";
 }
 
-void StreamOrigins::store(const StreamOriginRecord& _record, Micros _now)
+void StreamOrigins::store(const StreamOriginRecord& _record, bool _own, Micros _now)
 {
 	const Micros until = _now + std::clamp(_record.lifetime, kMinLifetime, kMaxLifetime);
-	const auto [entry, isNew] = m_streams.insert_or_assign(_record.stream, Entry{_record.version, until});
+	const auto [entry, isNew] = m_streams.insert_or_assign(_record.stream, Entry{_record.version, until, _own});
 	if (!isNew)
 	{
 		return;
@@ -48,7 +48,7 @@
 void StreamOrigins::onBegun(StreamKey _stream, VersionKey _version, Micros _lifetime, Micros _now)
 {
 	const StreamOriginRecord record{_stream, _version, _lifetime};
-	store(record, _now);
+	store(record, true, _now);
 	for (const std::string& host : m_homes.of(_stream.value, kHolders))
 	{
 		if (host != m_host)
@@ -58,8 +58,43 @@
 	}
 }
 
-OriginVerdict StreamOrigins::search(OriginTicket& _ticket, StreamKey _stream, ServiceKey _service, Micros _contentAge,
-									Micros _now, std::function<void()> _found)
+void StreamOrigins::onCompleted(StreamKey _stream)
+{
+	if (const auto entry = m_streams.find(_stream); entry != m_streams.end())
+	{
+		entry->second.own = false;
+	}
+}
+
+std::vector<StreamOriginRecord> StreamOrigins::ownRecords(std::size_t _most, Micros _now) const
+{
+	std::vector<StreamOriginRecord> records;
+	for (auto stream = m_order.rbegin(); stream != m_order.rend() && records.size() < _most; ++stream)
+	{
+		const auto entry = m_streams.find(*stream);
+		if (entry != m_streams.end() && entry->second.own && _now <= entry->second.until &&
+			m_history.isOneOfSeveral(entry->second.version))
+		{
+			records.push_back({*stream, entry->second.version, entry->second.until - _now});
+		}
+	}
+	return records;
+}
+
+void StreamOrigins::adopt(const std::vector<StreamOriginRecord>& _records, bool _own, Micros _now)
+{
+	// The records are given newest first, and the oldest entries give way first.
+	for (auto record = _records.rbegin(); record != _records.rend(); ++record)
+	{
+		if (!m_streams.count(record->stream))
+		{
+			store(*record, _own, _now);
+		}
+	}
+}
+
+OriginVerdict StreamOrigins::search(OriginTicket& _ticket, StreamKey _stream, ServiceKey _service,
+									Micros _contentAge, Micros _now, std::function<void()> _found)
 {
 	if (_ticket.id == 0 && !find(_stream, _now))
 	{
@@ -104,8 +139,8 @@
 	{
 		possible.insert(version);
 	}
-	// Other gateways may have started as recently as this one, or be as far behind the store, so their answers do not
-	// make up for its own history.
+	// Other gateways may have started as recently as this one, or be as far behind the store, so their answers do
+	// not make up for its own history.
 	if (m_history.isComplete(_now) && possible.size() == 1)
 	{
 		if (_contentAge <= _now - _search.started)
@@ -140,7 +175,7 @@
 {
 	if (const auto* record = std::get_if<StreamOriginRecord>(&_message))
 	{
-		store(*record, _now);
+		store(*record, false, _now);
 	}
 	else if (const auto* query = std::get_if<StreamOriginQuery>(&_message))
 	{
@@ -150,7 +185,7 @@
 	{
 		if (const auto search = m_searches.find(answer->id); answer->version && search != m_searches.end())
 		{
-			store({search->second.stream, *answer->version, kMinLifetime}, _now);
+			store({search->second.stream, *answer->version, kMinLifetime}, false, _now);
 		}
 		onAnswer(_host, *answer);
 	}
--- a/src/coordination/streamorigins.h
+++ b/src/coordination/streamorigins.h
@@ -47,7 +47,7 @@
 	OriginState state = OriginState::Pending;
 	VersionKey version; ///< If it is known.
 	OriginGrounds grounds = OriginGrounds::None;
-	bool mayBeKnown = true; ///< A gateway that was asked has not answered, so that a later search may find it.
+	bool mayBeKnown = true;    ///< A gateway that was asked has not answered, so that a later search may find it.
 	bool needsContent = false; ///< The search is pending until the store's content has been read again.
 };
 
@@ -65,8 +65,8 @@
 /// kAsked for each one that is taken up.
 ///
 /// Where no home knows a stream, it goes on only if its service had a single version for as long as streams live,
-/// and if this gateway can know that, see VersionHistory::isComplete(). It must have read the store after the search
-/// began: the log names a version before the first stream begins there.
+/// and if this gateway can know that, see VersionHistory::isComplete(). It must have read the store after the
+/// search began: the log names a version before the first stream begins there.
 class StreamOrigins
 {
 public:
@@ -111,6 +111,17 @@
 	/// @param[in] _lifetime For how long the caller may take it up.
 	void onBegun(StreamKey _stream, VersionKey _version, Micros _lifetime, Micros _now);
 
+	/// Notes that a stream that began here was delivered whole, so that its caller does not take it up.
+	void onCompleted(StreamKey _stream);
+
+	/// @returns the streams that began here and may be taken up where several versions are possible, newest first.
+	/// @param[in] _most Largest number of streams.
+	std::vector<StreamOriginRecord> ownRecords(std::size_t _most, Micros _now) const;
+
+	/// Takes over streams that a gateway has recorded in the store; what is known already stays.
+	/// @param[in] _own They began at this gateway before it was started again.
+	void adopt(const std::vector<StreamOriginRecord>& _records, bool _own, Micros _now);
+
 	/// Searches for the version at which a stream began. Must be called again while the result is pending.
 	/// @param[in] _contentAge Time since this gateway's content of the store was confirmed.
 	/// @param[in] _found Called when an answer ends the search.
@@ -137,6 +148,7 @@
 	{
 		VersionKey version;
 		Micros until = 0;
+		bool own = false; ///< It began here, and has not been delivered whole.
 	};
 
 	struct Search
@@ -151,7 +163,7 @@
 		std::function<void()> found;
 	};
 
-	void store(const StreamOriginRecord& _record, Micros _now);
+	void store(const StreamOriginRecord& _record, bool _own, Micros _now);
 	std::optional<VersionKey> find(StreamKey _stream, Micros _now) const;
 	void sendQueries(std::uint64_t _id, const Search& _search);
 	/// @returns the result of a search that no home's knowledge has ended.
--- a/src/coordination/versionhistory.cpp
+++ b/src/coordination/versionhistory.cpp
@@ -153,6 +153,13 @@
 	return true;
 }
 
+bool VersionHistory::isOneOfSeveral(VersionKey _version) const
+{
+	return std::any_of(m_sightings.begin(), m_sightings.end(),
+					   [_version](const auto& _entry)
+					   { return _entry.second.size() > 1 && _entry.second.count(_version) != 0; });
+}
+
 bool VersionHistory::contains(ServiceKey _service, VersionKey _version) const
 {
 	const auto service = m_sightings.find(_service);
--- a/src/gateway/exchangeanswers.cpp
+++ b/src/gateway/exchangeanswers.cpp
@@ -325,6 +325,7 @@
 		return;
 	}
 	completeAttempt();
+	m_context.origins.onCompleted(streamKey());
 	if (!m_attempt.resumed)
 	{
 		m_context.streamLengths.onStream(m_service, m_route->name, m_attempt.eventCount,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -46,6 +46,7 @@
 	{
 		m_context.versions.update(m_context.directory, monotonicNow());
 		m_versionLog->onContent();
+		m_originLog->onContent();
 		m_dispatcher.wake();
 	};
 }
@@ -101,6 +102,8 @@
 	m_gossiper->init();
 	m_versionLog = std::make_shared<VersionLogWriter>(m_context);
 	m_versionLog->init();
+	m_originLog = std::make_shared<OriginLogWriter>(m_context);
+	m_originLog->init();
 	m_store = std::make_shared<StoreSync>(m_context);
 	m_store->init();
 	m_backendList = std::make_shared<BackendListSync>(m_context);
@@ -413,6 +416,7 @@
 	m_registration->shutdown();
 	m_relaySlot->shutdown();
 	m_versionLog->shutdown();
+	m_originLog->shutdown();
 	if (m_duties)
 	{
 		m_duties->shutdown();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -12,6 +12,7 @@
 #include "gateway/dutyholder.h"
 #include "gateway/gatewaycontext.h"
 #include "gateway/gossiper.h"
+#include "gateway/originlogwriter.h"
 #include "gateway/registration.h"
 #include "gateway/relayslotwriter.h"
 #include "gateway/storesync.h"
@@ -79,6 +80,7 @@
 	std::shared_ptr<Registration> m_registration;
 	std::shared_ptr<RelaySlotWriter> m_relaySlot;
 	std::shared_ptr<VersionLogWriter> m_versionLog;
+	std::shared_ptr<OriginLogWriter> m_originLog;
 	std::shared_ptr<DutyHolder> m_duties;
 	std::unique_ptr<Gossiper> m_gossiper;
 	boost::asio::signal_set m_signals;
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -237,6 +237,8 @@
 	std::function<void()> onContentNeeded;
 	/// Called when a peer states the fingerprint of its content and when that content was certainly the newest.
 	std::function<void(std::uint64_t, Micros)> onPeerContentState;
+	/// Lease of this gateway's registration in the store; 0 if there is none.
+	std::uint64_t registrationLease = 0;
 	/// This gateway holds the duties; it alone watches the store, and others learn of changes from it.
 	bool holdsDuties = false;
 };
--- a/src/gateway/memberkeys.h
+++ b/src/gateway/memberkeys.h
@@ -43,11 +43,14 @@
 	return _key.substr(0, kMemberPrefix.size()) == kMemberPrefix;
 }
 
-/// @returns true if a key holds a record of the duty holder for its successor, by which nothing is routed.
+/// The gateway's name follows; the value lists streams that began there, see OriginLogWriter.
+inline constexpr std::string_view kOriginsPrefix = "beacongate/origins/";
+
+/// @returns true if a key holds a gateway's record for its successor, by which nothing is routed.
 inline bool isBookkeepingKey(std::string_view _key)
 {
-	return _key == kLevelsKey || _key == kCountsKey || _key == kFenceKey ||
-		   _key.substr(0, kUsagePrefix.size()) == kUsagePrefix;
+	return _key.substr(0, kOriginsPrefix.size()) == kOriginsPrefix || _key == kLevelsKey || _key == kCountsKey ||
+		   _key == kFenceKey || _key.substr(0, kUsagePrefix.size()) == kUsagePrefix;
 }
 
 /// @returns the key that registers a gateway.
@@ -56,6 +59,12 @@
 	return std::string(kMemberPrefix) + _name;
 }
 
+/// @returns the key under which a gateway records its streams.
+inline std::string originsKey(const std::string& _name)
+{
+	return std::string(kOriginsPrefix) + _name;
+}
+
 /// @returns the value that registers a gateway: its host, its data centre and its CPU share, separated by spaces.
 inline std::string encodeMember(const MemberRecord& _member)
 {
--- a/src/gateway/registration.cpp
+++ b/src/gateway/registration.cpp
@@ -66,7 +66,7 @@
 
 void Registration::registerAgain()
 {
-	m_lease = 0;
+	m_context.registrationLease = 0;
 	m_entryWritten = false;
 	// The same has happened to all gateways, if the store was restored or out of reach.
 	wait(RegistrationSpread::draw(m_context.members.count(), m_context.random));
@@ -87,7 +87,7 @@
 			{
 				return;
 			}
-			if (self->m_lease == 0)
+			if (self->m_context.registrationLease == 0)
 			{
 				self->requestLease();
 			}
@@ -119,7 +119,7 @@
 				self->schedule(kRetryInterval);
 				return;
 			}
-			self->m_lease = lease->id;
+			self->m_context.registrationLease = lease->id;
 			self->writeEntry();
 		});
 }
@@ -130,7 +130,7 @@
 	KvTransaction change;
 	const MemberRecord record{m_context.settings.callers.host, m_context.settings.dataCentre,
 							  m_context.settings.cpuPercent};
-	change.puts.push_back({memberKey(m_context.settings.name), encodeMember(record), m_lease});
+	change.puts.push_back({memberKey(m_context.settings.name), encodeMember(record), m_context.registrationLease});
 	m_context.traffic.onStoreCall(StorePurpose::Registration);
 	m_channel->call(
 		platform::transactionCall(change), kCallTimeout,
@@ -145,7 +145,7 @@
 			self->m_entryRevision = self->m_entryWritten ? result.revision : self->m_entryRevision;
 			if (result.outcome == KvOutcome::LeaseGone)
 			{
-				self->m_lease = 0;
+				self->m_context.registrationLease = 0;
 			}
 			self->schedule(self->m_entryWritten ? kRenewInterval : kRetryInterval);
 		});
@@ -155,7 +155,7 @@
 {
 	m_context.traffic.onStoreCall(StorePurpose::Registration);
 	m_channel->call(
-		platform::renewCall(m_lease), kCallTimeout,
+		platform::renewCall(m_context.registrationLease), kCallTimeout,
 		[self = shared_from_this(), restores = m_context.storeRestores](const std::optional<HttpAnswer>& _answer)
 		{
 			if (metRestore(self->m_context, _answer, restores))
@@ -165,7 +165,7 @@
 			const platform::RenewedLease renewal = platform::readRenewal(_answer);
 			if (renewal.gone)
 			{
-				self->m_lease = 0;
+				self->m_context.registrationLease = 0;
 				self->m_entryWritten = false;
 			}
 			// The entry may have been found missing during the call.
--- a/src/gateway/registration.h
+++ b/src/gateway/registration.h
@@ -45,7 +45,6 @@
 	GatewayContext& m_context;
 	std::shared_ptr<HttpChannel> m_channel;
 	boost::asio::steady_timer m_timer;
-	std::uint64_t m_lease = 0;
 	bool m_entryWritten = false;
 	std::uint64_t m_entryRevision = 0; ///< Of the last write of the entry.
 	bool m_closed = false;
--- a/src/gateway/trafficcounters.cpp
+++ b/src/gateway/trafficcounters.cpp
@@ -11,8 +11,8 @@
 	"report", "data-centre-sums", "fleet-sums", "usage",   "echo",        "quota-grant", "crash",
 	"limit",  "stream-origin",    "slot-grant", "brittle", "server-speed"};
 constexpr std::array<std::string_view, static_cast<std::size_t>(StorePurpose::Count_)> kStoreNames = {
-	"content",    "backend-list", "relays",       "probe",      "watch",      "registration",
-	"duty-lease", "usage-counts", "usage-window", "relay-slot", "version-log"};
+	"content",    "backend-list", "relays",       "probe",      "watch",       "registration",
+	"duty-lease", "usage-counts", "usage-window", "relay-slot", "version-log", "origin-log"};
 
 template <typename Purpose> std::size_t indexOf(Purpose _purpose)
 {
--- a/src/gateway/trafficcounters.h
+++ b/src/gateway/trafficcounters.h
@@ -47,6 +47,7 @@
 	UsageWindow,
 	RelaySlot,
 	VersionLog,
+	OriginLog,
 	Count_ ///< Number of purposes.
 };
 
--- a/tests/streamoriginstest.cpp
+++ b/tests/streamoriginstest.cpp
@@ -5,6 +5,8 @@
 /// Tests of what gateways remember of where streams began, without a network.
 
 #include "coordination/streamorigins.h"
+#include "coordination/originlogplan.h"
+#include "protocol/originlogcodec.h"
 
 #include "versionlist.h"
 
@@ -301,6 +303,74 @@
 	}
 }
 
+TEST(StreamOrigins, recordsOfStreamsThatBeganHereFindThemAfterAllGatewaysAreReplaced)
+{
+	Fleet fleet(2, 2);
+	const std::string& first = fleet.hosts[0];
+	const std::string& second = fleet.hosts[1];
+	for (unsigned number = 0; number < 10; ++number)
+	{
+		fleet.members[first]->origins.onBegun(streamKey(number), versionKey("v2"), kSecond, fleet.now);
+	}
+	fleet.members[first]->origins.onCompleted(streamKey(3));
+	const auto records = fleet.members[first]->origins.ownRecords(8, fleet.now);
+	ASSERT_EQ(records.size(), 8u);
+	EXPECT_EQ(records.front().stream, streamKey(9)) << "the newest are kept";
+	const auto decoded = decodeOriginLog(encodeOriginLog(records));
+	ASSERT_TRUE(decoded);
+	for (const std::string& host : fleet.hosts)
+	{
+		fleet.restart(host);
+	}
+	fleet.members[first]->origins.adopt(*decoded, true, fleet.now);
+	for (const unsigned number : {1u, 9u})
+	{
+		const OriginVerdict verdict = fleet.search(first, streamKey(number));
+		EXPECT_EQ(verdict.state, OriginState::Known);
+		EXPECT_EQ(verdict.version, versionKey("v2"));
+	}
+	EXPECT_EQ(fleet.search(first, streamKey(3)).state, OriginState::Unknown) << "it was delivered whole";
+	EXPECT_EQ(fleet.members[first]->origins.ownRecords(100, fleet.now).size(), 8u)
+		<< "they outlive the next loss too";
+	EXPECT_TRUE(fleet.members[second]->origins.ownRecords(100, fleet.now).empty());
+}
+
+TEST(StreamOrigins, nothingIsRecordedWhereOneVersionServes)
+{
+	Fleet fleet(1, 1);
+	Member& member = *fleet.members[fleet.hosts[0]];
+	member.origins.onBegun(streamKey(1), versionKey("v1"), kSecond, fleet.now);
+	EXPECT_EQ(member.origins.ownRecords(10, fleet.now).size(), 1u);
+	member.directory = Directory();
+	member.history = VersionHistory(kLongAgo);
+	member.setVersions({"v1"}, fleet.now);
+	EXPECT_TRUE(member.origins.ownRecords(10, fleet.now).empty());
+}
+
+TEST(StreamOrigins, recordsInTheStoreCostTheFleetBoundedWritesAndBytes)
+{
+	for (const std::size_t members : {0u, 1u, 8u, 87u, 1972u, 10000u})
+	{
+		const double writes =
+			static_cast<double>(members * kSecond) / static_cast<double>(OriginLogPlan::interval(members));
+		EXPECT_LE(writes, 40.0) << members;
+		std::vector<StreamOriginRecord> records(OriginLogPlan::records(members));
+		for (std::size_t index = 0; index < records.size(); ++index)
+		{
+			records[index] = {streamKey(static_cast<unsigned>(index)), versionKey(index % 2 == 0 ? "v1" : "v2"), 0};
+		}
+		EXPECT_LE(members * encodeOriginLog(records).size(), OriginLogPlan::kFleetBytes + 32 * members) << members;
+	}
+}
+
+TEST(OriginLogCodec, invalidRecordsAreRefused)
+{
+	for (const std::string& bytes : {std::string(), std::string("x"), std::string("\x93\x01\x90\x92\x01\x00", 6)})
+	{
+		EXPECT_FALSE(decodeOriginLog(bytes));
+	}
+}
+
 TEST(StreamOrigins, memoryIsBoundedAndTheOldestGiveWay)
 {
 	Fleet fleet(1, 1);
