Tell callers to come back where only newer content is missing

A stream that was refused because the store's content was too old got no Retry-After once all homes had answered, though a later try can succeed.

--- a/src/coordination/streamorigins.cpp
+++ b/src/coordination/streamorigins.cpp
@@ -142,7 +142,8 @@
 	}
 	// Other gateways may have started as recently as this one, or be as far behind the store, so their answers do
 	// not make up for its own history.
-	if (m_history.isComplete(_now) && possible.size() == 1)
+	const bool isOnlyVersion = m_history.isComplete(_now) && possible.size() == 1;
+	if (isOnlyVersion)
 	{
 		if (_contentAge <= _now - _search.started)
 		{
@@ -153,7 +154,7 @@
 			return {OriginState::Pending, {}, OriginGrounds::None, true, true};
 		}
 	}
-	return {OriginState::Unknown, {}, OriginGrounds::None, !_search.silent.empty()};
+	return {OriginState::Unknown, {}, OriginGrounds::None, isOnlyVersion || !_search.silent.empty()};
 }
 
 void StreamOrigins::abandon(OriginTicket& _ticket)
