Keep in the log of versions what one gateway alone has seen

After a restore of the store, a gateway that had never read the lost write could write the log of the new era without a version that had left; others did not add it, so that a later loss of all gateways would let its streams go on elsewhere. Versions that have left are now added, until a minute before they are forgotten. A version that comes back within half of the retention begins streams before it is listed in the log again, since its entry outlives them.

versionhistorytest has a case for each; both rest on the reviewer's reading, no fleet has shown them.

--- a/src/coordination/versionhistory.cpp
+++ b/src/coordination/versionhistory.cpp
@@ -13,6 +13,8 @@
 {
 /// A log that another gateway wrote is complete from nearly the same time on, as clocks tell it.
 constexpr Micros kClockTolerance = 10 * kSecond;
+/// Versions that will be forgotten within this time are not added to a log: others may have dropped them already.
+constexpr Micros kForgettingSpan = 60 * kSecond;
 
 /// @returns the monotonic time of a true time that has passed.
 Micros toMonotonic(Micros _trueTime, Micros _now, Micros _trueNow)
@@ -51,7 +53,11 @@
 	}
 	for (const VersionLogEntry& entry : _log.entries)
 	{
-		entry.listed ? static_cast<void>(m_logged.insert(entry.version)) : void();
+		// A version that comes back soon is in the log for long enough, also before it is listed there again.
+		if (entry.listed || _trueNow - entry.lastListed < kRetention / 2)
+		{
+			m_logged.insert(entry.version);
+		}
 		// A version that the log lists may have left only just now.
 		const Micros lastListed = entry.listed ? _now : toMonotonic(entry.lastListed, _now, _trueNow);
 		Sighting& sighting = m_sightings[entry.service][entry.version];
@@ -101,7 +107,9 @@
 	{
 		for (const auto& [version, sighting] : versions)
 		{
-			if (sighting.listed && !stored.count({service, version}))
+			// A version that has left may be missing too, where the log was written by a gateway that never saw it.
+			const bool matters = sighting.listed || _now - sighting.lastListed < kRetention - kForgettingSpan;
+			if (matters && !stored.count({service, version}))
 			{
 				return true;
 			}
--- a/tests/versionhistorytest.cpp
+++ b/tests/versionhistorytest.cpp
@@ -154,6 +154,33 @@
 	EXPECT_TRUE(gateway.needsWriting(left, true, after + kSecond + VersionHistory::kRetention));
 }
 
+TEST(VersionHistory, versionThatHasLeftIsAddedToALogOfAGatewayThatNeverSawIt)
+{
+	Gateway behind(kLongAgo);
+	behind.list({"v1"}, kStart);
+	Gateway gateway(kLongAgo);
+	gateway.list({"v1", "v2"}, kStart);
+	const Micros left = gateway.listAlone({"v1"}, kStart + kSecond);
+	const VersionLog restored = behind.log(left);
+	EXPECT_TRUE(gateway.needsWriting(restored, false, left));
+	EXPECT_FALSE(gateway.needsWriting(restored, false, left + VersionHistory::kRetention - kSecond)) << "soon over";
+}
+
+TEST(VersionHistory, versionThatComesBackSoonNeedNotWaitForTheLog)
+{
+	Gateway gateway(kLongAgo);
+	gateway.list({"v1", "v2"}, kStart);
+	const Micros left = gateway.listAlone({"v1"}, kStart + kSecond);
+	const VersionLog log = gateway.log(left);
+	Gateway soon(left);
+	soon.adopt(log, left + kSecond);
+	EXPECT_TRUE(soon.history.isLogged(kSecondVersion));
+	Gateway late(left);
+	late.adopt(log, left + VersionHistory::kRetention / 2 + kSecond);
+	EXPECT_FALSE(late.history.isLogged(kSecondVersion));
+	EXPECT_TRUE(late.history.isLogged(kFirst));
+}
+
 TEST(VersionCodec, logIsReadAsWritten)
 {
 	Gateway gateway(kStart);
