Take lists of streams over at the start alone

Each read of the store added all gateways' streams to the table, which is bounded by number, so that the fleet's rate decided how long a home remembers its own. Ten seconds after its start a gateway has what it lacked.

--- a/src/gateway/originlogwriter.cpp
+++ b/src/gateway/originlogwriter.cpp
@@ -21,6 +21,8 @@
 {
 constexpr Micros kCallTimeout = 1 * kSecond;
 constexpr std::size_t kAnswerBytes = 64u << 10;
+/// Time after the start in which lists are taken over.
+constexpr Micros kAdoptionSpan = 10 * kSecond;
 /// Interval at which a list is looked through for streams that were all delivered meanwhile.
 constexpr Micros kCleanupInterval = 1 * kSecond;
 } // namespace
@@ -56,6 +58,11 @@
 
 void OriginLogWriter::onContent()
 {
+	if (monotonicNow() - m_context.started > kAdoptionSpan)
+	{
+		// Streams that begin now are told to their homes.
+		return;
+	}
 	const auto& items = m_context.content.items;
 	const std::string ownKey = originsKey(m_context.settings.name);
 	for (auto item = items.lower_bound(std::string(kOriginsPrefix));
