--- a/tools/standin/platform.h
+++ b/tools/standin/platform.h
@@ -172,7 +172,7 @@
 	std::uint64_t m_era = 1;
 	Copy m_copy;
 	StoreFault m_fault = StoreFault::None;
-	std::string m_rejectedKey; ///< Writes of this key are answered with 503.
+	std::string m_rejectedKey;  ///< Writes of this key are answered with 503.
 	std::size_t m_readRate = 0; ///< Rate of each answer to a range read in bytes per second; 0 is no limit.
 	std::atomic<unsigned> m_calls = 0;
 };
