Read answers at the entry with MessageParser

Cause: the entry's client read answers with a parser of the library's own, so that a rule for answers had to be written twice. Two of the faults of broken answers lie in what that parser accepts.

Change: HttpClient parses with MessageParser, as the gateway and its channels do. RawBackend ends a connection as a test says, and no longer answers a connection without a request when a test ends. No change for callers.

--- a/src/transport/httpclient.cpp
+++ b/src/transport/httpclient.cpp
@@ -5,10 +5,12 @@
 
 #include "beacongate/limits.h"
 #include "transport/ioloop_p.h"
+#include "transport/messageparser.h"
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <array>
 #include <chrono>
 #include <limits>
 #include <map>
@@ -25,6 +27,7 @@
 namespace
 {
 constexpr Micros kDefaultTimeout = 60 * kSecond;
+constexpr std::size_t kAnswerHeaderBytes = 8u << 10;
 
 using StreamPtr = std::shared_ptr<beast::tcp_stream>;
 
@@ -38,6 +41,20 @@
 
 using RunningCallPtr = std::shared_ptr<RunningCall>;
 
+/// An answer that is being read.
+struct IncomingAnswer
+{
+	explicit IncomingAnswer(std::size_t _bodyLimit)
+		: parser(MessageKind::Answer, kAnswerHeaderBytes,
+				 _bodyLimit == 0 ? std::numeric_limits<std::size_t>::max() : _bodyLimit)
+	{
+	}
+
+	MessageParser parser;
+	std::string input; ///< Bytes that were not parsed yet.
+	std::string body;  ///< Parsed bytes of the body that were not passed on yet.
+};
+
 http::request<http::string_body> toMessage(const HttpCall& _call)
 {
 	http::request<http::string_body> message;
@@ -72,8 +89,11 @@
 	asio::awaitable<void> run(RunningCallPtr _running);
 	asio::awaitable<AttemptResult> attempt(RunningCallPtr _running, bool _mayUsePool);
 	asio::awaitable<bool> connect(RunningCallPtr _running);
-	asio::awaitable<bool> readBody(RunningCallPtr _running, beast::flat_buffer& _buffer,
-								   http::response_parser<http::string_body>& _parser);
+	/// Reads the next bytes of an answer.
+	/// @param[out] _error Set if the connection ended before the answer was complete, or the answer is malformed.
+	asio::awaitable<void> readSome(RunningCallPtr _running, IncomingAnswer& _answer,
+								   boost::system::error_code& _error);
+	asio::awaitable<bool> readBody(RunningCallPtr _running, IncomingAnswer& _answer);
 	StreamPtr takePooled(const Address& _address);
 	void returnToPool(const RunningCallPtr& _running);
 	void fail(const RunningCallPtr& _running, HttpFault _fault);
@@ -152,20 +172,17 @@
 	auto token = asio::redirect_error(asio::use_awaitable, error);
 	http::request<http::string_body> message = toMessage(call);
 	const std::size_t sent = co_await http::async_write(stream, message, token);
-	beast::flat_buffer buffer;
-	http::response_parser<http::string_body> parser;
-	// Beast 1.74 treats an unset limit as a limit of 0, so the maximum value stands for no limit.
-	parser.body_limit(0 == call.bodyLimit ? std::numeric_limits<std::uint64_t>::max() : call.bodyLimit);
+	IncomingAnswer incoming(call.bodyLimit);
 	if (error && 0 == sent && !pooled)
 	{
 		fail(_running, HttpFault::NotSent);
 		co_return AttemptResult::Ended;
 	}
-	if (!error)
+	while (!error && !incoming.parser.headDone())
 	{
-		co_await http::async_read_header(stream, buffer, parser, token);
+		co_await readSome(_running, incoming, error);
 	}
-	if (error)
+	if (error && !incoming.parser.headDone())
 	{
 		const bool timedOut = beast::error::timeout == error;
 		if (pooled && !timedOut && !_running->cancelled)
@@ -175,24 +192,19 @@
 		fail(_running, timedOut ? HttpFault::TimedOut : HttpFault::Broken);
 		co_return AttemptResult::Ended;
 	}
+	const MessageHead& head = incoming.parser.head();
 	if (call.incremental && !_running->cancelled)
 	{
-		handlers.onHead(call.id, parser.get().result_int());
+		handlers.onHead(call.id, head.status);
 	}
-	const bool complete = co_await readBody(_running, buffer, parser);
+	const bool complete = co_await readBody(_running, incoming);
 	if (!complete || _running->cancelled)
 	{
 		fail(_running, HttpFault::Broken);
 		co_return AttemptResult::Ended;
 	}
-	HttpAnswer answer;
-	answer.status = parser.get().result_int();
-	for (const auto& field : parser.get())
-	{
-		answer.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
-	}
-	answer.body = std::move(parser.get().body());
-	if (parser.get().keep_alive() && !call.ownConnection)
+	HttpAnswer answer{head.status, head.headers, std::move(incoming.body)};
+	if (head.keepAlive && !call.ownConnection)
 	{
 		returnToPool(_running);
 	}
@@ -201,30 +213,42 @@
 	co_return AttemptResult::Ended;
 }
 
-asio::awaitable<bool> HttpClientImpl::readBody(RunningCallPtr _running, beast::flat_buffer& _buffer,
-											   http::response_parser<http::string_body>& _parser)
+asio::awaitable<void> HttpClientImpl::readSome(RunningCallPtr _running, IncomingAnswer& _answer,
+											   boost::system::error_code& _error)
 {
-	boost::system::error_code error;
-	auto token = asio::redirect_error(asio::use_awaitable, error);
-	if (!_running->call.incremental)
+	std::array<char, limits::kReadBytes> bytes;
+	auto token = asio::redirect_error(asio::use_awaitable, _error);
+	const asio::mutable_buffer space = asio::buffer(bytes);
+	const std::size_t count = co_await _running->stream->async_read_some(space, token);
+	_answer.input.append(bytes.data(), count);
+	_answer.input.erase(0, _answer.parser.consume(_answer.input, _answer.body));
+	if (_error == asio::error::eof)
 	{
-		co_await http::async_read(*_running->stream, _buffer, _parser, token);
-		co_return !error;
+		_answer.parser.finishAtEnd();
+		_error = {};
 	}
-	while (!_parser.is_done() && !_running->cancelled)
+	if (!_error && _answer.parser.fault() != ParseFault::None)
 	{
-		co_await http::async_read_some(*_running->stream, _buffer, _parser, token);
-		std::string& body = _parser.get().body();
-		if (!body.empty() && !_running->cancelled)
+		_error = http::error::partial_message;
+	}
+}
+
+asio::awaitable<bool> HttpClientImpl::readBody(RunningCallPtr _running, IncomingAnswer& _answer)
+{
+	boost::system::error_code error;
+	while (true)
+	{
+		if (_running->call.incremental && !_answer.body.empty() && !_running->cancelled)
 		{
-			handlers.onData(_running->call.id, std::exchange(body, {}));
+			handlers.onData(_running->call.id, std::exchange(_answer.body, {}));
 		}
-		if (error)
+		const bool faulty = error || _answer.parser.fault() != ParseFault::None;
+		if (faulty || _answer.parser.done() || _running->cancelled)
 		{
-			co_return false;
+			co_return !faulty;
 		}
+		co_await readSome(_running, _answer, error);
 	}
-	co_return true;
 }
 
 asio::awaitable<void> HttpClientImpl::run(RunningCallPtr _running)
--- a/tests/rawbackend.h
+++ b/tests/rawbackend.h
@@ -11,6 +11,7 @@
 #include "platform/names.h"
 
 #include <arpa/inet.h>
+#include <array>
 #include <atomic>
 #include <functional>
 #include <list>
@@ -23,15 +24,23 @@
 
 namespace beacongate::test
 {
-/// Accepts connections, reads one request on each, and answers it with bytes, some of them without end.
+/// Accepts connections, reads the head of one request on each, and answers it with bytes, some of them without end.
 class RawBackend
 {
 public:
+	/// How a connection ends after the answer.
+	enum class Ending
+	{
+		Close,         ///< Closed at once, which resets it if a part of the request was not read.
+		Reset,         ///< Reset, whatever was read.
+		FinishSending, ///< Ended in order; what still arrives is read until the other side closes the connection.
+	};
 	/// Bytes that answer a request.
 	struct Script
 	{
-		std::string begin;  ///< Sent once.
-		std::string repeat; ///< Sent until the other side closes the connection; empty for none.
+		std::string begin;             ///< Sent once.
+		std::string repeat = {};       ///< Sent until the other side closes the connection; empty for none.
+		Ending ending = Ending::Close; ///< Takes effect once all bytes were sent.
 	};
 	/// @returns the answer to a request, given its bytes.
 	using Answer = std::function<Script(const std::string& _request)>;
@@ -64,14 +73,19 @@
 	RawBackend(const RawBackend&) = delete;
 	RawBackend& operator=(const RawBackend&) = delete;
 
-	/// @returns the head of an answer to a request, up to the headers given.
-	static std::string head(const std::string& _request, const std::string& _status, const std::string& _more)
+	/// @returns the id of a request.
+	static std::string idOf(const std::string& _request)
 	{
 		const std::string name = std::string(platform::kRequestId) + ": ";
 		const std::size_t at = _request.find(name) + name.size();
-		const std::string id = _request.substr(at, _request.find("\r\n", at) - at);
-		return "HTTP/1.1 " + _status + "\r\n" + name + id + "\r\n" + platform::kStamp + ": raw\r\n" + _more +
-			   "\r\n";
+		return _request.substr(at, _request.find("\r\n", at) - at);
+	}
+
+	/// @returns the head of an answer to a request, up to the headers given.
+	static std::string head(const std::string& _request, const std::string& _status, const std::string& _more)
+	{
+		return "HTTP/1.1 " + _status + "\r\n" + platform::kRequestId + ": " + idOf(_request) + "\r\n" +
+			   platform::kStamp + ": raw\r\n" + _more + "\r\n";
 	}
 
 	std::atomic<unsigned> requests = 0;       ///< Requests that were received.
@@ -112,6 +126,11 @@
 			}
 			request.append(buffer, static_cast<std::size_t>(count));
 		}
+		if (m_stopped)
+		{
+			close(_socket);
+			return;
+		}
 		++requests;
 		++open;
 		const Script script = m_answer(request);
@@ -121,9 +140,34 @@
 			sent = sendAll(_socket, script.repeat);
 		}
 		--open;
+		endConnection(_socket, script.ending);
+	}
+
+	void endConnection(int _socket, Ending _ending) const
+	{
+		if (_ending == Ending::Reset)
+		{
+			const linger option{1, 0};
+			setsockopt(_socket, SOL_SOCKET, SO_LINGER, &option, sizeof option);
+		}
+		else if (_ending == Ending::FinishSending)
+		{
+			shutdown(_socket, SHUT_WR);
+			readToEnd(_socket);
+		}
 		close(_socket);
 	}
 
+	void readToEnd(int _socket) const
+	{
+		std::array<char, 4096> buffer{};
+		for (ssize_t count = 1; count > 0 && !m_stopped;)
+		{
+			pollfd ready{_socket, POLLIN, 0};
+			count = poll(&ready, 1, 20) == 1 ? recv(_socket, buffer.data(), buffer.size(), 0) : 1;
+		}
+	}
+
 	/// @returns false once the other side has closed the connection, or the test ends.
 	bool sendAll(int _socket, std::string_view _bytes)
 	{
