Reject answers whose status is none

Callers got answers with status 000 (sent on as "HTTP/1.1 0"), 001, 099, 600 and 999 of backend servers in trouble.

Cause: the parser's library accepts any three digits as a status, and nothing after it looked again. An answer below 500 that was no success was passed on whole; one that said beside it that the request had not run was believed.

Change: an answer whose status lies outside 100 to 599 (RFC 9110, section 15) is malformed for all that read answers: calls to backend servers, directly or through tunnels, calls to the store and to other gateways, and the entry's client. It counts as broken: a request that may be repeated goes to another server, any other is answered 502, without a promise.

--- a/src/transport/messageparser.cpp
+++ b/src/transport/messageparser.cpp
@@ -17,6 +17,14 @@
 
 namespace
 {
+constexpr int kFirstStatus = 100;
+constexpr int kEndOfStatuses = 600;
+
+bool isValidStatus(int _status)
+{
+	return _status >= kFirstStatus && _status < kEndOfStatuses;
+}
+
 /// Stores the parts of the message that Beast's parser reports.
 template <bool IsRequest> class Collector : public http::basic_parser<IsRequest>
 {
@@ -42,6 +50,12 @@
 
 	void on_response_impl(int _status, beast::string_view /*reason*/, int _version, BoostError& _error) override
 	{
+		// The library accepts any three digits.
+		if (!isValidStatus(_status))
+		{
+			_error = http::error::bad_status;
+			return;
+		}
 		_error = {};
 		m_head.status = static_cast<unsigned>(_status);
 		m_head.version = static_cast<unsigned>(_version);
--- a/tests/httpclienttest.cpp
+++ b/tests/httpclienttest.cpp
@@ -76,6 +76,14 @@
 	expectBroken({"HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(2u << 20) + "\r\n\r\nwhole"});
 }
 
+TEST_F(HttpClientTest, answersWithAnInvalidStatusAreBroken)
+{
+	for (const char* const status : {"000", "099", "600", "999"})
+	{
+		expectBroken({"HTTP/1.1 " + std::string(status) + " X\r\nContent-Length: 6\r\n\r\nbroken"});
+	}
+}
+
 TEST_F(HttpClientTest, answerThatIsResetDuringTheUploadIsBroken)
 {
 	expectBroken({"HTTP/1.1 200 OK\r\n\r\nbroken", {}, RawBackend::Ending::Reset}, std::string(kUploadBytes, 'x'));
