Report a connection that a write found broken as broken

Callers got a part of an answer as a complete one: a backend server answered a long upload at once with a 200 without a length, sent a part of the body, and reset the connection while the upload was still being written.

Cause: the system reports the error of a connection once. While bytes wait to be sent, the write runs first: it took the error and dropped it, since the read operation was to report the end, and the read then found an orderly end, which completes an answer that ends with its connection. A connection that times out (TCP_USER_TIMEOUT) looked closed in order in the same way. Without an upload the read finds the error itself, which is why the stand-in that resets answers without a length found nothing.

Change: TcpConnection keeps in mind that a write found an error and reports the end as broken. A broken pipe is no such error: the system reports it for a reset that comes after an orderly end, and what came before that end is whole. The bytes that arrived before the reset are still read, so that answers with a length or chunks are complete as before. All users of the connection share it: calls to backend servers, relays of tunnels (which told the asking gateway of an orderly end), and calls to the store and to other gateways.

An answer that ends in order during an upload is complete, before and after.

--- a/src/transport/tcpconnection.cpp
+++ b/src/transport/tcpconnection.cpp
@@ -158,7 +158,8 @@
 	}
 	if (error)
 	{
-		end(error == asio::error::eof ? ConnectionEnd::Closed : ConnectionEnd::Broken);
+		const bool inOrder = error == asio::error::eof && !m_broken;
+		end(inOrder ? ConnectionEnd::Closed : ConnectionEnd::Broken);
 		return;
 	}
 	const auto self = shared_from_this();
@@ -204,7 +205,9 @@
 	const std::size_t count = m_socket.write_some(asio::buffer(m_unsent), error);
 	if (error && error != asio::error::would_block && error != asio::error::try_again)
 	{
-		// The read operation reports the end, so that no handler is called from inside send().
+		// The read operation reports the end, so that no handler is called from inside send(). The system reports
+		// an error once, so that a read would find an orderly end. A broken pipe follows an orderly end.
+		m_broken = m_broken || error != asio::error::broken_pipe;
 		m_unsent.clear();
 		reportSent();
 		return;
--- a/src/transport/tcpconnection.h
+++ b/src/transport/tcpconnection.h
@@ -148,6 +148,7 @@
 	bool m_closed = false;
 	bool m_lingering = false;
 	bool m_resetOnLoss = false;
+	bool m_broken = false; ///< A write found the connection reset, timed out or unreachable.
 };
 
 } // namespace beacongate
--- a/tests/gatewaybrokenanswertest.cpp
+++ b/tests/gatewaybrokenanswertest.cpp
@@ -4,7 +4,7 @@
 /// @file
 /// Guards against broken answers of a backend server that reach callers as answers.
 
-#include "gatewayfixture.h"
+#include "partitionfixture.h"
 #include "rawbackend.h"
 
 #include <functional>
@@ -15,6 +15,8 @@
 namespace
 {
 constexpr unsigned kBroken = 9; ///< Number of the backend server that sends broken answers.
+/// Body of an upload, larger than what the system buffers on the way to a server that does not read it.
+constexpr std::size_t kUploadBytes = 7u << 20;
 constexpr unsigned kBadGateway = 502;
 constexpr unsigned kCalls = 12;
 constexpr unsigned kMaxRounds = 20;
@@ -27,6 +29,32 @@
 	};
 }
 
+/// @returns a configuration that allows uploads.
+std::string uploadConfig()
+{
+	standin::SiteConfig siteConfig;
+	siteConfig.version = 2;
+	siteConfig.host = "h.example";
+	siteConfig.keys = {"key"};
+	siteConfig.routes = {{"/safe/", "safe", 2},
+						 {"/unsafe/", "unsafe", 1},
+						 {"/stream/once/", "streaming", 1},
+						 {"/stream/again/", "streaming", 2, true}};
+	siteConfig.bodyBytes = kUploadBytes;
+	siteConfig.headerTimeout = 2 * kSecond;
+	return standin::formatConfig(siteConfig);
+}
+
+std::string uploadHeaders()
+{
+	return std::string(platform::kApiKey) + ": key\r\nConnection: close\r\n";
+}
+
+std::string uploadBody()
+{
+	return std::string(kUploadBytes, 'x');
+}
+
 bool looksComplete(const std::string& _answer)
 {
 	return _answer.ends_with("\r\n0\r\n\r\n");
@@ -145,4 +173,136 @@
 	}
 }
 
+/// Uploads to a server that answers at once, without a length, and does not read them.
+class GatewayResetUploadTest : public GatewayBrokenAnswerTest
+{
+protected:
+	void SetUp() override
+	{
+		store->put(platform::kConfigKey, uploadConfig());
+	}
+
+	static RawBackend::Answer endsAfter(const std::string& _body, RawBackend::Ending _ending)
+	{
+		return [_body, _ending](const std::string& _request)
+		{
+			return RawBackend::Script{RawBackend::head(_request, "200 OK", "") + _body, {}, _ending};
+		};
+	}
+
+	std::string upload(const std::string& _path, const std::string& _id)
+	{
+		Caller caller({host(1), kCallerPort});
+		caller.sendBytes(request("POST", _path, _id, uploadHeaders(), uploadBody()));
+		return caller.receiveUntil("");
+	}
+};
+
+TEST_F(GatewayResetUploadTest, answerThatIsResetDuringTheUploadIsNotComplete)
+{
+	for (const RawBackend::Ending ending : {RawBackend::Ending::Reset, RawBackend::Ending::Close})
+	{
+		startWith(Others::None, endsAfter("broken", ending));
+		for (unsigned number = 0; number < kCalls; ++number)
+		{
+			const std::string answer = upload("/unsafe/", "c" + std::to_string(number));
+			EXPECT_EQ(statusOf(answer), kBadGateway) << answer;
+			EXPECT_FALSE(has(answer, "broken")) << answer;
+		}
+		EXPECT_EQ(broken->requests, kCalls);
+		gateways.clear();
+		broken.reset();
+	}
+}
+
+TEST_F(GatewayResetUploadTest, anotherServerAnswersInPlaceOfAResetOne)
+{
+	startWith(Others::Sound, endsAfter("broken", RawBackend::Ending::Reset));
+	expectAnswersOfSoundServers([this](const std::string& _id) { return upload("/safe/", _id); });
+}
+
+TEST_F(GatewayResetUploadTest, streamThatIsResetDuringTheUploadDoesNotLookComplete)
+{
+	const std::string events = standin::PlatformWorker::wholeStream("e");
+	const std::string part = events.substr(0, events.find("id: 3"));
+	startWith(Others::None, endsAfter(part, RawBackend::Ending::Reset));
+	const std::string answer = upload("/stream/once/", "e");
+	EXPECT_FALSE(looksComplete(answer)) << answer;
+	EXPECT_EQ(eventsOf(answer), part);
+}
+
+TEST_F(GatewayResetUploadTest, streamThatIsResetDuringTheUploadGoesOnAtAnotherServer)
+{
+	startWith(Others::Sound,
+			  [](const std::string& _request)
+			  {
+				  const std::string events = standin::PlatformWorker::wholeStream(RawBackend::idOf(_request));
+				  return RawBackend::Script{RawBackend::head(_request, "200 OK", "") +
+												events.substr(0, events.find("id: 3")),
+											{},
+											RawBackend::Ending::Reset};
+			  });
+	for (const auto& [id, answer] :
+		 answersAtOnce([this](const std::string& _id) { return upload("/stream/again/", _id); }))
+	{
+		EXPECT_EQ(eventsOf(answer), standin::PlatformWorker::wholeStream(id));
+		EXPECT_TRUE(looksComplete(answer)) << answer;
+	}
+}
+
+TEST_F(GatewayResetUploadTest, answerThatEndsInOrderDuringTheUploadIsComplete)
+{
+	startWith(Others::None, endsAfter("whole", RawBackend::Ending::FinishSending));
+	const std::string answer = upload("/unsafe/", "g");
+	EXPECT_EQ(statusOf(answer), 200u) << answer;
+	EXPECT_TRUE(answer.ends_with("\r\n\r\nwhole")) << answer;
+}
+
+/// Uploads through a tunnel of another gateway.
+class GatewayResetTunnelTest : public GatewayPartitionTest
+{
+};
+
+TEST_F(GatewayResetTunnelTest, answerThatIsResetBehindATunnelDuringTheUploadIsNotComplete)
+{
+	const Address address{host(100 + kBroken), kWorkerPort};
+	RawBackend broken(address,
+					  [](const std::string& _request) {
+						  return RawBackend::Script{
+							  RawBackend::head(_request, "200 OK", "") + "broken", {}, RawBackend::Ending::Reset};
+					  });
+	ASSERT_TRUE(broken.listening);
+	cut();
+	for (const auto& each : {proxyStore.get(), store.get()})
+	{
+		each->put(platform::kConfigKey, uploadConfig());
+		for (unsigned number = 1; number <= kServers; ++number)
+		{
+			each->remove("servers/" + workerId(number));
+		}
+		// The first gateway has no path to this address, as to the others.
+		const Address seen = each == store.get() ? address : proxyOf(kBroken);
+		each->put("servers/" + workerId(kBroken), standin::formatRecord(seen, 4, "ready"));
+	}
+	const auto upload = [this](const std::string& _id)
+	{
+		Caller caller({host(kPartitioned), kCallerPort});
+		caller.sendBytes(request("POST", "/unsafe/", _id, uploadHeaders(), uploadBody()));
+		return caller.receiveUntil("");
+	};
+	// The first ones are refused until both gateways have read the new list.
+	ASSERT_TRUE(await(
+		[&]
+		{
+			EXPECT_NE(statusOf(upload("h")), 200u);
+			return broken.requests > 0;
+		}));
+	for (unsigned number = 0; number < kCalls; ++number)
+	{
+		const std::string answer = upload("h" + std::to_string(number));
+		EXPECT_EQ(statusOf(answer), kBadGateway) << answer;
+	}
+	EXPECT_GE(broken.requests, kCalls);
+}
+
 } // namespace beacongate::test
--- a/tests/httpchanneltest.cpp
+++ b/tests/httpchanneltest.cpp
@@ -2,10 +2,11 @@
 // Licence: BSD-2-Clause, see LICENSE.
 
 /// @file
-/// Timeouts of calls on a persistent connection.
+/// Timeouts and broken answers of calls on a persistent connection.
 
 #include "transport/httpchannel.h"
 #include "daemon/clock.h"
+#include "rawbackend.h"
 #include "standin/platform.h"
 
 #include <gtest/gtest.h>
@@ -23,6 +24,8 @@
 constexpr Micros kCallTimeout = 150 * kMillisecond; ///< Several parts of the answer arrive within this time.
 constexpr Micros kMaxDuration = 2 * kSecond;
 constexpr std::size_t kMaxAnswerBytes = 1u << 20;
+/// More than what the system buffers on the way to a server that does not read.
+constexpr std::size_t kUploadBytes = 7u << 20;
 
 /// A store with a limited read rate, and a channel to it.
 class HttpChannelTest : public testing::Test
@@ -95,4 +98,29 @@
 	EXPECT_LT(monotonicNow() - startedAt, 2 * kCallTimeout);
 }
 
+TEST_F(HttpChannelTest, answerThatIsResetDuringTheUploadIsNotComplete)
+{
+	const Address address{m_address.host, kPort + 1};
+	RawBackend server(address,
+					  [](const std::string&) {
+						  return RawBackend::Script{"HTTP/1.1 200 OK\r\n\r\nbroken", {}, RawBackend::Ending::Reset};
+					  });
+	ASSERT_TRUE(server.listening);
+	const auto channel = std::make_shared<HttpChannel>(m_loop.context(), address, kMaxAnswerBytes);
+	std::promise<bool> answered;
+	m_loop.run(
+		[&]
+		{
+			ChannelRequest request;
+			request.method = "POST";
+			request.target = "/";
+			request.body = std::string(kUploadBytes, 'x');
+			channel->call(std::move(request), kMaxDuration,
+						  [&answered](const std::optional<HttpAnswer>& _answer)
+						  { answered.set_value(_answer.has_value()); });
+		});
+	EXPECT_FALSE(answered.get_future().get());
+	m_loop.run([&] { channel->close(); });
+}
+
 } // namespace beacongate::test
