Reject answers in whose head a field's name begins with a blank

Callers got answers in whose head a field's name began with a blank or a tab: the line was passed on as a part of the field before it ("X-Beacongate-Server-Stamp: raw Content-Length: 6"), and where it named the length or the coding of the body, the body was cut differently from what the backend server had meant.

Cause: the parser's library takes such a line for the continuation of the field before it, an obsolete form.

Change: an answer with such a line is malformed for all that read answers. RFC 9112, section 5.2, allows a gateway to reject it. Requests are read as before.

Handled already, kept as tests: blanks and control bytes at any other place of a name, any other byte that may not stand in one, an empty name, and a blank before the first field. The library finds these malformed.

--- a/src/transport/messageparser.cpp
+++ b/src/transport/messageparser.cpp
@@ -25,6 +25,18 @@
 	return _status >= kFirstStatus && _status < kEndOfStatuses;
 }
 
+/// @returns true if the line after a field begins with a blank; the library appends it to the field's value.
+/// @param[in] name Name of the field inside the received bytes, which contain the field's line and one byte more.
+bool isContinued(beast::string_view _name)
+{
+	const char* at = _name.data() + _name.size();
+	while (*at != '\n')
+	{
+		++at;
+	}
+	return at[1] == ' ' || at[1] == '\t';
+}
+
 /// Stores the parts of the message that Beast's parser reports.
 template <bool IsRequest> class Collector : public http::basic_parser<IsRequest>
 {
@@ -64,6 +76,12 @@
 	void on_field_impl(http::field /*field*/, beast::string_view _name, beast::string_view _value,
 					   BoostError& _error) override
 	{
+		// A name that begins with a blank would change the value of the field before it.
+		if (!IsRequest && isContinued(_name))
+		{
+			_error = http::error::bad_field;
+			return;
+		}
 		_error = {};
 		if (!m_headDone)
 		{
--- a/tests/gatewaybrokenanswertest.cpp
+++ b/tests/gatewaybrokenanswertest.cpp
@@ -20,6 +20,9 @@
 constexpr unsigned kBadGateway = 502;
 constexpr unsigned kCalls = 12;
 constexpr unsigned kMaxRounds = 20;
+constexpr std::string_view kFieldName = "X-Part";
+/// Blanks and control bytes.
+constexpr std::string_view kInvalidNameBytes = {" \t\0\x01\n\r\x1b\x7f", 8};
 
 RawBackend::Answer withStatus(const std::string& _status)
 {
@@ -173,6 +176,57 @@
 	}
 }
 
+TEST_F(GatewayBrokenAnswerTest, answerWithAnInvalidFieldNameIsNotPassedOn)
+{
+	std::string line;
+	startWith(Others::None,
+			  [&line](const std::string& _request)
+			  {
+				  return RawBackend::Script{
+					  RawBackend::head(_request, "200 OK", line + "\r\nContent-Length: 6\r\n") + "broken"};
+			  });
+	for (const char byte : kInvalidNameBytes)
+	{
+		for (const std::size_t at : {std::size_t(0), std::size_t(4), kFieldName.size()})
+		{
+			line = std::string(kFieldName).insert(at, 1, byte) + ": z";
+			const std::string what = "byte " + std::to_string(byte) + " at " + std::to_string(at);
+			expectBadGateway("/unsafe/", what);
+			expectBadGateway("/stream/once/", what);
+		}
+	}
+}
+
+TEST_F(GatewayBrokenAnswerTest, lengthBehindABlankDoesNotChangeTheBody)
+{
+	std::string line;
+	startWith(Others::None,
+			  [&line](const std::string& _request)
+			  {
+				  return RawBackend::Script{RawBackend::head(_request, "200 OK", line + "\r\n") + "broken answer",
+											{},
+											RawBackend::Ending::FinishSending};
+			  });
+	for (const char* const invalid :
+		 {" Content-Length: 6", "\tContent-Length: 6", "Content-Length : 6", "Content-Length\x01: 6",
+		  " Transfer-Encoding: chunked", "Transfer-Encoding : chunked", "\rContent-Length: 6"})
+	{
+		line = invalid;
+		expectBadGateway("/unsafe/", invalid);
+	}
+}
+
+TEST_F(GatewayBrokenAnswerTest, anotherServerAnswersInPlaceOfAnInvalidFieldName)
+{
+	startWith(Others::Sound,
+			  [](const std::string& _request)
+			  {
+				  return RawBackend::Script{
+					  RawBackend::head(_request, "200 OK", " X-Part: z\r\nContent-Length: 6\r\n") + "broken"};
+			  });
+	expectAnswersOfSoundServers([this](const std::string& _id) { return call("GET", "/safe/", _id); });
+}
+
 /// Uploads to a server that answers at once, without a length, and does not read them.
 class GatewayResetUploadTest : public GatewayBrokenAnswerTest
 {
--- a/tests/httpclienttest.cpp
+++ b/tests/httpclienttest.cpp
@@ -84,6 +84,14 @@
 	}
 }
 
+TEST_F(HttpClientTest, answersWithAnInvalidFieldNameAreBroken)
+{
+	for (const char* const line : {"X Y: z", "X : z", "X\x01: z", " X: z", "\tX: z", " Content-Length: 0"})
+	{
+		expectBroken({"HTTP/1.1 200 OK\r\nA: b\r\n" + std::string(line) + "\r\nContent-Length: 6\r\n\r\nbroken"});
+	}
+}
+
 TEST_F(HttpClientTest, answerThatIsResetDuringTheUploadIsBroken)
 {
 	expectBroken({"HTTP/1.1 200 OK\r\n\r\nbroken", {}, RawBackend::Ending::Reset}, std::string(kUploadBytes, 'x'));
--- a/tests/messageparsertest.cpp
+++ b/tests/messageparsertest.cpp
@@ -8,7 +8,9 @@
 
 #include <gtest/gtest.h>
 
+#include <cctype>
 #include <cstdio>
+#include <string_view>
 
 namespace beacongate::test
 {
@@ -42,6 +44,25 @@
 	parsed.done = parser.done();
 	return parsed;
 }
+
+/// @returns true if a byte may stand in the name of a field.
+bool isTokenByte(char _byte)
+{
+	return std::isalnum(static_cast<unsigned char>(_byte)) != 0 ||
+		   std::string_view("!#$%&'*+-.^_`|~").find(_byte) != std::string_view::npos;
+}
+
+/// Checks that an answer is malformed, whether it arrives at once or byte by byte.
+void expectMalformed(const std::string& _answer)
+{
+	for (const std::size_t step : {std::size_t(1), _answer.size()})
+	{
+		const Parsed parsed = parse(_answer, step);
+		EXPECT_EQ(parsed.fault, ParseFault::Malformed) << _answer;
+		EXPECT_FALSE(parsed.done) << _answer;
+		EXPECT_EQ(parsed.body, "") << _answer;
+	}
+}
 } // namespace
 
 TEST(AnswerHead, statusOutsideTheProtocolIsMalformed)
@@ -62,4 +83,42 @@
 	}
 }
 
+TEST(AnswerHead, byteThatMayNotStandInAFieldNameIsMalformed)
+{
+	const std::string name = "X-Part";
+	for (unsigned value = 0; value < 256; ++value)
+	{
+		const char byte = static_cast<char>(value);
+		for (const std::size_t at : {std::size_t(0), std::size_t(2), name.size()})
+		{
+			const std::string line = std::string(name).insert(at, 1, byte) + ": z\r\n";
+			const std::string rest = "Content-Length: 6\r\n\r\nbroken";
+			const bool valid = isTokenByte(byte) || (byte == ':' && at > 0);
+			for (const std::string& before : {std::string(), std::string("A: b\r\n"), std::string("A:\r\n")})
+			{
+				const std::string answer = "HTTP/1.1 200 OK\r\n" + before + line + rest;
+				if (!valid)
+				{
+					expectMalformed(answer);
+					continue;
+				}
+				EXPECT_TRUE(parse(answer, answer.size()).done) << answer;
+			}
+		}
+	}
+}
+
+TEST(AnswerHead, lineThatContinuesAFieldIsMalformed)
+{
+	const std::string body = "\r\n\r\nbroken";
+	for (const std::string& blank : {std::string(" "), std::string("\t"), std::string("  \t ")})
+	{
+		expectMalformed("HTTP/1.1 200 OK\r\nA: b\r\n" + blank + "Content-Length: 6" + body);
+		expectMalformed("HTTP/1.1 200 OK\r\nA:\r\n" + blank + "Content-Length: 6" + body);
+		expectMalformed("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n" + blank + body);
+		expectMalformed("HTTP/1.1 200 OK\r\nContent-Length:\r\n" + blank + "6" + body);
+		expectMalformed("HTTP/1.1 200 OK\r\n" + blank + "Content-Length: 6" + body);
+	}
+}
+
 } // namespace beacongate::test
