Reject answers whose body has an unknown transfer coding

Callers got the coded bytes as the body: an answer with "Transfer-Encoding: gzip", "xchunked", "chunked, gzip" or "gzip, chunked" was passed on as complete, without that header and with the coding still on.

Cause: the parser's library removes chunks and takes any other coding for none, and the header concerns one connection alone and is not passed on.

Change: an answer whose transfer coding is neither chunked nor identity is malformed. No caller of a backend server asks for another coding (TE is not passed on), so that a sound server sends none.

--- a/src/transport/messageparser.cpp
+++ b/src/transport/messageparser.cpp
@@ -37,6 +37,12 @@
 	return at[1] == ' ' || at[1] == '\t';
 }
 
+/// @returns true if a body has a transfer coding other than chunks; such a coding is not removed here.
+bool isCoded(beast::string_view _transferEncoding)
+{
+	return !beast::iequals(_transferEncoding, "chunked") && !beast::iequals(_transferEncoding, "identity");
+}
+
 /// Stores the parts of the message that Beast's parser reports.
 template <bool IsRequest> class Collector : public http::basic_parser<IsRequest>
 {
@@ -73,7 +79,7 @@
 		m_head.version = static_cast<unsigned>(_version);
 	}
 
-	void on_field_impl(http::field /*field*/, beast::string_view _name, beast::string_view _value,
+	void on_field_impl(http::field _field, beast::string_view _name, beast::string_view _value,
 					   BoostError& _error) override
 	{
 		// A name that begins with a blank would change the value of the field before it.
@@ -82,6 +88,11 @@
 			_error = http::error::bad_field;
 			return;
 		}
+		if (!IsRequest && _field == http::field::transfer_encoding && isCoded(_value))
+		{
+			_error = http::error::bad_transfer_encoding;
+			return;
+		}
 		_error = {};
 		if (!m_headDone)
 		{
--- a/tests/gatewaybrokenanswertest.cpp
+++ b/tests/gatewaybrokenanswertest.cpp
@@ -216,6 +216,26 @@
 	}
 }
 
+TEST_F(GatewayBrokenAnswerTest, bodyInAnUnknownTransferCodingIsNotPassedOn)
+{
+	std::string coding;
+	startWith(Others::None,
+			  [&coding](const std::string& _request)
+			  {
+				  return RawBackend::Script{
+					  RawBackend::head(_request, "200 OK", "Transfer-Encoding: " + coding + "\r\n") +
+						  "6\r\nbroken\r\n0\r\n\r\n",
+					  {},
+					  RawBackend::Ending::FinishSending};
+			  });
+	for (const char* const unknown : {"gzip", "xchunked", "chunked, gzip", "gzip, chunked"})
+	{
+		coding = unknown;
+		expectBadGateway("/unsafe/", unknown);
+		expectBadGateway("/stream/once/", unknown);
+	}
+}
+
 TEST_F(GatewayBrokenAnswerTest, anotherServerAnswersInPlaceOfAnInvalidFieldName)
 {
 	startWith(Others::Sound,
@@ -227,6 +247,37 @@
 	expectAnswersOfSoundServers([this](const std::string& _id) { return call("GET", "/safe/", _id); });
 }
 
+TEST_F(GatewayBrokenAnswerTest, soundAnswersArePassedOnAsSent)
+{
+	const std::vector<std::pair<std::string, std::string>> framings = {
+		{"Content-Length: 5\r\n", "whole"},
+		{"Transfer-Encoding: chunked\r\n", "2\r\nwh\r\n3;a=b\r\nole\r\n0\r\nA: b\r\n\r\n"},
+		{"Transfer-Encoding: identity\r\n", "whole"},
+		{"", "whole"}};
+	const std::string odd = "!#$%&'*+-.^_`|~: \x80\xff\tz\r\n";
+	RawBackend::Answer answer;
+	startWith(Others::None, [&answer](const std::string& _request) { return answer(_request); });
+	for (const std::string interim : {"", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 X\r\nA: b\r\n\r\n"})
+	{
+		for (const std::string status : {"200", "299", "404", "499", "500", "599"})
+		{
+			for (const auto& [headers, body] : framings)
+			{
+				answer = [&, head = headers + odd, rest = body](const std::string& _request)
+				{
+					return RawBackend::Script{interim + RawBackend::head(_request, status + " X", head) + rest,
+											  {},
+											  RawBackend::Ending::FinishSending};
+				};
+				const std::string received = call("POST", "/unsafe/", "b");
+				EXPECT_EQ(std::to_string(statusOf(received)), status) << headers << received;
+				EXPECT_TRUE(received.ends_with("\r\n\r\nwhole")) << headers << received;
+				EXPECT_TRUE(has(received, odd)) << headers << received;
+			}
+		}
+	}
+}
+
 /// Uploads to a server that answers at once, without a length, and does not read them.
 class GatewayResetUploadTest : public GatewayBrokenAnswerTest
 {
--- a/tests/messageparsertest.cpp
+++ b/tests/messageparsertest.cpp
@@ -121,4 +121,21 @@
 	}
 }
 
+TEST(AnswerHead, transferCodingThatIsNotRemovedIsMalformed)
+{
+	const std::string begin = "HTTP/1.1 200 OK\r\nTransfer-Encoding:";
+	for (const char* const coding : {" gzip", " xchunked", " chunked, gzip", " gzip, chunked", " chunked, identity",
+									 " chunked;a=b", "", " gzip\r\nTransfer-Encoding: chunked"})
+	{
+		expectMalformed(begin + coding + "\r\n\r\n6\r\nbroken\r\n0\r\n\r\n");
+	}
+	for (const char* const coding : {" chunked", " Chunked", "chunked \t"})
+	{
+		const std::string answer = begin + coding + "\r\n\r\n5\r\nwhole\r\n0\r\n\r\n";
+		EXPECT_TRUE(parse(answer, 1).done) << coding;
+		EXPECT_EQ(parse(answer, 1).body, "whole") << coding;
+	}
+	EXPECT_EQ(parse(begin + " identity\r\n\r\nwhole", 1).body, "whole");
+}
+
 } // namespace beacongate::test
