Say in comments why errors of connections and answers are kept

Read as a newcomer: it was not said where a fault behind the head is reported, nor why a broken pipe is no broken connection. Comments alone.

--- a/src/transport/httpclient.cpp
+++ b/src/transport/httpclient.cpp
@@ -93,6 +93,8 @@
 	/// @param[out] _error Set if the connection ended before the answer was complete, or the answer is malformed.
 	asio::awaitable<void> readSome(RunningCallPtr _running, IncomingAnswer& _answer,
 								   boost::system::error_code& _error);
+	/// Reads the rest of an answer.
+	/// @returns true if it is complete, or the call was cancelled.
 	asio::awaitable<bool> readBody(RunningCallPtr _running, IncomingAnswer& _answer);
 	StreamPtr takePooled(const Address& _address);
 	void returnToPool(const RunningCallPtr& _running);
@@ -182,6 +184,7 @@
 	{
 		co_await readSome(_running, incoming, error);
 	}
+	// A fault behind the head is one of the body, which readBody() reports.
 	if (error && !incoming.parser.headDone())
 	{
 		const bool timedOut = beast::error::timeout == error;
--- a/src/transport/messageparser.cpp
+++ b/src/transport/messageparser.cpp
@@ -25,7 +25,7 @@
 	return _status >= kFirstStatus && _status < kEndOfStatuses;
 }
 
-/// @returns true if the line after a field begins with a blank; the library appends it to the field's value.
+/// @returns true if the line after a field begins with a blank.
 /// @param[in] name Name of the field inside the received bytes, which contain the field's line and one byte more.
 bool isContinued(beast::string_view _name)
 {
@@ -82,7 +82,7 @@
 	void on_field_impl(http::field _field, beast::string_view _name, beast::string_view _value,
 					   BoostError& _error) override
 	{
-		// A name that begins with a blank would change the value of the field before it.
+		// The library would append a field whose name begins with a blank to the field before it.
 		if (!IsRequest && isContinued(_name))
 		{
 			_error = http::error::bad_field;
--- a/src/transport/tcpconnection.cpp
+++ b/src/transport/tcpconnection.cpp
@@ -205,8 +205,8 @@
 	const std::size_t count = m_socket.write_some(asio::buffer(m_unsent), error);
 	if (error && error != asio::error::would_block && error != asio::error::try_again)
 	{
-		// The read operation reports the end, so that no handler is called from inside send(). The system reports
-		// an error once, so that a read would find an orderly end. A broken pipe follows an orderly end.
+		// The read operation reports the end, so that no handler is called from inside send(). It would find an
+		// orderly end, since the system reports an error once. A broken pipe means that there was an orderly end.
 		m_broken = m_broken || error != asio::error::broken_pipe;
 		m_unsent.clear();
 		reportSent();
