Let streams of the broken answers in tests begin with an event

Change: their body is one chunk with a whole event. Checks and bounds are unchanged, and stricter in effect.

--- a/tests/gatewaybrokenanswertest.cpp
+++ b/tests/gatewaybrokenanswertest.cpp
@@ -20,6 +20,8 @@
 constexpr unsigned kBadGateway = 502;
 constexpr unsigned kCalls = 12;
 constexpr unsigned kMaxRounds = 20;
+/// A body in one chunk that is a whole event, so that a stream would begin with it.
+constexpr const char* kBrokenChunks = "14\r\nid: 1\ndata: broken\n\n\r\n0\r\n\r\n";
 constexpr std::string_view kFieldName = "X-Part";
 /// Blanks and control bytes.
 constexpr std::string_view kInvalidNameBytes = {" \t\0\x01\n\r\x1b\x7f", 8};
@@ -183,7 +185,8 @@
 			  [&line](const std::string& _request)
 			  {
 				  return RawBackend::Script{
-					  RawBackend::head(_request, "200 OK", line + "\r\nContent-Length: 6\r\n") + "broken"};
+					  RawBackend::head(_request, "200 OK", line + "\r\nTransfer-Encoding: chunked\r\n") +
+					  kBrokenChunks};
 			  });
 	for (const char byte : kInvalidNameBytes)
 	{
@@ -223,8 +226,7 @@
 			  [&coding](const std::string& _request)
 			  {
 				  return RawBackend::Script{
-					  RawBackend::head(_request, "200 OK", "Transfer-Encoding: " + coding + "\r\n") +
-						  "6\r\nbroken\r\n0\r\n\r\n",
+					  RawBackend::head(_request, "200 OK", "Transfer-Encoding: " + coding + "\r\n") + kBrokenChunks,
 					  {},
 					  RawBackend::Ending::FinishSending};
 			  });
