--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -518,8 +518,8 @@
                 held = await case(fleet)
             fleet.note("result", rule="held" if held else "broken")
             return 0 if held else 1
-        except CannotRun as error:
-            fleet.note("cannot-run", cause=error)
+        except Exception as error:  # Also the time limit: what could not run shows nothing.
+            fleet.note("cannot-run", cause=repr(error))
             return 2
         finally:
             fleet.end()
