Gateway: keep the configuration of an open request when its route goes

Callers: a configuration removes a route while a request on it runs, waits or streams; the process ends with SIGABRT or SIGSEGV when the request is looked at again, and all its other requests lose their connections.

Cause: Exchange replaced its configuration before it looked for the route in the new one. m_team was a bare pointer into the earlier configuration, which this may release; without a route the request was refused at once, and the metrics and the log copied the team's name from freed memory.

Change: route and team share the ownership of their configuration and are replaced only once the new one has a route. A refused request is counted under its earlier route and team.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -106,7 +106,7 @@
 		refuse(Failure::MalformedRequest, "the request has no id");
 		return false;
 	}
-	if (!resolveRoute())
+	if (!applyConfig(m_config))
 	{
 		return false;
 	}
@@ -142,19 +142,24 @@
 	return subjects;
 }
 
-bool Exchange::resolveRoute()
+bool Exchange::applyConfig(const RoutingConfigPtr& _config)
 {
 	const Micros now = monotonicNow();
 	const bool stale = m_context.directory.age(now) > kMaxConfigAge;
 	const std::string_view path =
 		std::string_view(m_request.head.target).substr(0, m_request.head.target.find('?'));
-	m_route = m_config->findRoute(m_info.host, path);
-	if (!m_route)
+	const Route* route = _config->findRoute(m_info.host, path);
+	if (!route)
 	{
-		refuse(stale ? Failure::StoreUnavailable : Failure::NoRoute, "no route", kStoreUnavailableRetryAfter);
+		refuse(stale ? Failure::StoreUnavailable : Failure::NoRoute,
+			   "no route in version " + std::to_string(_config->version) + " of the configuration",
+			   kStoreUnavailableRetryAfter);
 		return false;
 	}
-	m_team = m_info.key.empty() ? nullptr : m_config->findTeamByKey(m_info.key);
+	const TeamAccess* team = m_info.key.empty() ? nullptr : _config->findTeamByKey(m_info.key);
+	m_config = _config;
+	m_route = {_config, route};
+	m_team = {_config, team};
 	const bool keyNeeded = !m_config->teams.empty() && !m_route->allowAnonymous;
 	const bool keyUnknown = !m_info.key.empty() && !m_team && !m_config->teams.empty();
 	if (keyUnknown || (keyNeeded && !m_team))
@@ -289,13 +294,9 @@
 		return true;
 	}
 	const Micros now = monotonicNow();
-	if (m_context.directory.config() != m_config)
+	if (m_context.directory.config() != m_config && !applyConfig(m_context.directory.config()))
 	{
-		m_config = m_context.directory.config();
-		if (!resolveRoute())
-		{
-			return true;
-		}
+		return true;
 	}
 	if (keyMayBeRevoked(now))
 	{
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -97,7 +97,10 @@
 	};
 
 	bool resolve();
-	bool resolveRoute();
+	/// Finds the request's route and team in a configuration, and refuses the request if that does not allow it.
+	/// If there is no route, the one of the earlier configuration is kept for the log and the metrics.
+	/// @returns true if the request was not refused.
+	bool applyConfig(const RoutingConfigPtr& _config);
 	CrashSubjects computeSubjects() const;
 	void chooseService();
 	/// Takes the request's cost from the team's quota, once.
@@ -213,8 +216,8 @@
 	IncomingRequest m_request;
 	RequestInfo m_info;
 	RoutingConfigPtr m_config;
-	const Route* m_route = nullptr;
-	const TeamAccess* m_team = nullptr;
+	std::shared_ptr<const Route> m_route;     ///< Shares ownership of its configuration; nullptr at first.
+	std::shared_ptr<const TeamAccess> m_team; ///< The same; nullptr if the request has no key.
 	CrashSubjects m_subjects;
 	std::string m_service;
 	PlacementRequest m_placement;
--- a/tests/rawbackend.h
+++ b/tests/rawbackend.h
@@ -38,9 +38,10 @@
 	/// Bytes that answer a request.
 	struct Script
 	{
-		std::string begin;             ///< Sent once.
-		std::string repeat = {};       ///< Sent until the other side closes the connection; empty for none.
-		Ending ending = Ending::Close; ///< Takes effect once all bytes were sent.
+		std::string begin;                    ///< Sent once.
+		std::string repeat = {};              ///< Sent until the other side closes the connection; empty for none.
+		Ending ending = Ending::Close;        ///< Takes effect once all bytes were sent.
+		std::function<void()> beforeEnd = {}; ///< Called once all bytes were sent; the connection ends after it.
 	};
 	/// @returns the answer to a request, given its bytes.
 	using Answer = std::function<Script(const std::string& _request)>;
@@ -139,6 +140,10 @@
 		{
 			sent = sendAll(_socket, script.repeat);
 		}
+		if (script.beforeEnd)
+		{
+			script.beforeEnd();
+		}
 		--open;
 		endConnection(_socket, script.ending);
 	}
