Gateway: refuse waiting requests before a stop ends them

Callers: requests that a backend server turned away wait for room in a gateway that is asked to stop; their connections end without an answer at the end of the grace period, although they never ran.

Cause: nothing bounds a queued request's wait by the end of the process. One that was sent waits until its deadline, one that was not until its target latency, and shutdown() then stops the loop whatever is open.

Change: StopPolicy::latestStart() names the time until which a request can be sent and still end before running ones are aborted. A request that waits past it is refused: 503 with Retry-After if it has not run, else 502. Waiting for backoffs that end later is refused at once.

--- a/src/coordination/overloadpolicy.h
+++ b/src/coordination/overloadpolicy.h
@@ -19,7 +19,7 @@
 {
 	Micros now = 0;          ///< Time of the decision.
 	Micros answerTarget = 0; ///< An answer until then is in time.
-	Micros waitUntil = 0;    ///< The caller, or the route, allows the request to wait until then.
+	Micros waitUntil = 0;    ///< The caller, the route, or the stop of the gateway allows it to wait until then.
 	bool sent = false;       ///< It was sent to a backend server before.
 	bool mayHaveRun = false; ///< It may have run there.
 	/// All backend servers have limits, and the requests queued before it need all that these allow in time.
--- a/src/coordination/stoppolicy.h
+++ b/src/coordination/stoppolicy.h
@@ -31,7 +31,16 @@
 	/// end in time.
 	bool acceptsRequests(Micros _elapsed) const
 	{
-		return _elapsed < std::min(kAcceptSpan, m_grace * 3 / 8);
+		return _elapsed < acceptSpan();
+	}
+
+	/// @returns the time until which a request may be sent to a backend server. A later one would probably be
+	/// aborted; until then its caller has time to go to another gateway. While requests are accepted, they are also
+	/// sent.
+	/// @param[in] _expected Time from the sending of the request to the end of its answer.
+	Micros latestStart(Micros _expected) const
+	{
+		return std::max(acceptSpan(), abortTime() - _expected);
 	}
 
 	/// @returns true if idle connections are closed and new ones are refused.
@@ -43,10 +52,20 @@
 	/// @returns true if running requests have to be aborted.
 	bool mustAbort(Micros _elapsed) const
 	{
-		return _elapsed >= m_grace - std::min(kKillMargin, m_grace / 8);
+		return _elapsed >= abortTime();
 	}
 
 private:
+	Micros acceptSpan() const
+	{
+		return std::min(kAcceptSpan, m_grace * 3 / 8);
+	}
+
+	Micros abortTime() const
+	{
+		return m_grace - std::min(kKillMargin, m_grace / 8);
+	}
+
 	Micros m_grace;
 };
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -298,6 +298,10 @@
 	{
 		return true;
 	}
+	if (refuseBeforeStop(now))
+	{
+		return true;
+	}
 	if (keyMayBeRevoked(now))
 	{
 		refuse(Failure::KeyUnconfirmed, "the key cannot be confirmed", kStoreUnavailableRetryAfter);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -124,6 +124,11 @@
 	/// Refuses the request if it cannot be served in time.
 	/// @returns true if the request was refused.
 	bool refuseWithoutRoom(const Availability& _available, Micros _now);
+	/// @returns the time until which the request may be sent to a backend server; kNever unless this gateway stops.
+	Micros latestStart() const;
+	/// Refuses the request if this gateway stops before its answer could end.
+	/// @returns true if the request was refused.
+	bool refuseBeforeStop(Micros _now);
 	/// Chooses a backend server. Requests that may crash their servers are kept apart.
 	Placement place(const Availability& _available, Micros _now);
 	bool isBlocked() const;
--- a/src/gateway/exchangeplacement.cpp
+++ b/src/gateway/exchangeplacement.cpp
@@ -3,6 +3,7 @@
 
 // The part of Exchange that finds backend servers for a request, and decides whether it waits for one.
 
+#include "coordination/stoppolicy.h"
 #include "daemon/logging.h"
 #include "gateway/dispatcher.h"
 #include "gateway/exchange.h"
@@ -300,8 +301,8 @@
 
 OverloadContext Exchange::roomContext(Micros _now) const
 {
-	OverloadContext context{_now, m_request.received + m_route->targetLatency, m_deadline, m_sendCount > 0,
-							m_mayHaveRun};
+	OverloadContext context{_now, m_request.received + m_route->targetLatency, std::min(m_deadline, latestStart()),
+							m_sendCount > 0, m_mayHaveRun};
 	if (m_context.limits.size() > 0)
 	{
 		const Micros until = m_mayHaveRun ? context.waitUntil : std::min(context.answerTarget, context.waitUntil);
@@ -326,6 +327,28 @@
 	return true;
 }
 
+Micros Exchange::latestStart() const
+{
+	if (!m_context.stopping)
+	{
+		return kNever;
+	}
+	const double stream =
+		m_route->kind == RouteKind::Stream ? m_context.streamLengths.holdSeconds(m_service, m_route->name) : 0.0;
+	const Micros expected = m_route->targetLatency + static_cast<Micros>(stream * static_cast<double>(kSecond));
+	return m_context.stopRequested + StopPolicy(m_context.settings.grace).latestStart(expected);
+}
+
+bool Exchange::refuseBeforeStop(Micros _now)
+{
+	if (_now < latestStart())
+	{
+		return false;
+	}
+	refuse(Failure::Stopping, "this gateway stops before the request could end", retryAfter(_now));
+	return true;
+}
+
 Micros Exchange::retryAfter(Micros _now)
 {
 	const Availability candidates = availableWithout({}, _now);
--- a/tests/gatewaycoretest.cpp
+++ b/tests/gatewaycoretest.cpp
@@ -241,4 +241,19 @@
 	EXPECT_TRUE(policy.mustAbort(8 * kSecond - 100 * kMillisecond));
 }
 
+TEST(StopPolicy, aRequestThatWaitsIsNotSentWhenItsAnswerWouldBeAborted)
+{
+	for (const Micros grace : {2 * kSecond, 4 * kSecond, 8 * kSecond, 30 * kSecond})
+	{
+		const StopPolicy policy(grace);
+		for (Micros expected = 100 * kMillisecond; expected < 40 * kSecond; expected *= 2)
+		{
+			const Micros latest = policy.latestStart(expected);
+			EXPECT_FALSE(policy.mustAbort(latest));
+			EXPECT_FALSE(policy.acceptsRequests(latest)) << "an accepted request would not be sent";
+			EXPECT_TRUE(policy.acceptsRequests(latest - 1) || !policy.mustAbort(latest + expected - 1));
+		}
+	}
+}
+
 } // namespace beacongate::test
