Gateway: answer the requests that still run when the grace period ends

Callers: a request that runs at a backend server at the end of a stop loses its connection, and its caller cannot tell that from a fault of the network.

Change: open exchanges are known to the gateway, which ends them before it stops: with 502 and without a promise if they may have run, else with 503. Streams that have begun end with the process as before.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -44,12 +44,12 @@
 	: m_context(_context), m_dispatcher(_dispatcher), m_session(std::move(_session)),
 	  m_request(std::move(_request)), m_timer(_context.loop)
 {
-	++m_context.openExchanges;
+	m_context.openExchanges.insert(this);
 }
 
 Exchange::~Exchange()
 {
-	--m_context.openExchanges;
+	m_context.openExchanges.erase(this);
 }
 
 void Exchange::start()
@@ -525,14 +525,18 @@
 	finish("caller-gone", 0);
 }
 
+void Exchange::noteRunningAttempt()
+{
+	m_mayHaveRun = m_mayHaveRun || (m_attempt.call && m_attempt.requestSent);
+}
+
 void Exchange::onTimeout()
 {
 	if (m_finished)
 	{
 		return;
 	}
-	const bool mayRun = m_attempt.call && m_attempt.requestSent;
-	m_mayHaveRun = m_mayHaveRun || mayRun;
+	noteRunningAttempt();
 	if (m_mayHaveRun)
 	{
 		answerError(504, Failure::BackendLost, "no answer in time", 0);
@@ -541,6 +545,22 @@
 	refuse(Failure::NoBackend, "no backend server had room in time", retryAfter(monotonicNow()));
 }
 
+void Exchange::onStop()
+{
+	if (m_finished || m_streaming)
+	{
+		// A stream ends with the process and does not look complete; a reset would discard its last events.
+		return;
+	}
+	noteRunningAttempt();
+	if (m_mayHaveRun)
+	{
+		answerError(502, Failure::BackendLost, "this gateway had to stop before the answer came", 0);
+		return;
+	}
+	refuse(Failure::Stopping, "this gateway is stopping", kShortRetryAfter);
+}
+
 void Exchange::finish(const std::string& _outcome, unsigned _status, const std::string& _detail)
 {
 	if (m_finished)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -45,6 +45,10 @@
 	/// @returns true if the request must not stay in the queue: it was sent or it has ended.
 	bool tryDispatch();
 
+	/// Ends the request because this gateway stops now. A request whose answer has not begun gets one that says
+	/// whether it may have run.
+	void onStop();
+
 	/// @returns the priority of the request in the queue; a smaller value goes first.
 	unsigned priority() const
 	{
@@ -212,6 +216,8 @@
 	void refuse(Failure _failure, const std::string& _detail, Micros _retryAfter = 0);
 	void answerError(unsigned _status, Failure _failure, const std::string& _detail, Micros _retryAfter);
 	void onCallerGone();
+	/// Notes that the request may have run if an attempt has sent it.
+	void noteRunningAttempt();
 	void onTimeout();
 	void finish(const std::string& _outcome, unsigned _status, const std::string& _detail = {});
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -273,7 +273,7 @@
 		inBackoff += m_context.backoffs.left(known.key, now) > 0 ? 1 : 0;
 	}
 	const auto& config = m_context.directory.config();
-	metrics.setGauge("beacongate_open_requests", static_cast<double>(m_context.openExchanges));
+	metrics.setGauge("beacongate_open_requests", static_cast<double>(m_context.openExchanges.size()));
 	metrics.setGauge("beacongate_waiting_requests", static_cast<double>(m_dispatcher.waiting()));
 	metrics.setGauge("beacongate_backends_known", static_cast<double>(m_context.directory.backends().size()));
 	metrics.setGauge("beacongate_backends_usable", static_cast<double>(usable));
@@ -370,7 +370,7 @@
 	m_context.stopping = true;
 	m_context.stopRequested = monotonicNow();
 	m_callerContext->stopping = true;
-	logEvent(LogLevel::Info, "stop-requested", {{"open", std::to_string(m_context.openExchanges)}});
+	logEvent(LogLevel::Info, "stop-requested", {{"open", std::to_string(m_context.openExchanges.size())}});
 	pollStop();
 }
 
@@ -406,9 +406,24 @@
 		});
 }
 
+void Gateway::endOpenRequests()
+{
+	std::vector<ExchangePtr> open;
+	open.reserve(m_context.openExchanges.size());
+	for (Exchange* exchange : m_context.openExchanges)
+	{
+		open.push_back(exchange->shared_from_this());
+	}
+	for (const ExchangePtr& exchange : open)
+	{
+		exchange->onStop();
+	}
+}
+
 void Gateway::shutdown()
 {
-	logEvent(LogLevel::Info, "gateway-stopped", {{"open", std::to_string(m_context.openExchanges)}});
+	logEvent(LogLevel::Info, "gateway-stopped", {{"open", std::to_string(m_context.openExchanges.size())}});
+	endOpenRequests();
 	m_signals.cancel();
 	m_gossiper->shutdown();
 	m_store->shutdown();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -62,6 +62,8 @@
 	void waitForSignal();
 	void reloadSettings();
 	void pollStop();
+	/// Ends the requests that are still open.
+	void endOpenRequests();
 	void shutdown();
 	RequestLimits currentLimits() const;
 
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -56,9 +56,12 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <unordered_set>
 
 namespace beacongate
 {
+class Exchange;
+
 /// The shared state of one gateway.
 struct GatewayContext
 {
@@ -167,6 +170,8 @@
 	}
 
 	AnswerMemory answerMemory; ///< Outlives the loop, whose connections hold shares of it.
+	/// Exchanges add and remove themselves; outlives the loop, whose handlers hold some of them.
+	std::unordered_set<Exchange*> openExchanges;
 	boost::asio::io_context loop{1};
 	GatewaySettings settings;
 	GatewayRun run;
@@ -214,7 +219,6 @@
 	TrafficCounters traffic;
 	bool stopping = false;
 	Micros stopRequested = kNever;
-	std::size_t openExchanges = 0;
 	std::optional<std::uint64_t>
 		storeEra; ///< Newest era of the store that was named; nothing before its first answer.
 	LastRestore lastRestore{settings.firstStart};
--- a/src/gateway/gossiper.cpp
+++ b/src/gateway/gossiper.cpp
@@ -339,7 +339,7 @@
 	if (delay > kMinLoggedLoopDelay)
 	{
 		logEvent(LogLevel::Warning, "loop-delayed",
-				 {{"ms", millisText(delay)}, {"open", std::to_string(m_context.openExchanges)}});
+				 {{"ms", millisText(delay)}, {"open", std::to_string(m_context.openExchanges.size())}});
 	}
 }
 
--- a/tests/gatewaystoptest.cpp
+++ b/tests/gatewaystoptest.cpp
@@ -127,4 +127,16 @@
 	EXPECT_EQ(workers[1]->runs().size(), kWaiting);
 }
 
+TEST_F(GatewayStopTest, runningRequestIsAnsweredWithoutAPromiseWhenTheGraceEnds)
+{
+	gateways[0]->requestStop();
+	for (const auto& caller : running)
+	{
+		const std::string answer = caller->receiveUntil("");
+		EXPECT_EQ(statusOf(answer), 502u) << answer;
+		EXPECT_FALSE(has(answer, "Retry-After")) << answer;
+	}
+	EXPECT_EQ(workers[0]->runs().size(), kSlots);
+}
+
 } // namespace beacongate::test
