Gateway: do not repeat a request whose route forbids it by now

Callers: a safe request has run at a backend server and failed there; a configuration has meanwhile made its route one whose requests run at most once. The request is sent to another server all the same.

Cause: the attempt's failure was judged by the earlier route, and the retry made by the new one, whose kind was not looked at.

Change: a request that may have run is answered with 502 when the configuration that is applied to it does not allow a repeat.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -174,6 +174,11 @@
 		refuse(Failure::KeyUnconfirmed, "the key cannot be confirmed", kStoreUnavailableRetryAfter);
 		return false;
 	}
+	if (m_mayHaveRun && !m_route->repeatable())
+	{
+		refuse(Failure::BackendLost, "the request may have run, and its route does not allow a repeat any more");
+		return false;
+	}
 	m_priority = m_team && m_team->priority ? *m_team->priority : m_route->priority;
 	chooseService();
 	return true;
--- a/tests/gatewayremovedroutetest.cpp
+++ b/tests/gatewayremovedroutetest.cpp
@@ -2,7 +2,8 @@
 // Licence: BSD-2-Clause, see LICENSE.
 
 /// @file
-/// Guards against a gateway that crashes when a configuration removes the route of an open request.
+/// Guards against a gateway that crashes, or repeats a request that may have run, when a configuration removes or
+/// changes the route of an open request.
 
 #include "gatewayfixture.h"
 #include "rawbackend.h"
@@ -21,7 +22,8 @@
 constexpr unsigned kRounds = 4;
 
 /// Five teams, of which the first one, "t", has the key "key".
-std::string configOf(std::uint64_t _version, bool _withRemovable)
+/// @param[in] _kind Kind of the route "/removed/"; empty if there are no removable routes.
+std::string configOf(std::uint64_t _version, const std::string& _kind)
 {
 	standin::SiteConfig config;
 	config.version = _version;
@@ -30,9 +32,9 @@
 	config.targetLatency = 3 * kSecond;
 	config.timeout = 5 * kSecond;
 	config.routes = {{"/kept/", "unsafe"}};
-	if (_withRemovable)
+	if (!_kind.empty())
 	{
-		config.routes.push_back({"/removed/", "safe", 2});
+		config.routes.push_back({"/removed/", _kind, 2});
 		config.routes.push_back({"/stream/", "streaming", 2, true});
 	}
 	for (int number = 0; number < 4; ++number)
@@ -57,7 +59,7 @@
 	{
 		store->remove("servers/" + workerId(1));
 		store->remove("servers/" + workerId(2));
-		store->put(platform::kConfigKey, configOf(2, true));
+		store->put(platform::kConfigKey, configOf(2, "safe"));
 		startGateway(settings(1));
 		ASSERT_TRUE(await([&] { return isInForce(); }));
 	}
@@ -122,16 +124,24 @@
 	/// Puts a configuration without the removable routes, and waits until it is in force.
 	void removeRoutes()
 	{
-		store->put(platform::kConfigKey, configOf(++m_version, false));
+		store->put(platform::kConfigKey, configOf(++m_version, ""));
 		EXPECT_TRUE(await([&] { return !isInForce(); }));
 	}
 
 	void restoreRoutes()
 	{
-		store->put(platform::kConfigKey, configOf(++m_version, true));
+		store->put(platform::kConfigKey, configOf(++m_version, "safe"));
 		EXPECT_TRUE(await([&] { return isInForce(); }));
 	}
 
+	/// Makes the route "/removed/" one whose requests run at most once, and waits until that is in force.
+	void forbidRepeats()
+	{
+		store->put(platform::kConfigKey, configOf(++m_version, "unsafe"));
+		const std::string inForce = "beacongate_config_version " + std::to_string(m_version) + "\n";
+		EXPECT_TRUE(await([&] { return has(metrics(), inForce); }));
+	}
+
 	std::string metrics() const
 	{
 		Caller caller({host(1), kControlPort});
@@ -139,14 +149,6 @@
 		return caller.receiveUntil("");
 	}
 
-private:
-	/// @returns true if the gateway's configuration has the removable routes: it rejects an unknown key first if
-	/// not.
-	bool isInForce()
-	{
-		return statusOf(call("GET", "/removed/", "probe", "unknown")) == 401;
-	}
-
 	unsigned receivedRequests() const
 	{
 		unsigned count = 0;
@@ -157,6 +159,13 @@
 		return count;
 	}
 
+private:
+	/// @returns true if the gateway's configuration has the removable routes: only then it looks at the key.
+	bool isInForce()
+	{
+		return statusOf(call("GET", "/removed/", "probe", "unknown")) == 401;
+	}
+
 	std::atomic<bool> m_released = false;
 	std::uint64_t m_version = 2;
 	std::vector<std::unique_ptr<RawBackend>> m_backends;
@@ -204,6 +213,22 @@
 	EXPECT_TRUE(has(metrics(), R"(route="/stream/",team="t",outcome="broken",status="0"} 4)")) << metrics();
 }
 
+TEST_F(GatewayRemovedRouteTest, requestThatMayHaveRunIsNotRepeatedOnceItsRouteForbidsIt)
+{
+	startBackends(
+		[this](const std::string& _request)
+		{
+			awaitRelease();
+			return wholeAnswer(_request, "500 Error");
+		});
+	const auto caller = send("GET", "/removed/", "a");
+	ASSERT_TRUE(await([&] { return receivedRequests() == 1; }));
+	forbidRepeats();
+	release();
+	EXPECT_EQ(statusOf(caller->receiveUntil("")), 502u);
+	EXPECT_EQ(receivedRequests(), 1u);
+}
+
 TEST_F(GatewayRemovedRouteTest, gatewaySurvivesAQueuedRequestOnARemovedRoute)
 {
 	for (unsigned round = 0; round < kRounds; ++round)
