--- a/tests/gatewaystoptest.cpp
+++ b/tests/gatewaystoptest.cpp
@@ -78,12 +78,13 @@
 	/// Sends requests that wait in the gateway, and asks it to stop.
 	std::vector<std::unique_ptr<Caller>> stopWhileWaiting(const std::string& _method, const std::string& _path)
 	{
+		const std::string gauge = "beacongate_waiting_requests " + std::to_string(kWaiting) + "\n";
 		std::vector<std::unique_ptr<Caller>> waiting;
 		for (unsigned number = 0; number < kWaiting; ++number)
 		{
 			waiting.push_back(send(_method, _path, "short" + std::to_string(number)));
 		}
-		EXPECT_TRUE(await([&] { return has(metrics(), "beacongate_waiting_requests 3\n"); }));
+		EXPECT_TRUE(await([&] { return has(metrics(), gauge); }));
 		gateways[0]->requestStop();
 		return waiting;
 	}
