--- a/tests/gatewayremovedroutetest.cpp
+++ b/tests/gatewayremovedroutetest.cpp
@@ -115,7 +115,7 @@
 		const auto kept = send("POST", "/kept/", "b" + number);
 		EXPECT_TRUE(await([&] { return receivedRequests() == before + 2; }));
 		release();
-		const std::string answer = begun + first->receiveUntil("");
+		std::string answer = begun + first->receiveUntil("");
 		EXPECT_EQ(statusOf(kept->receiveUntil("")), 200u);
 		restoreRoutes();
 		return answer;
