--- a/src/gateway/exchange_p.h
+++ b/src/gateway/exchange_p.h
@@ -2,7 +2,7 @@
 // Licence: BSD-2-Clause, see LICENSE.
 
 /// @file
-/// Constants shared by the two source files of Exchange.
+/// Constants shared by the source files of Exchange.
 
 #ifndef BEACONGATE_GATEWAY_EXCHANGE_P_H
 #define BEACONGATE_GATEWAY_EXCHANGE_P_H
@@ -14,6 +14,9 @@
 /// Retry-After of a refusal that is due to the current load.
 inline constexpr Micros kShortRetryAfter = 100 * kMillisecond;
 
+/// Retry-After of a refusal while the configuration is missing or too old.
+inline constexpr Micros kStoreUnavailableRetryAfter = 500 * kMillisecond;
+
 } // namespace beacongate
 
 #endif // BEACONGATE_GATEWAY_EXCHANGE_P_H
